--- /dev/null
+++ b/src/account_state.rs
@@ -0,0 +1,34 @@
+//! One client account on this host.
+
+use crate::arena_keys::StatementKey;
+use crate::clock_time::ClockTime;
+use crate::share_ledger::ShareLedger;
+use crate::status_report::AccountCounts;
+
+/// One client account on this host.
+#[derive(Debug, Clone)]
+pub struct AccountState {
+    /// Name.
+    pub name: String,
+    /// Weight in queues.
+    pub weight: u32,
+    /// This host's share of the account's rate and burst.
+    pub ledger: ShareLedger,
+    /// Hosts that hold home shares.
+    pub homes: Vec<String>,
+    /// Statements that wait for a share, oldest first.
+    pub waiting: Vec<StatementKey>,
+    /// When peers were last asked.
+    pub asked: ClockTime,
+    /// Answers to the last round of asking that are outstanding.
+    pub asks_open: u32,
+    /// Extra time that the account is served for when the configuration cannot be confirmed,
+    /// in milliseconds.
+    pub grace_ms: u64,
+    /// Time that a newly dealt share stays closed beyond the usual, in milliseconds.
+    pub hold_ms: u64,
+    /// Rounds of asking since the oldest waiting statement arrived.
+    pub rounds: u32,
+    /// Counts since the start.
+    pub counts: AccountCounts,
+}
--- /dev/null
+++ b/src/arena_keys.rs
@@ -0,0 +1,16 @@
+//! Small `Copy` keys into the arenas of the decision core.
+
+slotmap::new_key_type! {
+    /// Key of a caller's open connection to this host.
+    pub struct CallerKey;
+    /// Key of a statement that has not been answered yet.
+    pub struct StatementKey;
+    /// Key of a connection from this host to an endpoint.
+    pub struct ConnectionKey;
+    /// Key of an endpoint known to this host.
+    pub struct EndpointKey;
+    /// Key of a database group known to this host.
+    pub struct GroupKey;
+    /// Key of a client account known to this host.
+    pub struct AccountKey;
+}
--- /dev/null
+++ b/src/bin/quetzaldeald.rs
@@ -0,0 +1,53 @@
+//! The daemon that every host runs.
+
+use std::path::PathBuf;
+
+use anyhow::{Context, Result};
+use clap::{Arg, Command, value_parser};
+use quetzaldeal::daemon_settings::DaemonSettings;
+use quetzaldeal::host_daemon;
+use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+
+fn main() -> Result<()> {
+    let matches = command().get_matches();
+    let path: &PathBuf = matches.get_one("settings").context("no settings file")?;
+    let settings = DaemonSettings::load(path)?;
+    if matches.get_flag("check") {
+        return Ok(());
+    }
+    start_log(&settings)?;
+    host_daemon::run(settings)
+}
+
+fn command() -> Command {
+    Command::new("quetzaldeald")
+        .about("Stands between callers and database groups on one host")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help("Example:\n  quetzaldeald --settings /etc/quetzaldeal/host.yaml")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .short('s')
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("YAML file with the host's settings"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(clap::ArgAction::SetTrue)
+                .help("Check the settings and stop"),
+        )
+}
+
+fn start_log(settings: &DaemonSettings) -> Result<()> {
+    let level = settings.log_level.parse().context("log_level")?;
+    let config = ConfigBuilder::new()
+        .set_target_level(log::LevelFilter::Error)
+        .set_thread_level(log::LevelFilter::Error)
+        .set_time_format_rfc3339()
+        .add_filter_allow_str("quetzaldeal")
+        .build();
+    TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never)
+        .context("cannot start the log")
+}
--- /dev/null
+++ b/src/caller_door.rs
@@ -0,0 +1,319 @@
+//! The callers' door: PostgreSQL's wire protocol.
+
+use std::fmt::Debug;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use async_trait::async_trait;
+use futures::{Sink, SinkExt, stream};
+use motore::Service;
+use pgwire::api::auth::{self, DefaultServerParameterProvider, StartupHandler};
+use pgwire::api::portal::Portal;
+use pgwire::api::query::{ExtendedQueryHandler, SimpleQueryHandler};
+use pgwire::api::results::{DataRowEncoder, FieldFormat, FieldInfo, QueryResponse, Response, Tag};
+use pgwire::api::stmt::NoopQueryParser;
+use pgwire::api::store::PortalStore;
+use pgwire::api::{
+    ClientInfo, ClientPortalStore, METADATA_DATABASE, METADATA_USER, PgWireConnectionState,
+    PgWireServerHandlers, Type,
+};
+use pgwire::error::{ErrorInfo, PgWireError, PgWireResult};
+use pgwire::messages::extendedquery::Parse;
+use pgwire::messages::startup::Authentication;
+use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
+use pgwire::tokio::process_socket;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use crate::caller_desk::{CallerDesk, DeskAnswer};
+use crate::core_message::{CallerId, CoreEvent};
+use crate::request_verdict::{RequestFate, RequestVerdict};
+use crate::statement_service::{CallerContext, StatementService};
+
+/// Time for the last answer to leave before a connection is closed.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+/// Longest wait for connections to close when the host stops.
+const CLOSE_TIME_MAX: Duration = Duration::from_secs(1);
+const SETTING_PREFIX: &str = "quetzaldeal.";
+const STATE_NOT_SUPPORTED: &str = "0A000";
+
+/// Serves callers until `stop` is cancelled.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub async fn serve(
+    address: &str,
+    desk: Arc<CallerDesk>,
+    service: StatementService,
+    stop: CancellationToken,
+) -> Result<()> {
+    let listener = TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen for callers at {address}"))?;
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((socket, _)) => {
+                let connection =
+                    serve_caller(socket, desk.clone(), service.clone(), stop.child_token());
+                tokio::spawn(connection);
+            }
+            Err(error) => log::warn!("cannot accept a caller: {error}"),
+        }
+    }
+    await_last_answers(&desk).await;
+    Ok(())
+}
+
+/// Waits until the open connections have sent their last answers and closed.
+async fn await_last_answers(desk: &CallerDesk) {
+    let started = tokio::time::Instant::now();
+    while desk.open_count() > 0 && started.elapsed() < CLOSE_TIME_MAX {
+        tokio::time::sleep(FLUSH_TIME / 5).await;
+    }
+}
+
+async fn serve_caller(
+    socket: TcpStream,
+    desk: Arc<CallerDesk>,
+    service: StatementService,
+    close: CancellationToken,
+) {
+    // Answers are small; waiting to fill packets only delays them.
+    drop(socket.set_nodelay(true));
+    let caller = desk.register(close.clone());
+    let handler = Arc::new(CallerHandler {
+        caller,
+        desk: desk.clone(),
+        service,
+        account: OnceLock::new(),
+        parser: Arc::new(NoopQueryParser::new()),
+    });
+    let closing = async {
+        close.cancelled().await;
+        tokio::time::sleep(FLUSH_TIME).await;
+    };
+    tokio::select! {
+        ended = process_socket(socket, None, CallerHandlers { handler }) => {
+            if let Err(error) = ended {
+                log::debug!("caller {caller}: {error}");
+            }
+        }
+        () = closing => {}
+    }
+    desk.forget(caller).await;
+}
+
+/// Handlers of one caller's connection, as the library asks for them.
+#[derive(Debug)]
+struct CallerHandlers {
+    handler: Arc<CallerHandler>,
+}
+
+impl PgWireServerHandlers for CallerHandlers {
+    fn simple_query_handler(&self) -> Arc<impl SimpleQueryHandler> {
+        self.handler.clone()
+    }
+
+    fn extended_query_handler(&self) -> Arc<impl ExtendedQueryHandler> {
+        self.handler.clone()
+    }
+
+    fn startup_handler(&self) -> Arc<impl StartupHandler> {
+        self.handler.clone()
+    }
+}
+
+/// Handles the messages of one caller's connection.
+#[derive(Debug)]
+struct CallerHandler {
+    caller: CallerId,
+    desk: Arc<CallerDesk>,
+    service: StatementService,
+    account: OnceLock<String>,
+    parser: Arc<NoopQueryParser>,
+}
+
+impl CallerHandler {
+    async fn run(&self, text: &str) -> DeskAnswer {
+        let account = self.account.get().cloned().unwrap_or_default();
+        let mut context = CallerContext { caller: self.caller, account };
+        match self.service.call(&mut context, text.to_owned()).await {
+            Ok(answer) => answer,
+            Err(never) => match never {},
+        }
+    }
+
+    fn login(&self, client: &impl ClientInfo, key: &str) -> CoreEvent {
+        let metadata = client.metadata();
+        let field = |name: &str| metadata.get(name).cloned().unwrap_or_default();
+        let account = field(METADATA_USER);
+        // The account is set once; a second login on a connection is a protocol error before.
+        drop(self.account.set(account.clone()));
+        CoreEvent::CallerOpened {
+            caller: self.caller,
+            account,
+            key: key.to_owned(),
+            service: field(METADATA_DATABASE),
+            settings: startup_settings(&field("options")),
+        }
+    }
+}
+
+#[async_trait]
+impl StartupHandler for CallerHandler {
+    async fn on_startup<C>(
+        &self,
+        client: &mut C,
+        message: PgWireFrontendMessage,
+    ) -> PgWireResult<()>
+    where
+        C: ClientInfo + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        match message {
+            PgWireFrontendMessage::Startup(startup) => {
+                auth::protocol_negotiation(client, &startup).await?;
+                auth::save_startup_parameters_to_metadata(client, &startup);
+                client.set_state(PgWireConnectionState::AuthenticationInProgress);
+                let ask = Authentication::CleartextPassword;
+                client.send(PgWireBackendMessage::Authentication(ask)).await?;
+                Ok(())
+            }
+            PgWireFrontendMessage::PasswordMessageFamily(message) => {
+                let key = message.into_password()?.password;
+                let event = self.login(client, &key);
+                let answer = self.desk.ask(self.caller, event).await;
+                if answer.verdict.fate != RequestFate::Ran {
+                    return Err(verdict_error(&answer.verdict, "FATAL"));
+                }
+                auth::finish_authentication(client, &DefaultServerParameterProvider::default())
+                    .await
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+#[async_trait]
+impl SimpleQueryHandler for CallerHandler {
+    async fn do_query<C>(&self, _client: &mut C, query: &str) -> PgWireResult<Vec<Response>>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let answer = self.run(query).await;
+        respond(answer).map(|response| vec![response])
+    }
+}
+
+#[async_trait]
+impl ExtendedQueryHandler for CallerHandler {
+    type Statement = String;
+    type QueryParser = NoopQueryParser;
+
+    fn query_parser(&self) -> Arc<Self::QueryParser> {
+        self.parser.clone()
+    }
+
+    async fn on_parse<C>(&self, _client: &mut C, _message: Parse) -> PgWireResult<()>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore<Statement = Self::Statement>,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        Err(not_supported())
+    }
+
+    async fn do_query<C>(
+        &self,
+        _client: &mut C,
+        _portal: &Portal<Self::Statement>,
+        _max_rows: usize,
+    ) -> PgWireResult<Response>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore<Statement = Self::Statement>,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        Err(not_supported())
+    }
+}
+
+fn not_supported() -> PgWireError {
+    let text = "prepared statements are not served; use the simple query protocol \
+                (verdict: not run)";
+    user_error("ERROR", STATE_NOT_SUPPORTED, text)
+}
+
+/// Reads `-c quetzaldeal.name=value` pairs from the startup options.
+fn startup_settings(options: &str) -> Vec<(String, String)> {
+    let words = options.split_whitespace();
+    let assignments = words.filter_map(|word| {
+        let word = word.strip_prefix("-c").unwrap_or(word);
+        let (name, value) = word.strip_prefix(SETTING_PREFIX)?.split_once('=')?;
+        Some((name.to_owned(), value.to_owned()))
+    });
+    assignments.collect()
+}
+
+fn respond(answer: DeskAnswer) -> PgWireResult<Response> {
+    let DeskAnswer { verdict, body, in_transaction } = answer;
+    if verdict.fate != RequestFate::Ran || verdict.sqlstate() != "00000" {
+        return Err(verdict_error(&verdict, "ERROR"));
+    }
+    match body.tag.as_str() {
+        "BEGIN" | "START" => return Ok(Response::TransactionStart(Tag::new("BEGIN"))),
+        "COMMIT" | "END" => return Ok(Response::TransactionEnd(Tag::new("COMMIT"))),
+        "ROLLBACK" | "ABORT" => return Ok(Response::TransactionEnd(Tag::new("ROLLBACK"))),
+        _ => {}
+    }
+    if body.columns.is_empty() {
+        let tag = Tag::new(&body.tag);
+        let tag = match body.tag.as_str() {
+            "INSERT" => tag.with_oid(0).with_rows(body.affected as usize),
+            "UPDATE" | "DELETE" | "SELECT" => tag.with_rows(body.affected as usize),
+            _ => tag,
+        };
+        log::trace!("answered {}, in transaction: {in_transaction}", body.tag);
+        return Ok(Response::Execution(tag));
+    }
+    let field =
+        |name: &String| FieldInfo::new(name.clone(), None, None, Type::TEXT, FieldFormat::Text);
+    let fields = Arc::new(body.columns.iter().map(field).collect::<Vec<_>>());
+    let mut encoder = DataRowEncoder::new(fields.clone());
+    let rows: Vec<_> = body
+        .rows
+        .iter()
+        .map(|row| {
+            row.iter().try_for_each(|value| encoder.encode_field(value))?;
+            Ok(encoder.take_row())
+        })
+        .collect();
+    Ok(Response::Query(QueryResponse::new(fields, stream::iter(rows))))
+}
+
+fn verdict_error(verdict: &RequestVerdict, severity: &str) -> PgWireError {
+    let mut info =
+        ErrorInfo::new(severity.to_owned(), verdict.sqlstate().to_owned(), verdict.message());
+    info.detail = Some(verdict.detail());
+    PgWireError::UserError(Box::new(info))
+}
+
+fn user_error(severity: &str, state: &str, text: &str) -> PgWireError {
+    PgWireError::UserError(Box::new(ErrorInfo::new(
+        severity.to_owned(),
+        state.to_owned(),
+        text.to_owned(),
+    )))
+}
--- /dev/null
+++ b/src/caller_flow.rs
@@ -0,0 +1,245 @@
+//! Callers come, change their settings and go.
+
+use crate::arena_keys::{AccountKey, CallerKey};
+use crate::caller_state::{CallerProof, CallerSettings, CallerState};
+use crate::connection_flow;
+use crate::core_context::CoreContext;
+use crate::core_message::{CallerId, CoreAction};
+use crate::core_tuning;
+use crate::drain_flow;
+use crate::endpoint_message::AnswerBody;
+use crate::key_secret;
+use crate::request_verdict::{RequestVerdict, VerdictCause};
+use crate::session_token::SessionToken;
+use crate::statement_flow;
+
+/// The account that callers of open routes without a key run under.
+pub const PUBLIC_ACCOUNT: &str = "public";
+
+/// What a caller presents when it connects.
+#[derive(Debug)]
+pub struct CallerLogin {
+    /// The door's number.
+    pub caller: CallerId,
+    /// The account named.
+    pub account: String,
+    /// The key presented.
+    pub key: String,
+    /// The service named.
+    pub service: String,
+    /// Settings given at the start.
+    pub settings: Vec<(String, String)>,
+}
+
+/// Lets a caller in or turns it away.
+pub fn open(ctx: &mut CoreContext, login: CallerLogin) {
+    let caller = login.caller;
+    match try_open(ctx, login) {
+        Ok(()) => ctx.actions.push(CoreAction::AdmitCaller { caller }),
+        Err(verdict) => ctx.actions.push(CoreAction::RefuseCaller { caller, verdict }),
+    }
+}
+
+/// Forgets a caller; what it left running is cut from its connection, which is closed.
+pub fn close(ctx: &mut CoreContext, caller: CallerId) {
+    let Some(key) = ctx.caller_ids.remove(&caller) else { return };
+    if let Some(statement) = ctx.callers[key].statement.take() {
+        statement_flow::abandon(ctx, statement);
+    }
+    if let Some(transaction) = ctx.callers[key].transaction.take() {
+        connection_flow::discard(ctx, transaction.connection, "discarded");
+    }
+    ctx.callers.remove(key);
+    drain_flow::check_finished(ctx);
+}
+
+/// Returns why the caller may not act for its account any more, if so.
+pub fn check_proof(ctx: &CoreContext, caller: CallerKey) -> Result<(), RequestVerdict> {
+    let state = &ctx.callers[caller];
+    let rejected = || RequestVerdict::not_run(VerdictCause::KeyRejected, None);
+    if let CallerProof::Key { name, hash } = &state.proof {
+        let key = ctx.config.world.keys.get(name).ok_or_else(rejected)?;
+        if key.account != state.account_name || key.hash != *hash {
+            return Err(rejected());
+        }
+    }
+    let account = ctx.config.world.accounts.get(&state.account_name).ok_or_else(rejected)?;
+    if !ctx.config_fresh(account.cut_off_grace_ms) {
+        let wait = Some(core_tuning::FAILOVER_RETRY);
+        return Err(RequestVerdict::not_run(VerdictCause::ConfigStale, wait));
+    }
+    Ok(())
+}
+
+/// Ends the connections of callers whose keys no longer stand.
+pub fn sweep(ctx: &mut CoreContext) {
+    let keys: Vec<CallerKey> = ctx.callers.keys().collect();
+    for key in keys {
+        let Err(verdict) = check_proof(ctx, key) else { continue };
+        if verdict.cause != VerdictCause::KeyRejected {
+            continue;
+        }
+        let caller = ctx.callers[key].id;
+        if let Some(statement) = ctx.callers[key].statement {
+            statement_flow::cut_short(ctx, statement, VerdictCause::KeyRejected);
+        }
+        ctx.actions.push(CoreAction::CloseCaller { caller, verdict });
+        close(ctx, caller);
+    }
+}
+
+/// Changes one of a caller's settings.
+///
+/// # Errors
+///
+/// Names the setting and the value that is not accepted.
+pub fn set_option(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    name: &str,
+    value: &str,
+) -> Result<(), RequestVerdict> {
+    if name == "session" {
+        return merge_session(ctx, caller, value);
+    }
+    let settings = &mut ctx.callers[caller].settings;
+    let text = Some(value.to_owned()).filter(|value| !value.is_empty());
+    match name {
+        "group" => settings.group = text,
+        "route_key" => settings.route_key = text,
+        "request_id" => settings.request_id = text,
+        "max_age_ms" => settings.max_age_ms = parse_millis(name, value)?,
+        "timeout_ms" => settings.timeout_ms = parse_millis(name, value)?,
+        _ => return Err(invalid(format!("setting quetzaldeal.{name} is unknown"))),
+    }
+    Ok(())
+}
+
+/// Shows one of a caller's settings.
+///
+/// # Errors
+///
+/// Names a setting that is unknown.
+pub fn show_option(
+    ctx: &CoreContext,
+    caller: CallerKey,
+    name: &str,
+) -> Result<AnswerBody, RequestVerdict> {
+    let state = &ctx.callers[caller];
+    let settings = &state.settings;
+    let millis = |value: Option<u64>| value.map(|value| value.to_string()).unwrap_or_default();
+    let value = match name {
+        "session" => state.session.seal(ctx.config.token_secret(), &state.account_name),
+        "group" => settings.group.clone().unwrap_or_default(),
+        "route_key" => settings.route_key.clone().unwrap_or_default(),
+        "request_id" => settings.request_id.clone().unwrap_or_default(),
+        "max_age_ms" => millis(settings.max_age_ms),
+        "timeout_ms" => millis(settings.timeout_ms),
+        "version" => ctx.config.version().to_string(),
+        _ => return Err(invalid(format!("setting quetzaldeal.{name} is unknown"))),
+    };
+    Ok(AnswerBody {
+        columns: vec![format!("quetzaldeal.{name}")],
+        rows: vec![vec![Some(value)]],
+        affected: 1,
+        tag: "SHOW".to_owned(),
+    })
+}
+
+fn try_open(ctx: &mut CoreContext, login: CallerLogin) -> Result<(), RequestVerdict> {
+    let retry = Some(core_tuning::FAILOVER_RETRY);
+    if ctx.config.head.is_none() {
+        return Err(RequestVerdict::not_run(VerdictCause::ConfigMissing, retry));
+    }
+    if !ctx.takes_work() {
+        return Err(RequestVerdict::not_run(
+            VerdictCause::Draining,
+            Some(core_tuning::SHORT_RETRY),
+        ));
+    }
+    let (account_name, proof) = prove(ctx, &login)?;
+    let account = account_key(ctx, &account_name)?;
+    let state = CallerState {
+        id: login.caller,
+        account_name,
+        account,
+        proof,
+        service: login.service,
+        session: SessionToken::default(),
+        settings: CallerSettings::default(),
+        statement: None,
+        transaction: None,
+    };
+    let key = ctx.callers.insert(state);
+    let outcome = check_proof(ctx, key)
+        .and_then(|()| statement_flow::find_rule(ctx, key).map(|_| ()))
+        .and_then(|()| apply_settings(ctx, key, &login.settings));
+    match outcome {
+        Ok(()) => {
+            ctx.caller_ids.insert(login.caller, key);
+            Ok(())
+        }
+        Err(verdict) => {
+            ctx.callers.remove(key);
+            Err(verdict)
+        }
+    }
+}
+
+fn prove(ctx: &CoreContext, login: &CallerLogin) -> Result<(String, CallerProof), RequestVerdict> {
+    let world = &ctx.config.world;
+    let mut keys = world.keys.values().filter(|key| key.account == login.account);
+    if let Some(key) = keys.find(|key| key_secret::matches(key, &login.key)) {
+        let proof = CallerProof::Key { name: key.name.clone(), hash: key.hash.clone() };
+        return Ok((login.account.clone(), proof));
+    }
+    let open = world.rules.values().any(|rule| rule.open && rule.service == login.service);
+    if open && login.key.is_empty() {
+        return Ok((PUBLIC_ACCOUNT.to_owned(), CallerProof::OpenRoute));
+    }
+    Err(RequestVerdict::not_run(VerdictCause::KeyRejected, None))
+}
+
+fn account_key(ctx: &CoreContext, name: &str) -> Result<AccountKey, RequestVerdict> {
+    let rejected = || RequestVerdict::not_run(VerdictCause::KeyRejected, None);
+    ctx.account_names.get(name).copied().ok_or_else(rejected)
+}
+
+fn apply_settings(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    settings: &[(String, String)],
+) -> Result<(), RequestVerdict> {
+    for (name, value) in settings {
+        set_option(ctx, caller, name, value)?;
+    }
+    Ok(())
+}
+
+fn merge_session(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    value: &str,
+) -> Result<(), RequestVerdict> {
+    let account = ctx.callers[caller].account_name.clone();
+    match SessionToken::open(ctx.config.token_secret(), &account, value) {
+        Ok(token) => {
+            ctx.callers[caller].session.merge(&token);
+            Ok(())
+        }
+        Err(_) => Err(RequestVerdict::not_run(VerdictCause::TokenInvalid, None)),
+    }
+}
+
+fn parse_millis(name: &str, value: &str) -> Result<Option<u64>, RequestVerdict> {
+    if value.is_empty() {
+        return Ok(None);
+    }
+    let malformed =
+        || invalid(format!("setting quetzaldeal.{name}: {value:?}: give whole milliseconds"));
+    value.parse().map(Some).map_err(|_| malformed())
+}
+
+fn invalid(detail: String) -> RequestVerdict {
+    RequestVerdict::not_run(VerdictCause::StatementInvalid { detail }, None)
+}
--- /dev/null
+++ b/src/caller_state.rs
@@ -0,0 +1,66 @@
+//! One caller's open connection to this host.
+
+use crate::arena_keys::{AccountKey, ConnectionKey, GroupKey, StatementKey};
+use crate::core_message::CallerId;
+use crate::session_token::SessionToken;
+
+/// What proved the caller's right to its account.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerProof {
+    /// A key: its object's name and hash at login.
+    Key {
+        /// Name of the key object.
+        name: String,
+        /// Its hash.
+        hash: String,
+    },
+    /// The route is open to all.
+    OpenRoute,
+}
+
+/// Settings that the caller has made.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CallerSettings {
+    /// Group named by the caller.
+    pub group: Option<String>,
+    /// Key that picks one of the service's groups.
+    pub route_key: Option<String>,
+    /// Identifier of the next write.
+    pub request_id: Option<String>,
+    /// Greatest age of data accepted by reads, in milliseconds.
+    pub max_age_ms: Option<u64>,
+    /// Deadline of each statement, in milliseconds.
+    pub timeout_ms: Option<u64>,
+}
+
+/// A transaction in progress.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OpenTransaction {
+    /// The group it runs in.
+    pub group: GroupKey,
+    /// The connection that belongs to it.
+    pub connection: ConnectionKey,
+}
+
+/// One caller's open connection.
+#[derive(Debug, Clone)]
+pub struct CallerState {
+    /// The door's number.
+    pub id: CallerId,
+    /// The account's name.
+    pub account_name: String,
+    /// The account.
+    pub account: AccountKey,
+    /// What proved its right.
+    pub proof: CallerProof,
+    /// The service named at login.
+    pub service: String,
+    /// Points that its reads must see.
+    pub session: SessionToken,
+    /// Its settings.
+    pub settings: CallerSettings,
+    /// The statement under way.
+    pub statement: Option<StatementKey>,
+    /// Its open transaction.
+    pub transaction: Option<OpenTransaction>,
+}
--- /dev/null
+++ b/src/circuit_breaker.rs
@@ -0,0 +1,43 @@
+//! Keeps work away from an endpoint that fails, until a status probe has succeeded.
+
+use std::time::Duration;
+
+use crate::clock_time::ClockTime;
+
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_000);
+const PAUSE_DOUBLINGS_MAX: u32 = 5;
+/// Failures in a row that open the circuit.
+const FAILURES_TO_OPEN: u32 = 2;
+
+/// The circuit to one endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct CircuitBreaker {
+    failures: u32,
+    retry_at: ClockTime,
+}
+
+impl CircuitBreaker {
+    /// Whether work may go to the endpoint.
+    pub fn closed(&self) -> bool {
+        self.failures < FAILURES_TO_OPEN
+    }
+
+    /// Whether the status probe may try the endpoint again.
+    pub fn may_probe(&self, now: ClockTime) -> bool {
+        now >= self.retry_at
+    }
+
+    /// Notes a success, which closes the circuit.
+    pub fn succeed(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Notes a failure; `jitter` between 0 and 1 spreads the hosts' next probes.
+    pub fn fail(&mut self, now: ClockTime, jitter: f64) {
+        let doublings = self.failures.min(PAUSE_DOUBLINGS_MAX);
+        let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+        self.failures = self.failures.saturating_add(1);
+        self.retry_at = now.after(pause.mul_f64(0.5 + jitter / 2.0));
+    }
+}
--- /dev/null
+++ b/src/config_check.rs
@@ -0,0 +1,242 @@
+//! Checks a configuration as a whole before it is published.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::SocketAddr;
+
+use crate::caller_flow;
+use crate::world_config;
+
+/// The longest name that an object may have, in bytes.
+pub const NAME_MAX_BYTES: usize = 64;
+
+/// One fault of a configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CheckFinding {
+    /// Kind and name of the object.
+    pub object: String,
+    /// The field at fault.
+    pub field: &'static str,
+    /// The field's value.
+    pub value: String,
+    /// What is wrong and how to mend it.
+    pub mend: String,
+}
+
+impl fmt::Display for CheckFinding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: field {}: {:?}: {}", self.object, self.field, self.value, self.mend)
+    }
+}
+
+/// Returns every fault of `world`, and of the change from `previous` to it.
+pub fn check_world(
+    world: &world_config::WorldConfig,
+    previous: Option<&world_config::WorldConfig>,
+) -> Vec<CheckFinding> {
+    let mut findings = Vec::new();
+    check_names(world, &mut findings);
+    check_accounts(world, &mut findings);
+    check_keys(world, &mut findings);
+    check_places(world, &mut findings);
+    check_groups(world, &mut findings);
+    check_services(world, &mut findings);
+    check_rules(world, &mut findings);
+    if let Some(previous) = previous {
+        check_change(world, previous, &mut findings);
+    }
+    findings
+}
+
+fn finding(object: String, field: &'static str, value: &str, mend: &str) -> CheckFinding {
+    CheckFinding { object, field, value: value.to_owned(), mend: mend.to_owned() }
+}
+
+fn check_names(world: &world_config::WorldConfig, findings: &mut Vec<CheckFinding>) {
+    for object in world.to_objects() {
+        let name = object.name();
+        let allowed = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+        if name.is_empty() || name.len() > NAME_MAX_BYTES || !name.chars().all(allowed) {
+            let mend = "use 1 to 64 ASCII letters, digits, '-', '_' or '.'";
+            findings.push(finding(object.kind().to_owned(), "name", name, mend));
+        }
+    }
+}
+
+fn check_accounts(world: &world_config::WorldConfig, findings: &mut Vec<CheckFinding>) {
+    for account in world.accounts.values() {
+        let object = || format!("account {}", account.name);
+        if !(account.rate.is_finite() && account.rate > 0.0) {
+            let value = account.rate.to_string();
+            findings.push(finding(object(), "rate", &value, "give a rate above 0"));
+        }
+        if !(account.burst.is_finite() && account.burst >= 1.0) {
+            let value = account.burst.to_string();
+            findings.push(finding(object(), "burst", &value, "give a burst of at least 1"));
+        }
+        if account.weight == 0 {
+            findings.push(finding(object(), "weight", "0", "give a weight of at least 1"));
+        }
+    }
+}
+
+fn check_keys(world: &world_config::WorldConfig, findings: &mut Vec<CheckFinding>) {
+    for key in world.keys.values() {
+        let object = || format!("key {}", key.name);
+        if !world.accounts.contains_key(&key.account) {
+            let mend = "no such account; publish it too, or remove the key";
+            findings.push(finding(object(), "account", &key.account, mend));
+        }
+        let hexadecimal = |text: &str| text.chars().all(|letter| letter.is_ascii_hexdigit());
+        if key.salt.len() < 16 || !hexadecimal(&key.salt) {
+            let mend = "make the key with `quetzaldeal key new`";
+            findings.push(finding(object(), "salt", &key.salt, mend));
+        }
+        if key.hash.len() != 64 || !hexadecimal(&key.hash) {
+            let mend = "make the key with `quetzaldeal key new`";
+            findings.push(finding(object(), "hash", &key.hash, mend));
+        }
+    }
+}
+
+fn check_places(world: &world_config::WorldConfig, findings: &mut Vec<CheckFinding>) {
+    let mut addresses: BTreeMap<String, String> = BTreeMap::new();
+    let hosts = world.hosts.values().map(|host| {
+        (format!("host {}", host.name), host.data_centre.as_str(), host.address.as_str())
+    });
+    let endpoints = world.endpoints.values().map(|endpoint| {
+        let object = format!("endpoint {}", endpoint.name);
+        (object, endpoint.data_centre.as_str(), endpoint.address.as_str())
+    });
+    for (object, centre, address) in hosts.chain(endpoints) {
+        if !world.centres.contains_key(centre) {
+            let mend = "no such data centre; publish it too, or name another";
+            findings.push(finding(object.clone(), "data_centre", centre, mend));
+        }
+        if address.parse::<SocketAddr>().is_err() {
+            let mend = "give an IP number and port, such as 10.0.0.1:7000";
+            findings.push(finding(object.clone(), "address", address, mend));
+        }
+        if let Some(other) = addresses.insert(address.to_owned(), object.clone()) {
+            let mend = format!("{other} has this address too; give each its own");
+            findings.push(finding(object, "address", address, &mend));
+        }
+    }
+    for endpoint in world.endpoints.values() {
+        let object = || format!("endpoint {}", endpoint.name);
+        if endpoint.slots == 0 {
+            findings.push(finding(object(), "slots", "0", "give at least 1"));
+        }
+        if endpoint.connections < 2 {
+            let value = endpoint.connections.to_string();
+            findings.push(finding(object(), "connections", &value, "give at least 2"));
+        }
+    }
+}
+
+fn check_groups(world: &world_config::WorldConfig, findings: &mut Vec<CheckFinding>) {
+    let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
+    for group in world.groups.values() {
+        let object = || format!("group {}", group.name);
+        if group.endpoints.is_empty() {
+            findings.push(finding(object(), "endpoints", "[]", "name at least one endpoint"));
+        }
+        for endpoint in &group.endpoints {
+            if !world.endpoints.contains_key(endpoint) {
+                let mend = "no such endpoint; publish it too, or name another";
+                findings.push(finding(object(), "endpoints", endpoint, mend));
+            }
+            if let Some(other) = owners.insert(endpoint, &group.name) {
+                let mend = format!("group {other} has it already; an endpoint is in one group");
+                findings.push(finding(object(), "endpoints", endpoint, &mend));
+            }
+        }
+        let usable = group.endpoints.iter().any(|endpoint| world.endpoint_in_service(endpoint));
+        if !usable && !group.endpoints.is_empty() {
+            let mend = "no endpoint of the group is in service; leave one in service";
+            findings.push(finding(object(), "endpoints", &group.endpoints.join(", "), mend));
+        }
+    }
+}
+
+fn check_services(world: &world_config::WorldConfig, findings: &mut Vec<CheckFinding>) {
+    let ruled: BTreeSet<&str> = world.rules.values().map(|rule| rule.service.as_str()).collect();
+    for service in world.services.values() {
+        let object = || format!("service {}", service.name);
+        if service.groups.is_empty() {
+            findings.push(finding(object(), "groups", "[]", "name at least one group"));
+        }
+        let mut seen = BTreeSet::new();
+        for group in &service.groups {
+            if !world.groups.contains_key(group) {
+                let mend = "no such group; publish it too, or name another";
+                findings.push(finding(object(), "groups", group, mend));
+            }
+            if !seen.insert(group) {
+                findings.push(finding(object(), "groups", group, "stands twice; name it once"));
+            }
+        }
+        if !ruled.contains(service.name.as_str()) {
+            let mend = "no rule opens this service; publish one, or remove the service";
+            findings.push(finding(object(), "name", &service.name, mend));
+        }
+    }
+}
+
+fn check_rules(world: &world_config::WorldConfig, findings: &mut Vec<CheckFinding>) {
+    let mut granted: BTreeMap<(&str, &str), &str> = BTreeMap::new();
+    for rule in world.rules.values() {
+        let object = || format!("rule {}", rule.name);
+        if !world.services.contains_key(&rule.service) {
+            let mend = "no such service; publish it too, or name another";
+            findings.push(finding(object(), "service", &rule.service, mend));
+        }
+        if rule.accounts.is_empty() && !rule.open {
+            let mend = "the route is empty; name accounts, or set open: true";
+            findings.push(finding(object(), "accounts", "[]", mend));
+        }
+        if rule.open && !world.accounts.contains_key(caller_flow::PUBLIC_ACCOUNT) {
+            let mend = "open routes are counted against account `public`; publish it too";
+            findings.push(finding(object(), "open", "true", mend));
+        }
+        if rule.open && !rule.accounts.is_empty() {
+            let mend = "contradicts open: true; name accounts or set open, not both";
+            findings.push(finding(object(), "accounts", &rule.accounts.join(", "), mend));
+        }
+        for account in &rule.accounts {
+            if !world.accounts.contains_key(account) {
+                let mend = "no such account; publish it too, or name another";
+                findings.push(finding(object(), "accounts", account, mend));
+            }
+            if let Some(other) = granted.insert((&rule.service, account), &rule.name) {
+                let mend = format!("rule {other} speaks of this account and service already");
+                findings.push(finding(object(), "accounts", account, &mend));
+            }
+        }
+    }
+}
+
+fn check_change(
+    world: &world_config::WorldConfig,
+    previous: &world_config::WorldConfig,
+    findings: &mut Vec<CheckFinding>,
+) {
+    for (name, old) in &previous.groups {
+        let Some(new) = world.groups.get(name) else { continue };
+        let old_copies: BTreeSet<&String> = old.endpoints.iter().collect();
+        let new_copies: BTreeSet<&String> = new.endpoints.iter().collect();
+        if old_copies != new_copies {
+            let mend = "the copies of a running group cannot change; publish a new group";
+            let object = format!("group {name}");
+            findings.push(finding(object, "endpoints", &new.endpoints.join(", "), mend));
+        }
+    }
+    for (name, old) in &previous.services {
+        let Some(new) = world.services.get(name) else { continue };
+        if old.groups != new.groups {
+            let mend = "a route key picks among these; changing them strands data";
+            let object = format!("service {name}");
+            findings.push(finding(object, "groups", &new.groups.join(", "), mend));
+        }
+    }
+}
--- /dev/null
+++ b/src/config_flow.rs
@@ -0,0 +1,261 @@
+//! Brings published configurations into force on this host.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crate::account_state::AccountState;
+use crate::arena_keys::{EndpointKey, GroupKey};
+use crate::call_purpose::CallPurpose;
+use crate::caller_flow;
+use crate::circuit_breaker::CircuitBreaker;
+use crate::clock_time::ClockTime;
+use crate::config_head::{self, ConfigHead};
+use crate::connection_flow;
+use crate::core_context::CoreContext;
+use crate::core_message::CoreAction;
+use crate::drain_flow;
+use crate::endpoint_state::EndpointState;
+use crate::failover_flow;
+use crate::group_record;
+use crate::group_state::GroupState;
+use crate::peer_message::PeerRequest;
+use crate::peer_table::PeerState;
+use crate::platform_message::{PlatformReply, PlatformRequest};
+use crate::share_flow;
+use crate::share_ledger::ShareLedger;
+use crate::timer_queue::TimerKind;
+use crate::world_config::WorldConfig;
+
+/// Connections of an endpoint that are left for its operators and its replicas.
+const CONNECTIONS_RESERVED: u32 = 2;
+
+/// Looks at a live record that changed; a newer head starts the fetching of its parts.
+pub fn on_live_entry(ctx: &mut CoreContext, key: &str) {
+    if key != config_head::head_key() {
+        return;
+    }
+    let Some(entry) = ctx.feed.entry(key) else { return };
+    match ConfigHead::decode(&entry.value) {
+        Ok(head) if head.version > ctx.config.known_version() => {
+            ctx.config.pending = Some(head);
+            ctx.config.pending_confirmed = None;
+            fetch_missing(ctx);
+            adopt_complete(ctx);
+        }
+        Ok(head) => log::debug!("configuration {} is not newer", head.version),
+        Err(error) => log::error!("configuration: {error:#}"),
+    }
+}
+
+/// Takes up a part of the configuration; `None` when the one asked did not have it.
+pub fn on_part(ctx: &mut CoreContext, hash: &str, bytes: Option<Vec<u8>>) {
+    let wanted = ctx.config.missing_parts().iter().any(|missing| missing == hash);
+    match bytes {
+        Some(bytes) if wanted && config_head::part_hash(&bytes) == hash => {
+            ctx.config.parts.insert(hash.to_owned(), bytes);
+            adopt_complete(ctx);
+        }
+        Some(_) if wanted => log::error!("part {hash} of the configuration is damaged"),
+        _ => {}
+    }
+}
+
+/// Takes up the platform's answer to the reading of a part.
+pub fn on_part_reply(ctx: &mut CoreContext, hash: &str, reply: Option<PlatformReply>) {
+    let bytes = match reply {
+        Some(PlatformReply::Value(Some(entry))) => Some(entry.value),
+        _ => None,
+    };
+    on_part(ctx, hash, bytes);
+}
+
+/// Asks the platform and a random peer for each missing part.
+pub fn fetch_missing(ctx: &mut CoreContext) {
+    let usable = ctx.peers.peers.values().filter(|peer| peer.heard.is_some());
+    let addresses: Vec<String> = usable.map(|peer| peer.address.clone()).collect();
+    for hash in ctx.config.missing_parts() {
+        let key = config_head::part_key(&hash);
+        let purpose = CallPurpose::Part { hash: hash.clone() };
+        ctx.call_platform(purpose.clone(), PlatformRequest::Get { key });
+        if !addresses.is_empty() {
+            let pick = (ctx.jitter() * addresses.len() as f64) as usize % addresses.len();
+            let call = ctx.open_call(purpose);
+            let request = PeerRequest::Part { hash };
+            ctx.control.peer_calls += 1;
+            let address = addresses[pick].clone();
+            ctx.actions.push(CoreAction::CallPeer { call, address, request });
+        }
+    }
+}
+
+fn adopt_complete(ctx: &mut CoreContext) {
+    if ctx.config.pending.is_none() || !ctx.config.missing_parts().is_empty() {
+        return;
+    }
+    let Some(head) = ctx.config.pending.take() else { return };
+    let parts = head.parts.iter().filter_map(|hash| ctx.config.parts.get(hash));
+    match config_head::join_parts(parts.map(Vec::as_slice)) {
+        Ok(world) => adopt(ctx, head, world),
+        Err(error) => log::error!("configuration {}: {error:#}", head.version),
+    }
+}
+
+/// Brings a configuration into force.
+fn adopt(ctx: &mut CoreContext, head: ConfigHead, world: WorldConfig) {
+    log::info!("configuration {} is in force", head.version);
+    let kept: BTreeSet<&String> = head.parts.iter().collect();
+    ctx.config.parts.retain(|hash, _| kept.contains(hash));
+    ctx.config.world = Arc::new(world);
+    ctx.config.head = Some(head);
+    ctx.config.adopted = ctx.now;
+    ctx.config.attested = false;
+    ctx.peers.forget_evidence();
+    if let Some(at) = ctx.config.pending_confirmed.take() {
+        ctx.peers.note_platform(at);
+    }
+    let world = ctx.config.world.clone();
+    adopt_peers(ctx, &world);
+    adopt_endpoints(ctx, &world);
+    adopt_groups(ctx, &world);
+    adopt_accounts(ctx, &world);
+    caller_flow::sweep(ctx);
+    drain_flow::after_config(ctx);
+}
+
+fn adopt_peers(ctx: &mut CoreContext, world: &WorldConfig) {
+    let own = ctx.identity.name.clone();
+    ctx.peers.peers.retain(|name, _| world.hosts.contains_key(name));
+    for host in world.hosts.values().filter(|host| host.name != own) {
+        let peer = ctx.peers.peers.entry(host.name.clone()).or_insert_with(|| PeerState {
+            address: host.address.clone(),
+            data_centre: host.data_centre.clone(),
+            incarnation: 0,
+            heard: None,
+            leaving: false,
+        });
+        peer.address = host.address.clone();
+        peer.data_centre = host.data_centre.clone();
+    }
+}
+
+fn adopt_endpoints(ctx: &mut CoreContext, world: &WorldConfig) {
+    let hosts = world.hosts.values().filter(|host| world.host_in_service(&host.name)).count();
+    let hosts = (hosts as u32).max(1);
+    for object in world.endpoints.values() {
+        let known = ctx.endpoint_names.get(&object.name).copied();
+        let key = known.unwrap_or_else(|| new_endpoint(ctx, &object.name));
+        let share = object.connections.saturating_sub(CONNECTIONS_RESERVED) / hosts;
+        let state = &mut ctx.endpoints[key];
+        let moved = !state.address.is_empty() && state.address != object.address;
+        state.address = object.address.clone();
+        state.data_centre = object.data_centre.clone();
+        state.in_service = world.endpoint_in_service(&object.name);
+        state.work_quota = (share.saturating_sub(1) as usize).max(1);
+        if moved {
+            drop_connections(ctx, key);
+        }
+    }
+    let gone: Vec<String> = ctx
+        .endpoint_names
+        .keys()
+        .filter(|name| !world.endpoints.contains_key(*name))
+        .cloned()
+        .collect();
+    for name in gone {
+        let Some(key) = ctx.endpoint_names.get(&name).copied() else { continue };
+        ctx.endpoints[key].in_service = false;
+        ctx.endpoints[key].group = None;
+    }
+}
+
+fn new_endpoint(ctx: &mut CoreContext, name: &str) -> EndpointKey {
+    let key = ctx.endpoints.insert(EndpointState {
+        name: name.to_owned(),
+        address: String::new(),
+        data_centre: String::new(),
+        group: None,
+        in_service: false,
+        work_quota: 1,
+        work: Vec::new(),
+        status_connection: None,
+        seen: None,
+        probed: ClockTime::default(),
+        queue: Vec::new(),
+        circuit: CircuitBreaker::default(),
+        new_copy: None,
+    });
+    ctx.endpoint_names.insert(name.to_owned(), key);
+    key
+}
+
+fn drop_connections(ctx: &mut CoreContext, endpoint: EndpointKey) {
+    let state = &ctx.endpoints[endpoint];
+    let idle = state.work.iter().copied().filter(|key| ctx.connections[*key].idle());
+    let doomed: Vec<_> = idle.chain(state.status_connection).collect();
+    for connection in doomed {
+        connection_flow::discard(ctx, connection, "discarded");
+    }
+}
+
+fn adopt_groups(ctx: &mut CoreContext, world: &WorldConfig) {
+    for object in world.groups.values() {
+        let known = ctx.group_names.get(&object.name).copied();
+        let key = known.unwrap_or_else(|| new_group(ctx, &object.name));
+        let members = object.endpoints.iter().filter_map(|name| ctx.endpoint_names.get(name));
+        let members: Vec<EndpointKey> = members.copied().collect();
+        for member in &members {
+            ctx.endpoints[*member].group = Some(key);
+        }
+        ctx.groups[key].members = members;
+        let entry = ctx.feed.entry(&group_record::record_key(&object.name)).cloned();
+        if let Some(entry) = entry {
+            failover_flow::on_record(ctx, key, &entry);
+        }
+    }
+    let gone = ctx.groups.iter_mut().filter(|(_, group)| !world.groups.contains_key(&group.name));
+    for (_, group) in gone {
+        group.members.clear();
+    }
+}
+
+fn new_group(ctx: &mut CoreContext, name: &str) -> GroupKey {
+    let chart = ctx.charts.failover.clone();
+    let key = ctx.groups.insert(GroupState::new(name.to_owned(), chart, ctx.now));
+    ctx.group_names.insert(name.to_owned(), key);
+    ctx.timers.push(ctx.now, TimerKind::Group(key));
+    key
+}
+
+fn adopt_accounts(ctx: &mut CoreContext, world: &WorldConfig) {
+    for object in world.accounts.values() {
+        let known = ctx.account_names.get(&object.name).copied();
+        let key = known.unwrap_or_else(|| {
+            let key = ctx.accounts.insert(AccountState {
+                name: object.name.clone(),
+                weight: object.weight,
+                ledger: ShareLedger::new(ctx.now),
+                homes: Vec::new(),
+                waiting: Vec::new(),
+                asked: ClockTime::default(),
+                asks_open: 0,
+                grace_ms: 0,
+                hold_ms: 0,
+                rounds: 0,
+                counts: Default::default(),
+            });
+            ctx.account_names.insert(object.name.clone(), key);
+            key
+        });
+        ctx.accounts[key].weight = object.weight;
+        share_flow::deal(ctx, key, object);
+    }
+    let gone: Vec<_> = ctx
+        .account_names
+        .iter()
+        .filter(|(name, _)| !world.accounts.contains_key(*name))
+        .map(|(_, key)| *key)
+        .collect();
+    for key in gone {
+        share_flow::withdraw(ctx, key);
+    }
+}
--- /dev/null
+++ b/src/config_head.rs
@@ -0,0 +1,133 @@
+//! The head of the published configuration and the parts that it names.
+//!
+//! Parts are content-addressed: a change rewrites only the parts that differ, and each stays well
+//! below the platform's limit of a megabyte.
+
+use std::collections::BTreeMap;
+
+use anyhow::{Context, Result, bail};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3;
+
+use crate::{group_record, key_secret, world_config, world_object};
+
+/// Platform prefix of the parts.
+pub const PART_PREFIX: &str = "parts/";
+/// Platform prefix of replaced heads, by version.
+pub const HISTORY_PREFIX: &str = "history/";
+/// The largest part that is written, in bytes.
+pub const PART_MAX_BYTES: usize = 256 * 1024;
+const BUCKETS_MAX: u64 = 1 << 16;
+
+/// The head of the configuration, changed only by compare-and-swap.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigHead {
+    /// Grows by one with each publication.
+    pub version: u64,
+    /// Hashes of the parts, in order.
+    pub parts: Vec<String>,
+    /// Secret that seals session tokens.
+    pub token_secret: Vec<u8>,
+    /// Identifies one publication, so that its own lost answer is recognised.
+    pub publish_id: String,
+    /// Who published it.
+    pub author: String,
+    /// When, in milliseconds since the Unix epoch.
+    pub published_at_ms: u64,
+}
+
+impl ConfigHead {
+    /// Decodes a head as the platform holds it.
+    ///
+    /// # Errors
+    ///
+    /// Fails on truncated or foreign bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        rmp_serde::from_slice(bytes).context("the configuration's head is malformed")
+    }
+
+    /// Encodes the head for the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the head cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        Ok(rmp_serde::to_vec_named(self)?)
+    }
+}
+
+/// Returns the platform key of the head.
+pub fn head_key() -> String {
+    format!("{}config", group_record::LIVE_PREFIX)
+}
+
+/// Returns the platform key of a part.
+pub fn part_key(hash: &str) -> String {
+    format!("{PART_PREFIX}{hash}")
+}
+
+/// Returns the platform key of a replaced head.
+pub fn history_key(version: u64) -> String {
+    format!("{HISTORY_PREFIX}{version:012}")
+}
+
+/// Returns the hash that names a part.
+pub fn part_hash(bytes: &[u8]) -> String {
+    key_secret::to_hex(&Sha256::digest(bytes))
+}
+
+/// Splits a configuration into parts, named by hash, in a stable order.
+///
+/// # Errors
+///
+/// Fails when one object alone is larger than a part.
+pub fn split_world(world: &world_config::WorldConfig) -> Result<Vec<(String, Vec<u8>)>> {
+    let mut by_kind: BTreeMap<&str, Vec<world_object::WorldObject>> = BTreeMap::new();
+    for object in world.to_objects() {
+        by_kind.entry(object.kind()).or_default().push(object);
+    }
+    let mut parts = Vec::new();
+    for objects in by_kind.values() {
+        parts.extend(split_kind(objects)?);
+    }
+    Ok(parts)
+}
+
+/// Joins the parts of a head.
+///
+/// # Errors
+///
+/// Fails on malformed parts and on names that stand twice.
+pub fn join_parts<'a>(
+    parts: impl IntoIterator<Item = &'a [u8]>,
+) -> Result<world_config::WorldConfig> {
+    let mut objects = Vec::new();
+    for bytes in parts {
+        let part: Vec<world_object::WorldObject> =
+            rmp_serde::from_slice(bytes).context("a part of the configuration is malformed")?;
+        objects.extend(part);
+    }
+    world_config::WorldConfig::from_objects(objects)
+}
+
+fn split_kind(objects: &[world_object::WorldObject]) -> Result<Vec<(String, Vec<u8>)>> {
+    let mut buckets = 1;
+    while buckets <= BUCKETS_MAX {
+        let parts = encode_buckets(objects, buckets)?;
+        if parts.iter().all(|bytes| bytes.len() <= PART_MAX_BYTES) {
+            return Ok(parts.into_iter().map(|bytes| (part_hash(&bytes), bytes)).collect());
+        }
+        buckets *= 2;
+    }
+    bail!("an object is larger than {PART_MAX_BYTES} bytes")
+}
+
+fn encode_buckets(objects: &[world_object::WorldObject], buckets: u64) -> Result<Vec<Vec<u8>>> {
+    let mut grouped: BTreeMap<u64, Vec<&world_object::WorldObject>> = BTreeMap::new();
+    for object in objects {
+        let bucket = xxh3::xxh3_64(object.name().as_bytes()) % buckets;
+        grouped.entry(bucket).or_default().push(object);
+    }
+    grouped.values().map(|bucket| Ok(rmp_serde::to_vec_named(bucket)?)).collect()
+}
--- /dev/null
+++ b/src/config_state.rs
@@ -0,0 +1,50 @@
+//! The configuration in force on this host, and the one being fetched.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::clock_time::ClockTime;
+use crate::config_head::ConfigHead;
+use crate::world_config::WorldConfig;
+
+/// The configuration in force on this host, and the one being fetched.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigState {
+    /// The head in force.
+    pub head: Option<ConfigHead>,
+    /// The objects in force.
+    pub world: Arc<WorldConfig>,
+    /// A newer head whose parts are not all here.
+    pub pending: Option<ConfigHead>,
+    /// When the platform last confirmed the pending head as the newest.
+    pub pending_confirmed: Option<ClockTime>,
+    /// Parts by hash.
+    pub parts: BTreeMap<String, Vec<u8>>,
+    /// When the configuration came into force here.
+    pub adopted: ClockTime,
+    /// Whether a majority of data centres was heard under this configuration since.
+    pub attested: bool,
+}
+
+impl ConfigState {
+    /// Returns the version in force, 0 for none.
+    pub fn version(&self) -> u64 {
+        self.head.as_ref().map_or(0, |head| head.version)
+    }
+
+    /// Returns the version that this host knows to be published, in force here or not.
+    pub fn known_version(&self) -> u64 {
+        self.pending.as_ref().map_or(0, |head| head.version).max(self.version())
+    }
+
+    /// Returns the secret that seals session tokens; empty without a configuration.
+    pub fn token_secret(&self) -> &[u8] {
+        self.head.as_ref().map_or(&[], |head| &head.token_secret)
+    }
+
+    /// Returns the parts of the pending head that are not here.
+    pub fn missing_parts(&self) -> Vec<String> {
+        let Some(pending) = &self.pending else { return Vec::new() };
+        pending.parts.iter().filter(|hash| !self.parts.contains_key(*hash)).cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/config_store.rs
@@ -0,0 +1,313 @@
+//! The published configuration in the platform's service, as operators' commands use it.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result, anyhow, bail};
+use volo_http::client::Client;
+
+use crate::config_check;
+use crate::config_diff;
+use crate::config_head::{self, ConfigHead};
+use crate::http_call;
+use crate::key_secret;
+use crate::platform_driver;
+use crate::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
+use crate::world_config::WorldConfig;
+
+/// How long a command goes on trying when the platform gives no answer.
+const PATIENCE: Duration = Duration::from_secs(15);
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const SECRET_BYTES: usize = 32;
+
+/// A published configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PublishedConfig {
+    /// The head.
+    pub head: ConfigHead,
+    /// The head's revision in the platform's service.
+    pub revision: u64,
+    /// The objects.
+    pub world: WorldConfig,
+}
+
+/// How a publication ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PublishOutcome {
+    /// The configuration was published under this version.
+    Published {
+        /// The version.
+        version: u64,
+    },
+    /// Nothing differs from what is published.
+    Unchanged {
+        /// The version published.
+        version: u64,
+    },
+    /// Another operator has published since; nothing was written.
+    Conflict {
+        /// The version now published.
+        version: u64,
+        /// Who published it.
+        author: String,
+        /// What differs from the version that the change was based on, as text.
+        changes: Vec<String>,
+    },
+    /// The configuration has faults; nothing was written.
+    Faulty {
+        /// The faults.
+        findings: Vec<config_check::CheckFinding>,
+    },
+}
+
+/// The platform's service as operators' commands use it.
+#[derive(Clone)]
+pub struct ConfigStore {
+    client: Client,
+    address: String,
+}
+
+impl std::fmt::Debug for ConfigStore {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("ConfigStore").field("address", &self.address).finish()
+    }
+}
+
+impl ConfigStore {
+    /// Builds a store at the platform's address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no client can be made.
+    pub fn new(address: String) -> Result<Self> {
+        Ok(Self { client: http_call::client(CONNECT_TIMEOUT)?, address })
+    }
+
+    /// Reads the configuration in force; `None` before the first publication.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform gives no answer, or a damaged one.
+    pub async fn current(&self) -> Result<Option<PublishedConfig>> {
+        let Some(entry) = self.get(&config_head::head_key()).await? else { return Ok(None) };
+        let head = ConfigHead::decode(&entry.value)?;
+        let world = self.load(&head).await?;
+        Ok(Some(PublishedConfig { head, revision: entry.revision, world }))
+    }
+
+    /// Reads an earlier version's head.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform gives no answer, or has no such version.
+    pub async fn earlier_head(&self, version: u64) -> Result<ConfigHead> {
+        let key = config_head::history_key(version);
+        let entry = self.get(&key).await?;
+        let entry = entry.with_context(|| format!("version {version} is not in the history"))?;
+        ConfigHead::decode(&entry.value)
+    }
+
+    /// Reads the objects that a head names.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a part is missing or damaged.
+    pub async fn load(&self, head: &ConfigHead) -> Result<WorldConfig> {
+        let mut parts = Vec::new();
+        for hash in &head.parts {
+            let entry = self.get(&config_head::part_key(hash)).await?;
+            let entry = entry.with_context(|| format!("part {hash} is missing"))?;
+            if config_head::part_hash(&entry.value) != *hash {
+                bail!("part {hash} is damaged");
+            }
+            parts.push(entry.value);
+        }
+        config_head::join_parts(parts.iter().map(Vec::as_slice))
+    }
+
+    /// Publishes `world`, which was made from version `base` (0: from nothing).
+    ///
+    /// The head is swapped once under an identifier of its own. When the answer is lost, the head
+    /// or the history tells whether the swap took effect, so the change is neither reported as a
+    /// conflict with itself nor published twice.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform gives no answer for long; the text says what is known.
+    pub async fn publish(
+        &self,
+        world: &WorldConfig,
+        base: u64,
+        author: &str,
+    ) -> Result<PublishOutcome> {
+        let current = self.current().await?;
+        let version = current.as_ref().map_or(0, |current| current.head.version);
+        if version != base {
+            return self.conflict(base).await;
+        }
+        let previous = current.as_ref().map(|current| &current.world);
+        let findings = config_check::check_world(world, previous);
+        if !findings.is_empty() {
+            return Ok(PublishOutcome::Faulty { findings });
+        }
+        if previous == Some(world) {
+            return Ok(PublishOutcome::Unchanged { version });
+        }
+        let parts = config_head::split_world(world)?;
+        for (hash, bytes) in &parts {
+            self.put_new(&config_head::part_key(hash), bytes).await?;
+        }
+        if let Some(current) = &current {
+            let key = config_head::history_key(version);
+            self.put_new(&key, &current.head.encode()?).await?;
+        }
+        let head = ConfigHead {
+            version: version + 1,
+            parts: parts.into_iter().map(|(hash, _)| hash).collect(),
+            token_secret: match &current {
+                Some(current) => current.head.token_secret.clone(),
+                None => rand::random::<[u8; SECRET_BYTES]>().to_vec(),
+            },
+            publish_id: key_secret::to_hex(&rand::random::<[u8; 16]>()),
+            author: author.to_owned(),
+            published_at_ms: unix_millis(),
+        };
+        self.swap_head(&head, current.map_or(0, |current| current.revision)).await
+    }
+
+    async fn swap_head(&self, head: &ConfigHead, expected: u64) -> Result<PublishOutcome> {
+        let started = Instant::now();
+        let published = PublishOutcome::Published { version: head.version };
+        let request = PlatformRequest::CompareSwap {
+            key: config_head::head_key(),
+            expected,
+            value: head.encode()?,
+        };
+        loop {
+            match platform_driver::call(&self.client, &self.address, &request).await {
+                Ok(PlatformReply::Swapped { .. }) => return Ok(published),
+                Ok(PlatformReply::Conflict(_)) if self.took_effect(head).await? => {
+                    return Ok(published);
+                }
+                Ok(PlatformReply::Conflict(_)) => return self.conflict(head.version - 1).await,
+                Ok(PlatformReply::Refused { detail }) => bail!("the platform refused: {detail}"),
+                Ok(_) => bail!("the platform gave an answer of another kind"),
+                Err(error) if started.elapsed() > PATIENCE => {
+                    return Err(error.context(format!(
+                        "publication {} of version {} may have taken effect; look with `history`",
+                        head.publish_id, head.version
+                    )));
+                }
+                // The swap may have taken effect. Trying it again is safe: it can succeed only
+                // while the head is still the one that it was based on.
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    /// Whether the head was published, now in force or replaced since.
+    async fn took_effect(&self, head: &ConfigHead) -> Result<bool> {
+        let entry = self.get(&config_head::head_key()).await?;
+        let Some(entry) = entry else { return Ok(false) };
+        let current = ConfigHead::decode(&entry.value)?;
+        if current.version == head.version {
+            return Ok(current.publish_id == head.publish_id);
+        }
+        if current.version < head.version {
+            return Ok(false);
+        }
+        let earlier = self.earlier_head(head.version).await?;
+        Ok(earlier.publish_id == head.publish_id)
+    }
+
+    async fn conflict(&self, base: u64) -> Result<PublishOutcome> {
+        let current = self.current().await?.context("the configuration is gone")?;
+        let changes = if base == 0 {
+            Vec::new()
+        } else {
+            let old = self.earlier_head(base).await?;
+            let old = self.load(&old).await?;
+            let changes = config_diff::diff(&old, &current.world);
+            changes.iter().map(ToString::to_string).collect()
+        };
+        let PublishedConfig { head, .. } = current;
+        Ok(PublishOutcome::Conflict { version: head.version, author: head.author, changes })
+    }
+
+    /// Reads the heads of all versions, the newest first, at most `most`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform gives no answer.
+    pub async fn history(&self, most: usize) -> Result<Vec<ConfigHead>> {
+        let Some(entry) = self.get(&config_head::head_key()).await? else { return Ok(Vec::new()) };
+        let mut heads = vec![ConfigHead::decode(&entry.value)?];
+        let mut version = heads[0].version;
+        while version > 1 && heads.len() < most {
+            version -= 1;
+            heads.push(self.earlier_head(version).await?);
+        }
+        Ok(heads)
+    }
+
+    /// Writes a key that is written once; a value that stands there already is left.
+    async fn put_new(&self, key: &str, value: &[u8]) -> Result<()> {
+        let request = PlatformRequest::CompareSwap {
+            key: key.to_owned(),
+            expected: 0,
+            value: value.to_vec(),
+        };
+        match self.call_patiently(&request).await? {
+            PlatformReply::Swapped { .. } | PlatformReply::Conflict(_) => Ok(()),
+            PlatformReply::Refused { detail } => bail!("{key}: the platform refused: {detail}"),
+            _ => bail!("{key}: the platform gave an answer of another kind"),
+        }
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<StoreEntry>> {
+        match self.call_patiently(&PlatformRequest::Get { key: key.to_owned() }).await? {
+            PlatformReply::Value(entry) => Ok(entry),
+            _ => bail!("{key}: the platform gave an answer of another kind"),
+        }
+    }
+
+    async fn call_patiently(&self, request: &PlatformRequest) -> Result<PlatformReply> {
+        let started = Instant::now();
+        let mut last = anyhow!("the platform gave no answer");
+        while started.elapsed() < PATIENCE {
+            match platform_driver::call(&self.client, &self.address, request).await {
+                Ok(reply) => return Ok(reply),
+                Err(error) => last = error,
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        Err(last)
+    }
+}
+
+/// Returns the names of hosts by the version that each reports, for hosts that answer.
+pub async fn host_versions(
+    client: &Client,
+    world: &WorldConfig,
+) -> BTreeMap<String, Result<crate::status_report::StatusReport>> {
+    let mut reports = BTreeMap::new();
+    let asked = world.hosts.values().map(|host| async {
+        let report = http_call::post_message(
+            client,
+            &host.address,
+            crate::peer_driver::STATUS_PATH,
+            &(),
+            CONNECT_TIMEOUT,
+        );
+        (host.name.clone(), report.await)
+    });
+    for (name, report) in futures::future::join_all(asked).await {
+        reports.insert(name, report);
+    }
+    reports
+}
+
+fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/src/connection_flow.rs
@@ -0,0 +1,362 @@
+//! Connections to endpoints: opening, lending to statements, testing and closing.
+
+use std::time::Duration;
+
+use crate::arena_keys::{
+    AccountKey, CallerKey, ConnectionKey, EndpointKey, GroupKey, StatementKey,
+};
+use crate::call_purpose::CallPurpose;
+use crate::chart_cursor::ChartCursor;
+use crate::clock_time::ClockTime;
+use crate::confirm_flow;
+use crate::connection_state::{ConnectionRole, ConnectionState};
+use crate::core_context::CoreContext;
+use crate::core_message::{CallId, CoreAction};
+use crate::core_tuning::{self, CoreTuning};
+use crate::endpoint_message::{EndpointOutcome, EndpointRequest};
+use crate::endpoint_state::SeenStatus;
+use crate::failover_flow;
+use crate::request_verdict::{RequestVerdict, VerdictCause};
+use crate::statement_flow;
+use crate::statement_state::StatementPhase;
+use crate::timer_queue::TimerKind;
+
+/// Runs a statement on the endpoint, now or when a connection is free.
+///
+/// # Errors
+///
+/// A refusal when too many statements wait for the endpoint.
+pub fn acquire(
+    ctx: &mut CoreContext,
+    endpoint: EndpointKey,
+    statement: StatementKey,
+) -> Result<(), RequestVerdict> {
+    let idle = idle_connection(ctx, endpoint);
+    if let Some(connection) = idle {
+        statement_flow::dispatch(ctx, statement, connection);
+        return Ok(());
+    }
+    let state = &ctx.endpoints[endpoint];
+    if state.queue.len() >= ctx.tuning.queue_limit {
+        let wait = Some(core_tuning::SHORT_RETRY);
+        return Err(RequestVerdict::not_run(VerdictCause::QueueFull, wait));
+    }
+    if state.work.len() < state.work_quota {
+        open(ctx, endpoint, ConnectionRole::Work);
+    }
+    let until = ctx.now.after(CoreTuning::millis(ctx.tuning.queue_wait_ms));
+    ctx.endpoints[endpoint].queue.push(statement);
+    ctx.statements[statement].phase = StatementPhase::Queued { endpoint, until };
+    ctx.timers.push(until, TimerKind::Statement(statement));
+    Ok(())
+}
+
+/// Sends a request on a connection and notes the call.
+pub fn send(
+    ctx: &mut CoreContext,
+    connection: ConnectionKey,
+    purpose: CallPurpose,
+    request: EndpointRequest,
+) -> CallId {
+    let call = ctx.open_call(purpose);
+    let now = ctx.now;
+    let state = &mut ctx.connections[connection];
+    state.cursor.fire("call_sent");
+    state.call = Some(call);
+    state.since = now;
+    ctx.actions.push(CoreAction::CallEndpoint { call, connection, request });
+    call
+}
+
+/// Returns a work connection to the endpoint after a statement has ended.
+pub fn release(ctx: &mut CoreContext, connection: ConnectionKey) {
+    let Some(state) = ctx.connections.get_mut(connection) else { return };
+    state.cursor.fire("call_answered");
+    state.call = None;
+    state.pinned = None;
+    state.since = ctx.now;
+    let endpoint = state.endpoint;
+    let over_quota = ctx.endpoints[endpoint].work.len() > ctx.endpoints[endpoint].work_quota;
+    if over_quota {
+        return discard(ctx, connection, "discarded");
+    }
+    arm_idle_test(ctx, connection, CoreTuning::millis(ctx.tuning.idle_test_ms));
+    serve_queue(ctx, endpoint);
+}
+
+/// Keeps a connection for the caller's transaction.
+pub fn pin(ctx: &mut CoreContext, connection: ConnectionKey, caller: CallerKey) {
+    let Some(state) = ctx.connections.get_mut(connection) else { return };
+    state.cursor.fire("transaction_begun");
+    state.call = None;
+    state.pinned = Some(caller);
+    state.since = ctx.now;
+}
+
+/// Closes a connection; it is never used again, and its late answers are dropped.
+pub fn discard(ctx: &mut CoreContext, connection: ConnectionKey, event: &str) {
+    let Some(mut state) = ctx.connections.remove(connection) else { return };
+    state.cursor.fire(event);
+    if let Some(call) = state.call {
+        ctx.calls.remove(&call);
+    }
+    let endpoint = &mut ctx.endpoints[state.endpoint];
+    endpoint.work.retain(|open| *open != connection);
+    if endpoint.status_connection == Some(connection) {
+        endpoint.status_connection = None;
+    }
+    ctx.actions.push(CoreAction::CloseConnection { connection });
+    let waiting = !ctx.endpoints[state.endpoint].queue.is_empty();
+    if waiting && state.role == ConnectionRole::Work {
+        refill(ctx, state.endpoint);
+    }
+}
+
+/// Notes that an endpoint failed; a circuit that opens turns its queue away.
+pub fn note_failure(ctx: &mut CoreContext, endpoint: EndpointKey) {
+    let jitter = ctx.jitter();
+    let now = ctx.now;
+    let state = &mut ctx.endpoints[endpoint];
+    state.circuit.fail(now, jitter);
+    if state.circuit.closed() {
+        return;
+    }
+    for statement in std::mem::take(&mut state.queue) {
+        ctx.statements[statement].phase = StatementPhase::AwaitShare { until: now };
+        statement_flow::retry(ctx, statement, VerdictCause::NoEndpoint);
+    }
+}
+
+/// Takes up news of a connection that was being opened.
+pub fn on_opened(ctx: &mut CoreContext, connection: ConnectionKey, opened: bool) {
+    let now = ctx.now;
+    let Some(state) = ctx.connections.get_mut(connection) else { return };
+    let endpoint = state.endpoint;
+    if !opened {
+        discard(ctx, connection, "failed");
+        return note_failure(ctx, endpoint);
+    }
+    state.cursor.fire("opened");
+    state.since = now;
+    match state.role {
+        ConnectionRole::Status => flush_backlog(ctx, connection),
+        ConnectionRole::Work => {
+            arm_idle_test(ctx, connection, CoreTuning::millis(ctx.tuning.idle_test_ms));
+            serve_queue(ctx, endpoint);
+        }
+    }
+}
+
+/// Takes up news of a connection that ended by itself.
+pub fn on_ended(ctx: &mut CoreContext, connection: ConnectionKey) {
+    let Some(state) = ctx.connections.get(connection) else { return };
+    let (endpoint, role) = (state.endpoint, state.role);
+    let purpose = state.call.and_then(|call| ctx.calls.remove(&call));
+    if let Some(CallPurpose::Statement { statement, .. }) = purpose {
+        return statement_flow::on_outcome(ctx, statement, EndpointOutcome::Lost);
+    }
+    if let Some(caller) = state.pinned
+        && let Some(caller) = ctx.callers.get_mut(caller)
+    {
+        caller.transaction = None;
+    }
+    discard(ctx, connection, "failed");
+    if role == ConnectionRole::Status {
+        note_failure(ctx, endpoint);
+    }
+}
+
+/// Sends a request on the endpoint's status connection, opening it if need be.
+pub fn command(ctx: &mut CoreContext, endpoint: EndpointKey, request: EndpointRequest) {
+    let connection = match ctx.endpoints[endpoint].status_connection {
+        Some(connection) => connection,
+        None if !ctx.endpoints[endpoint].circuit.may_probe(ctx.now) => return,
+        None => open(ctx, endpoint, ConnectionRole::Status),
+    };
+    if ctx.connections[connection].idle() {
+        return send_command(ctx, connection, request);
+    }
+    let backlog = &mut ctx.connections[connection].backlog;
+    if !backlog.contains(&request) {
+        backlog.push(request);
+    }
+}
+
+/// Probes all endpoints of a group.
+pub fn probe_group(ctx: &mut CoreContext, group: GroupKey) {
+    for endpoint in ctx.groups[group].members.clone() {
+        command(ctx, endpoint, EndpointRequest::Status);
+    }
+}
+
+/// Takes up the outcome of a probe or command on a status connection.
+pub fn on_status_outcome(
+    ctx: &mut CoreContext,
+    endpoint: EndpointKey,
+    connection: ConnectionKey,
+    sent: ClockTime,
+    outcome: EndpointOutcome,
+) {
+    let EndpointOutcome::Status(status) = outcome else {
+        discard(ctx, connection, "failed");
+        return note_failure(ctx, endpoint);
+    };
+    let now = ctx.now;
+    if let Some(state) = ctx.connections.get_mut(connection) {
+        state.cursor.fire("call_answered");
+        state.call = None;
+        state.since = now;
+        flush_backlog(ctx, connection);
+    }
+    let state = &mut ctx.endpoints[endpoint];
+    state.circuit.succeed();
+    let newer = state.seen.as_ref().is_none_or(|seen| seen.asked <= sent);
+    if newer {
+        state.seen = Some(SeenStatus { status, asked: sent });
+    }
+    if let Some(group) = ctx.endpoints[endpoint].group {
+        failover_flow::on_status(ctx, group, endpoint);
+        confirm_flow::evaluate(ctx, group);
+    }
+}
+
+/// Takes up the outcome of a test of an idle connection.
+pub fn on_test_outcome(ctx: &mut CoreContext, connection: ConnectionKey, outcome: EndpointOutcome) {
+    match outcome {
+        EndpointOutcome::Status(_) => release(ctx, connection),
+        _ => discard(ctx, connection, "failed"),
+    }
+}
+
+/// Acts on a connection that may be silent, or idle for long.
+pub fn on_timer(ctx: &mut CoreContext, connection: ConnectionKey) {
+    let Some(state) = ctx.connections.get_mut(connection) else { return };
+    state.test_armed = false;
+    let passed = ctx.now.since(state.since);
+    let silent_after = CoreTuning::millis(ctx.tuning.probe_timeout_ms);
+    let idle_limit = CoreTuning::millis(ctx.tuning.idle_test_ms);
+    let (endpoint, role) = (state.endpoint, state.role);
+    let testing = state
+        .call
+        .is_some_and(|call| matches!(ctx.calls.get(&call), Some(CallPurpose::IdleTest { .. })));
+    match state.cursor.state() {
+        "opening" if passed >= silent_after => {
+            discard(ctx, connection, "silent");
+            note_failure(ctx, endpoint);
+        }
+        "busy" if passed >= silent_after && (role == ConnectionRole::Status || testing) => {
+            discard(ctx, connection, "silent");
+            if role == ConnectionRole::Status {
+                note_failure(ctx, endpoint);
+            }
+        }
+        "idle" if passed < idle_limit && role == ConnectionRole::Work => {
+            arm_idle_test(ctx, connection, idle_limit - passed);
+        }
+        "idle" if role == ConnectionRole::Work => {
+            let purpose = CallPurpose::IdleTest { connection };
+            send(ctx, connection, purpose, EndpointRequest::Status);
+            ctx.wake_after(silent_after, TimerKind::Connection(connection));
+        }
+        _ => {}
+    }
+}
+
+/// Opens a connection to the endpoint.
+fn open(ctx: &mut CoreContext, endpoint: EndpointKey, role: ConnectionRole) -> ConnectionKey {
+    let connection = ctx.connections.insert(ConnectionState {
+        endpoint,
+        role,
+        cursor: ChartCursor::new(ctx.charts.connection.clone()),
+        call: None,
+        pinned: None,
+        since: ctx.now,
+        test_armed: false,
+        backlog: Vec::new(),
+    });
+    let state = &mut ctx.endpoints[endpoint];
+    match role {
+        ConnectionRole::Status => state.status_connection = Some(connection),
+        ConnectionRole::Work => state.work.push(connection),
+    }
+    let address = state.address.clone();
+    ctx.actions.push(CoreAction::OpenConnection { connection, address });
+    let limit = CoreTuning::millis(ctx.tuning.probe_timeout_ms);
+    ctx.wake_after(limit, TimerKind::Connection(connection));
+    connection
+}
+
+fn idle_connection(ctx: &CoreContext, endpoint: EndpointKey) -> Option<ConnectionKey> {
+    let work = &ctx.endpoints[endpoint].work;
+    work.iter().copied().find(|connection| ctx.connections[*connection].idle())
+}
+
+/// Hands free connections to waiting statements, and opens more within the quota.
+fn serve_queue(ctx: &mut CoreContext, endpoint: EndpointKey) {
+    while !ctx.endpoints[endpoint].queue.is_empty() {
+        let Some(connection) = idle_connection(ctx, endpoint) else { return };
+        let Some(statement) = take_fairest(ctx, endpoint) else { return };
+        statement_flow::dispatch(ctx, statement, connection);
+    }
+}
+
+fn refill(ctx: &mut CoreContext, endpoint: EndpointKey) {
+    let state = &ctx.endpoints[endpoint];
+    if state.work.len() < state.work_quota && state.circuit.closed() {
+        open(ctx, endpoint, ConnectionRole::Work);
+    }
+}
+
+/// Removes the oldest waiting statement of the account that uses the endpoint least for its
+/// weight.
+fn take_fairest(ctx: &mut CoreContext, endpoint: EndpointKey) -> Option<StatementKey> {
+    let running = |account: AccountKey| {
+        let work = &ctx.endpoints[endpoint].work;
+        let calls = work.iter().filter_map(|connection| ctx.connections[*connection].call);
+        let purposes = calls.filter_map(|call| ctx.calls.get(&call));
+        let same = purposes.filter(|purpose| match purpose {
+            CallPurpose::Statement { statement, .. } => {
+                ctx.statements.get(*statement).is_some_and(|state| state.account == account)
+            }
+            _ => false,
+        });
+        same.count()
+    };
+    let queue = &ctx.endpoints[endpoint].queue;
+    let use_of = |statement: StatementKey| {
+        let account = ctx.statements[statement].account;
+        let waiting = queue.iter().filter(|other| ctx.statements[**other].account == account);
+        let weight = u64::from(ctx.accounts[account].weight.max(1));
+        (running(account) + waiting.count()) as u64 * 1_000 / weight
+    };
+    let position = (0..queue.len()).min_by_key(|position| (use_of(queue[*position]), *position))?;
+    Some(ctx.endpoints[endpoint].queue.remove(position))
+}
+
+fn flush_backlog(ctx: &mut CoreContext, connection: ConnectionKey) {
+    let Some(state) = ctx.connections.get_mut(connection) else { return };
+    if state.backlog.is_empty() || !state.idle() {
+        return;
+    }
+    let request = state.backlog.remove(0);
+    send_command(ctx, connection, request);
+}
+
+fn send_command(ctx: &mut CoreContext, connection: ConnectionKey, request: EndpointRequest) {
+    let endpoint = ctx.connections[connection].endpoint;
+    ctx.control.probes += 1;
+    ctx.endpoints[endpoint].probed = ctx.now;
+    let purpose = CallPurpose::Status { endpoint, connection, sent: ctx.now };
+    send(ctx, connection, purpose, request);
+    let limit = CoreTuning::millis(ctx.tuning.probe_timeout_ms);
+    ctx.wake_after(limit, TimerKind::Connection(connection));
+}
+
+fn arm_idle_test(ctx: &mut CoreContext, connection: ConnectionKey, span: Duration) {
+    let state = &mut ctx.connections[connection];
+    if state.test_armed {
+        return;
+    }
+    state.test_armed = true;
+    ctx.wake_after(span, TimerKind::Connection(connection));
+}
--- /dev/null
+++ b/src/connection_state.rs
@@ -0,0 +1,44 @@
+//! One connection from this host to an endpoint.
+
+use crate::arena_keys::{CallerKey, EndpointKey};
+use crate::chart_cursor::ChartCursor;
+use crate::clock_time::ClockTime;
+use crate::core_message::CallId;
+use crate::endpoint_message::EndpointRequest;
+
+/// What a connection is used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionRole {
+    /// Status probes and commands to the endpoint.
+    Status,
+    /// Callers' statements.
+    Work,
+}
+
+/// One connection from this host to an endpoint.
+#[derive(Debug, Clone)]
+pub struct ConnectionState {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// What it is used for.
+    pub role: ConnectionRole,
+    /// Position in the chart of connections.
+    pub cursor: ChartCursor,
+    /// The call under way.
+    pub call: Option<CallId>,
+    /// The caller whose transaction the connection belongs to.
+    pub pinned: Option<CallerKey>,
+    /// When the state last changed.
+    pub since: ClockTime,
+    /// Whether a timer that looks for idleness is set.
+    pub test_armed: bool,
+    /// Requests that wait until the connection is idle; status connections only.
+    pub backlog: Vec<EndpointRequest>,
+}
+
+impl ConnectionState {
+    /// Whether a call can be sent now for a caller without a transaction.
+    pub fn idle(&self) -> bool {
+        self.cursor.state() == "idle"
+    }
+}
--- /dev/null
+++ b/src/drain_flow.rs
@@ -0,0 +1,74 @@
+//! Graceful leaving: no new work, every accepted statement and transaction finished.
+
+use crate::arena_keys::CallerKey;
+use crate::caller_flow;
+use crate::core_context::CoreContext;
+use crate::core_message::CoreAction;
+use crate::core_tuning::{self, CoreTuning};
+use crate::request_verdict::{RequestVerdict, VerdictCause};
+use crate::timer_queue::TimerKind;
+
+/// Starts the shutdown of this process.
+pub fn start(ctx: &mut CoreContext) {
+    if ctx.drain_since.is_some() {
+        return;
+    }
+    log::info!("leaving: {} callers, {} statements", ctx.callers.len(), ctx.statements.len());
+    ctx.drain_since = Some(ctx.now);
+    let limit = CoreTuning::millis(ctx.tuning.drain_timeout_ms);
+    ctx.wake_after(limit, TimerKind::Drain);
+    close_idle(ctx);
+    check_finished(ctx);
+}
+
+/// Acts on a configuration that may have taken this host out of service.
+pub fn after_config(ctx: &mut CoreContext) {
+    if !ctx.takes_work() {
+        close_idle(ctx);
+    }
+}
+
+/// Ends the connection of a caller that was just answered, when this host is leaving.
+pub fn after_answer(ctx: &mut CoreContext, caller: CallerKey) {
+    if ctx.takes_work() {
+        return;
+    }
+    close_if_idle(ctx, caller);
+    check_finished(ctx);
+}
+
+/// Ends the shutdown when it has taken too long.
+pub fn on_timer(ctx: &mut CoreContext) {
+    if ctx.drain_since.is_some() && !ctx.stopped {
+        log::warn!("leaving with {} statements unfinished", ctx.statements.len());
+        ctx.stopped = true;
+        ctx.actions.push(CoreAction::Stop);
+    }
+}
+
+/// Announces the end of the shutdown once no caller is left.
+pub fn check_finished(ctx: &mut CoreContext) {
+    if ctx.drain_since.is_some() && !ctx.stopped && ctx.callers.is_empty() {
+        ctx.stopped = true;
+        ctx.actions.push(CoreAction::Stop);
+    }
+}
+
+fn close_idle(ctx: &mut CoreContext) {
+    let callers: Vec<CallerKey> = ctx.callers.keys().collect();
+    for caller in callers {
+        close_if_idle(ctx, caller);
+    }
+}
+
+fn close_if_idle(ctx: &mut CoreContext, caller: CallerKey) {
+    let Some(state) = ctx.callers.get(caller) else { return };
+    if state.statement.is_some() || state.transaction.is_some() {
+        return;
+    }
+    let id = state.id;
+    let wait = Some(core_tuning::SHORT_RETRY);
+    let verdict = RequestVerdict::not_run(VerdictCause::Draining, wait);
+    ctx.actions.push(CoreAction::CloseCaller { caller: id, verdict });
+    caller_flow::close(ctx, id);
+}
--- /dev/null
+++ b/src/endpoint_driver.rs
@@ -0,0 +1,194 @@
+//! Carries out the core's actions on endpoints, by PostgreSQL's wire protocol.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use tokio::sync::Mutex;
+use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
+use tokio_util::sync::CancellationToken;
+
+use crate::arena_keys::ConnectionKey;
+use crate::core_message::{CallId, CoreAction, CoreEvent};
+use crate::daemon_settings::EndpointLogin;
+use crate::duty_ring::{RingSender, TaskReceiver};
+use crate::endpoint_message::{EndpointOutcome, EndpointRequest, EndpointStatus};
+use crate::endpoint_sql::{self, SqlError, SqlResult};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// An open connection. A call holds the lock while it is under way.
+#[derive(Debug, Clone)]
+struct OpenConnection {
+    client: Arc<Mutex<Client>>,
+    close: CancellationToken,
+}
+
+type ConnectionTable = Rc<RefCell<HashMap<ConnectionKey, OpenConnection>>>;
+
+/// What the tasks of the endpoints' thread share.
+#[derive(Debug, Clone)]
+struct DriverContext {
+    login: EndpointLogin,
+    events: Rc<RingSender<CoreEvent>>,
+    connections: ConnectionTable,
+    stop: CancellationToken,
+}
+
+/// Carries out actions until the core is gone. Runs in a local task set.
+pub async fn drive(
+    login: EndpointLogin,
+    events: RingSender<CoreEvent>,
+    mut actions: TaskReceiver<CoreAction>,
+    stop: CancellationToken,
+) {
+    let context =
+        DriverContext { login, events: Rc::new(events), connections: Rc::default(), stop };
+    while let Some(action) = actions.receive().await {
+        match action {
+            CoreAction::OpenConnection { connection, address } => {
+                tokio::task::spawn_local(open(context.clone(), connection, address));
+            }
+            CoreAction::CloseConnection { connection } => {
+                if let Some(open) = context.connections.borrow_mut().remove(&connection) {
+                    open.close.cancel();
+                }
+            }
+            CoreAction::CallEndpoint { call, connection, request } => {
+                let open = context.connections.borrow().get(&connection).cloned();
+                tokio::task::spawn_local(answer(context.clone(), open, call, request));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Opens a connection and stays with it until it ends.
+async fn open(context: DriverContext, connection: ConnectionKey, address: String) {
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(&context.login, &address)).await;
+    let (client, driver) = match connected {
+        Ok(Ok(connected)) => connected,
+        Ok(Err(error)) => {
+            log::debug!("cannot connect to endpoint {address}: {error:#}");
+            return context
+                .events
+                .send(CoreEvent::ConnectionOpened { connection, opened: false })
+                .await;
+        }
+        Err(_) => {
+            return context
+                .events
+                .send(CoreEvent::ConnectionOpened { connection, opened: false })
+                .await;
+        }
+    };
+    let client = Arc::new(Mutex::new(client));
+    let close = context.stop.child_token();
+    let open = OpenConnection { client: client.clone(), close: close.clone() };
+    context.connections.borrow_mut().insert(connection, open);
+    context.events.send(CoreEvent::ConnectionOpened { connection, opened: true }).await;
+    tokio::select! {
+        ended = driver => {
+            if let Err(error) = ended {
+                log::debug!("connection to endpoint {address} ended: {error}");
+            }
+        }
+        () = close.cancelled() => return,
+    }
+    // The call under way is answered before the end of the connection is told.
+    drop(client.lock().await);
+    context.connections.borrow_mut().remove(&connection);
+    context.events.send(CoreEvent::ConnectionEnded { connection }).await;
+}
+
+async fn connect(
+    login: &EndpointLogin,
+    address: &str,
+) -> Result<(Client, impl Future<Output = Result<(), tokio_postgres::Error>> + use<>)> {
+    let address: SocketAddr = address.parse().context("no IP and port")?;
+    let mut config = Config::new();
+    config
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user(&login.user)
+        .password(&login.password)
+        .dbname(&login.database)
+        .application_name("quetzaldeal")
+        .keepalives_idle(KEEPALIVE_IDLE)
+        .keepalives_interval(KEEPALIVE_INTERVAL);
+    let (client, connection) = config.connect(NoTls).await?;
+    Ok((client, connection))
+}
+
+async fn answer(
+    context: DriverContext,
+    open: Option<OpenConnection>,
+    call: CallId,
+    request: EndpointRequest,
+) {
+    let outcome = match open {
+        Some(open) => perform(&open, &request).await,
+        None => EndpointOutcome::Unsent,
+    };
+    context.events.send(CoreEvent::EndpointAnswered { call, outcome }).await;
+}
+
+async fn perform(open: &OpenConnection, request: &EndpointRequest) -> EndpointOutcome {
+    let client = open.client.lock().await;
+    if client.is_closed() {
+        return EndpointOutcome::Unsent;
+    }
+    let batch = endpoint_sql::batch(request);
+    if !endpoint_sql::wants_status(request) {
+        return match client.simple_query(&batch).await {
+            Ok(messages) => endpoint_sql::outcome(request, Ok(collect(messages)), None),
+            Err(_) => EndpointOutcome::Lost,
+        };
+    }
+    let status_batch = endpoint_sql::status_batch();
+    // Both batches go out at once; the status is read after the statement has ended.
+    let (results, status) =
+        tokio::join!(client.simple_query(&batch), client.simple_query(&status_batch));
+    let status: Option<EndpointStatus> =
+        status.ok().and_then(|messages| endpoint_sql::read_status(collect(messages).last()?));
+    let results = match results {
+        Ok(messages) => Ok(collect(messages)),
+        Err(error) => match error.as_db_error() {
+            Some(error) => Err(SqlError {
+                code: error.code().code().to_owned(),
+                message: error.message().to_owned(),
+            }),
+            None => return EndpointOutcome::Lost,
+        },
+    };
+    endpoint_sql::outcome(request, results, status)
+}
+
+/// Groups the messages of a batch by statement.
+fn collect(messages: Vec<SimpleQueryMessage>) -> Vec<SqlResult> {
+    let mut results = Vec::new();
+    let mut current = SqlResult::default();
+    for message in messages {
+        match message {
+            SimpleQueryMessage::RowDescription(columns) => {
+                current.columns = columns.iter().map(|column| column.name().to_owned()).collect();
+            }
+            SimpleQueryMessage::Row(row) => {
+                let values = (0..row.len()).map(|index| row.get(index).map(str::to_owned));
+                current.rows.push(values.collect());
+            }
+            SimpleQueryMessage::CommandComplete(affected) => {
+                current.affected = affected;
+                results.push(std::mem::take(&mut current));
+            }
+            _ => {}
+        }
+    }
+    results
+}
--- /dev/null
+++ b/src/endpoint_sql.rs
@@ -0,0 +1,181 @@
+//! How requests to endpoints are written in SQL, and their results read.
+//!
+//! Endpoints offer these in the schema `quetzaldeal`:
+//! - `status()`: one row: copy, adopted term, log term, position, whether primary, following;
+//! - `await(term, position, wait_ms)`: the same row, once the log has reached the point;
+//! - `fence(term)`, `promote(term, log_term, position)`, `follow(term, address)`: the same row;
+//! - `write_guard(term)`: fails with `QD002` unless the endpoint is the primary of the term;
+//! - `read_guard(term, position)`: fails with `QD001` unless the log has reached the point;
+//! - table `requests (account, id)` with a unique key, replicated with the data.
+
+use crate::endpoint_message::{
+    AnswerBody, EndpointOutcome, EndpointRequest, EndpointStatement, EndpointStatus,
+    TransactionStep,
+};
+
+/// SQLSTATE of an endpoint whose log has not reached the read point.
+pub const STATE_BEHIND: &str = "QD001";
+/// SQLSTATE of an endpoint that is not the primary of the term.
+pub const STATE_WRONG_TERM: &str = "QD002";
+/// SQLSTATE of a unique key that is taken.
+pub const STATE_DUPLICATE: &str = "23505";
+/// Name of the table of request identifiers, as it stands in its errors.
+pub const REQUESTS_TABLE: &str = "quetzaldeal.requests";
+
+/// Rows or count of one SQL statement.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct SqlResult {
+    /// Column names.
+    pub columns: Vec<String>,
+    /// Rows of text values.
+    pub rows: Vec<Vec<Option<String>>>,
+    /// Rows affected or returned.
+    pub affected: u64,
+}
+
+/// An error that a database answered with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SqlError {
+    /// SQLSTATE.
+    pub code: String,
+    /// Message.
+    pub message: String,
+}
+
+/// Writes the batch of statements for a request, run as one implicit transaction.
+pub fn batch(request: &EndpointRequest) -> String {
+    match request {
+        EndpointRequest::Run(statement) => run_batch(statement),
+        EndpointRequest::Status => status_batch(),
+        EndpointRequest::Await { point, wait_ms } => {
+            function(&format!("await({}, {}, {wait_ms})", point.term, point.position))
+        }
+        EndpointRequest::Fence { term } => function(&format!("fence({term})")),
+        EndpointRequest::Promote { term, least } => {
+            function(&format!("promote({term}, {}, {})", least.term, least.position))
+        }
+        EndpointRequest::Follow { term, address } => {
+            function(&format!("follow({term}, {})", quote(address)))
+        }
+    }
+}
+
+/// Writes the batch that asks for the status.
+pub fn status_batch() -> String {
+    function("status()")
+}
+
+/// Whether a request's batch is followed by the batch that asks for the status.
+pub fn wants_status(request: &EndpointRequest) -> bool {
+    matches!(request, EndpointRequest::Run(_))
+}
+
+/// Reads the results of a request's batch and of the status batch after it.
+pub fn outcome(
+    request: &EndpointRequest,
+    results: Result<Vec<SqlResult>, SqlError>,
+    status: Option<EndpointStatus>,
+) -> EndpointOutcome {
+    let EndpointRequest::Run(statement) = request else {
+        let row = results.ok().and_then(|mut results| results.pop());
+        let status = row.as_ref().and_then(read_status);
+        return status.map_or(EndpointOutcome::Lost, EndpointOutcome::Status);
+    };
+    match (results, status) {
+        (Ok(mut results), Some(status)) => {
+            let body = answer_body(&statement.text, results.pop().unwrap_or_default());
+            EndpointOutcome::Ran { body, status }
+        }
+        (Ok(_), None) => EndpointOutcome::Lost,
+        (Err(error), status) => error_outcome(statement, error, status),
+    }
+}
+
+/// Reads a status row.
+pub fn read_status(result: &SqlResult) -> Option<EndpointStatus> {
+    let row = result.rows.first()?;
+    let number = |index: usize| row.get(index)?.as_deref()?.parse::<u64>().ok();
+    let following = row.get(5)?.clone().filter(|address| !address.is_empty());
+    Some(EndpointStatus {
+        copy: number(0)?,
+        adopted_term: number(1)?,
+        log_term: number(2)?,
+        position: number(3)?,
+        primary: row.get(4)?.as_deref()? == "t",
+        following,
+    })
+}
+
+/// Writes a status row.
+pub fn write_status(status: &EndpointStatus) -> SqlResult {
+    let columns = ["copy", "adopted_term", "log_term", "position", "is_primary", "following"];
+    let row = [
+        status.copy.to_string(),
+        status.adopted_term.to_string(),
+        status.log_term.to_string(),
+        status.position.to_string(),
+        if status.primary { "t" } else { "f" }.to_owned(),
+        status.following.clone().unwrap_or_default(),
+    ];
+    SqlResult {
+        columns: columns.map(str::to_owned).to_vec(),
+        rows: vec![row.map(Some).to_vec()],
+        affected: 1,
+    }
+}
+
+/// Writes a text as an SQL literal.
+pub fn quote(text: &str) -> String {
+    let escaped = text.replace('\'', "''");
+    if escaped.contains('\\') {
+        format!("E'{}'", escaped.replace('\\', "\\\\"))
+    } else {
+        format!("'{escaped}'")
+    }
+}
+
+fn function(call: &str) -> String {
+    format!("SELECT * FROM quetzaldeal.{call}")
+}
+
+fn run_batch(statement: &EndpointStatement) -> String {
+    let mut parts = Vec::new();
+    if let Some(term) = statement.write_term {
+        parts.push(format!("SELECT quetzaldeal.write_guard({term})"));
+    }
+    if let Some(point) = statement.read_point {
+        parts.push(format!("SELECT quetzaldeal.read_guard({}, {})", point.term, point.position));
+    }
+    if statement.read_only {
+        parts.push("SET TRANSACTION READ ONLY".to_owned());
+    }
+    if let Some(record) = &statement.record {
+        let (account, id) = (quote(&record.account), quote(&record.id));
+        parts.push(format!("INSERT INTO {REQUESTS_TABLE} (account, id) VALUES ({account}, {id})"));
+    }
+    parts.push(statement.text.trim_end_matches([';', ' ', '\n', '\t', '\r']).to_owned());
+    parts.join(";\n")
+}
+
+fn answer_body(text: &str, result: SqlResult) -> AnswerBody {
+    let verb = text.split_whitespace().next().unwrap_or_default();
+    let verb = verb.trim_end_matches(';').to_ascii_uppercase();
+    AnswerBody { columns: result.columns, rows: result.rows, affected: result.affected, tag: verb }
+}
+
+fn error_outcome(
+    statement: &EndpointStatement,
+    error: SqlError,
+    status: Option<EndpointStatus>,
+) -> EndpointOutcome {
+    let recorded = statement.record.is_some()
+        && error.code == STATE_DUPLICATE
+        && error.message.contains(REQUESTS_TABLE);
+    let outside = statement.step == TransactionStep::Single;
+    match (error.code.as_str(), status) {
+        (STATE_BEHIND, _) => EndpointOutcome::Behind,
+        (STATE_WRONG_TERM, _) => EndpointOutcome::WrongTerm,
+        (_, Some(status)) if recorded && outside => EndpointOutcome::Duplicate { status },
+        _ => EndpointOutcome::Refused { sqlstate: error.code, message: error.message },
+    }
+}
--- /dev/null
+++ b/src/failover_flow.rs
@@ -0,0 +1,546 @@
+//! Changes of primary: noticing, claiming a term, fencing a majority, choosing, repairing roles.
+//!
+//! A term is claimed by compare-and-swap on the group's record in the platform. The claimant then
+//! fences the copies: a fenced copy takes nothing more from lower terms, neither statements nor
+//! log. Once a majority is fenced, every acknowledged write is on one of its copies, and the most
+//! advanced of them is written to the record as the primary by a second compare-and-swap. A
+//! claimant that pauses or dies half way loses to the next claim; whatever it still does is
+//! refused by the copies or by the record.
+
+use crate::arena_keys::{EndpointKey, GroupKey};
+use crate::call_purpose::CallPurpose;
+use crate::confirm_flow;
+use crate::connection_flow;
+use crate::core_context::CoreContext;
+use crate::core_message::CoreAction;
+use crate::core_tuning::CoreTuning;
+use crate::endpoint_message::{EndpointRequest, EndpointStatus, LogPoint};
+use crate::endpoint_state::NewCopy;
+use crate::group_record::{self, GroupRecord, TermPhase};
+use crate::group_state::SuspectReason;
+use crate::peer_message::PeerRequest;
+use crate::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
+use crate::rendezvous_rank;
+use crate::timer_queue::TimerKind;
+
+/// Peers asked for their opinion before a primary out of reach is replaced.
+const OPINIONS_ASKED: usize = 2;
+/// Time that a claim waits for opinions, in milliseconds.
+const OPINION_WAIT_MS: u64 = 300;
+/// Time that an election waits for copies beyond the majority, in milliseconds.
+const FENCE_GRACE_MS: u64 = 150;
+/// Time that the first election of a group waits for all copies, in milliseconds.
+const FIRST_GRACE_MS: u64 = 1_000;
+/// Age of a status at which a peer still vouches for a primary, in milliseconds.
+const VOUCH_AGE_MS: u64 = 1_000;
+
+/// Looks after one group: probes its endpoints, and drives a change of primary.
+pub fn on_timer(ctx: &mut CoreContext, group: GroupKey) {
+    if !ctx.groups.contains_key(group) {
+        return;
+    }
+    connection_flow::probe_group(ctx, group);
+    step(ctx, group);
+    let settled = ctx.groups[group].cursor.state() == "watching";
+    let interval = CoreTuning::millis(ctx.tuning.probe_interval_ms);
+    let span = if settled { interval } else { interval / 4 };
+    let span = ctx.spread(span);
+    ctx.wake_after(span, TimerKind::Group(group));
+}
+
+/// Takes up the group's record as the platform holds it.
+pub fn on_record(ctx: &mut CoreContext, group: GroupKey, entry: &StoreEntry) {
+    let Ok(record) = rmp_serde::from_slice::<GroupRecord>(&entry.value) else {
+        log::error!("group {}: the platform's record is malformed", ctx.groups[group].name);
+        return;
+    };
+    let now = ctx.now;
+    let state = &mut ctx.groups[group];
+    if entry.revision <= state.revision {
+        return;
+    }
+    let new_term = record.term > state.term();
+    let term_changed =
+        state.record.as_ref().map(|old| (old.term, old.phase)) != Some((record.term, record.phase));
+    state.revision = entry.revision;
+    state.record = Some(record);
+    if term_changed {
+        state.record_at = now;
+        state.replica_progress = (LogPoint::default(), now);
+    }
+    if new_term {
+        state.fire("record_moved", now);
+        confirm_flow::on_new_term(ctx, group);
+    }
+    connection_flow::probe_group(ctx, group);
+}
+
+/// Takes up a new status of one of the group's endpoints.
+pub fn on_status(ctx: &mut CoreContext, group: GroupKey, endpoint: EndpointKey) {
+    let Some(seen) = ctx.endpoints[endpoint].seen.clone() else { return };
+    if ctx.groups[group].cursor.state() == "fencing" {
+        note_fenced(ctx, group, endpoint, &seen.status);
+    }
+    note_progress(ctx, group);
+    note_copy(ctx, group, endpoint, &seen.status);
+    repair_role(ctx, group, endpoint, &seen.status);
+    if let Some(sample) = confirm_flow::majority_sample(ctx, group) {
+        ctx.groups[group].note_sample(sample);
+    }
+    step(ctx, group);
+}
+
+/// Whether this host saw the primary of `term` or later serve lately.
+pub fn vouches(ctx: &CoreContext, group: &str, term: u64) -> bool {
+    let Some(group) = ctx.group_names.get(group).map(|key| &ctx.groups[*key]) else { return false };
+    let Some(record) = group.serving().filter(|record| record.term >= term) else { return false };
+    let Some(endpoint) = ctx.endpoint_names.get(&record.primary) else { return false };
+    let since = ctx.now.before(CoreTuning::millis(VOUCH_AGE_MS));
+    let status = ctx.endpoints[*endpoint].status_since(since);
+    status.is_some_and(|status| status.primary && status.adopted_term == record.term)
+}
+
+/// Takes up a peer's opinion of a primary.
+pub fn on_opinion(ctx: &mut CoreContext, group: GroupKey, term: u64, serving: bool) {
+    let now = ctx.now;
+    let state = &mut ctx.groups[group];
+    if serving && state.term() == term && state.reason == Some(SuspectReason::Unreachable) {
+        state.fire("peers_see_primary", now);
+    }
+}
+
+/// Takes up the platform's answer to a swap of the group's record.
+pub fn on_swap(
+    ctx: &mut CoreContext,
+    group: GroupKey,
+    record: GroupRecord,
+    reply: Option<PlatformReply>,
+) {
+    ctx.groups[group].readmitting = false;
+    match reply {
+        Some(PlatformReply::Swapped { revision }) => won(ctx, group, record, revision),
+        Some(PlatformReply::Conflict(Some(entry))) => on_conflict(ctx, group, entry),
+        Some(_) => lose(ctx, group),
+        None => {
+            let key = group_record::record_key(&ctx.groups[group].name);
+            let purpose = CallPurpose::ReadRecord { group };
+            ctx.call_platform(purpose, PlatformRequest::Get { key });
+        }
+    }
+}
+
+/// Takes up the record as read after a swap whose answer was lost.
+pub fn on_reread(ctx: &mut CoreContext, group: GroupKey, reply: Option<PlatformReply>) {
+    match reply {
+        Some(PlatformReply::Value(Some(entry))) => on_conflict(ctx, group, entry),
+        Some(_) => lose(ctx, group),
+        // Nothing is known; the election times out, and the feed tells what became of it.
+        None => {}
+    }
+}
+
+fn on_conflict(ctx: &mut CoreContext, group: GroupKey, entry: StoreEntry) {
+    let own = proposer(ctx);
+    let record = rmp_serde::from_slice::<GroupRecord>(&entry.value).ok();
+    let state = ctx.groups[group].cursor.state().to_owned();
+    if let Some(record) = record.filter(|record| record.proposer == own) {
+        let claimed = state == "claiming" && record.phase == TermPhase::Electing;
+        let decided = state == "deciding" && record.phase == TermPhase::Serving;
+        if (claimed || decided) && entry.revision > ctx.groups[group].revision {
+            return won(ctx, group, record, entry.revision);
+        }
+    }
+    lose(ctx, group);
+    let key = entry.key.clone();
+    ctx.feed.take(entry.clone());
+    log::debug!("record {key} was changed by another host");
+    on_record(ctx, group, &entry);
+}
+
+fn lose(ctx: &mut CoreContext, group: GroupKey) {
+    let now = ctx.now;
+    if matches!(ctx.groups[group].cursor.state(), "claiming" | "deciding") {
+        ctx.groups[group].fire("claim_lost", now);
+    }
+}
+
+fn won(ctx: &mut CoreContext, group: GroupKey, record: GroupRecord, revision: u64) {
+    let Ok(value) = rmp_serde::to_vec(&record) else { return };
+    let key = group_record::record_key(&ctx.groups[group].name);
+    let entry = StoreEntry { key, revision, value };
+    ctx.feed.take(entry.clone());
+    let now = ctx.now;
+    match ctx.groups[group].cursor.state() {
+        "claiming" if record.phase == TermPhase::Electing => {
+            ctx.groups[group].fire("claim_won", now);
+            install(ctx, group, record, revision);
+            fence_all(ctx, group);
+        }
+        "deciding" if record.phase == TermPhase::Serving => {
+            ctx.groups[group].fire("decision_won", now);
+            log::info!(
+                "group {}: term {} has primary {}",
+                ctx.groups[group].name,
+                record.term,
+                record.primary
+            );
+            install(ctx, group, record, revision);
+            connection_flow::probe_group(ctx, group);
+        }
+        _ => on_record(ctx, group, &entry),
+    }
+}
+
+/// Takes up this host's own change of the record.
+fn install(ctx: &mut CoreContext, group: GroupKey, record: GroupRecord, revision: u64) {
+    let now = ctx.now;
+    let state = &mut ctx.groups[group];
+    state.revision = revision;
+    state.record = Some(record);
+    state.record_at = now;
+    state.replica_progress = (LogPoint::default(), now);
+    confirm_flow::on_new_term(ctx, group);
+}
+
+/// Moves a change of primary on as far as it can go now.
+fn step(ctx: &mut CoreContext, group: GroupKey) {
+    match ctx.groups[group].cursor.state() {
+        "watching" => watch(ctx, group),
+        "suspecting" => suspect(ctx, group),
+        "claiming" => time_out(ctx, group),
+        "fencing" => fence(ctx, group),
+        "deciding" => time_out(ctx, group),
+        _ => {}
+    }
+}
+
+fn watch(ctx: &mut CoreContext, group: GroupKey) {
+    let Some(reason) = find_reason(ctx, group) else { return };
+    let now = ctx.now;
+    let event = match reason {
+        SuspectReason::NoRecord => "record_missing",
+        _ => "primary_missing",
+    };
+    let state = &mut ctx.groups[group];
+    state.fire(event, now);
+    state.reason = Some(reason);
+}
+
+/// Returns why the group needs a change of primary, if it does.
+fn find_reason(ctx: &CoreContext, group: GroupKey) -> Option<SuspectReason> {
+    let state = &ctx.groups[group];
+    if state.members.is_empty() || !ctx.takes_part() {
+        return None;
+    }
+    let Some(record) = &state.record else {
+        return ctx.peers.platform.map(|_| SuspectReason::NoRecord);
+    };
+    let age = ctx.now.since(state.record_at);
+    if record.phase == TermPhase::Electing {
+        let limit = CoreTuning::millis(ctx.tuning.election_timeout_ms);
+        return (age >= limit).then_some(SuspectReason::Unfinished);
+    }
+    let limit = CoreTuning::millis(ctx.tuning.suspect_after_ms);
+    let primary = *ctx.endpoint_names.get(&record.primary)?;
+    let status = ctx.endpoints[primary].status_since(ctx.now.before(limit));
+    let serves = status.is_some_and(|status| status.primary && status.adopted_term == record.term);
+    if !serves {
+        return (age >= limit).then_some(SuspectReason::Unreachable);
+    }
+    if ctx.now.since(state.replica_progress.1) >= limit * 2 && has_live_replica(ctx, group) {
+        return Some(SuspectReason::Isolated);
+    }
+    let leaving = !ctx.endpoints[primary].in_service && successor_ready(ctx, group, primary);
+    leaving.then_some(SuspectReason::Leaving)
+}
+
+fn suspect(ctx: &mut CoreContext, group: GroupKey) {
+    let now = ctx.now;
+    let reason = find_reason(ctx, group);
+    let Some(reason) = reason else { return ctx.groups[group].fire("primary_seen", now) };
+    let state = &mut ctx.groups[group];
+    state.reason = Some(reason);
+    let mut turn = CoreTuning::millis(ctx.tuning.claim_turn_ms) * claim_rank(ctx, group);
+    if reason == SuspectReason::Unreachable {
+        ask_opinions(ctx, group);
+        turn += CoreTuning::millis(OPINION_WAIT_MS);
+    }
+    if now.since(ctx.groups[group].since) >= turn {
+        claim(ctx, group);
+    }
+}
+
+fn claim(ctx: &mut CoreContext, group: GroupKey) {
+    let proposer = proposer(ctx);
+    let state = &ctx.groups[group];
+    let old = state.record.clone();
+    let record = GroupRecord {
+        term: state.term() + 1,
+        phase: TermPhase::Electing,
+        primary: old.as_ref().map(|old| old.primary.clone()).unwrap_or_default(),
+        proposer,
+        start: old.as_ref().map(|old| old.start).unwrap_or_default(),
+        copies: old.map(|old| old.copies).unwrap_or_default(),
+    };
+    let (name, reason) = (&state.name, state.reason);
+    log::info!("group {name}: claiming term {}: {reason:?}", record.term);
+    let now = ctx.now;
+    ctx.groups[group].fire("claim_sent", now);
+    swap(ctx, group, record);
+}
+
+fn fence_all(ctx: &mut CoreContext, group: GroupKey) {
+    let term = ctx.groups[group].term();
+    for endpoint in ctx.groups[group].members.clone() {
+        connection_flow::command(ctx, endpoint, EndpointRequest::Fence { term });
+    }
+}
+
+fn note_fenced(
+    ctx: &mut CoreContext,
+    group: GroupKey,
+    endpoint: EndpointKey,
+    status: &EndpointStatus,
+) {
+    let name = ctx.endpoints[endpoint].name.clone();
+    let state = &mut ctx.groups[group];
+    let Some(record) = &state.record else { return };
+    let counted = record.copies.is_empty() || record.copies.get(&name) == Some(&status.copy);
+    if status.adopted_term == record.term && counted {
+        state.fenced.insert(endpoint, status.clone());
+    }
+}
+
+fn fence(ctx: &mut CoreContext, group: GroupKey) {
+    let now = ctx.now;
+    let state = &mut ctx.groups[group];
+    if state.fenced.len() < state.majority() {
+        fence_all(ctx, group);
+        return time_out(ctx, group);
+    }
+    let first = state.record.as_ref().is_some_and(|record| record.copies.is_empty());
+    let majority_at = *state.majority_at.get_or_insert(now);
+    let unhurried = first || state.reason == Some(SuspectReason::Leaving);
+    let grace = if unhurried { FIRST_GRACE_MS } else { FENCE_GRACE_MS };
+    let complete = state.fenced.len() == state.members.len();
+    if complete || now.since(majority_at) >= CoreTuning::millis(grace) {
+        return decide(ctx, group);
+    }
+    fence_all(ctx, group);
+}
+
+/// Writes the chosen primary to the record.
+fn decide(ctx: &mut CoreContext, group: GroupKey) {
+    let now = ctx.now;
+    let Some(chosen) = choose_primary(ctx, group) else { return time_out(ctx, group) };
+    let state = &ctx.groups[group];
+    let Some(mut record) = state.record.clone() else { return };
+    record.phase = TermPhase::Serving;
+    record.primary = ctx.endpoints[chosen].name.clone();
+    record.start = state.fenced[&chosen].log_point();
+    for (endpoint, status) in &state.fenced {
+        record.copies.insert(ctx.endpoints[*endpoint].name.clone(), status.copy);
+    }
+    ctx.groups[group].fire("majority_fenced", now);
+    swap(ctx, group, record);
+}
+
+/// Returns the fenced copy that takes over.
+///
+/// An acknowledged write is on a majority of all copies, so it is on all of the best
+/// `majority - missing` fenced ones. Among these, one in service is preferred, then the most
+/// advanced.
+fn choose_primary(ctx: &CoreContext, group: GroupKey) -> Option<EndpointKey> {
+    let state = &ctx.groups[group];
+    let mut ranked: Vec<(&EndpointKey, &EndpointStatus)> = state.fenced.iter().collect();
+    ranked.sort_by_key(|(endpoint, status)| {
+        (std::cmp::Reverse(status.log_point()), &ctx.endpoints[**endpoint].name)
+    });
+    let missing = state.members.len() - state.fenced.len();
+    let safe = state.majority().saturating_sub(missing).max(1);
+    let safe = &ranked[..safe.min(ranked.len())];
+    let serving = safe.iter().find(|(endpoint, _)| ctx.endpoints[**endpoint].in_service);
+    serving.or(safe.first()).map(|(endpoint, _)| **endpoint)
+}
+
+fn time_out(ctx: &mut CoreContext, group: GroupKey) {
+    let now = ctx.now;
+    let limit = CoreTuning::millis(ctx.tuning.election_timeout_ms);
+    if now.since(ctx.groups[group].since) >= limit {
+        ctx.groups[group].fire("timed_out", now);
+    }
+}
+
+/// Tells an endpoint its role when its status shows that it does not have it.
+fn repair_role(
+    ctx: &mut CoreContext,
+    group: GroupKey,
+    endpoint: EndpointKey,
+    status: &EndpointStatus,
+) {
+    let Some(record) = ctx.groups[group].serving().cloned() else { return };
+    if status.adopted_term > record.term {
+        return;
+    }
+    let name = &ctx.endpoints[endpoint].name;
+    if *name == record.primary {
+        let counted = record.copies.get(name) == Some(&status.copy);
+        let leads = status.primary && status.adopted_term == record.term;
+        if counted && !leads {
+            let request = EndpointRequest::Promote { term: record.term, least: record.start };
+            connection_flow::command(ctx, endpoint, request);
+        }
+        return;
+    }
+    let Some(primary) = ctx.endpoint_names.get(&record.primary) else { return };
+    let address = ctx.endpoints[*primary].address.clone();
+    let follows = status.adopted_term == record.term && status.following.as_ref() == Some(&address);
+    if !follows {
+        let request = EndpointRequest::Follow { term: record.term, address };
+        connection_flow::command(ctx, endpoint, request);
+    }
+}
+
+/// Notes when the replicas last advanced, or had nothing to advance to.
+fn note_progress(ctx: &mut CoreContext, group: GroupKey) {
+    let now = ctx.now;
+    let Some(record) = ctx.groups[group].serving() else { return };
+    let Some(primary) = ctx.endpoint_names.get(&record.primary).copied() else { return };
+    let primary_point = ctx.endpoints[primary].seen.as_ref().map(|seen| seen.status.log_point());
+    let best = |state: &crate::group_state::GroupState| {
+        let others = state.members.iter().filter(|member| **member != primary);
+        let seen = others.filter_map(|member| ctx.endpoints[*member].seen.as_ref());
+        seen.map(|seen| seen.status.log_point()).max().unwrap_or_default()
+    };
+    let replica_point = best(&ctx.groups[group]);
+    let level = primary_point.is_none_or(|point| replica_point >= point);
+    let state = &mut ctx.groups[group];
+    let moved = replica_point > state.replica_progress.0;
+    if moved || level || state.members.len() == 1 {
+        state.replica_progress = (replica_point, now);
+    }
+}
+
+fn has_live_replica(ctx: &CoreContext, group: GroupKey) -> bool {
+    let state = &ctx.groups[group];
+    let since = ctx.now.before(CoreTuning::millis(ctx.tuning.suspect_after_ms));
+    let live = |endpoint: &&EndpointKey| {
+        ctx.endpoints[**endpoint].status_since(since).is_some_and(|status| !status.primary)
+    };
+    state.members.iter().filter(live).count() + 1 >= state.majority()
+}
+
+/// Whether a replica in service is up to date enough to take over from a leaving primary.
+fn successor_ready(ctx: &CoreContext, group: GroupKey, primary: EndpointKey) -> bool {
+    let since = ctx.now.before(CoreTuning::millis(ctx.tuning.suspect_after_ms));
+    let all_seen = ctx.groups[group]
+        .members
+        .iter()
+        .all(|endpoint| ctx.endpoints[*endpoint].status_since(since).is_some());
+    let others = ctx.groups[group].members.iter().filter(|endpoint| **endpoint != primary);
+    let in_service = others.filter(|endpoint| ctx.endpoints[**endpoint].in_service).count();
+    all_seen && in_service > 0
+}
+
+/// Follows copies that were rebuilt, until they hold what counts and enter the record.
+fn note_copy(
+    ctx: &mut CoreContext,
+    group: GroupKey,
+    endpoint: EndpointKey,
+    status: &EndpointStatus,
+) {
+    let now = ctx.now;
+    let Some(record) = ctx.groups[group].serving().cloned() else { return };
+    let name = ctx.endpoints[endpoint].name.clone();
+    if record.copies.get(&name) == Some(&status.copy) || name == record.primary {
+        ctx.endpoints[endpoint].new_copy = None;
+        return;
+    }
+    let known = ctx.endpoints[endpoint].new_copy.as_ref().map(|copy| copy.copy);
+    if known != Some(status.copy) {
+        let new_copy = NewCopy { copy: status.copy, since: now, target: None };
+        ctx.endpoints[endpoint].new_copy = Some(new_copy);
+    }
+    let Some(mut new_copy) = ctx.endpoints[endpoint].new_copy.clone() else { return };
+    let primary = ctx.endpoint_names.get(&record.primary).map(|key| &ctx.endpoints[*key]);
+    let primary = primary.and_then(|primary| primary.status_since(new_copy.since));
+    let leads = |status: &&EndpointStatus| status.primary && status.adopted_term == record.term;
+    if new_copy.target.is_none() {
+        new_copy.target = primary.filter(leads).map(EndpointStatus::log_point);
+        ctx.endpoints[endpoint].new_copy = Some(new_copy.clone());
+    }
+    let caught_up = new_copy.target.is_some_and(|target| {
+        status.adopted_term == record.term
+            && status.log_term == record.term
+            && status.reached(target)
+    });
+    let turn = CoreTuning::millis(ctx.tuning.claim_turn_ms) * claim_rank(ctx, group);
+    if caught_up && now.since(new_copy.since) >= turn && !ctx.groups[group].readmitting {
+        readmit(ctx, group, record, name, status.copy);
+    }
+}
+
+fn readmit(
+    ctx: &mut CoreContext,
+    group: GroupKey,
+    mut record: GroupRecord,
+    endpoint: String,
+    copy: u64,
+) {
+    if ctx.groups[group].cursor.state() != "watching" {
+        return;
+    }
+    log::info!("group {}: counting the new copy of {endpoint}", ctx.groups[group].name);
+    record.copies.insert(endpoint, copy);
+    ctx.groups[group].readmitting = true;
+    swap(ctx, group, record);
+}
+
+fn swap(ctx: &mut CoreContext, group: GroupKey, record: GroupRecord) {
+    let Ok(value) = rmp_serde::to_vec(&record) else { return };
+    let state = &ctx.groups[group];
+    let key = group_record::record_key(&state.name);
+    let expected = state.revision;
+    let purpose = CallPurpose::SwapRecord { group, record };
+    ctx.call_platform(purpose, PlatformRequest::CompareSwap { key, expected, value });
+}
+
+fn ask_opinions(ctx: &mut CoreContext, group: GroupKey) {
+    if std::mem::replace(&mut ctx.groups[group].asked_peers, true) {
+        return;
+    }
+    let (name, term) = (ctx.groups[group].name.clone(), ctx.groups[group].term());
+    let usable = ctx.peers.peers.iter().filter(|(host, _)| ctx.peers.usable(host, ctx.now));
+    let peers: Vec<(&String, String)> =
+        usable.map(|(host, peer)| (host, peer.address.clone())).collect();
+    let mut peers: Vec<(u64, String)> = peers
+        .into_iter()
+        .map(|(host, address)| (rendezvous_rank::weight(&name, host), address))
+        .collect();
+    peers.sort();
+    for (_, address) in peers.into_iter().take(OPINIONS_ASKED) {
+        let call = ctx.open_call(CallPurpose::PrimaryOpinion { group, term });
+        let request = PeerRequest::Primary { group: name.clone(), term };
+        ctx.control.peer_calls += 1;
+        ctx.actions.push(CoreAction::CallPeer { call, address, request });
+    }
+}
+
+/// Returns this host's turn among the hosts that may claim the group's next term.
+fn claim_rank(ctx: &CoreContext, group: GroupKey) -> u32 {
+    let state = &ctx.groups[group];
+    let subject = format!("{}/{}", state.name, state.term());
+    let hosts = ctx
+        .config
+        .world
+        .hosts
+        .keys()
+        .filter(|host| **host == ctx.identity.name || ctx.peers.usable(host, ctx.now));
+    let ranked = rendezvous_rank::rank(&subject, hosts.map(String::as_str));
+    let turn = ranked.iter().position(|host| *host == ctx.identity.name).unwrap_or(ranked.len());
+    turn as u32
+}
+
+fn proposer(ctx: &CoreContext) -> String {
+    format!("{}#{}", ctx.identity.name, ctx.identity.incarnation)
+}
--- /dev/null
+++ b/src/group_state.rs
@@ -0,0 +1,145 @@
+//! What this host knows of one database group.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use crate::arena_keys::{EndpointKey, StatementKey};
+use crate::chart_cursor::ChartCursor;
+use crate::clock_time::ClockTime;
+use crate::endpoint_message::{EndpointStatus, LogPoint};
+use crate::group_record::{GroupRecord, TermPhase};
+use crate::state_chart::StateChart;
+
+/// Age samples kept for each group.
+const SAMPLES_MAX: usize = 256;
+
+/// A point that a group's history had reached at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AgeSample {
+    /// The primary's end of log at some time after `at`.
+    pub point: LogPoint,
+    /// When it was asked for.
+    pub at: ClockTime,
+}
+
+/// Why a change of primary is being considered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuspectReason {
+    /// The group has no record yet.
+    NoRecord,
+    /// This host cannot reach the primary.
+    Unreachable,
+    /// The primary runs, but its replicas no longer follow it.
+    Isolated,
+    /// Another host's election was not finished.
+    Unfinished,
+    /// The primary is leaving service.
+    Leaving,
+}
+
+/// What this host knows of one database group.
+#[derive(Debug, Clone)]
+pub struct GroupState {
+    /// Name.
+    pub name: String,
+    /// Its endpoints.
+    pub members: Vec<EndpointKey>,
+    /// The platform's record.
+    pub record: Option<GroupRecord>,
+    /// The record's revision, 0 for none.
+    pub revision: u64,
+    /// When this host learnt of the record.
+    pub record_at: ClockTime,
+    /// Statements that wait for confirmation.
+    pub waiters: Vec<StatementKey>,
+    /// Whether the timer that confirms waiting statements is set.
+    pub confirm_armed: bool,
+    /// Points with times, oldest first.
+    pub samples: VecDeque<AgeSample>,
+    /// Position in the chart of changes of primary.
+    pub cursor: ChartCursor,
+    /// Why a change is considered.
+    pub reason: Option<SuspectReason>,
+    /// When the cursor's state was entered.
+    pub since: ClockTime,
+    /// Whether peers were asked in this suspicion.
+    pub asked_peers: bool,
+    /// Copies fenced in this election.
+    pub fenced: BTreeMap<EndpointKey, EndpointStatus>,
+    /// When a majority was fenced.
+    pub majority_at: Option<ClockTime>,
+    /// The most advanced replica position seen, and when it last moved or met the primary's.
+    pub replica_progress: (LogPoint, ClockTime),
+    /// Whether a swap of the record is under way outside an election.
+    pub readmitting: bool,
+}
+
+impl GroupState {
+    /// A group that nothing is known of yet.
+    pub fn new(name: String, chart: Arc<StateChart>, now: ClockTime) -> Self {
+        Self {
+            name,
+            members: Vec::new(),
+            record: None,
+            revision: 0,
+            record_at: now,
+            waiters: Vec::new(),
+            confirm_armed: false,
+            samples: VecDeque::new(),
+            cursor: ChartCursor::new(chart),
+            reason: None,
+            since: now,
+            asked_peers: false,
+            fenced: BTreeMap::new(),
+            majority_at: None,
+            replica_progress: (LogPoint::default(), now),
+            readmitting: false,
+        }
+    }
+
+    /// Returns the record of the term in which a primary serves.
+    pub fn serving(&self) -> Option<&GroupRecord> {
+        self.record.as_ref().filter(|record| record.phase == TermPhase::Serving)
+    }
+
+    /// Returns the term of the record, 0 for none.
+    pub fn term(&self) -> u64 {
+        self.record.as_ref().map_or(0, |record| record.term)
+    }
+
+    /// Returns the number of copies that make a majority.
+    pub fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+
+    /// Notes a point that the group's history had surely reached by `at`.
+    pub fn note_sample(&mut self, sample: AgeSample) {
+        if self.samples.back().is_some_and(|last| last.at >= sample.at) {
+            return;
+        }
+        self.samples.push_back(sample);
+        if self.samples.len() > SAMPLES_MAX {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Returns the least demanding point that proves data no older than `since`.
+    pub fn sample_since(&self, since: ClockTime) -> Option<LogPoint> {
+        self.samples.iter().find(|sample| sample.at >= since).map(|sample| sample.point)
+    }
+
+    /// Moves the failover chart and notes when.
+    pub fn fire(&mut self, event: &str, now: ClockTime) {
+        if !self.cursor.fire(event) {
+            log::debug!("group {}: {event} ignored in {}", self.name, self.cursor.state());
+            return;
+        }
+        self.since = now;
+        if self.cursor.state() == "watching" {
+            self.reason = None;
+            self.asked_peers = false;
+            self.fenced.clear();
+            self.majority_at = None;
+        }
+    }
+}
--- /dev/null
+++ b/src/host_daemon.rs
@@ -0,0 +1,193 @@
+//! The daemon of one host: a thread for each duty, joined by bounded rings.
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result};
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::LocalSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::caller_desk::CallerDesk;
+use crate::caller_door;
+use crate::clock_time::ClockTime;
+use crate::core_context::HostIdentity;
+use crate::core_driver::{CoreDriver, CoreOutlets};
+use crate::core_message::CoreEvent;
+use crate::daemon_settings::DaemonSettings;
+use crate::decision_core::DecisionCore;
+use crate::duty_ring::{self, RingSender, RingWaker, TaskReceiver};
+use crate::endpoint_driver;
+use crate::latency_book::LatencyBook;
+use crate::metrics_driver;
+use crate::peer_driver;
+use crate::platform_driver;
+use crate::statement_service;
+
+/// Items that a ring holds.
+const RING_CAPACITY: usize = 4_096;
+
+/// Runs the daemon until it is told to stop and has finished its work.
+///
+/// # Errors
+///
+/// Fails when a thread cannot start or an address cannot be bound.
+pub fn run(settings: DaemonSettings) -> Result<()> {
+    let stop = CancellationToken::new();
+    let latencies = Arc::new(LatencyBook::default());
+    let started = Instant::now();
+    let core = build_core(&settings)?;
+
+    let (endpoint_actions, endpoint_receiver) = TaskReceiver::ring(RING_CAPACITY);
+    let (peer_actions, peer_receiver) = TaskReceiver::ring(RING_CAPACITY);
+    let (platform_actions, platform_receiver) = TaskReceiver::ring(RING_CAPACITY);
+    let (metrics_actions, metrics_receiver) = TaskReceiver::ring(RING_CAPACITY);
+
+    // The decisions' thread hands back its handle first: the rings to it wake it by that.
+    let (setup_sender, setup_receiver) = std::sync::mpsc::sync_channel::<CoreDriver>(1);
+    let decisions = spawn_thread("decisions", move || {
+        if let Ok(driver) = setup_receiver.recv() {
+            driver.run();
+        }
+        Ok(())
+    })?;
+    let waker = RingWaker::Thread(decisions.thread().clone());
+    let mut inlets = Vec::new();
+    let mut inlet = || -> RingSender<CoreEvent> {
+        let (sender, consumer) = duty_ring::ring(RING_CAPACITY, waker.clone());
+        inlets.push(consumer);
+        sender
+    };
+    let desk = Arc::new(CallerDesk::new(inlet()));
+    let endpoint_events = inlet();
+    let peer_events = inlet();
+    let platform_events = inlet();
+    let metrics_events = inlet();
+    let signal_events = inlet();
+
+    let outlets = CoreOutlets {
+        desk: desk.clone(),
+        endpoints: endpoint_actions,
+        peers: peer_actions,
+        platform: platform_actions,
+        metrics: metrics_actions,
+    };
+    let driver = CoreDriver::new(core, started, inlets, outlets, stop.clone());
+    setup_sender.send(driver).ok().context("the decisions' thread is gone")?;
+
+    let mut threads = vec![decisions];
+    let token = stop.clone();
+    let login = settings.endpoint_login.clone();
+    threads.push(spawn_duty("endpoints", stop.clone(), move |runtime| {
+        let local = LocalSet::new();
+        let drive =
+            endpoint_driver::drive(login, endpoint_events, endpoint_receiver, token.clone());
+        local.block_on(runtime, until_stopped(drive, token));
+        Ok(())
+    })?);
+    let (token, address, book) = (stop.clone(), settings.peers.clone(), latencies.clone());
+    threads.push(spawn_duty("peers", stop.clone(), move |runtime| {
+        runtime.block_on(peer_driver::drive(address, peer_events, peer_receiver, book, token))
+    })?);
+    let (token, address) = (stop.clone(), settings.platform.clone());
+    threads.push(spawn_duty("platform", stop.clone(), move |runtime| {
+        let drive = platform_driver::drive(address, platform_events, platform_receiver);
+        runtime.block_on(until_stopped(drive, token)).unwrap_or(Ok(()))
+    })?);
+    let (token, address, book) = (stop.clone(), settings.callers.clone(), latencies.clone());
+    threads.push(spawn_duty("callers", stop.clone(), move |runtime| {
+        let service = statement_service::build(desk.clone(), book);
+        runtime.block_on(caller_door::serve(&address, desk, service, token))
+    })?);
+    if let Some(address) = &settings.metrics {
+        let client = metrics_driver::client(address)?;
+        let (token, book) = (stop.clone(), latencies);
+        threads.push(spawn_duty("metrics", stop.clone(), move |runtime| {
+            let drive =
+                metrics_driver::drive(client, metrics_events, metrics_receiver, book, token);
+            runtime.block_on(drive);
+            Ok(())
+        })?);
+    }
+    log::info!("host {} serves callers at {}", settings.host, settings.callers);
+    await_signals(&signal_events, &stop)?;
+    join_all(threads)
+}
+
+/// Passes the signals to stop on to the core, until the core has stopped.
+fn await_signals(events: &RingSender<CoreEvent>, stop: &CancellationToken) -> Result<()> {
+    let runtime = build_runtime()?;
+    runtime.block_on(async {
+        use tokio::signal::unix::{SignalKind, signal};
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                _ = terminate.recv() => events.send(CoreEvent::DrainAsked).await,
+                _ = interrupt.recv() => events.send(CoreEvent::DrainAsked).await,
+            }
+        }
+    })
+}
+
+fn build_core(settings: &DaemonSettings) -> Result<DecisionCore> {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let identity = HostIdentity {
+        name: settings.host.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: since_epoch.as_millis() as u64,
+        seeds: settings.seeds.clone(),
+    };
+    let seed = rand::random();
+    DecisionCore::new(identity, settings.tuning.clone(), seed, ClockTime::default())
+}
+
+fn spawn_thread(
+    name: &str,
+    body: impl FnOnce() -> Result<()> + Send + 'static,
+) -> Result<JoinHandle<Result<()>>> {
+    let builder = std::thread::Builder::new().name(name.to_owned());
+    builder.spawn(body).with_context(|| format!("cannot start thread {name}"))
+}
+
+/// Starts the thread of a duty; when the duty fails, the whole daemon stops.
+fn spawn_duty(
+    name: &'static str,
+    stop: CancellationToken,
+    body: impl FnOnce(&Runtime) -> Result<()> + Send + 'static,
+) -> Result<JoinHandle<Result<()>>> {
+    spawn_thread(name, move || {
+        let runtime = build_runtime()?;
+        let outcome = body(&runtime);
+        if let Err(error) = &outcome {
+            log::error!("{name}: {error:#}");
+        }
+        stop.cancel();
+        runtime.shutdown_background();
+        outcome
+    })
+}
+
+fn build_runtime() -> Result<Runtime> {
+    Builder::new_current_thread().enable_all().build().context("cannot build a runtime")
+}
+
+async fn until_stopped<T>(body: impl Future<Output = T>, stop: CancellationToken) -> Option<T> {
+    tokio::select! {
+        outcome = body => Some(outcome),
+        () = stop.cancelled() => None,
+    }
+}
+
+fn join_all(threads: Vec<JoinHandle<Result<()>>>) -> Result<()> {
+    let mut outcome = Ok(());
+    for thread in threads {
+        match thread.join() {
+            Ok(ended) => outcome = outcome.and(ended),
+            Err(_) => outcome = outcome.and(Err(anyhow::anyhow!("a thread panicked"))),
+        }
+    }
+    outcome
+}
--- /dev/null
+++ b/src/key_secret.rs
@@ -0,0 +1,59 @@
+//! Callers' keys: making them, and proving them against salted hashes.
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+use crate::world_object;
+
+const KEY_BYTES: usize = 24;
+const SALT_BYTES: usize = 16;
+
+/// A fresh key with the object that proves it.
+#[derive(Debug)]
+pub struct KeySecret {
+    /// The key itself; shown once and kept nowhere.
+    pub text: String,
+    /// The object to publish.
+    pub object: world_object::KeyObject,
+}
+
+impl KeySecret {
+    /// Makes a key for `account` from fresh random bytes.
+    pub fn generate(name: &str, account: &str) -> Self {
+        let text = format!("qd_{}", to_hex(&rand::random::<[u8; KEY_BYTES]>()));
+        let salt = to_hex(&rand::random::<[u8; SALT_BYTES]>());
+        let hash = salted_hash(&salt, &text);
+        let object = world_object::KeyObject {
+            name: name.to_owned(),
+            account: account.to_owned(),
+            salt,
+            hash,
+        };
+        Self { text, object }
+    }
+}
+
+/// Whether `text` is the key that `object` was made from, in constant time.
+pub fn matches(object: &world_object::KeyObject, text: &str) -> bool {
+    let hash = salted_hash(&object.salt, text);
+    hash.as_bytes().ct_eq(object.hash.to_ascii_lowercase().as_bytes()).into()
+}
+
+/// Writes bytes as lower-case hexadecimal digits.
+pub fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Computes an HMAC-SHA-256 of `message`, in hexadecimal.
+pub fn keyed_hash(secret: &[u8], message: &[u8]) -> String {
+    let Ok(mut mac) = Hmac::<Sha256>::new_from_slice(secret) else {
+        unreachable!("an HMAC key may have any length")
+    };
+    mac.update(message);
+    to_hex(&mac.finalize().into_bytes())
+}
+
+fn salted_hash(salt: &str, text: &str) -> String {
+    keyed_hash(salt.as_bytes(), text.as_bytes())
+}
--- /dev/null
+++ b/src/latency_book.rs
@@ -0,0 +1,62 @@
+//! Latency histograms for each client account.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// The longest latency kept apart, in microseconds.
+const LATENCY_MAX_US: u64 = 60_000_000;
+const SIGNIFICANT_DIGITS: u8 = 2;
+
+/// Latency quantiles of one account, in microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LatencyQuantiles {
+    /// Median.
+    pub p50_us: u64,
+    /// Exceeded by one statement in a hundred.
+    pub p99_us: u64,
+    /// Exceeded by one statement in a thousand.
+    pub p999_us: u64,
+}
+
+/// Latency histograms for each client account.
+#[derive(Debug, Default)]
+pub struct LatencyBook {
+    histograms: Mutex<HashMap<String, Histogram<u64>>>,
+}
+
+impl LatencyBook {
+    /// Records the latency of one statement.
+    pub fn record(&self, account: &str, latency: Duration) {
+        let mut histograms = self.histograms.lock().unwrap_or_else(PoisonError::into_inner);
+        if !histograms.contains_key(account) {
+            let Ok(histogram) = Histogram::new_with_bounds(1, LATENCY_MAX_US, SIGNIFICANT_DIGITS)
+            else {
+                return;
+            };
+            histograms.insert(account.to_owned(), histogram);
+        }
+        if let Some(histogram) = histograms.get_mut(account) {
+            histogram.saturating_record(latency.as_micros() as u64);
+        }
+    }
+
+    /// Returns an account's quantiles.
+    pub fn quantiles(&self, account: &str) -> LatencyQuantiles {
+        let histograms = self.histograms.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(histogram) = histograms.get(account) else { return LatencyQuantiles::default() };
+        LatencyQuantiles {
+            p50_us: histogram.value_at_quantile(0.5),
+            p99_us: histogram.value_at_quantile(0.99),
+            p999_us: histogram.value_at_quantile(0.999),
+        }
+    }
+
+    /// Returns the accounts with histograms.
+    pub fn accounts(&self) -> Vec<String> {
+        let histograms = self.histograms.lock().unwrap_or_else(PoisonError::into_inner);
+        histograms.keys().cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/metrics_driver.rs
@@ -0,0 +1,84 @@
+//! Sends the host's counts and latencies as StatsD metrics.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use cadence::{Gauged, StatsdClient, UdpMetricSink};
+use tokio_util::sync::CancellationToken;
+
+use crate::core_driver::METRICS_ASK;
+use crate::core_message::{CoreAction, CoreEvent};
+use crate::duty_ring::{RingSender, TaskReceiver};
+use crate::latency_book::LatencyBook;
+use crate::status_report::StatusReport;
+
+const METRICS_INTERVAL: Duration = Duration::from_secs(10);
+const METRICS_PREFIX: &str = "quetzaldeal";
+
+/// Makes the client that sends metrics to `address`.
+///
+/// # Errors
+///
+/// Fails when the address is malformed or no socket can be had.
+pub fn client(address: &str) -> Result<StatsdClient> {
+    let address: SocketAddr =
+        address.parse().with_context(|| format!("metrics: {address:?} is no IP and port"))?;
+    let socket = UdpSocket::bind(("0.0.0.0", 0)).context("metrics: no socket")?;
+    let sink = UdpMetricSink::from(address, socket)?;
+    Ok(StatsdClient::from_sink(METRICS_PREFIX, sink))
+}
+
+/// Asks the core for its status now and then and sends it, until `stop` is cancelled.
+pub async fn drive(
+    client: StatsdClient,
+    events: RingSender<CoreEvent>,
+    mut actions: TaskReceiver<CoreAction>,
+    latencies: Arc<LatencyBook>,
+    stop: CancellationToken,
+) {
+    let mut interval = tokio::time::interval(METRICS_INTERVAL);
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            _ = interval.tick() => {
+                // A busy core is asked again at the next tick.
+                drop(events.try_send(CoreEvent::StatusAsked { ask: METRICS_ASK }));
+            }
+            action = actions.receive() => match action {
+                Some(CoreAction::AnswerStatus { report, .. }) => {
+                    send_report(&client, &report, &latencies);
+                }
+                Some(_) => {}
+                None => return,
+            }
+        }
+    }
+}
+
+fn send_report(client: &StatsdClient, report: &StatusReport, latencies: &LatencyBook) {
+    let gauge = |name: &str, value: u64| client.gauge_with_tags(name, value).send();
+    gauge("version", report.version);
+    gauge("callers", report.callers);
+    gauge("statements", report.statements);
+    gauge("connections", report.connections);
+    gauge("control.platform_calls", report.control.platform_calls);
+    gauge("control.peer_calls", report.control.peer_calls);
+    for (account, counts) in &report.accounts {
+        let quantiles = latencies.quantiles(account);
+        let tagged = |name: &str, value: u64| {
+            client.gauge_with_tags(name, value).with_tag("account", account).send();
+        };
+        tagged("account.admitted", counts.admitted);
+        tagged("account.over_rate", counts.over_rate);
+        tagged("account.not_run", counts.not_run);
+        tagged("account.may_have_run", counts.may_have_run);
+        tagged("account.replica_reads", counts.replica_reads);
+        tagged("account.primary_reads", counts.primary_reads);
+        tagged("account.writes", counts.writes);
+        tagged("account.p50_us", quantiles.p50_us);
+        tagged("account.p99_us", quantiles.p99_us);
+        tagged("account.p999_us", quantiles.p999_us);
+    }
+}
--- /dev/null
+++ b/src/peer_driver.rs
@@ -0,0 +1,197 @@
+//! The door for peers and operators, and calls to peers.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::Result;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use volo_http::client::Client;
+use volo_http::http::StatusCode;
+use volo_http::server::route::Router;
+
+use crate::core_message::{AskId, CallId, CoreAction, CoreEvent};
+use crate::duty_ring::{RingSender, TaskReceiver};
+use crate::http_call;
+use crate::latency_book::LatencyBook;
+use crate::peer_message::{PEER_VERSION, PeerEnvelope, PeerReply, PeerRequest};
+use crate::status_report::StatusReport;
+
+/// Path that peers call.
+pub const PEER_PATH: &str = "/v1/peer";
+/// Path that operators read a host's status at.
+pub const STATUS_PATH: &str = "/v1/status";
+/// Longest wait for a peer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait of a question for the decision core.
+const CORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A question that awaits the core's answer.
+#[derive(Debug)]
+enum OpenQuestion {
+    /// A peer's.
+    Peer(oneshot::Sender<PeerReply>),
+    /// An operator's.
+    Status(oneshot::Sender<StatusReport>),
+}
+
+/// Joins the door to the decision core.
+#[derive(Debug)]
+struct QuestionDesk {
+    events: RingSender<CoreEvent>,
+    open: Mutex<HashMap<AskId, OpenQuestion>>,
+    next_ask: AtomicU64,
+    latencies: Arc<LatencyBook>,
+}
+
+impl QuestionDesk {
+    async fn ask_peer(&self, envelope: PeerEnvelope) -> Result<PeerReply, (StatusCode, String)> {
+        if envelope.version != PEER_VERSION {
+            let text = format!(
+                "messages of version {}; this host speaks {PEER_VERSION}",
+                envelope.version
+            );
+            return Err((StatusCode::BAD_REQUEST, text));
+        }
+        let (sender, receiver) = oneshot::channel();
+        let ask = self.open_question(OpenQuestion::Peer(sender));
+        let request = envelope.request;
+        self.submit(ask, CoreEvent::PeerAsked { ask, request })?;
+        self.receive(ask, receiver).await
+    }
+
+    async fn ask_status(&self) -> Result<StatusReport, (StatusCode, String)> {
+        let (sender, receiver) = oneshot::channel();
+        let ask = self.open_question(OpenQuestion::Status(sender));
+        self.submit(ask, CoreEvent::StatusAsked { ask })?;
+        let mut report = self.receive(ask, receiver).await?;
+        for (name, counts) in &mut report.accounts {
+            let quantiles = self.latencies.quantiles(name);
+            counts.p50_us = quantiles.p50_us;
+            counts.p99_us = quantiles.p99_us;
+        }
+        Ok(report)
+    }
+
+    fn submit(&self, ask: AskId, event: CoreEvent) -> Result<(), (StatusCode, String)> {
+        self.events.try_send(event).map_err(|_| {
+            self.lock().remove(&ask);
+            (StatusCode::SERVICE_UNAVAILABLE, "this host is busy".to_owned())
+        })
+    }
+
+    async fn receive<T>(
+        &self,
+        ask: AskId,
+        receiver: oneshot::Receiver<T>,
+    ) -> Result<T, (StatusCode, String)> {
+        match tokio::time::timeout(CORE_TIMEOUT, receiver).await {
+            Ok(Ok(answer)) => Ok(answer),
+            _ => {
+                self.lock().remove(&ask);
+                Err((StatusCode::SERVICE_UNAVAILABLE, "this host did not answer".to_owned()))
+            }
+        }
+    }
+
+    fn open_question(&self, question: OpenQuestion) -> AskId {
+        let ask = self.next_ask.fetch_add(1, Ordering::Relaxed);
+        self.lock().insert(ask, question);
+        ask
+    }
+
+    /// Hands the core's answer to whoever asked; one who has gone is passed over.
+    fn answer(&self, action: CoreAction) {
+        match action {
+            CoreAction::AnswerPeer { ask, reply } => {
+                if let Some(OpenQuestion::Peer(sender)) = self.lock().remove(&ask) {
+                    drop(sender.send(reply));
+                }
+            }
+            CoreAction::AnswerStatus { ask, report } => {
+                if let Some(OpenQuestion::Status(sender)) = self.lock().remove(&ask) {
+                    drop(sender.send(*report));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<AskId, OpenQuestion>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Serves the door and carries out actions until `stop` is cancelled.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub async fn drive(
+    address: String,
+    events: RingSender<CoreEvent>,
+    mut actions: TaskReceiver<CoreAction>,
+    latencies: Arc<LatencyBook>,
+    stop: CancellationToken,
+) -> Result<()> {
+    let desk = Arc::new(QuestionDesk {
+        events,
+        open: Mutex::default(),
+        next_ask: AtomicU64::new(1),
+        latencies,
+    });
+    let client = http_call::client(PEER_TIMEOUT)?;
+    let carry_out = async {
+        while let Some(action) = actions.receive().await {
+            match action {
+                CoreAction::CallPeer { call, address, request } => {
+                    tokio::spawn(call_peer(desk.clone(), client.clone(), call, address, request));
+                }
+                answer => desk.answer(answer),
+            }
+        }
+        Ok(())
+    };
+    tokio::select! {
+        served = http_call::serve(&address, router(desk.clone())) => match served {
+            // The door closes on the signal to stop, while answers to peers are still on their way.
+            Ok(()) => {
+                stop.cancelled().await;
+                Ok(())
+            }
+            Err(error) => Err(error),
+        },
+        ended = carry_out => ended,
+        () = stop.cancelled() => Ok(()),
+    }
+}
+
+fn router(desk: Arc<QuestionDesk>) -> Router {
+    let peers = desk.clone();
+    let router = http_call::route_messages(Router::new(), PEER_PATH, move |envelope| {
+        let desk = peers.clone();
+        async move { desk.ask_peer(envelope).await }
+    });
+    http_call::route_messages(router, STATUS_PATH, move |(): ()| {
+        let desk = desk.clone();
+        async move { desk.ask_status().await }
+    })
+}
+
+async fn call_peer(
+    desk: Arc<QuestionDesk>,
+    client: Client,
+    call: CallId,
+    address: String,
+    request: PeerRequest,
+) {
+    let envelope = PeerEnvelope { version: PEER_VERSION, request };
+    let reply =
+        http_call::post_message(&client, &address, PEER_PATH, &envelope, PEER_TIMEOUT).await;
+    if let Err(error) = &reply {
+        log::debug!("peer {address}: {error:#}");
+    }
+    desk.events.send(CoreEvent::PeerAnswered { call, reply: reply.ok() }).await;
+}
--- /dev/null
+++ b/src/peer_flow.rs
@@ -0,0 +1,156 @@
+//! Exchanges with peers: liveness, evidence, live records.
+
+use rand::seq::SliceRandom;
+
+use crate::call_purpose::CallPurpose;
+use crate::clock_time::ClockTime;
+use crate::config_flow;
+use crate::core_context::CoreContext;
+use crate::core_message::{AskId, CoreAction};
+use crate::core_tuning::CoreTuning;
+use crate::drain_flow;
+use crate::failover_flow;
+use crate::peer_message::{PeerPulse, PeerReply, PeerRequest};
+use crate::platform_flow;
+use crate::platform_message::StoreEntry;
+use crate::share_flow;
+use crate::timer_queue::TimerKind;
+
+/// Hosts of the own data centre that a pulse goes to.
+const NEAR_TARGETS: usize = 2;
+/// Other data centres that a pulse goes to, one host each.
+const FAR_TARGETS: usize = 3;
+
+/// Exchanges pulses with a few hosts.
+pub fn on_timer(ctx: &mut CoreContext) {
+    for address in pick_targets(ctx) {
+        let pulse = make_pulse(ctx, Vec::new());
+        let purpose = CallPurpose::Pulse { address: address.clone(), sent: ctx.now };
+        let call = ctx.open_call(purpose);
+        let request = PeerRequest::Pulse(pulse);
+        ctx.control.peer_calls += 1;
+        ctx.actions.push(CoreAction::CallPeer { call, address, request });
+    }
+    if ctx.config.pending.is_some() {
+        config_flow::fetch_missing(ctx);
+    }
+    share_flow::open_shares(ctx);
+    let interval = ctx.spread(CoreTuning::millis(ctx.tuning.pulse_interval_ms));
+    ctx.wake_after(interval, TimerKind::Pulse);
+}
+
+/// Answers a peer's question.
+pub fn on_asked(ctx: &mut CoreContext, ask: AskId, request: PeerRequest) {
+    ctx.control.peer_answers += 1;
+    let reply = match request {
+        PeerRequest::Pulse(pulse) => answer_pulse(ctx, &pulse),
+        PeerRequest::Share { account, version, want } => {
+            share_flow::on_ask(ctx, &account, version, want)
+        }
+        PeerRequest::Primary { group, term } => {
+            PeerReply::Primary { serving: failover_flow::vouches(ctx, &group, term) }
+        }
+        PeerRequest::Part { hash } => {
+            PeerReply::Part { bytes: ctx.config.parts.get(&hash).cloned() }
+        }
+    };
+    ctx.actions.push(CoreAction::AnswerPeer { ask, reply });
+}
+
+/// Takes up a peer's pulse that answers one sent at `sent`.
+pub fn on_pulse(ctx: &mut CoreContext, address: &str, sent: ClockTime, pulse: PeerPulse) {
+    if !ctx.peers.note_heard(&pulse.host, pulse.incarnation, sent) {
+        log::warn!("peer {} at {address} is an earlier process of that name", pulse.host);
+        return;
+    }
+    if let Some(peer) = ctx.peers.peers.get_mut(&pulse.host) {
+        peer.leaving = pulse.leaving;
+    }
+    let after = ctx.feed.watermark();
+    platform_flow::merge(ctx, after, pulse.watermark, pulse.entries.clone());
+    if pulse.version == 0 || pulse.version != ctx.config.known_version() {
+        return;
+    }
+    if let Some(age_ms) = pulse.platform_age_ms {
+        platform_flow::note_confirmed(ctx, sent.before(CoreTuning::millis(age_ms)));
+    }
+    if pulse.version == ctx.config.version() {
+        note_evidence(ctx, sent, &pulse);
+    }
+    share_flow::open_shares(ctx);
+}
+
+/// Stops taking work when a later process runs under this host's name.
+pub fn on_superseded(ctx: &mut CoreContext, incarnation: u64) {
+    if incarnation > ctx.identity.incarnation && !ctx.superseded {
+        log::error!("a later process runs under the name {}; leaving", ctx.identity.name);
+        ctx.superseded = true;
+        drain_flow::after_config(ctx);
+    }
+}
+
+fn answer_pulse(ctx: &mut CoreContext, pulse: &PeerPulse) -> PeerReply {
+    if let Some(peer) = ctx.peers.peers.get_mut(&pulse.host) {
+        if pulse.incarnation < peer.incarnation {
+            return PeerReply::Superseded { incarnation: peer.incarnation };
+        }
+        peer.incarnation = pulse.incarnation;
+        peer.leaving = pulse.leaving;
+    }
+    let entries = ctx.feed.entries_after(pulse.watermark);
+    PeerReply::Pulse(make_pulse(ctx, entries))
+}
+
+/// Notes what the peer knew, as of the time that the question was sent.
+fn note_evidence(ctx: &mut CoreContext, sent: ClockTime, pulse: &PeerPulse) {
+    let centre = ctx.config.world.hosts.get(&pulse.host).map(|host| host.data_centre.clone());
+    if let Some(centre) = centre {
+        ctx.peers.note_centre(&centre, sent);
+    }
+    for age in &pulse.ages {
+        let at = sent.before(CoreTuning::millis(age.age_ms));
+        ctx.peers.note_centre(&age.centre, at);
+    }
+}
+
+fn make_pulse(ctx: &CoreContext, entries: Vec<StoreEntry>) -> PeerPulse {
+    let age = |at: ClockTime| ctx.now.since(at).as_millis() as u64 + 1;
+    PeerPulse {
+        host: ctx.identity.name.clone(),
+        incarnation: ctx.identity.incarnation,
+        version: ctx.config.version(),
+        watermark: ctx.feed.watermark(),
+        platform_age_ms: ctx.peers.platform.map(age),
+        ages: ctx.peers.ages(ctx.now),
+        leaving: ctx.drain_since.is_some() || ctx.superseded,
+        entries,
+    }
+}
+
+/// Picks hosts of the own data centre, and one host in each of some others.
+fn pick_targets(ctx: &mut CoreContext) -> Vec<String> {
+    if ctx.peers.peers.is_empty() {
+        return ctx.identity.seeds.clone();
+    }
+    let mut peers: Vec<(String, String)> = ctx
+        .peers
+        .peers
+        .values()
+        .map(|peer| (peer.data_centre.clone(), peer.address.clone()))
+        .collect();
+    peers.shuffle(&mut ctx.rng);
+    let own = ctx.identity.data_centre.clone();
+    let near = peers.iter().filter(|(centre, _)| *centre == own).take(NEAR_TARGETS);
+    let mut targets: Vec<String> = near.map(|(_, address)| address.clone()).collect();
+    let mut centres = vec![own];
+    for (centre, address) in peers {
+        if centres.len() > FAR_TARGETS {
+            break;
+        }
+        if !centres.contains(&centre) {
+            centres.push(centre);
+            targets.push(address);
+        }
+    }
+    targets
+}
--- /dev/null
+++ b/src/peer_message.rs
@@ -0,0 +1,160 @@
+//! Messages between hosts.
+
+use std::fmt;
+
+use serde::de::{self, SeqAccess, Visitor};
+use serde::ser::SerializeTuple;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::platform_message::StoreEntry;
+use crate::share_ledger::ShareGrant;
+
+/// Version of the messages; a peer of another version is answered with an error.
+pub const PEER_VERSION: u32 = 1;
+
+/// How long ago a host of a data centre was heard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CentreAge {
+    /// The data centre.
+    pub centre: String,
+    /// The age in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What a host tells of itself in each exchange.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct PeerPulse {
+    /// The host's name.
+    pub host: String,
+    /// Differs for each process that has run under this name; later ones are greater.
+    pub incarnation: u64,
+    /// The configuration in force at the host, 0 for none.
+    pub version: u64,
+    /// The revision up to which the host knows all live records.
+    pub watermark: u64,
+    /// Age of the evidence that the configuration is current, in milliseconds.
+    pub platform_age_ms: Option<u64>,
+    /// How long ago each data centre was heard under this configuration.
+    pub ages: Vec<CentreAge>,
+    /// Whether the host is leaving.
+    pub leaving: bool,
+    /// Live records above the watermark of the host that asked.
+    pub entries: Vec<StoreEntry>,
+}
+
+const PULSE_FIELDS: usize = 8;
+
+impl Serialize for PeerPulse {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(PULSE_FIELDS)?;
+        tuple.serialize_element(&self.host)?;
+        tuple.serialize_element(&self.incarnation)?;
+        tuple.serialize_element(&self.version)?;
+        tuple.serialize_element(&self.watermark)?;
+        tuple.serialize_element(&self.platform_age_ms)?;
+        tuple.serialize_element(&self.ages)?;
+        tuple.serialize_element(&self.leaving)?;
+        tuple.serialize_element(&self.entries)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for PeerPulse {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_tuple(PULSE_FIELDS, PulseVisitor)
+    }
+}
+
+struct PulseVisitor;
+
+impl<'de> Visitor<'de> for PulseVisitor {
+    type Value = PeerPulse;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "a pulse of {PULSE_FIELDS} fields")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut fields: A) -> Result<PeerPulse, A::Error> {
+        Ok(PeerPulse {
+            host: next_field(&mut fields, 0)?,
+            incarnation: next_field(&mut fields, 1)?,
+            version: next_field(&mut fields, 2)?,
+            watermark: next_field(&mut fields, 3)?,
+            platform_age_ms: next_field(&mut fields, 4)?,
+            ages: next_field(&mut fields, 5)?,
+            leaving: next_field(&mut fields, 6)?,
+            entries: next_field(&mut fields, 7)?,
+        })
+    }
+}
+
+fn next_field<'de, A: SeqAccess<'de>, T: Deserialize<'de>>(
+    fields: &mut A,
+    index: usize,
+) -> Result<T, A::Error> {
+    fields.next_element()?.ok_or_else(|| de::Error::invalid_length(index, &PulseVisitor))
+}
+
+/// A question from one host to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Exchanges pulses.
+    Pulse(PeerPulse),
+    /// Asks for a loan of an account's share.
+    Share {
+        /// The account.
+        account: String,
+        /// The configuration in force at the asker; loans pass only within one version.
+        version: u64,
+        /// What the asker lacks.
+        want: ShareGrant,
+    },
+    /// Asks whether the peer can reach a group's primary.
+    Primary {
+        /// The group.
+        group: String,
+        /// The term that the asker suspects.
+        term: u64,
+    },
+    /// Asks for a part of the configuration.
+    Part {
+        /// The part's hash.
+        hash: String,
+    },
+}
+
+/// An answer from one host to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerReply {
+    /// The peer's pulse.
+    Pulse(PeerPulse),
+    /// A later process runs under the asker's name.
+    Superseded {
+        /// That process's incarnation.
+        incarnation: u64,
+    },
+    /// The loan granted, if any.
+    Share {
+        /// The loan.
+        grant: Option<ShareGrant>,
+    },
+    /// Whether the peer saw the primary serve lately under the term asked for.
+    Primary {
+        /// True when it did.
+        serving: bool,
+    },
+    /// The part, when the peer has it.
+    Part {
+        /// The part's bytes.
+        bytes: Option<Vec<u8>>,
+    },
+}
+
+/// A request with the version of its sender.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerEnvelope {
+    /// The sender's version of the messages.
+    pub version: u32,
+    /// The request.
+    pub request: PeerRequest,
+}
--- /dev/null
+++ b/src/peer_table.rs
@@ -0,0 +1,92 @@
+//! Evidence of other hosts and data centres, kept as times on this host's clock.
+
+use std::collections::BTreeMap;
+
+use crate::clock_time::ClockTime;
+use crate::core_tuning;
+use crate::peer_message::CentreAge;
+
+/// What this host knows of one peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerState {
+    /// Address.
+    pub address: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// The greatest incarnation heard.
+    pub incarnation: u64,
+    /// When a call that the peer answered was sent.
+    pub heard: Option<ClockTime>,
+    /// Whether it said that it is leaving.
+    pub leaving: bool,
+}
+
+/// Evidence of other hosts and data centres.
+#[derive(Debug, Clone, Default)]
+pub struct PeerTable {
+    /// Peers by name, this host left out.
+    pub peers: BTreeMap<String, PeerState>,
+    /// When each data centre was last known to have a host with this host's configuration.
+    pub centres: BTreeMap<String, ClockTime>,
+    /// When the platform last confirmed the configuration in force.
+    pub platform: Option<ClockTime>,
+}
+
+impl PeerTable {
+    /// Notes that a call sent at `sent` was answered by the peer.
+    ///
+    /// Returns false, and notes nothing, when the peer is an earlier incarnation than one heard
+    /// before.
+    pub fn note_heard(&mut self, host: &str, incarnation: u64, sent: ClockTime) -> bool {
+        let Some(peer) = self.peers.get_mut(host) else { return true };
+        if incarnation < peer.incarnation {
+            return false;
+        }
+        peer.incarnation = incarnation;
+        peer.heard = peer.heard.max(Some(sent));
+        true
+    }
+
+    /// Notes that a host in `centre` had this host's configuration at `at`.
+    pub fn note_centre(&mut self, centre: &str, at: ClockTime) {
+        let seen = self.centres.entry(centre.to_owned()).or_insert(at);
+        *seen = at.max(*seen);
+    }
+
+    /// Notes that the platform confirmed the configuration in force at `at`.
+    pub fn note_platform(&mut self, at: ClockTime) {
+        self.platform = self.platform.max(Some(at));
+    }
+
+    /// Returns the data centres' ages as they travel to peers.
+    pub fn ages(&self, now: ClockTime) -> Vec<CentreAge> {
+        let age = |(centre, at): (&String, &ClockTime)| CentreAge {
+            centre: centre.clone(),
+            age_ms: now.since(*at).as_millis() as u64 + 1,
+        };
+        self.centres.iter().map(age).collect()
+    }
+
+    /// Counts the data centres, out of those named, heard at `since` or later.
+    pub fn centres_since<'a>(
+        &self,
+        since: ClockTime,
+        named: impl Iterator<Item = &'a String>,
+    ) -> usize {
+        named.filter(|centre| self.centres.get(*centre).is_some_and(|at| *at >= since)).count()
+    }
+
+    /// Whether the peer was heard lately and is not leaving.
+    pub fn usable(&self, host: &str, now: ClockTime) -> bool {
+        let heard_since = now.before(core_tuning::PEER_HEARD_WITHIN);
+        self.peers.get(host).is_some_and(|peer| {
+            !peer.leaving && peer.heard.is_some_and(|heard| heard >= heard_since)
+        })
+    }
+
+    /// Forgets the evidence that belongs to another configuration.
+    pub fn forget_evidence(&mut self) {
+        self.centres.clear();
+        self.platform = None;
+    }
+}
--- /dev/null
+++ b/src/platform_driver.rs
@@ -0,0 +1,69 @@
+//! Carries out the core's calls to the platform's key-value service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use volo_http::client::Client;
+
+use crate::core_message::{CallId, CoreAction, CoreEvent};
+use crate::duty_ring::{RingSender, TaskReceiver};
+use crate::http_call;
+use crate::platform_message::{PlatformReply, PlatformRequest};
+
+/// Path of the platform's service.
+pub const PLATFORM_PATH: &str = "/v1/store";
+/// Longest wait for the platform, beyond the wait that a watch asks for.
+const PLATFORM_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Carries out calls until the core is gone.
+///
+/// # Errors
+///
+/// Fails when no client can be made.
+pub async fn drive(
+    address: String,
+    events: RingSender<CoreEvent>,
+    mut actions: TaskReceiver<CoreAction>,
+) -> Result<()> {
+    let client = http_call::client(PLATFORM_TIMEOUT)?;
+    let events = Arc::new(events);
+    while let Some(action) = actions.receive().await {
+        if let CoreAction::CallPlatform { call, request } = action {
+            tokio::spawn(perform(client.clone(), address.clone(), events.clone(), call, request));
+        }
+    }
+    Ok(())
+}
+
+/// Calls the platform once.
+///
+/// # Errors
+///
+/// Fails when there is no answer; the call may have taken effect.
+pub async fn call(
+    client: &Client,
+    address: &str,
+    request: &PlatformRequest,
+) -> Result<PlatformReply> {
+    let wait = match request {
+        PlatformRequest::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
+        _ => Duration::ZERO,
+    };
+    let timeout = PLATFORM_TIMEOUT + wait;
+    http_call::post_message(client, address, PLATFORM_PATH, request, timeout).await
+}
+
+async fn perform(
+    client: Client,
+    address: String,
+    events: Arc<RingSender<CoreEvent>>,
+    id: CallId,
+    request: PlatformRequest,
+) {
+    let reply = call(&client, &address, &request).await;
+    if let Err(error) = &reply {
+        log::debug!("platform: {error:#}");
+    }
+    events.send(CoreEvent::PlatformAnswered { call: id, reply: reply.ok() }).await;
+}
--- /dev/null
+++ b/src/route_choice.rs
@@ -0,0 +1,156 @@
+//! Chooses the group and the endpoint for a statement, and the proof that the endpoint must give.
+
+use xxhash_rust::xxh3;
+
+use crate::arena_keys::{CallerKey, EndpointKey, GroupKey, StatementKey};
+use crate::core_context::CoreContext;
+use crate::core_tuning::{self, CoreTuning};
+use crate::endpoint_message::LogPoint;
+use crate::request_verdict::{RequestVerdict, VerdictCause};
+use crate::statement_state::StatementState;
+
+/// Where a statement goes, and what the endpoint must prove before it runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteChoice {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// For reads of a session, the point that the endpoint must have reached.
+    pub read_point: Option<LogPoint>,
+    /// For writes, the term that must be in force.
+    pub write_term: Option<u64>,
+}
+
+/// Returns the group that the caller's settings pick.
+///
+/// # Errors
+///
+/// Names the setting that is missing or matches no group.
+pub fn pick_group(ctx: &CoreContext, caller: CallerKey) -> Result<GroupKey, RequestVerdict> {
+    let state = &ctx.callers[caller];
+    let Some(service) = ctx.config.world.services.get(&state.service) else {
+        return Err(invalid(format!("service {} is unknown", state.service)));
+    };
+    let settings = &state.settings;
+    let name = match (&settings.group, &settings.route_key, service.groups.as_slice()) {
+        (Some(group), _, groups) if groups.contains(group) => group,
+        (Some(group), _, _) => {
+            return Err(invalid(format!("quetzaldeal.group: {group:?}: no group of the service")));
+        }
+        (None, Some(key), groups) => {
+            &groups[(xxh3::xxh3_64(key.as_bytes()) % groups.len() as u64) as usize]
+        }
+        (None, None, [only]) => only,
+        (None, None, _) => {
+            let detail = "set quetzaldeal.route_key or quetzaldeal.group first";
+            return Err(invalid(detail.to_owned()));
+        }
+    };
+    let missing = || RequestVerdict::not_run(VerdictCause::NoEndpoint, None);
+    ctx.group_names.get(name).copied().ok_or_else(missing)
+}
+
+/// Chooses the endpoint for a statement that runs outside a transaction, or begins one.
+///
+/// # Errors
+///
+/// A refusal with the time to come back, when no endpoint can take the statement now.
+pub fn choose(ctx: &CoreContext, statement: StatementKey) -> Result<RouteChoice, RequestVerdict> {
+    let state = &ctx.statements[statement];
+    if !state.read {
+        return choose_primary(ctx, state, None);
+    }
+    let Some(point) = read_point(ctx, state) else {
+        return choose_primary(ctx, state, None);
+    };
+    if !state.primary_only
+        && let Some(endpoint) = best_replica(ctx, state, point)
+    {
+        return Ok(RouteChoice { endpoint, read_point: Some(point), write_term: None });
+    }
+    choose_primary(ctx, state, Some(point))
+        .or_else(|verdict| lagging_replica(ctx, state, point).ok_or(verdict))
+}
+
+/// Returns the point that proves a read, if any: the session's, or one of the stated age.
+fn read_point(ctx: &CoreContext, state: &StatementState) -> Option<LogPoint> {
+    let group = &ctx.groups[state.group];
+    let session = ctx.callers[state.caller].session.point(&group.name);
+    let aged = state.max_age_ms.and_then(|age| {
+        let since = ctx.now.before(CoreTuning::millis(age));
+        group.sample_since(since)
+    });
+    match (session, aged) {
+        (Some(session), Some(aged)) if state.max_age_ms.is_some() => Some(session.max(aged)),
+        // Data of a stated age was asked for, and nothing proves it: the primary answers.
+        (Some(_), None) if state.max_age_ms.is_some() => None,
+        (Some(session), _) => Some(session),
+        (None, aged) => aged,
+    }
+}
+
+fn choose_primary(
+    ctx: &CoreContext,
+    state: &StatementState,
+    read_point: Option<LogPoint>,
+) -> Result<RouteChoice, RequestVerdict> {
+    let retry = Some(core_tuning::FAILOVER_RETRY);
+    let no_primary = || RequestVerdict::not_run(VerdictCause::NoPrimary, retry);
+    let group = &ctx.groups[state.group];
+    let record = group.serving().ok_or_else(no_primary)?;
+    let endpoint = *ctx.endpoint_names.get(&record.primary).ok_or_else(no_primary)?;
+    let session = ctx.callers[state.caller].session.point(&group.name);
+    if session.is_some_and(|point| point.term > record.term) {
+        return Err(no_primary());
+    }
+    if !ctx.endpoints[endpoint].circuit.closed() {
+        return Err(no_primary());
+    }
+    let write_term = if read_point.is_none() { Some(record.term) } else { None };
+    Ok(RouteChoice { endpoint, read_point, write_term })
+}
+
+/// Returns the least loaded replica in service whose last status had reached `point`.
+fn best_replica(ctx: &CoreContext, state: &StatementState, point: LogPoint) -> Option<EndpointKey> {
+    let caught_up = |endpoint: &EndpointKey| {
+        let seen = ctx.endpoints[*endpoint].seen.as_ref();
+        seen.is_some_and(|seen| seen.status.reached(point))
+    };
+    replicas(ctx, state).filter(caught_up).min_by_key(|endpoint| cost(ctx, *endpoint))
+}
+
+/// Returns a replica that may have caught up since its last status, for want of a primary.
+fn lagging_replica(
+    ctx: &CoreContext,
+    state: &StatementState,
+    point: LogPoint,
+) -> Option<RouteChoice> {
+    let endpoint = replicas(ctx, state).min_by_key(|endpoint| cost(ctx, *endpoint))?;
+    if state.primary_only {
+        return None;
+    }
+    Some(RouteChoice { endpoint, read_point: Some(point), write_term: None })
+}
+
+fn replicas<'a>(
+    ctx: &'a CoreContext,
+    state: &StatementState,
+) -> impl Iterator<Item = EndpointKey> + use<'a> {
+    let group = &ctx.groups[state.group];
+    let primary = group.record.as_ref().map(|record| record.primary.as_str());
+    group.members.iter().copied().filter(move |endpoint| {
+        let endpoint = &ctx.endpoints[*endpoint];
+        let replica = primary.is_some_and(|primary| primary != endpoint.name);
+        replica && endpoint.in_service && endpoint.circuit.closed() && endpoint.work_quota > 0
+    })
+}
+
+/// Orders endpoints: fewest waiting statements first, then the host's own data centre.
+fn cost(ctx: &CoreContext, endpoint: EndpointKey) -> (usize, bool, usize) {
+    let state = &ctx.endpoints[endpoint];
+    let away = state.data_centre != ctx.identity.data_centre;
+    (state.queue.len(), away, state.work.len())
+}
+
+fn invalid(detail: String) -> RequestVerdict {
+    RequestVerdict::not_run(VerdictCause::StatementInvalid { detail }, None)
+}
--- /dev/null
+++ b/src/share_flow.rs
@@ -0,0 +1,214 @@
+//! Charges statements to their accounts' shares, and moves shares between hosts on demand.
+
+use rand::seq::SliceRandom;
+
+use crate::arena_keys::{AccountKey, StatementKey};
+use crate::call_purpose::CallPurpose;
+use crate::clock_time::ClockTime;
+use crate::core_context::CoreContext;
+use crate::core_message::CoreAction;
+use crate::core_tuning::{self, CoreTuning};
+use crate::endpoint_message::AnswerBody;
+use crate::peer_message::{PeerReply, PeerRequest};
+use crate::rendezvous_rank;
+use crate::request_verdict::{RequestVerdict, VerdictCause};
+use crate::share_ledger::{ShareGrant, SharePart};
+use crate::statement_flow;
+use crate::statement_state::StatementPhase;
+use crate::timer_queue::TimerKind;
+use crate::world_object::AccountObject;
+
+/// Peers asked for a loan at a time.
+const LENDERS_ASKED: usize = 3;
+/// Most statements of one account that wait for a share.
+const WAITING_MAX: usize = 64;
+/// Time between looks at the accounts' shares, in milliseconds.
+const LOOK_INTERVAL_MS: u64 = 10;
+/// A time that no clock reaches.
+const NEVER: ClockTime = ClockTime::from_micros(u64::MAX);
+
+/// Deals this host its home share of an account under a new configuration.
+pub fn deal(ctx: &mut CoreContext, account: AccountKey, object: &AccountObject) {
+    let world = ctx.config.world.clone();
+    let homes = rendezvous_rank::account_homes(&world, &object.name, object.burst);
+    let count = homes.len().max(1) as f64;
+    let part = match homes.contains(&ctx.identity.name) {
+        true => SharePart { rate: object.rate / count, burst: object.burst / count },
+        false => SharePart::default(),
+    };
+    let now = ctx.now;
+    let state = &mut ctx.accounts[account];
+    // Hosts that still serve under the old configuration may do so for the longer grace of both.
+    let hold_ms = state.grace_ms.max(object.cut_off_grace_ms);
+    state.grace_ms = object.cut_off_grace_ms;
+    state.homes = homes;
+    state.hold_ms = hold_ms;
+    state.ledger.deal(now, part, NEVER);
+}
+
+/// Takes away this host's share of an account that is no longer configured.
+pub fn withdraw(ctx: &mut CoreContext, account: AccountKey) {
+    let now = ctx.now;
+    let state = &mut ctx.accounts[account];
+    state.homes.clear();
+    state.ledger.deal(now, SharePart::default(), now);
+}
+
+/// Opens the shares dealt under the configuration in force once no host can serve under an older
+/// one: a majority of data centres was heard under it, and evidence of any older one has aged.
+pub fn open_shares(ctx: &mut CoreContext) {
+    if ctx.config.attested || ctx.config.head.is_none() {
+        return;
+    }
+    if !ctx.majority_heard(ctx.config.adopted) {
+        return;
+    }
+    ctx.config.attested = true;
+    let now = ctx.now;
+    let hold = CoreTuning::millis(ctx.tuning.fresh_for_ms) + core_tuning::SHARE_HOLD_MARGIN;
+    for account in ctx.accounts.values_mut() {
+        let opens = now.after(hold + CoreTuning::millis(account.hold_ms));
+        account.ledger.open_at(opens);
+    }
+}
+
+/// Charges a statement to its account's share: it goes on, waits for a share, or is refused.
+pub fn charge(ctx: &mut CoreContext, statement: StatementKey) {
+    let now = ctx.now;
+    let account = ctx.statements[statement].account;
+    let state = &mut ctx.accounts[account];
+    state.ledger.note_demand(now);
+    if state.waiting.is_empty() && state.ledger.admit(now) {
+        return admit(ctx, statement);
+    }
+    let until = now.after(CoreTuning::millis(ctx.tuning.share_wait_ms));
+    let full = state.waiting.len() >= WAITING_MAX;
+    ctx.statements[statement].phase = StatementPhase::AwaitShare { until };
+    if full {
+        return refuse(ctx, statement);
+    }
+    ctx.accounts[account].waiting.push(statement);
+    ctx.timers.push(until, TimerKind::Statement(statement));
+    ask_peers(ctx, account);
+    refuse_hopeless(ctx, account);
+}
+
+/// Looks after all accounts: lets waiting statements go on and asks for shares ahead of need.
+pub fn on_timer(ctx: &mut CoreContext) {
+    let accounts: Vec<AccountKey> = ctx.accounts.keys().collect();
+    for account in accounts {
+        pump(ctx, account);
+        ask_peers(ctx, account);
+        refuse_hopeless(ctx, account);
+    }
+    ctx.wake_after(CoreTuning::millis(LOOK_INTERVAL_MS), TimerKind::Shares);
+}
+
+/// Answers a peer that asks for a loan.
+pub fn on_ask(ctx: &mut CoreContext, account: &str, version: u64, want: ShareGrant) -> PeerReply {
+    let now = ctx.now;
+    let same = version == ctx.config.version() && ctx.config.pending.is_none();
+    let state = ctx.account_names.get(account).and_then(|key| ctx.accounts.get_mut(*key));
+    let grant = match state {
+        Some(state) if same && state.waiting.is_empty() => state.ledger.lend(now, want),
+        _ => None,
+    };
+    PeerReply::Share { grant }
+}
+
+/// Takes up a peer's answer to the asking for a loan.
+pub fn on_answer(
+    ctx: &mut CoreContext,
+    account: AccountKey,
+    asked: ClockTime,
+    grant: Option<ShareGrant>,
+) {
+    let now = ctx.now;
+    let Some(state) = ctx.accounts.get_mut(account) else { return };
+    state.asks_open = state.asks_open.saturating_sub(1);
+    if let Some(grant) = grant {
+        state.ledger.borrow(now, asked, grant);
+    }
+    pump(ctx, account);
+    refuse_hopeless(ctx, account);
+}
+
+fn pump(ctx: &mut CoreContext, account: AccountKey) {
+    let now = ctx.now;
+    loop {
+        let state = &mut ctx.accounts[account];
+        if state.waiting.is_empty() || !state.ledger.admit(now) {
+            return;
+        }
+        let statement = state.waiting.remove(0);
+        admit(ctx, statement);
+    }
+}
+
+fn admit(ctx: &mut CoreContext, statement: StatementKey) {
+    let Some(state) = ctx.statements.get_mut(statement) else { return };
+    state.charged = true;
+    ctx.accounts[state.account].counts.admitted += 1;
+    statement_flow::proceed(ctx, statement);
+}
+
+fn refuse(ctx: &mut CoreContext, statement: StatementKey) {
+    let now = ctx.now;
+    let account = ctx.statements[statement].account;
+    let wait = ctx.accounts[account].ledger.wait_for_token(now);
+    let verdict = RequestVerdict::not_run(VerdictCause::OverRate, Some(wait));
+    statement_flow::finish(ctx, statement, verdict, AnswerBody::default());
+}
+
+/// Refuses waiting statements at once when neither a peer nor the passing time can help them.
+fn refuse_hopeless(ctx: &mut CoreContext, account: AccountKey) {
+    let now = ctx.now;
+    let limit = CoreTuning::millis(ctx.tuning.share_wait_ms);
+    let lenders = usable_homes(ctx, account).len();
+    let state = &mut ctx.accounts[account];
+    if state.asks_open > 0 || state.waiting.is_empty() {
+        return;
+    }
+    let exhausted = lenders == 0 || state.rounds >= lenders.div_ceil(LENDERS_ASKED) as u32;
+    if !exhausted || state.ledger.wait_for_token(now) <= limit {
+        return;
+    }
+    for statement in state.waiting.clone() {
+        refuse(ctx, statement);
+    }
+}
+
+fn ask_peers(ctx: &mut CoreContext, account: AccountKey) {
+    let now = ctx.now;
+    let gap = CoreTuning::millis(ctx.tuning.share_ask_gap_ms);
+    let state = &mut ctx.accounts[account];
+    if state.waiting.is_empty() {
+        state.rounds = 0;
+    }
+    if state.asks_open > 0 || now.since(state.asked) < gap {
+        return;
+    }
+    let waiting = state.waiting.len();
+    let Some(want) = state.ledger.shortage(now, waiting) else { return };
+    let name = state.name.clone();
+    let mut lenders = usable_homes(ctx, account);
+    lenders.shuffle(&mut ctx.rng);
+    lenders.truncate(LENDERS_ASKED);
+    let state = &mut ctx.accounts[account];
+    state.asked = now;
+    state.rounds += 1;
+    state.asks_open = lenders.len() as u32;
+    let version = ctx.config.version();
+    for address in lenders {
+        let call = ctx.open_call(CallPurpose::Share { account, asked: now });
+        let request = PeerRequest::Share { account: name.clone(), version, want };
+        ctx.control.peer_calls += 1;
+        ctx.actions.push(CoreAction::CallPeer { call, address, request });
+    }
+}
+
+fn usable_homes(ctx: &CoreContext, account: AccountKey) -> Vec<String> {
+    let homes = ctx.accounts[account].homes.iter();
+    let usable = homes.filter(|host| ctx.peers.usable(host, ctx.now));
+    usable.filter_map(|host| ctx.peers.peers.get(host)).map(|peer| peer.address.clone()).collect()
+}
