--- /dev/null
+++ b/src/statement_flow.rs
@@ -0,0 +1,558 @@
+//! A statement's way from the caller to its final answer.
+
+use crate::arena_keys::{CallerKey, ConnectionKey, EndpointKey, GroupKey, StatementKey};
+use crate::call_purpose::CallPurpose;
+use crate::caller_flow;
+use crate::caller_state::OpenTransaction;
+use crate::confirm_flow;
+use crate::connection_flow;
+use crate::core_context::CoreContext;
+use crate::core_message::{CallerId, CoreAction};
+use crate::core_tuning::{self, CoreTuning};
+use crate::drain_flow;
+use crate::endpoint_message::{
+    AnswerBody, EndpointOutcome, EndpointRequest, EndpointStatement, EndpointStatus, RequestRecord,
+    TransactionStep,
+};
+use crate::request_verdict::{RequestFate, RequestVerdict, VerdictCause};
+use crate::route_choice;
+use crate::share_flow;
+use crate::statement_state::{StatementPhase, StatementState};
+use crate::statement_text::{self, StatementClass};
+use crate::timer_queue::TimerKind;
+use crate::world_object::{RuleAccess, RuleObject};
+
+/// Most times that a read is sent to an endpoint.
+const READ_ATTEMPTS_MAX: u32 = 3;
+
+/// Takes up a statement from a caller.
+pub fn arrive(ctx: &mut CoreContext, id: CallerId, text: String) {
+    let Some(caller) = ctx.caller_ids.get(&id).copied() else { return };
+    if ctx.callers[caller].statement.is_some() {
+        let detail = "the last statement is not answered yet".to_owned();
+        let cause = VerdictCause::StatementInvalid { detail };
+        return refuse(ctx, caller, RequestVerdict::not_run(cause, None));
+    }
+    if let Err(verdict) = begin(ctx, caller, text) {
+        refuse(ctx, caller, verdict);
+    }
+}
+
+/// Returns the rule that lets the caller use its service.
+///
+/// # Errors
+///
+/// Names the account and service when there is none.
+pub fn find_rule(ctx: &CoreContext, caller: CallerKey) -> Result<RuleObject, RequestVerdict> {
+    let state = &ctx.callers[caller];
+    let mut rules = ctx.config.world.rules.values().filter(|rule| rule.service == state.service);
+    let allows = |rule: &&RuleObject| rule.open || rule.accounts.contains(&state.account_name);
+    rules.find(allows).cloned().ok_or_else(|| {
+        let detail =
+            format!("account {} may not use service {}", state.account_name, state.service);
+        RequestVerdict::not_run(VerdictCause::RuleDenied { detail }, None)
+    })
+}
+
+/// Moves a statement on that was granted its account's share.
+pub fn proceed(ctx: &mut CoreContext, statement: StatementKey) {
+    if let Err(verdict) = route(ctx, statement) {
+        finish(ctx, statement, verdict, AnswerBody::default());
+    }
+}
+
+/// Sends a statement on an idle connection.
+pub fn dispatch(ctx: &mut CoreContext, statement: StatementKey, connection: ConnectionKey) {
+    let request = EndpointRequest::Run(ctx.statements[statement].request.clone());
+    let purpose = CallPurpose::Statement { statement, connection };
+    let call = connection_flow::send(ctx, connection, purpose, request);
+    let state = &mut ctx.statements[statement];
+    state.attempts += 1;
+    state.phase = StatementPhase::Running { connection, call };
+}
+
+/// Takes up an endpoint's outcome for a statement.
+pub fn on_outcome(ctx: &mut CoreContext, statement: StatementKey, outcome: EndpointOutcome) {
+    let Some(state) = ctx.statements.get(statement) else { return };
+    let StatementPhase::Running { connection, .. } = state.phase else { return };
+    let endpoint = ctx.connections.get(connection).map(|connection| connection.endpoint);
+    match outcome {
+        EndpointOutcome::Ran { body, status } => {
+            on_ran(ctx, statement, connection, body, status, RequestVerdict::ran());
+        }
+        EndpointOutcome::Duplicate { status } => {
+            let verdict =
+                RequestVerdict { cause: VerdictCause::CompletedEarlier, ..RequestVerdict::ran() };
+            on_ran(ctx, statement, connection, AnswerBody::default(), status, verdict);
+        }
+        EndpointOutcome::Refused { sqlstate, message } => {
+            on_refused(ctx, statement, connection, sqlstate, message);
+        }
+        EndpointOutcome::Behind => {
+            end_use(ctx, statement, connection, false);
+            ctx.statements[statement].primary_only = true;
+            retry(ctx, statement, VerdictCause::NoEndpoint);
+        }
+        EndpointOutcome::WrongTerm => {
+            end_use(ctx, statement, connection, false);
+            connection_flow::probe_group(ctx, ctx.statements[statement].group);
+            retry(ctx, statement, VerdictCause::NoPrimary);
+        }
+        EndpointOutcome::Unsent => {
+            connection_flow::discard(ctx, connection, "failed");
+            if let Some(endpoint) = endpoint {
+                connection_flow::note_failure(ctx, endpoint);
+            }
+            retry(ctx, statement, VerdictCause::ConnectionLost);
+        }
+        EndpointOutcome::Lost => on_lost(ctx, statement, connection),
+        EndpointOutcome::Status(_) => {
+            on_lost(ctx, statement, connection);
+        }
+    }
+}
+
+/// Acts on a statement whose time limits may have passed.
+pub fn on_timer(ctx: &mut CoreContext, statement: StatementKey) {
+    let Some(state) = ctx.statements.get(statement) else { return };
+    let deadline = state.deadline;
+    match state.phase.clone() {
+        StatementPhase::AwaitShare { until } if ctx.now >= until.min(deadline) => {
+            let wait = ctx.accounts[state.account].ledger.wait_for_token(ctx.now);
+            give_up(ctx, statement, RequestVerdict::not_run(VerdictCause::OverRate, Some(wait)));
+        }
+        StatementPhase::Queued { until, .. } if ctx.now >= until.min(deadline) => {
+            let wait = Some(CoreTuning::millis(ctx.tuning.queue_wait_ms / 2));
+            give_up(ctx, statement, RequestVerdict::not_run(VerdictCause::QueueFull, wait));
+        }
+        StatementPhase::Running { .. } | StatementPhase::Confirming { .. }
+            if ctx.now >= deadline =>
+        {
+            give_up(ctx, statement, RequestVerdict::may_have_run(VerdictCause::DeadlinePassed));
+        }
+        _ => {}
+    }
+}
+
+/// Ends a statement for `cause`, with the verdict that its phase calls for.
+pub fn cut_short(ctx: &mut CoreContext, statement: StatementKey, cause: VerdictCause) {
+    let Some(state) = ctx.statements.get(statement) else { return };
+    let verdict = match state.phase {
+        StatementPhase::AwaitShare { .. } | StatementPhase::Queued { .. } => {
+            RequestVerdict::not_run(cause, None)
+        }
+        StatementPhase::Running { .. } | StatementPhase::Confirming { .. } => {
+            RequestVerdict::may_have_run(cause)
+        }
+    };
+    give_up(ctx, statement, verdict);
+}
+
+/// Drops a statement whose caller has gone.
+pub fn abandon(ctx: &mut CoreContext, statement: StatementKey) {
+    release_resources(ctx, statement);
+    ctx.statements.remove(statement);
+}
+
+/// Retries a read elsewhere, or answers that the statement was not run.
+pub fn retry(ctx: &mut CoreContext, statement: StatementKey, cause: VerdictCause) {
+    let Some(state) = ctx.statements.get(statement) else { return };
+    let single = state.request.step == TransactionStep::Single;
+    if state.attempts < READ_ATTEMPTS_MAX && single && (state.read || state.primary_only) {
+        return proceed(ctx, statement);
+    }
+    let wait = Some(core_tuning::FAILOVER_RETRY);
+    finish(ctx, statement, RequestVerdict::not_run(cause, wait), AnswerBody::default());
+}
+
+/// Gives a statement its final answer.
+pub fn finish(
+    ctx: &mut CoreContext,
+    statement: StatementKey,
+    verdict: RequestVerdict,
+    body: AnswerBody,
+) {
+    release_resources(ctx, statement);
+    let Some(state) = ctx.statements.remove(statement) else { return };
+    count(ctx, &state, &verdict);
+    if let Some(caller) = ctx.callers.get_mut(state.caller) {
+        caller.statement = None;
+        let in_transaction = caller.transaction.is_some();
+        let caller = caller.id;
+        ctx.actions.push(CoreAction::AnswerCaller { caller, verdict, body, in_transaction });
+        drain_flow::after_answer(ctx, state.caller);
+    }
+}
+
+fn begin(ctx: &mut CoreContext, caller: CallerKey, text: String) -> Result<(), RequestVerdict> {
+    if text.len() > ctx.tuning.statement_max_bytes {
+        let detail = format!(
+            "the statement has {} bytes; at most {} are accepted",
+            text.len(),
+            ctx.tuning.statement_max_bytes
+        );
+        return Err(invalid(detail));
+    }
+    let class = statement_text::classify(&text);
+    match class {
+        StatementClass::Forbidden { detail } => Err(invalid(detail)),
+        StatementClass::InertSet => answer_now(ctx, caller, tagged("SET")),
+        StatementClass::SetOption { name, value } => {
+            caller_flow::set_option(ctx, caller, &name, &value)?;
+            answer_now(ctx, caller, tagged("SET"))
+        }
+        StatementClass::ShowOption { name } => {
+            let body = caller_flow::show_option(ctx, caller, &name)?;
+            answer_now(ctx, caller, body)
+        }
+        _ if ctx.callers[caller].transaction.is_some() => begin_within(ctx, caller, text, class),
+        StatementClass::Commit | StatementClass::Rollback => {
+            answer_now(ctx, caller, tagged(step_tag(&class)))
+        }
+        _ => begin_outside(ctx, caller, text, class),
+    }
+}
+
+/// Starts a statement of its own, or one that begins a transaction.
+fn begin_outside(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    text: String,
+    class: StatementClass,
+) -> Result<(), RequestVerdict> {
+    caller_flow::check_proof(ctx, caller)?;
+    let rule = find_rule(ctx, caller)?;
+    if !ctx.takes_work() {
+        let wait = Some(core_tuning::SHORT_RETRY);
+        return Err(RequestVerdict::not_run(VerdictCause::Draining, wait));
+    }
+    let read = class == StatementClass::Read;
+    check_access(ctx, caller, &rule, read)?;
+    let group = route_choice::pick_group(ctx, caller)?;
+    let step = match class {
+        StatementClass::Begin => TransactionStep::Begin,
+        _ => TransactionStep::Single,
+    };
+    let state = new_statement(ctx, caller, group, text, step, read);
+    let statement = register(ctx, caller, state);
+    share_flow::charge(ctx, statement);
+    Ok(())
+}
+
+/// Starts a statement inside the caller's transaction.
+fn begin_within(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    text: String,
+    class: StatementClass,
+) -> Result<(), RequestVerdict> {
+    let Some(transaction) = ctx.callers[caller].transaction else {
+        return Err(invalid("no transaction is open".to_owned()));
+    };
+    if class == StatementClass::Begin {
+        return Err(invalid("a transaction is open already".to_owned()));
+    }
+    caller_flow::check_proof(ctx, caller).inspect_err(|_| {
+        end_transaction(ctx, caller, transaction);
+    })?;
+    let step = match class {
+        StatementClass::Commit => TransactionStep::Commit,
+        StatementClass::Rollback => TransactionStep::Rollback,
+        _ => TransactionStep::Within,
+    };
+    let read = class == StatementClass::Read;
+    let mut state = new_statement(ctx, caller, transaction.group, text, step, read);
+    state.charged = step != TransactionStep::Within;
+    let charged = state.charged;
+    let statement = register(ctx, caller, state);
+    if charged {
+        proceed(ctx, statement);
+    } else {
+        share_flow::charge(ctx, statement);
+    }
+    Ok(())
+}
+
+fn new_statement(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    group: GroupKey,
+    text: String,
+    step: TransactionStep,
+    read: bool,
+) -> StatementState {
+    let now = ctx.now;
+    let default_timeout = ctx.tuning.statement_timeout_ms;
+    let state = &mut ctx.callers[caller];
+    let writes = !read && matches!(step, TransactionStep::Single | TransactionStep::Within);
+    let id = if writes { state.settings.request_id.take() } else { None };
+    let account = state.account_name.clone();
+    let record = id.map(|id| RequestRecord { account, id });
+    let timeout = state.settings.timeout_ms.unwrap_or(default_timeout);
+    StatementState {
+        caller,
+        account: state.account,
+        group,
+        request: EndpointStatement {
+            text,
+            step,
+            write_term: None,
+            read_point: None,
+            read_only: read && step == TransactionStep::Single,
+            record,
+        },
+        read,
+        max_age_ms: state.settings.max_age_ms,
+        deadline: now.after(CoreTuning::millis(timeout)),
+        attempts: 0,
+        primary_only: false,
+        charged: false,
+        phase: StatementPhase::AwaitShare { until: now },
+    }
+}
+
+fn register(ctx: &mut CoreContext, caller: CallerKey, state: StatementState) -> StatementKey {
+    let deadline = state.deadline;
+    let statement = ctx.statements.insert(state);
+    ctx.callers[caller].statement = Some(statement);
+    ctx.timers.push(deadline, TimerKind::Statement(statement));
+    statement
+}
+
+fn check_access(
+    ctx: &CoreContext,
+    caller: CallerKey,
+    rule: &RuleObject,
+    read: bool,
+) -> Result<(), RequestVerdict> {
+    let denied =
+        |detail: String| Err(RequestVerdict::not_run(VerdictCause::RuleDenied { detail }, None));
+    if !read && rule.access == RuleAccess::Read {
+        return denied(format!("rule {} allows reads only", rule.name));
+    }
+    match ctx.callers[caller].settings.max_age_ms {
+        Some(age) if read && age > rule.max_age_ms => denied(format!(
+            "rule {} allows ages up to {} ms, not {age} ms",
+            rule.name, rule.max_age_ms
+        )),
+        _ => Ok(()),
+    }
+}
+
+fn route(ctx: &mut CoreContext, statement: StatementKey) -> Result<(), RequestVerdict> {
+    let state = &ctx.statements[statement];
+    let step = state.request.step;
+    if step != TransactionStep::Single && step != TransactionStep::Begin {
+        return route_within(ctx, statement);
+    }
+    let choice = route_choice::choose(ctx, statement)?;
+    let state = &mut ctx.statements[statement];
+    state.request.read_point = choice.read_point;
+    state.request.write_term = choice.write_term;
+    connection_flow::acquire(ctx, choice.endpoint, statement)
+}
+
+fn route_within(ctx: &mut CoreContext, statement: StatementKey) -> Result<(), RequestVerdict> {
+    let caller = ctx.statements[statement].caller;
+    let lost = RequestVerdict::not_run(VerdictCause::ConnectionLost, None);
+    let Some(transaction) = ctx.callers[caller].transaction else { return Err(lost) };
+    let pinned = ctx.connections.get(transaction.connection);
+    if pinned.is_none_or(|connection| connection.cursor.state() != "pinned") {
+        ctx.callers[caller].transaction = None;
+        return Err(lost);
+    }
+    dispatch(ctx, statement, transaction.connection);
+    Ok(())
+}
+
+fn on_ran(
+    ctx: &mut CoreContext,
+    statement: StatementKey,
+    connection: ConnectionKey,
+    body: AnswerBody,
+    status: EndpointStatus,
+    verdict: RequestVerdict,
+) {
+    let endpoint = ctx.connections[connection].endpoint;
+    let asked = ctx.connections[connection].since;
+    end_use(ctx, statement, connection, true);
+    let state = &ctx.statements[statement];
+    let group = state.group;
+    match state.request.step {
+        TransactionStep::Begin | TransactionStep::Within | TransactionStep::Rollback => {
+            return finish(ctx, statement, verdict, body);
+        }
+        TransactionStep::Commit | TransactionStep::Single => {}
+    }
+    if state.read && state.request.read_point.is_some() {
+        count_read(ctx, statement, endpoint);
+        return finish(ctx, statement, verdict, body);
+    }
+    if state.read {
+        count_read(ctx, statement, endpoint);
+    }
+    let point = status.log_point();
+    let expected = ctx.groups[group].term();
+    if !status.primary || status.adopted_term != status.log_term || point.term != expected {
+        return unconfirmed(ctx, statement);
+    }
+    confirm_flow::await_majority(ctx, statement, point, asked, body, verdict);
+}
+
+/// Answers a statement that ran on an endpoint which is not the primary any more.
+fn unconfirmed(ctx: &mut CoreContext, statement: StatementKey) {
+    connection_flow::probe_group(ctx, ctx.statements[statement].group);
+    if ctx.statements[statement].read {
+        return retry(ctx, statement, VerdictCause::PrimaryReplaced);
+    }
+    let verdict = RequestVerdict::may_have_run(VerdictCause::PrimaryReplaced);
+    finish(ctx, statement, verdict, AnswerBody::default());
+}
+
+fn on_refused(
+    ctx: &mut CoreContext,
+    statement: StatementKey,
+    connection: ConnectionKey,
+    sqlstate: String,
+    message: String,
+) {
+    end_use(ctx, statement, connection, false);
+    let cause = VerdictCause::DatabaseError { sqlstate, message };
+    finish(ctx, statement, RequestVerdict::not_run(cause, None), AnswerBody::default());
+}
+
+fn on_lost(ctx: &mut CoreContext, statement: StatementKey, connection: ConnectionKey) {
+    let endpoint = ctx.connections.get(connection).map(|state| state.endpoint);
+    connection_flow::discard(ctx, connection, "failed");
+    if let Some(endpoint) = endpoint {
+        connection_flow::note_failure(ctx, endpoint);
+    }
+    let state = &ctx.statements[statement];
+    if state.read && state.request.step == TransactionStep::Single {
+        return retry(ctx, statement, VerdictCause::ConnectionLost);
+    }
+    let verdict = match state.request.step {
+        // The transaction's connection is gone, and with it all that was not committed.
+        TransactionStep::Begin | TransactionStep::Within | TransactionStep::Rollback => {
+            RequestVerdict::not_run(VerdictCause::ConnectionLost, None)
+        }
+        _ => RequestVerdict::may_have_run(VerdictCause::ConnectionLost),
+    };
+    ctx.callers[state.caller].transaction = None;
+    finish(ctx, statement, verdict, AnswerBody::default());
+}
+
+/// Gives the connection back, or keeps it for the transaction that it belongs to.
+fn end_use(ctx: &mut CoreContext, statement: StatementKey, connection: ConnectionKey, ran: bool) {
+    let state = &ctx.statements[statement];
+    let (step, caller, group) = (state.request.step, state.caller, state.group);
+    match step {
+        TransactionStep::Begin if ran => {
+            connection_flow::pin(ctx, connection, caller);
+            ctx.callers[caller].transaction = Some(OpenTransaction { group, connection });
+        }
+        TransactionStep::Within => connection_flow::pin(ctx, connection, caller),
+        TransactionStep::Commit | TransactionStep::Rollback => {
+            ctx.callers[caller].transaction = None;
+            connection_flow::release(ctx, connection);
+        }
+        TransactionStep::Begin | TransactionStep::Single => {
+            connection_flow::release(ctx, connection);
+        }
+    }
+}
+
+fn end_transaction(ctx: &mut CoreContext, caller: CallerKey, transaction: OpenTransaction) {
+    ctx.callers[caller].transaction = None;
+    connection_flow::discard(ctx, transaction.connection, "discarded");
+}
+
+fn give_up(ctx: &mut CoreContext, statement: StatementKey, verdict: RequestVerdict) {
+    let caller = ctx.statements[statement].caller;
+    if matches!(ctx.statements[statement].phase, StatementPhase::Running { .. }) {
+        ctx.callers[caller].transaction = None;
+    }
+    finish(ctx, statement, verdict, AnswerBody::default());
+}
+
+/// Takes a statement out of whatever it waits in; a connection that it runs on is closed.
+fn release_resources(ctx: &mut CoreContext, statement: StatementKey) {
+    let Some(state) = ctx.statements.get(statement) else { return };
+    match state.phase {
+        StatementPhase::AwaitShare { .. } => {
+            ctx.accounts[state.account].waiting.retain(|waiting| *waiting != statement);
+        }
+        StatementPhase::Queued { endpoint, .. } => {
+            ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != statement);
+        }
+        StatementPhase::Running { connection, call } => {
+            if ctx.calls.contains_key(&call) {
+                connection_flow::discard(ctx, connection, "discarded");
+            }
+        }
+        StatementPhase::Confirming { .. } => {
+            let group = &mut ctx.groups[state.group];
+            group.waiters.retain(|waiting| *waiting != statement);
+        }
+    }
+}
+
+fn count(ctx: &mut CoreContext, state: &StatementState, verdict: &RequestVerdict) {
+    let counts = &mut ctx.accounts[state.account].counts;
+    match verdict.fate {
+        RequestFate::Ran if !state.read => counts.writes += 1,
+        RequestFate::Ran => {}
+        RequestFate::MayHaveRun => counts.may_have_run += 1,
+        RequestFate::NotRun if verdict.cause == VerdictCause::OverRate => counts.over_rate += 1,
+        RequestFate::NotRun => counts.not_run += 1,
+    }
+}
+
+fn count_read(ctx: &mut CoreContext, statement: StatementKey, endpoint: EndpointKey) {
+    let state = &ctx.statements[statement];
+    let name = &ctx.endpoints[endpoint].name;
+    let primary = ctx.groups[state.group].serving().is_some_and(|record| record.primary == *name);
+    let counts = &mut ctx.accounts[state.account].counts;
+    if primary {
+        counts.primary_reads += 1;
+    } else {
+        counts.replica_reads += 1;
+    }
+}
+
+fn refuse(ctx: &mut CoreContext, caller: CallerKey, verdict: RequestVerdict) {
+    let state = &ctx.callers[caller];
+    let (id, account) = (state.id, state.account);
+    let in_transaction = state.transaction.is_some();
+    ctx.accounts[account].counts.not_run += 1;
+    let body = AnswerBody::default();
+    ctx.actions.push(CoreAction::AnswerCaller { caller: id, verdict, body, in_transaction });
+    drain_flow::after_answer(ctx, caller);
+}
+
+fn answer_now(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    body: AnswerBody,
+) -> Result<(), RequestVerdict> {
+    let state = &ctx.callers[caller];
+    let (caller, in_transaction) = (state.id, state.transaction.is_some());
+    let verdict = RequestVerdict::ran();
+    ctx.actions.push(CoreAction::AnswerCaller { caller, verdict, body, in_transaction });
+    Ok(())
+}
+
+fn tagged(tag: &str) -> AnswerBody {
+    AnswerBody { tag: tag.to_owned(), ..AnswerBody::default() }
+}
+
+fn step_tag(class: &StatementClass) -> &'static str {
+    match class {
+        StatementClass::Commit => "COMMIT",
+        _ => "ROLLBACK",
+    }
+}
+
+fn invalid(detail: String) -> RequestVerdict {
+    RequestVerdict::not_run(VerdictCause::StatementInvalid { detail }, None)
+}
--- /dev/null
+++ b/src/statement_service.rs
@@ -0,0 +1,103 @@
+//! The way of a caller's statement through Volo services and layers, whichever door it came by.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Instant;
+
+use motore::Service;
+use motore::layer::Layer;
+
+use crate::caller_desk::{CallerDesk, DeskAnswer};
+use crate::core_message::{CallerId, CoreEvent};
+use crate::latency_book::LatencyBook;
+
+/// Who sends a statement.
+#[derive(Debug, Clone)]
+pub struct CallerContext {
+    /// The door's number.
+    pub caller: CallerId,
+    /// The account.
+    pub account: String,
+}
+
+/// The innermost service: asks the decision core.
+#[derive(Debug, Clone)]
+pub struct CoreService {
+    desk: Arc<CallerDesk>,
+}
+
+impl CoreService {
+    /// Builds the service on a desk.
+    pub fn new(desk: Arc<CallerDesk>) -> Self {
+        Self { desk }
+    }
+}
+
+impl Service<CallerContext, String> for CoreService {
+    type Response = DeskAnswer;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        context: &mut CallerContext,
+        text: String,
+    ) -> Result<Self::Response, Self::Error> {
+        let caller = context.caller;
+        Ok(self.desk.ask(caller, CoreEvent::StatementArrived { caller, text }).await)
+    }
+}
+
+/// Adds the recording of each statement's latency to a service.
+#[derive(Debug, Clone)]
+pub struct LatencyLayer {
+    book: Arc<LatencyBook>,
+}
+
+impl LatencyLayer {
+    /// Builds the layer on the book that latencies go to.
+    pub fn new(book: Arc<LatencyBook>) -> Self {
+        Self { book }
+    }
+}
+
+impl<S> Layer<S> for LatencyLayer {
+    type Service = LatencyService<S>;
+
+    fn layer(self, inner: S) -> Self::Service {
+        LatencyService { inner, book: self.book }
+    }
+}
+
+/// Records the latency of each statement.
+#[derive(Debug, Clone)]
+pub struct LatencyService<S> {
+    inner: S,
+    book: Arc<LatencyBook>,
+}
+
+impl<S> Service<CallerContext, String> for LatencyService<S>
+where
+    S: Service<CallerContext, String> + Send + Sync,
+{
+    type Response = S::Response;
+    type Error = S::Error;
+
+    async fn call(
+        &self,
+        context: &mut CallerContext,
+        text: String,
+    ) -> Result<Self::Response, Self::Error> {
+        let started = Instant::now();
+        let response = self.inner.call(context, text).await;
+        self.book.record(&context.account, started.elapsed());
+        response
+    }
+}
+
+/// The service that doors hand statements to.
+pub type StatementService = LatencyService<CoreService>;
+
+/// Builds the service with its layers.
+pub fn build(desk: Arc<CallerDesk>, book: Arc<LatencyBook>) -> StatementService {
+    LatencyLayer::new(book).layer(CoreService::new(desk))
+}
--- /dev/null
+++ b/src/timer_queue.rs
@@ -0,0 +1,56 @@
+//! The times at which the decision core wants to be woken.
+
+use std::collections::BTreeMap;
+
+use crate::arena_keys::{ConnectionKey, GroupKey, StatementKey};
+use crate::clock_time::ClockTime;
+
+/// What a timer is for. Timers are never cancelled; those that have lost their cause do nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TimerKind {
+    /// A statement may have reached one of its time limits.
+    Statement(StatementKey),
+    /// A connection may be silent or idle for too long.
+    Connection(ConnectionKey),
+    /// A group's endpoints are due for probes, and its primary for a look.
+    Group(GroupKey),
+    /// Confirmations of a group's writes are due for another probe.
+    Confirm(GroupKey),
+    /// An exchange with peers is due.
+    Pulse,
+    /// A call to the platform is due.
+    Platform,
+    /// Accounts that are short of their share may ask again.
+    Shares,
+    /// The graceful shutdown may have taken too long.
+    Drain,
+}
+
+/// Timers in the order of their times.
+#[derive(Debug, Default)]
+pub struct TimerQueue {
+    timers: BTreeMap<(ClockTime, u64), TimerKind>,
+    next_number: u64,
+}
+
+impl TimerQueue {
+    /// Adds a timer.
+    pub fn push(&mut self, at: ClockTime, kind: TimerKind) {
+        self.timers.insert((at, self.next_number), kind);
+        self.next_number += 1;
+    }
+
+    /// Removes and returns a timer whose time has come.
+    pub fn pop_due(&mut self, now: ClockTime) -> Option<TimerKind> {
+        let entry = self.timers.first_entry()?;
+        if entry.key().0 > now {
+            return None;
+        }
+        Some(entry.remove())
+    }
+
+    /// Returns the time of the first timer.
+    pub fn first_time(&self) -> Option<ClockTime> {
+        self.timers.first_key_value().map(|((at, _), _)| *at)
+    }
+}
--- /dev/null
+++ b/stand-ins/src/bin/quetzaldeal-load.rs
@@ -0,0 +1,82 @@
+//! Callers for demonstrations and measurements.
+
+use anyhow::{Context, Result, bail};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use stand_ins::caller_story;
+use stand_ins::load_plan::LoadPlan;
+use stand_ins::load_run;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<()> {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("session", matches)) => {
+            let login = login(matches)?;
+            caller_story::carry_session(&login, text(matches, "other")?).await
+        }
+        Some(("gap", matches)) => {
+            let seconds = matches.get_one("seconds").copied().unwrap_or(10);
+            caller_story::measure_gap(&login(matches)?, seconds).await
+        }
+        Some(("hold", matches)) => caller_story::hold_until_refused(&login(matches)?).await,
+        Some(("run", matches)) => {
+            let path = text(matches, "plan")?;
+            let plan = std::fs::read_to_string(path).with_context(|| path.to_owned())?;
+            let plan = LoadPlan::parse(&plan).with_context(|| path.to_owned())?;
+            load_run::run(plan, matches.get_one::<String>("report").map(String::as_str)).await
+        }
+        _ => bail!("unknown command"),
+    }
+}
+
+fn command() -> Command {
+    let option = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).required(true).help(help)
+    };
+    let caller = |name: &'static str, about: &'static str| {
+        Command::new(name)
+            .about(about)
+            .arg(option("address", "IP and port of a host's callers' door"))
+            .arg(option("account", "Client account"))
+            .arg(option("key", "Key"))
+            .arg(option("service", "Service"))
+            .arg(option("group", "Group that statements go to"))
+    };
+    Command::new("quetzaldeal-load")
+        .about("Callers for demonstrations and measurements")
+        .subcommand_required(true)
+        .subcommand(
+            caller("session", "Write at one host and read at another")
+                .arg(option("other", "IP and port of another host's callers' door")),
+        )
+        .subcommand(
+            caller("gap", "Write without pause and report the longest gap").arg(
+                Arg::new("seconds")
+                    .long("seconds")
+                    .default_value("10")
+                    .value_parser(value_parser!(u64))
+                    .help("How long to write"),
+            ),
+        )
+        .subcommand(caller("hold", "Read on one connection until refused"))
+        .subcommand(
+            Command::new("run")
+                .about("Run an experiment")
+                .arg(option("plan", "YAML file of the experiment"))
+                .arg(Arg::new("report").long("report").help("File for the report as YAML")),
+        )
+}
+
+fn login(matches: &ArgMatches) -> Result<caller_story::CallerLogin> {
+    Ok(caller_story::CallerLogin {
+        address: text(matches, "address")?.to_owned(),
+        account: text(matches, "account")?.to_owned(),
+        key: text(matches, "key")?.to_owned(),
+        service: text(matches, "service")?.to_owned(),
+        group: text(matches, "group")?.to_owned(),
+    })
+}
+
+fn text<'a>(matches: &'a ArgMatches, name: &str) -> Result<&'a str> {
+    matches.get_one::<String>(name).map(String::as_str).with_context(|| format!("no {name}"))
+}
--- /dev/null
+++ b/stand-ins/src/bin/stand-in-endpoint.rs
@@ -0,0 +1,41 @@
+//! Stand-in for one database of a group.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use stand_ins::endpoint_program::{EndpointBehaviour, EndpointProgram};
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<()> {
+    let matches = command().get_matches();
+    let address: &String = matches.get_one("address").context("no address")?;
+    let millis =
+        |name: &str| Ok::<_, anyhow::Error>(Duration::from_millis(number(&matches, name)?));
+    let behaviour = EndpointBehaviour {
+        lag: millis("lag-ms")?,
+        work: millis("work-ms")?,
+        connect: millis("connect-ms")?,
+        slots: number(&matches, "slots")? as usize,
+        connections: number(&matches, "connections")? as usize,
+    };
+    EndpointProgram::new(rand::random(), behaviour).serve(address).await
+}
+
+fn command() -> Command {
+    let option = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
+    };
+    Command::new("stand-in-endpoint")
+        .about("Stand-in for one database of a group")
+        .arg(Arg::new("address").long("address").required(true).help("IP and port to serve at"))
+        .arg(option("lag-ms", "20", "Time between two pulls of a replica"))
+        .arg(option("work-ms", "0", "Time that each statement takes"))
+        .arg(option("connect-ms", "10", "Time that opening a connection takes"))
+        .arg(option("slots", "3", "Statements executed at once"))
+        .arg(option("connections", "20", "Connections accepted"))
+}
+
+fn number(matches: &ArgMatches, name: &str) -> Result<u64> {
+    matches.get_one::<u64>(name).copied().with_context(|| format!("no {name}"))
+}
--- /dev/null
+++ b/stand-ins/src/caller_story.rs
@@ -0,0 +1,199 @@
+//! Short stories of one caller, told against running hosts.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, bail};
+use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
+
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+const HOLD_PAUSE: Duration = Duration::from_millis(50);
+const HOLD_LIMIT: Duration = Duration::from_secs(30);
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// How a caller logs in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerLogin {
+    /// IP and port of a host's callers' door.
+    pub address: String,
+    /// Client account.
+    pub account: String,
+    /// Key.
+    pub key: String,
+    /// Service.
+    pub service: String,
+    /// The group that statements go to; empty when the caller picks it later.
+    pub group: String,
+}
+
+impl CallerLogin {
+    /// Connects, with a session token to carry on, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host refuses or cannot be reached.
+    pub async fn connect(&self, session: Option<&str>) -> Result<Client> {
+        let address: SocketAddr = self.address.parse()?;
+        let mut options = format!("-c quetzaldeal.group={}", self.group);
+        if let Some(session) = session {
+            options.push_str(&format!(" -c quetzaldeal.session={session}"));
+        }
+        let mut config = Config::new();
+        config
+            .host(address.ip().to_string())
+            .port(address.port())
+            .user(&self.account)
+            .password(&self.key)
+            .dbname(&self.service)
+            .options(options);
+        let (client, connection) = config.connect(NoTls).await?;
+        tokio::spawn(connection);
+        Ok(client)
+    }
+}
+
+/// Runs a statement and returns its first value.
+///
+/// # Errors
+///
+/// Fails when the statement is refused.
+pub async fn first_value(
+    client: &Client,
+    text: &str,
+) -> Result<Option<String>, tokio_postgres::Error> {
+    let messages = client.simple_query(text).await?;
+    Ok(messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    }))
+}
+
+/// Writes at one host, carries the session to another, and reads there.
+///
+/// # Errors
+///
+/// Fails when the read does not see the write.
+pub async fn carry_session(login: &CallerLogin, other: &str) -> Result<()> {
+    let client = patient_connect(login).await?;
+    let id = format!("order-{}", rand::random::<u32>());
+    let insert = format!("INSERT INTO orders (id, state) VALUES ('{id}', 'paid')");
+    retry_not_run(&client, &insert).await?;
+    let session = first_value(&client, "SHOW quetzaldeal.session").await?.context("no session")?;
+    let login = CallerLogin { address: other.to_owned(), ..login.clone() };
+    let client = login.connect(Some(&session)).await?;
+    let query = format!("SELECT state FROM orders WHERE id = '{id}'");
+    let value = first_value(&client, &query).await?;
+    if value.as_deref() != Some("paid") {
+        bail!("the write of {id} was not seen at the other host: {value:?}");
+    }
+    report(&format!("wrote {id} at {}, read it at {other}", login.account))
+}
+
+/// Writes without pause and reports the longest time without an acknowledged write.
+///
+/// # Errors
+///
+/// Fails when no write succeeds.
+pub async fn measure_gap(login: &CallerLogin, seconds: u64) -> Result<()> {
+    let mut client = patient_connect(login).await?;
+    let started = Instant::now();
+    let mut acknowledged = 0_u64;
+    let mut refused = 0_u64;
+    let mut unknown = 0_u64;
+    let mut last = None;
+    let mut longest = Duration::ZERO;
+    while started.elapsed() < Duration::from_secs(seconds) {
+        let id = format!("gap-{}", rand::random::<u64>());
+        let insert = format!("INSERT INTO orders (id, state) VALUES ('{id}', 'new')");
+        match client.simple_query(&insert).await {
+            Ok(_) => {
+                let now = Instant::now();
+                longest = longest.max(last.map_or(Duration::ZERO, |last| now - last));
+                last = Some(now);
+                acknowledged += 1;
+            }
+            Err(error) if is_not_run(&error) => refused += 1,
+            Err(_) => unknown += 1,
+        }
+        if client.is_closed() {
+            client = patient_connect(login).await?;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    last.context("no write was acknowledged")?;
+    report(&format!(
+        "{acknowledged} writes acknowledged, {refused} refused as not run, {unknown} unknown; \
+         longest gap {} ms",
+        longest.as_millis()
+    ))
+}
+
+/// Reads on one connection until it is refused, and reports when and how.
+///
+/// # Errors
+///
+/// Fails when the caller is never refused.
+pub async fn hold_until_refused(login: &CallerLogin) -> Result<()> {
+    let client = patient_connect(login).await?;
+    let started = Instant::now();
+    let mut served = 0_u64;
+    while started.elapsed() < HOLD_LIMIT {
+        match client.simple_query("SELECT count(*) FROM orders").await {
+            Ok(_) => served += 1,
+            Err(error) if is_key_refusal(&error) || client.is_closed() => {
+                let again = login.connect(None).await;
+                let state = again.err().map(|error| error.to_string()).unwrap_or_default();
+                return report(&format!(
+                    "{served} reads served, then the open connection was refused; new login: {}",
+                    state.lines().next().unwrap_or("accepted")
+                ));
+            }
+            Err(_) => {}
+        }
+        tokio::time::sleep(HOLD_PAUSE).await;
+    }
+    bail!("the caller was never refused")
+}
+
+/// Whether an error says that the statement was not run.
+pub fn is_not_run(error: &tokio_postgres::Error) -> bool {
+    error
+        .as_db_error()
+        .and_then(|error| error.detail())
+        .is_some_and(|detail| detail.starts_with("verdict: not run"))
+}
+
+fn is_key_refusal(error: &tokio_postgres::Error) -> bool {
+    error.code().is_some_and(|code| code.code() == "28P01")
+}
+
+async fn retry_not_run(client: &Client, text: &str) -> Result<()> {
+    let started = Instant::now();
+    loop {
+        match client.simple_query(text).await {
+            Ok(_) => return Ok(()),
+            Err(error) if is_not_run(&error) && started.elapsed() < READY_LIMIT => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            Err(error) => return Err(error.into()),
+        }
+    }
+}
+
+/// Connects as soon as the host takes callers.
+async fn patient_connect(login: &CallerLogin) -> Result<Client> {
+    let started = Instant::now();
+    loop {
+        match login.connect(None).await {
+            Ok(client) => return Ok(client),
+            Err(error) if started.elapsed() > READY_LIMIT => return Err(error),
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+fn report(line: &str) -> Result<()> {
+    use std::io::Write as _;
+    writeln!(std::io::stdout(), "{line}")?;
+    Ok(())
+}
--- /dev/null
+++ b/stand-ins/src/database_model.rs
@@ -0,0 +1,253 @@
+//! A database of a group: a log with terms, tables that follow from it, and transactions.
+
+use std::collections::HashMap;
+
+use quetzaldeal::endpoint_message::{EndpointStatus, LogPoint};
+use quetzaldeal::endpoint_sql::{self, SqlError, SqlResult};
+use serde::{Deserialize, Serialize};
+
+use crate::sql_engine;
+use crate::table_store::{TableChange, TableStore};
+
+/// Number of a connection to the database.
+pub type ConnectionId = u64;
+
+/// One committed transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogEntry {
+    /// The term it was committed in.
+    pub term: u64,
+    /// Its changes.
+    pub changes: Vec<TableChange>,
+}
+
+/// The last position of each term in a log, oldest first.
+pub type TermEnds = Vec<LogPoint>;
+
+/// What a primary sends a replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogBatch {
+    /// The primary's term.
+    pub term: u64,
+    /// Positions that the replica keeps; later ones are dropped.
+    pub keep: u64,
+    /// Entries after `keep`.
+    pub entries: Vec<LogEntry>,
+}
+
+/// Most entries of one batch.
+const BATCH_ENTRIES_MAX: usize = 2_000;
+
+/// A transaction in progress.
+#[derive(Debug, Clone, Default)]
+pub struct OpenTransaction {
+    /// Changes not committed yet.
+    pub changes: Vec<TableChange>,
+    /// Whether an error or a fence has ended it.
+    pub failed: bool,
+    /// Whether it may not write.
+    pub read_only: bool,
+}
+
+/// A database of a group.
+#[derive(Debug, Clone)]
+pub struct DatabaseModel {
+    copy: u64,
+    adopted_term: u64,
+    primary: bool,
+    following: Option<String>,
+    log: Vec<LogEntry>,
+    tables: TableStore,
+    transactions: HashMap<ConnectionId, OpenTransaction>,
+}
+
+impl DatabaseModel {
+    /// An empty database with this identity of its copy.
+    pub fn new(copy: u64) -> Self {
+        Self {
+            copy,
+            adopted_term: 0,
+            primary: false,
+            following: None,
+            log: Vec::new(),
+            tables: TableStore::default(),
+            transactions: HashMap::new(),
+        }
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> EndpointStatus {
+        EndpointStatus {
+            copy: self.copy,
+            adopted_term: self.adopted_term,
+            log_term: self.log.last().map_or(0, |entry| entry.term),
+            position: self.log.len() as u64,
+            primary: self.primary,
+            following: self.following.clone(),
+        }
+    }
+
+    /// Returns the log.
+    pub fn log(&self) -> &[LogEntry] {
+        &self.log
+    }
+
+    /// Returns the tables.
+    pub fn tables(&self) -> &TableStore {
+        &self.tables
+    }
+
+    /// Runs a batch of statements as one implicit transaction, unless one is open.
+    ///
+    /// # Errors
+    ///
+    /// The first statement's error; the implicit transaction is rolled back.
+    pub fn execute(
+        &mut self,
+        connection: ConnectionId,
+        batch: &str,
+    ) -> Result<Vec<SqlResult>, SqlError> {
+        sql_engine::execute(self, connection, batch)
+    }
+
+    /// Forgets a connection; its open transaction is rolled back.
+    pub fn disconnect(&mut self, connection: ConnectionId) {
+        self.transactions.remove(&connection);
+    }
+
+    /// Returns a connection's open transaction.
+    pub fn transaction(&mut self, connection: ConnectionId) -> Option<&mut OpenTransaction> {
+        self.transactions.get_mut(&connection)
+    }
+
+    /// Opens a transaction on a connection.
+    pub fn begin(&mut self, connection: ConnectionId) {
+        self.transactions.insert(connection, OpenTransaction::default());
+    }
+
+    /// Takes a connection's open transaction away from it.
+    pub fn take_transaction(&mut self, connection: ConnectionId) -> Option<OpenTransaction> {
+        self.transactions.remove(&connection)
+    }
+
+    /// Appends changes to the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails unless this is the primary.
+    pub fn commit(&mut self, changes: Vec<TableChange>) -> Result<(), SqlError> {
+        if changes.is_empty() {
+            return Ok(());
+        }
+        if !self.primary {
+            return Err(error(endpoint_sql::STATE_WRONG_TERM, "this endpoint is not the primary"));
+        }
+        self.append(LogEntry { term: self.adopted_term, changes });
+        Ok(())
+    }
+
+    /// Refuses everything of terms below `term` from now on.
+    pub fn fence(&mut self, term: u64) {
+        if term <= self.adopted_term {
+            return;
+        }
+        self.adopted_term = term;
+        self.primary = false;
+        self.following = None;
+        for transaction in self.transactions.values_mut() {
+            transaction.failed = true;
+        }
+    }
+
+    /// Becomes the primary of `term`, if the log has reached `least`.
+    pub fn promote(&mut self, term: u64, least: LogPoint) {
+        let leads = self.primary && self.adopted_term == term;
+        if term < self.adopted_term || leads || !self.status().reached(least) {
+            return;
+        }
+        self.fence(term);
+        self.primary = true;
+        self.following = None;
+        self.append(LogEntry { term, changes: Vec::new() });
+    }
+
+    /// Follows the primary at `address` under `term`.
+    pub fn follow(&mut self, term: u64, address: &str) {
+        if term < self.adopted_term || (self.primary && term == self.adopted_term) {
+            return;
+        }
+        self.fence(term);
+        self.following = Some(address.to_owned());
+    }
+
+    /// Returns the last position of each term in the log.
+    pub fn term_ends(&self) -> TermEnds {
+        let mut ends: TermEnds = Vec::new();
+        for (index, entry) in self.log.iter().enumerate() {
+            let position = index as u64 + 1;
+            match ends.last_mut() {
+                Some(end) if end.term == entry.term => end.position = position,
+                _ => ends.push(LogPoint { term: entry.term, position }),
+            }
+        }
+        ends
+    }
+
+    /// Returns what a replica with a log of these term ends lacks; `None` unless this is the
+    /// primary of `term`.
+    pub fn changes_after(&self, term: u64, ends: &TermEnds) -> Option<LogBatch> {
+        if !self.primary || self.adopted_term != term {
+            return None;
+        }
+        let keep = common_prefix(&self.term_ends(), ends);
+        let entries =
+            self.log.iter().skip(keep as usize).take(BATCH_ENTRIES_MAX).cloned().collect();
+        Some(LogBatch { term, keep, entries })
+    }
+
+    /// Takes up a batch from the primary.
+    ///
+    /// Dropping the diverged end and appending are one step, so the log never holds less than
+    /// both logs have in common.
+    pub fn apply_batch(&mut self, batch: LogBatch) {
+        let current = self.adopted_term == batch.term && !self.primary;
+        if !current || batch.keep > self.log.len() as u64 {
+            return;
+        }
+        if batch.keep < self.log.len() as u64 {
+            self.log.truncate(batch.keep as usize);
+            self.tables = TableStore::default();
+            for entry in &self.log {
+                entry.changes.iter().for_each(|change| self.tables.apply(change));
+            }
+        }
+        for entry in batch.entries {
+            self.append(entry);
+        }
+    }
+
+    fn append(&mut self, entry: LogEntry) {
+        entry.changes.iter().for_each(|change| self.tables.apply(change));
+        self.log.push(entry);
+    }
+}
+
+/// Builds an error.
+pub fn error(code: &str, message: &str) -> SqlError {
+    SqlError { code: code.to_owned(), message: message.to_owned() }
+}
+
+/// Returns the length of the longest prefix that two logs share.
+fn common_prefix(left: &TermEnds, right: &TermEnds) -> u64 {
+    let mut shared = 0;
+    for (left, right) in left.iter().zip(right) {
+        if left.term != right.term {
+            break;
+        }
+        shared = left.position.min(right.position);
+        if left.position != right.position {
+            break;
+        }
+    }
+    shared
+}
--- /dev/null
+++ b/stand-ins/src/endpoint_program.rs
@@ -0,0 +1,286 @@
+//! A database as a process: the model behind PostgreSQL's wire protocol, with asynchronous
+//! replication, a bound on connections and a bound on statements executed at once.
+
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use async_trait::async_trait;
+use futures::{Sink, stream};
+use pgwire::api::auth::StartupHandler;
+use pgwire::api::auth::noop::NoopStartupHandler;
+use pgwire::api::query::SimpleQueryHandler;
+use pgwire::api::results::{DataRowEncoder, FieldFormat, FieldInfo, QueryResponse, Response, Tag};
+use pgwire::api::store::PortalStore;
+use pgwire::api::{ClientInfo, ClientPortalStore, PgWireServerHandlers, Type};
+use pgwire::error::{ErrorInfo, PgWireError, PgWireResult};
+use pgwire::messages::PgWireBackendMessage;
+use pgwire::tokio::process_socket;
+use quetzaldeal::endpoint_message::LogPoint;
+use quetzaldeal::endpoint_sql::{self, SqlResult};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
+use tokio_postgres::{NoTls, SimpleQueryMessage};
+
+use crate::database_model::{ConnectionId, DatabaseModel, LogBatch, error};
+
+/// Statements that are not counted against the slots: the proxy's own functions.
+const OWN_PREFIX: &str = "SELECT * FROM quetzaldeal.";
+const CHANGES_PREFIX: &str = "SELECT * FROM quetzaldeal.changes(";
+const AWAIT_PREFIX: &str = "SELECT * FROM quetzaldeal.await(";
+
+/// How a database behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndpointBehaviour {
+    /// Time between two pulls of a replica.
+    pub lag: Duration,
+    /// Time that each statement of a caller takes.
+    pub work: Duration,
+    /// Time that opening a connection takes.
+    pub connect: Duration,
+    /// Statements executed at once.
+    pub slots: usize,
+    /// Connections accepted.
+    pub connections: usize,
+}
+
+/// A database as a process.
+#[derive(Debug)]
+pub struct EndpointProgram {
+    model: Mutex<DatabaseModel>,
+    behaviour: EndpointBehaviour,
+    slots: Semaphore,
+    open: AtomicUsize,
+    next_connection: AtomicU64,
+    changed: Notify,
+}
+
+impl EndpointProgram {
+    /// Builds an empty database.
+    pub fn new(copy: u64, behaviour: EndpointBehaviour) -> Self {
+        Self {
+            model: Mutex::new(DatabaseModel::new(copy)),
+            behaviour,
+            slots: Semaphore::new(behaviour.slots),
+            open: AtomicUsize::new(0),
+            next_connection: AtomicU64::new(1),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Serves until the process is stopped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn serve(self, address: &str) -> Result<()> {
+        let program = Arc::new(self);
+        let listener =
+            TcpListener::bind(address).await.with_context(|| format!("cannot bind {address}"))?;
+        tokio::spawn(program.clone().replicate());
+        loop {
+            let (socket, _) = listener.accept().await?;
+            tokio::spawn(program.clone().serve_connection(socket));
+        }
+    }
+
+    async fn serve_connection(self: Arc<Self>, socket: TcpStream) {
+        drop(socket.set_nodelay(true));
+        let open = self.open.fetch_add(1, Ordering::Relaxed);
+        if open < self.behaviour.connections {
+            tokio::time::sleep(self.behaviour.connect).await;
+            let id = self.next_connection.fetch_add(1, Ordering::Relaxed);
+            let handler = Arc::new(ConnectionHandler { id, program: self.clone() });
+            if let Err(error) = process_socket(socket, None, ConnectionHandlers { handler }).await {
+                log::debug!("connection {id}: {error}");
+            }
+            self.model().disconnect(id);
+        }
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Pulls changes from the primary, over and over.
+    async fn replicate(self: Arc<Self>) {
+        loop {
+            let status = self.model().status();
+            let Some(address) = status.following else {
+                tokio::time::sleep(self.behaviour.lag).await;
+                continue;
+            };
+            if let Err(error) = self.pull_from(&address).await {
+                log::debug!("cannot replicate from {address}: {error:#}");
+                tokio::time::sleep(self.behaviour.lag).await;
+            }
+        }
+    }
+
+    async fn pull_from(&self, address: &str) -> Result<()> {
+        let target: SocketAddr = address.parse()?;
+        let mut config = tokio_postgres::Config::new();
+        config.host(target.ip().to_string()).port(target.port()).user("replica").dbname("replica");
+        let (client, connection) = config.connect(NoTls).await?;
+        let connection = tokio::spawn(connection);
+        let pulled = async {
+            loop {
+                let status = self.model().status();
+                if status.following.as_deref() != Some(address) {
+                    return Ok(());
+                }
+                let ends = to_hex(&rmp_serde::to_vec(&self.model().term_ends())?);
+                let query = format!("{CHANGES_PREFIX}{}, '{ends}')", status.adopted_term);
+                let rows = client.simple_query(&query).await?;
+                let row = rows.iter().find_map(|message| match message {
+                    SimpleQueryMessage::Row(row) => row.get(0),
+                    _ => None,
+                });
+                let batch: LogBatch = rmp_serde::from_slice(&from_hex(row.context("no row")?)?)?;
+                self.model().apply_batch(batch);
+                self.changed.notify_waiters();
+                tokio::time::sleep(self.behaviour.lag).await;
+            }
+        };
+        let outcome = pulled.await;
+        connection.abort();
+        outcome
+    }
+
+    async fn run(&self, id: ConnectionId, batch: &str) -> PgWireResult<Vec<Response>> {
+        if let Some(arguments) = batch.strip_prefix(CHANGES_PREFIX) {
+            return self.changes(arguments);
+        }
+        if let Some(arguments) = batch.strip_prefix(AWAIT_PREFIX) {
+            self.await_point(arguments).await;
+        }
+        let own = batch.starts_with(OWN_PREFIX);
+        let _slot = if own { None } else { self.slots.acquire().await.ok() };
+        if !own && !self.behaviour.work.is_zero() {
+            tokio::time::sleep(self.behaviour.work).await;
+        }
+        let results = self.model().execute(id, batch);
+        let results = results.map_err(|problem| sql_error(&problem.code, &problem.message))?;
+        let texts = batch.split(";\n");
+        Ok(results.iter().zip(texts).map(|(result, text)| respond(result, text)).collect())
+    }
+
+    async fn await_point(&self, arguments: &str) {
+        let numbers: Vec<u64> = arguments
+            .trim_end_matches(')')
+            .split(',')
+            .filter_map(|number| number.trim().parse().ok())
+            .collect();
+        let [term, position, wait_ms] = numbers[..] else { return };
+        let point = LogPoint { term, position };
+        let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let changed = self.changed.notified();
+            let status = self.model().status();
+            if status.reached(point) || status.adopted_term > term {
+                return;
+            }
+            if tokio::time::timeout_at(deadline, changed).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn changes(&self, arguments: &str) -> PgWireResult<Vec<Response>> {
+        let malformed = || sql_error("42601", "malformed arguments");
+        let arguments = arguments.trim_end_matches(')');
+        let (term, ends) = arguments.split_once(',').ok_or_else(malformed)?;
+        let term: u64 = term.trim().parse().map_err(|_| malformed())?;
+        let ends = from_hex(ends.trim().trim_matches('\'')).map_err(|_| malformed())?;
+        let ends = rmp_serde::from_slice(&ends).map_err(|_| malformed())?;
+        let batch = self.model().changes_after(term, &ends);
+        let batch = batch.ok_or_else(|| {
+            sql_error(endpoint_sql::STATE_WRONG_TERM, "not the primary of this term")
+        })?;
+        let bytes = rmp_serde::to_vec(&batch).map_err(|_| malformed())?;
+        let result = SqlResult {
+            columns: vec!["batch".to_owned()],
+            rows: vec![vec![Some(to_hex(&bytes))]],
+            affected: 1,
+        };
+        Ok(vec![respond(&result, "SELECT")])
+    }
+
+    fn model(&self) -> std::sync::MutexGuard<'_, DatabaseModel> {
+        self.model.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[derive(Debug)]
+struct ConnectionHandlers {
+    handler: Arc<ConnectionHandler>,
+}
+
+impl PgWireServerHandlers for ConnectionHandlers {
+    fn simple_query_handler(&self) -> Arc<impl SimpleQueryHandler> {
+        self.handler.clone()
+    }
+
+    fn startup_handler(&self) -> Arc<impl StartupHandler> {
+        self.handler.clone()
+    }
+}
+
+#[derive(Debug)]
+struct ConnectionHandler {
+    id: ConnectionId,
+    program: Arc<EndpointProgram>,
+}
+
+impl NoopStartupHandler for ConnectionHandler {}
+
+#[async_trait]
+impl SimpleQueryHandler for ConnectionHandler {
+    async fn do_query<C>(&self, _client: &mut C, query: &str) -> PgWireResult<Vec<Response>>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        self.program.run(self.id, query).await
+    }
+}
+
+fn respond(result: &SqlResult, text: &str) -> Response {
+    if result.columns.is_empty() {
+        let verb = text.split_whitespace().next().unwrap_or("OK").to_ascii_uppercase();
+        return Response::Execution(Tag::new(&verb).with_rows(result.affected as usize));
+    }
+    let field =
+        |name: &String| FieldInfo::new(name.clone(), None, None, Type::TEXT, FieldFormat::Text);
+    let fields = Arc::new(result.columns.iter().map(field).collect::<Vec<_>>());
+    let mut encoder = DataRowEncoder::new(fields.clone());
+    let rows: Vec<_> = result
+        .rows
+        .iter()
+        .map(|row| {
+            row.iter().try_for_each(|value| encoder.encode_field(value))?;
+            Ok(encoder.take_row())
+        })
+        .collect();
+    Response::Query(QueryResponse::new(fields, stream::iter(rows)))
+}
+
+fn sql_error(code: &str, message: &str) -> PgWireError {
+    let problem = error(code, message);
+    PgWireError::UserError(Box::new(ErrorInfo::new(
+        "ERROR".to_owned(),
+        problem.code,
+        problem.message,
+    )))
+}
+
+fn to_hex(bytes: &[u8]) -> String {
+    quetzaldeal::key_secret::to_hex(bytes)
+}
+
+fn from_hex(text: &str) -> Result<Vec<u8>> {
+    let digit = |index: usize| text.get(index..index + 2).context("odd number of digits");
+    (0..text.len()).step_by(2).map(|index| Ok(u8::from_str_radix(digit(index)?, 16)?)).collect()
+}
--- /dev/null
+++ b/stand-ins/src/load_run.rs
@@ -0,0 +1,351 @@
+//! Runs an experiment: an open loop of statements, and a table of how each account fared.
+
+use std::collections::BTreeMap;
+use std::io::Write as _;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio_postgres::Client;
+
+use crate::caller_story::{CallerLogin, is_not_run};
+use crate::load_plan::{AccountLoad, LoadPlan};
+
+/// Statements that wait for one connection before more are counted as late and dropped.
+const BACKLOG_MAX: usize = 4_096;
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(5);
+const ROUTE_KEYS: u32 = 300;
+const STATE_OVER_RATE: &str = "53400";
+
+/// How one account fared.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct AccountOutcome {
+    /// Statements offered.
+    pub offered: u64,
+    /// Statements that ran.
+    pub ran: u64,
+    /// Statements refused over the rate.
+    pub over_rate: u64,
+    /// Of these, statements that an exact bucket over the whole fleet would have admitted.
+    pub wrongly_refused: u64,
+    /// Statements refused otherwise, not run.
+    pub not_run: u64,
+    /// Statements whose effect is unknown.
+    pub unknown: u64,
+    /// Part of its entitlement that ran, from 0 to 1.
+    pub entitled_part: f64,
+    /// Latency quantiles of statements that ran, in milliseconds.
+    pub p50_ms: f64,
+    /// Exceeded by one in a hundred.
+    pub p99_ms: f64,
+    /// Exceeded by one in a thousand.
+    pub p999_ms: f64,
+    /// Longest time between two writes that ran, in milliseconds.
+    pub write_gap_ms: f64,
+}
+
+/// An exact bucket over the whole fleet, to judge refusals by.
+#[derive(Debug)]
+struct ExactBucket {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    at: Instant,
+}
+
+impl ExactBucket {
+    /// Takes a token if there is one; a statement that takes none was rightly refusable.
+    fn take(&mut self, now: Instant) -> bool {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.tokens = (self.tokens + passed * self.rate).min(self.burst);
+        self.at = now;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+#[derive(Debug)]
+struct AccountRecord {
+    outcome: AccountOutcome,
+    bucket: ExactBucket,
+    entitled: u64,
+    latencies: Histogram<u64>,
+    last_write: Option<Instant>,
+}
+
+type SharedRecord = Arc<Mutex<AccountRecord>>;
+
+struct OfferedStatement {
+    due: Instant,
+    text: String,
+    settings: Vec<String>,
+    write: bool,
+    entitled: bool,
+}
+
+/// Runs a plan, prints a table, and writes the report if a file is named.
+///
+/// # Errors
+///
+/// Fails when a host cannot be reached at the start.
+pub async fn run(plan: LoadPlan, report: Option<&str>) -> Result<()> {
+    let mut records = BTreeMap::new();
+    let mut tasks = Vec::new();
+    let started = Instant::now() + Duration::from_millis(500);
+    for (index, account) in plan.accounts.iter().enumerate() {
+        let record = Arc::new(Mutex::new(new_record(account, started)?));
+        records.insert(account.account.clone(), record.clone());
+        let senders = open_connections(&plan, account, &record).await?;
+        let plan = plan.clone();
+        let account = account.clone();
+        let seed = plan.seed.wrapping_add(index as u64);
+        tasks.push(tokio::spawn(offer(plan, account, record, senders, seed, started)));
+    }
+    let progress = tokio::spawn(show_progress(records.clone(), plan.seconds));
+    for task in tasks {
+        task.await?;
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    progress.abort();
+    let outcomes: BTreeMap<String, AccountOutcome> =
+        records.iter().map(|(name, record)| (name.clone(), conclude(record))).collect();
+    print_table(&outcomes)?;
+    if let Some(path) = report {
+        std::fs::write(path, serde_yaml_ng::to_string(&outcomes)?)
+            .with_context(|| format!("cannot write {path}"))?;
+    }
+    Ok(())
+}
+
+fn new_record(account: &AccountLoad, started: Instant) -> Result<AccountRecord> {
+    Ok(AccountRecord {
+        outcome: AccountOutcome::default(),
+        bucket: ExactBucket {
+            rate: account.rate,
+            burst: account.burst,
+            tokens: account.burst,
+            at: started,
+        },
+        entitled: 0,
+        latencies: Histogram::new(3)?,
+        last_write: None,
+    })
+}
+
+async fn open_connections(
+    plan: &LoadPlan,
+    account: &AccountLoad,
+    record: &SharedRecord,
+) -> Result<Vec<Vec<mpsc::Sender<OfferedStatement>>>> {
+    let mut senders = Vec::new();
+    for address in &plan.hosts {
+        let login = CallerLogin {
+            address: address.clone(),
+            account: account.account.clone(),
+            key: account.key.clone(),
+            service: plan.service.clone(),
+            group: String::new(),
+        };
+        let mut host = Vec::new();
+        for _ in 0..plan.connections {
+            let client = login.connect(None).await;
+            let client = client.with_context(|| format!("{} at {address}", account.account))?;
+            let (sender, receiver) = mpsc::channel(BACKLOG_MAX);
+            tokio::spawn(work(login.clone(), client, receiver, record.clone()));
+            host.push(sender);
+        }
+        senders.push(host);
+    }
+    Ok(senders)
+}
+
+/// Offers an account's statements at their times, whether or not earlier ones are answered.
+async fn offer(
+    plan: LoadPlan,
+    account: AccountLoad,
+    record: SharedRecord,
+    senders: Vec<Vec<mpsc::Sender<OfferedStatement>>>,
+    seed: u64,
+    started: Instant,
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut at = 0.0;
+    loop {
+        // Exponential times between statements: callers come independently of each other.
+        at += -(1.0 - rng.random::<f64>()).ln() / account.offered;
+        if at >= plan.seconds as f64 {
+            return;
+        }
+        let due = started + Duration::from_secs_f64(at);
+        tokio::time::sleep_until(due.into()).await;
+        let statement = make_statement(&plan, &record, &mut rng, due);
+        let host = if rng.random::<f64>() < plan.skew {
+            0
+        } else {
+            (rng.random::<u32>() as usize) % senders.len()
+        };
+        let connection = (rng.random::<u32>() as usize) % senders[host].len();
+        if senders[host][connection].try_send(statement).is_err() {
+            lock(&record).outcome.not_run += 1;
+        }
+    }
+}
+
+fn make_statement(
+    plan: &LoadPlan,
+    record: &SharedRecord,
+    rng: &mut StdRng,
+    due: Instant,
+) -> OfferedStatement {
+    let entitled = {
+        let mut record = lock(record);
+        record.outcome.offered += 1;
+        let entitled = record.bucket.take(due);
+        record.entitled += u64::from(entitled);
+        entitled
+    };
+    let route = rng.random::<u32>() % ROUTE_KEYS;
+    let read = rng.random::<f64>() < plan.read_part;
+    let aged = read && rng.random::<f64>() < plan.aged_part;
+    let age = if aged { plan.max_age_ms.to_string() } else { String::new() };
+    let text = if read {
+        format!("SELECT state FROM orders WHERE id = 'order-{route}'")
+    } else {
+        let id: u64 = rng.random();
+        format!("INSERT INTO orders (id, state) VALUES ('load-{id}', 'new')")
+    };
+    let settings = vec![
+        format!("SET quetzaldeal.route_key = '{route}'"),
+        format!("SET quetzaldeal.max_age_ms = '{age}'"),
+    ];
+    OfferedStatement { due, text, settings, write: !read, entitled }
+}
+
+/// Runs the statements of one connection in order.
+async fn work(
+    login: CallerLogin,
+    mut client: Client,
+    mut statements: mpsc::Receiver<OfferedStatement>,
+    record: SharedRecord,
+) {
+    while let Some(statement) = statements.recv().await {
+        if client.is_closed() {
+            match login.connect(None).await {
+                Ok(fresh) => client = fresh,
+                Err(_) => {
+                    lock(&record).outcome.not_run += 1;
+                    continue;
+                }
+            }
+        }
+        for setting in &statement.settings {
+            // A setting that fails shows in the outcome of the statement after it.
+            drop(client.simple_query(setting).await);
+        }
+        let answer = client.simple_query(&statement.text).await;
+        note(&record, &statement, answer.map(|_| ()));
+    }
+}
+
+fn note(
+    record: &SharedRecord,
+    statement: &OfferedStatement,
+    answer: Result<(), tokio_postgres::Error>,
+) {
+    let now = Instant::now();
+    let mut record = lock(record);
+    match answer {
+        Ok(()) => {
+            record.outcome.ran += 1;
+            let latency = now.saturating_duration_since(statement.due);
+            record.latencies.saturating_record(latency.as_micros() as u64);
+            if statement.write {
+                let gap = record.last_write.map_or(Duration::ZERO, |last| now - last);
+                let gap_ms = gap.as_secs_f64() * 1_000.0;
+                record.outcome.write_gap_ms = record.outcome.write_gap_ms.max(gap_ms);
+                record.last_write = Some(now);
+            }
+        }
+        Err(error) if error.code().is_some_and(|code| code.code() == STATE_OVER_RATE) => {
+            record.outcome.over_rate += 1;
+            record.outcome.wrongly_refused += u64::from(statement.entitled);
+        }
+        Err(error) if is_not_run(&error) => record.outcome.not_run += 1,
+        Err(_) => record.outcome.unknown += 1,
+    }
+}
+
+fn conclude(record: &SharedRecord) -> AccountOutcome {
+    let record = lock(record);
+    let mut outcome = record.outcome.clone();
+    let millis = |quantile: f64| record.latencies.value_at_quantile(quantile) as f64 / 1_000.0;
+    outcome.p50_ms = millis(0.5);
+    outcome.p99_ms = millis(0.99);
+    outcome.p999_ms = millis(0.999);
+    let entitled = record.entitled.max(1) as f64;
+    outcome.entitled_part = (outcome.ran as f64 / entitled).min(1.0);
+    outcome
+}
+
+async fn show_progress(records: BTreeMap<String, SharedRecord>, seconds: u64) {
+    let mut passed = 0;
+    loop {
+        tokio::time::sleep(PROGRESS_INTERVAL).await;
+        passed += PROGRESS_INTERVAL.as_secs();
+        let ran: u64 = records.values().map(|record| lock(record).outcome.ran).sum();
+        let line = format!("{passed} of {seconds} s: {ran} statements ran\n");
+        // Progress that cannot be shown is no reason to stop.
+        drop(std::io::stderr().write_all(line.as_bytes()));
+    }
+}
+
+fn print_table(outcomes: &BTreeMap<String, AccountOutcome>) -> Result<()> {
+    let mut out = std::io::stdout();
+    writeln!(
+        out,
+        "{:<16} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8} {:>9} {:>8} {:>8} {:>9} {:>8}",
+        "account",
+        "offered",
+        "ran",
+        "over rate",
+        "wrongly",
+        "not run",
+        "unknown",
+        "entitled",
+        "p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+        "gap ms"
+    )?;
+    for (name, outcome) in outcomes {
+        writeln!(
+            out,
+            "{name:<16} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8} {:>8.1}% {:>8.1} {:>8.1} {:>9.1} \
+             {:>8.0}",
+            outcome.offered,
+            outcome.ran,
+            outcome.over_rate,
+            outcome.wrongly_refused,
+            outcome.not_run,
+            outcome.unknown,
+            outcome.entitled_part * 100.0,
+            outcome.p50_ms,
+            outcome.p99_ms,
+            outcome.p999_ms,
+            outcome.write_gap_ms
+        )?;
+    }
+    Ok(())
+}
+
+fn lock(record: &SharedRecord) -> std::sync::MutexGuard<'_, AccountRecord> {
+    record.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/stand-ins/src/platform_program.rs
@@ -0,0 +1,119 @@
+//! The platform's service as a process: the model behind HTTP.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::Result;
+use quetzaldeal::http_call;
+use quetzaldeal::platform_driver::PLATFORM_PATH;
+use quetzaldeal::platform_message::{PlatformReply, PlatformRequest};
+use tokio::sync::Notify;
+use volo_http::http::StatusCode;
+use volo_http::server::route::Router;
+
+use crate::fault_message::{FAULT_PATH, PlatformFaults};
+use crate::platform_model::{CallCounts, PlatformModel};
+
+/// Path that the counted calls are read at.
+pub const COUNTS_PATH: &str = "/v1/counts";
+/// How long an outage leaves a call unanswered.
+const OUTAGE_SILENCE: Duration = Duration::from_secs(30);
+
+/// The platform's service.
+#[derive(Debug, Default)]
+pub struct PlatformProgram {
+    model: Mutex<PlatformModel>,
+    faults: Mutex<PlatformFaults>,
+    changed: Notify,
+}
+
+type Answer = Result<PlatformReply, (StatusCode, String)>;
+
+impl PlatformProgram {
+    /// Serves until the process is stopped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn serve(self, address: &str) -> Result<()> {
+        let program = Arc::new(self);
+        let store = program.clone();
+        let router = http_call::route_messages(Router::new(), PLATFORM_PATH, move |request| {
+            let program = store.clone();
+            async move { program.answer(request).await }
+        });
+        let counts = program.clone();
+        let router = http_call::route_messages(router, COUNTS_PATH, move |(): ()| {
+            let CallCounts { reads, writes } = counts.model().counts();
+            async move { Ok((reads, writes)) }
+        });
+        let router = http_call::route_messages(router, FAULT_PATH, move |faults| {
+            *program.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+            async move { Ok(()) }
+        });
+        http_call::serve(address, router).await
+    }
+
+    async fn answer(&self, request: PlatformRequest) -> Answer {
+        let faults = self.faults();
+        if faults.outage {
+            return self.stay_silent().await;
+        }
+        tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+        if let PlatformRequest::Watch { prefix, after, wait_ms } = &request {
+            return self.watch(&request, prefix, *after, Duration::from_millis(*wait_ms)).await;
+        }
+        let reply = self.model().handle(&request);
+        if matches!(reply, Some(PlatformReply::Swapped { .. })) {
+            self.changed.notify_waiters();
+            if self.take_lost_answer() {
+                return self.stay_silent().await;
+            }
+        }
+        reply.ok_or((StatusCode::BAD_REQUEST, "no answer".to_owned()))
+    }
+
+    async fn watch(
+        &self,
+        request: &PlatformRequest,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Answer {
+        let deadline = tokio::time::Instant::now() + wait;
+        let mut found = self.model().handle(request);
+        loop {
+            if self.faults().outage {
+                return self.stay_silent().await;
+            }
+            if let Some(reply) = found {
+                return Ok(reply);
+            }
+            let changed = self.changed.notified();
+            found = self.model().changes(prefix, after);
+            if found.is_none() && tokio::time::timeout_at(deadline, changed).await.is_err() {
+                return Ok(self.model().snapshot(prefix, after));
+            }
+        }
+    }
+
+    async fn stay_silent(&self) -> Answer {
+        tokio::time::sleep(OUTAGE_SILENCE).await;
+        Err((StatusCode::SERVICE_UNAVAILABLE, "outage".to_owned()))
+    }
+
+    fn take_lost_answer(&self) -> bool {
+        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        let lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        lost
+    }
+
+    fn faults(&self) -> PlatformFaults {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn model(&self) -> std::sync::MutexGuard<'_, PlatformModel> {
+        self.model.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/stand-ins/src/sql_engine.rs
@@ -0,0 +1,329 @@
+//! Runs the few forms of SQL that the stand-in databases know.
+
+use quetzaldeal::endpoint_message::LogPoint;
+use quetzaldeal::endpoint_sql::{self, SqlError, SqlResult};
+use sqlparser::ast::{self, Expr, SetExpr, Statement};
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+
+use crate::database_model::{ConnectionId, DatabaseModel, error};
+use crate::table_store::{SmallTable, TableChange};
+
+const STATE_SYNTAX: &str = "42601";
+const STATE_READ_ONLY: &str = "25006";
+const STATE_FAILED_TRANSACTION: &str = "25P02";
+
+/// Runs a batch of statements as one implicit transaction, unless one is open.
+///
+/// # Errors
+///
+/// The first statement's error; the implicit transaction is rolled back.
+pub fn execute(
+    database: &mut DatabaseModel,
+    connection: ConnectionId,
+    batch: &str,
+) -> Result<Vec<SqlResult>, SqlError> {
+    let statements = Parser::parse_sql(&PostgreSqlDialect {}, batch)
+        .map_err(|problem| error(STATE_SYNTAX, &problem.to_string()))?;
+    let explicit = database.transaction(connection).is_some();
+    if !explicit {
+        database.begin(connection);
+    }
+    let mut run = BatchRun { database, connection, explicit };
+    let mut results = Vec::new();
+    for statement in &statements {
+        match run.statement(statement) {
+            Ok(result) => results.push(result),
+            Err(problem) => {
+                run.fail();
+                return Err(problem);
+            }
+        }
+    }
+    run.finish()?;
+    Ok(results)
+}
+
+struct BatchRun<'a> {
+    database: &'a mut DatabaseModel,
+    connection: ConnectionId,
+    explicit: bool,
+}
+
+impl BatchRun<'_> {
+    fn statement(&mut self, statement: &Statement) -> Result<SqlResult, SqlError> {
+        let failed = self.pending(|transaction| transaction.failed);
+        let ends = matches!(statement, Statement::Commit { .. } | Statement::Rollback { .. });
+        if failed && !ends && self.explicit {
+            return Err(error(STATE_FAILED_TRANSACTION, "the transaction is aborted"));
+        }
+        match statement {
+            Statement::StartTransaction { .. } => {
+                self.explicit = true;
+                Ok(SqlResult::default())
+            }
+            Statement::Commit { .. } => self.commit(),
+            Statement::Rollback { .. } => {
+                self.database.take_transaction(self.connection);
+                self.explicit = false;
+                self.database.begin(self.connection);
+                Ok(SqlResult::default())
+            }
+            Statement::Set(ast::Set::SetTransaction { .. }) => {
+                if let Some(transaction) = self.database.transaction(self.connection) {
+                    transaction.read_only = true;
+                }
+                Ok(SqlResult::default())
+            }
+            Statement::Set(_) => Ok(SqlResult::default()),
+            Statement::CreateTable(table) => {
+                let columns = table.columns.iter().map(|column| column.name.value.clone());
+                let change = TableChange::Create {
+                    table: table.name.to_string(),
+                    columns: columns.collect(),
+                };
+                self.write(change)
+            }
+            Statement::Insert(insert) => self.insert(insert),
+            Statement::Update(update) => self.update(update),
+            Statement::Delete(delete) => self.delete(delete),
+            Statement::Query(query) => self.query(query),
+            other => Err(error(STATE_SYNTAX, &format!("not known here: {other}"))),
+        }
+    }
+
+    fn commit(&mut self) -> Result<SqlResult, SqlError> {
+        let transaction = self.database.take_transaction(self.connection).unwrap_or_default();
+        self.explicit = false;
+        self.database.begin(self.connection);
+        if transaction.failed {
+            let state = endpoint_sql::STATE_WRONG_TERM;
+            return Err(error(state, "the transaction was ended by a fence or an error"));
+        }
+        self.database.commit(transaction.changes)?;
+        Ok(SqlResult::default())
+    }
+
+    /// Commits an implicit transaction.
+    fn finish(self) -> Result<(), SqlError> {
+        if self.explicit {
+            return Ok(());
+        }
+        let transaction = self.database.take_transaction(self.connection).unwrap_or_default();
+        self.database.commit(transaction.changes)
+    }
+
+    fn fail(self) {
+        if !self.explicit {
+            self.database.take_transaction(self.connection);
+        } else if let Some(transaction) = self.database.transaction(self.connection) {
+            transaction.failed = true;
+        }
+    }
+
+    fn pending<T: Default>(
+        &mut self,
+        read: impl Fn(&crate::database_model::OpenTransaction) -> T,
+    ) -> T {
+        self.database.transaction(self.connection).map(|open| read(open)).unwrap_or_default()
+    }
+
+    fn changes(&mut self) -> Vec<TableChange> {
+        self.pending(|transaction| transaction.changes.clone())
+    }
+
+    fn view(&mut self, table: &str) -> SmallTable {
+        let pending = self.changes();
+        self.database.tables().view(table, &pending).unwrap_or_default()
+    }
+
+    fn write(&mut self, change: TableChange) -> Result<SqlResult, SqlError> {
+        let primary = self.database.status().primary;
+        let read_only = self.pending(|transaction| transaction.read_only);
+        if read_only || !primary {
+            return Err(error(STATE_READ_ONLY, "cannot write in a read-only transaction"));
+        }
+        if let Some(transaction) = self.database.transaction(self.connection) {
+            transaction.changes.push(change);
+        }
+        Ok(SqlResult { affected: 1, ..SqlResult::default() })
+    }
+
+    fn insert(&mut self, insert: &ast::Insert) -> Result<SqlResult, SqlError> {
+        let table = insert.table.to_string();
+        let Some(SetExpr::Values(values)) = insert.source.as_ref().map(|query| &*query.body) else {
+            return Err(error(STATE_SYNTAX, "INSERT takes VALUES"));
+        };
+        let known = self.database.tables().columns(&table).is_some();
+        if !known && !insert.columns.is_empty() {
+            let columns = insert.columns.iter().map(ToString::to_string).collect();
+            self.write(TableChange::Create { table: table.clone(), columns })?;
+        }
+        let mut affected = 0;
+        for row in &values.rows {
+            let mut row: Vec<String> = row.iter().map(literal).collect();
+            if table == endpoint_sql::REQUESTS_TABLE {
+                row = vec![row.join("/")];
+            }
+            let pending = self.changes();
+            if self.database.tables().row(&table, &row[0], &pending).is_some() {
+                let message = format!("duplicate key {} in table {table}", row[0]);
+                return Err(error(endpoint_sql::STATE_DUPLICATE, &message));
+            }
+            self.write(TableChange::Put { table: table.clone(), row })?;
+            affected += 1;
+        }
+        Ok(SqlResult { affected, ..SqlResult::default() })
+    }
+
+    fn update(&mut self, update: &ast::Update) -> Result<SqlResult, SqlError> {
+        let table = update.table.to_string();
+        let view = self.view(&table);
+        let mut affected = 0;
+        for row in matching(&view, update.selection.as_ref()) {
+            let mut row = row.clone();
+            for assignment in &update.assignments {
+                let target = assignment.target.to_string();
+                let Some(index) = view.columns.iter().position(|column| *column == target) else {
+                    return Err(error(STATE_SYNTAX, &format!("no column {target}")));
+                };
+                row[index] = evaluate(&assignment.value, &view, &row);
+            }
+            self.write(TableChange::Put { table: table.clone(), row })?;
+            affected += 1;
+        }
+        Ok(SqlResult { affected, ..SqlResult::default() })
+    }
+
+    fn delete(&mut self, delete: &ast::Delete) -> Result<SqlResult, SqlError> {
+        let ast::FromTable::WithFromKeyword(from) = &delete.from else {
+            return Err(error(STATE_SYNTAX, "DELETE takes FROM"));
+        };
+        let table = from.first().map(ToString::to_string).unwrap_or_default();
+        let view = self.view(&table);
+        let mut affected = 0;
+        for row in matching(&view, delete.selection.as_ref()) {
+            self.write(TableChange::Remove { table: table.clone(), key: row[0].clone() })?;
+            affected += 1;
+        }
+        Ok(SqlResult { affected, ..SqlResult::default() })
+    }
+
+    fn query(&mut self, query: &ast::Query) -> Result<SqlResult, SqlError> {
+        let SetExpr::Select(select) = &*query.body else {
+            return Err(error(STATE_SYNTAX, "only SELECT is known here"));
+        };
+        let from = select.from.first().map(|from| from.to_string()).unwrap_or_default();
+        let call = if from.is_empty() {
+            select.projection.first().map(ToString::to_string).unwrap_or_default()
+        } else {
+            from.clone()
+        };
+        if let Some(call) = call.strip_prefix("quetzaldeal.") {
+            return self.function(call);
+        }
+        let view = self.view(&from);
+        Ok(project(&view, select, from.is_empty()))
+    }
+
+    fn function(&mut self, call: &str) -> Result<SqlResult, SqlError> {
+        let (name, arguments) = call.split_once('(').unwrap_or((call, ""));
+        let arguments: Vec<&str> =
+            arguments.trim_end_matches(')').split(',').map(|text| text.trim()).collect();
+        let number = |index: usize| -> u64 {
+            arguments.get(index).and_then(|text| text.parse().ok()).unwrap_or_default()
+        };
+        let status = self.database.status();
+        match name {
+            "status" | "await" => {}
+            "fence" => self.database.fence(number(0)),
+            "promote" => {
+                let least = LogPoint { term: number(1), position: number(2) };
+                self.database.promote(number(0), least);
+            }
+            "follow" => {
+                let address = arguments.get(1).map(|text| text.trim_matches('\''));
+                self.database.follow(number(0), address.unwrap_or_default());
+            }
+            "write_guard" if !status.primary || status.adopted_term != number(0) => {
+                let message = format!("term {} is in force", status.adopted_term);
+                return Err(error(endpoint_sql::STATE_WRONG_TERM, &message));
+            }
+            "read_guard" => {
+                let point = LogPoint { term: number(0), position: number(1) };
+                if !status.reached(point) {
+                    return Err(error(endpoint_sql::STATE_BEHIND, "the log is behind"));
+                }
+            }
+            "write_guard" => {}
+            _ => return Err(error(STATE_SYNTAX, &format!("no function {name}"))),
+        }
+        Ok(endpoint_sql::write_status(&self.database.status()))
+    }
+}
+
+fn literal(expression: &Expr) -> String {
+    match expression {
+        Expr::Value(value) => match &value.value {
+            ast::Value::SingleQuotedString(text) | ast::Value::EscapedStringLiteral(text) => {
+                text.clone()
+            }
+            other => other.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
+
+/// Computes a literal, a column, or a sum of the two.
+fn evaluate(expression: &Expr, table: &SmallTable, row: &[String]) -> String {
+    match expression {
+        Expr::Identifier(name) => {
+            let index = table.columns.iter().position(|column| *column == name.value);
+            index.and_then(|index| row.get(index)).cloned().unwrap_or_default()
+        }
+        Expr::BinaryOp { left, op: ast::BinaryOperator::Plus, right } => {
+            let number = |side: &Expr| evaluate(side, table, row).parse::<i64>().unwrap_or(0);
+            (number(left) + number(right)).to_string()
+        }
+        other => literal(other),
+    }
+}
+
+fn matching<'a>(table: &'a SmallTable, selection: Option<&Expr>) -> Vec<&'a Vec<String>> {
+    let wanted = |row: &&Vec<String>| match selection {
+        Some(Expr::BinaryOp { left, op: ast::BinaryOperator::Eq, right }) => {
+            evaluate(left, table, row) == evaluate(right, table, row)
+        }
+        _ => true,
+    };
+    table.rows.values().filter(wanted).collect()
+}
+
+fn project(table: &SmallTable, select: &ast::Select, constant: bool) -> SqlResult {
+    let empty = Vec::new();
+    let rows = if constant { vec![&empty] } else { matching(table, select.selection.as_ref()) };
+    let names: Vec<String> = select.projection.iter().map(ToString::to_string).collect();
+    if names == ["count(*)"] || names == ["COUNT(*)"] {
+        let count = rows.len().to_string();
+        return SqlResult {
+            columns: vec!["count".to_owned()],
+            rows: vec![vec![Some(count)]],
+            affected: 1,
+        };
+    }
+    if names == ["*"] {
+        let rows: Vec<_> =
+            rows.into_iter().map(|row| row.iter().cloned().map(Some).collect()).collect();
+        return SqlResult { columns: table.columns.clone(), affected: rows.len() as u64, rows };
+    }
+    let cell = |item: &ast::SelectItem, row: &[String]| match item {
+        ast::SelectItem::UnnamedExpr(expression)
+        | ast::SelectItem::ExprWithAlias { expr: expression, .. } => {
+            Some(evaluate(expression, table, row))
+        }
+        _ => None,
+    };
+    let line = |row: &Vec<String>| select.projection.iter().map(|item| cell(item, row)).collect();
+    let rows: Vec<Vec<Option<String>>> = rows.into_iter().map(line).collect();
+    SqlResult { columns: names, affected: rows.len() as u64, rows }
+}
