test: scripted scenarios on real cores, and what they found

Cause: nothing was proved yet. Fifteen scenarios drive the real core among small fakes in virtual time; after each event the truth of the fakes is checked.

Found by them, and mended: - COMMIT after the transaction's connection had died was answered as committed. The transaction is now kept as lost until the caller ends it, and COMMIT says "not run". - A host started without memory that reached only peers fetched no parts of the configuration. It now asks its seeds. - A host that heard most, not all, data centres took silence of the platform for an outage, and so kept serving a key withdrawn through the remaining one. Every data centre in service must be heard now. - Taking out a primary's data centre cut open transactions at once. They now have 2.5 s.

--- a/src/caller_flow.rs
+++ b/src/caller_flow.rs
@@ -169,6 +169,7 @@
         settings: CallerSettings::default(),
         statement: None,
         transaction: None,
+        transaction_lost: false,
     };
     let key = ctx.callers.insert(state);
     let outcome = check_proof(ctx, key)
--- a/src/caller_state.rs
+++ b/src/caller_state.rs
@@ -63,4 +63,18 @@
     pub statement: Option<StatementKey>,
     /// Its open transaction.
     pub transaction: Option<OpenTransaction>,
+    /// Whether its transaction was rolled back unasked; the caller has yet to end it.
+    pub transaction_lost: bool,
+}
+
+impl CallerState {
+    /// Whether the caller has begun a transaction that it has not ended.
+    pub fn in_transaction(&self) -> bool {
+        self.transaction.is_some() || self.transaction_lost
+    }
+
+    /// Notes that the open transaction, if there is one, was rolled back unasked.
+    pub fn lose_transaction(&mut self) {
+        self.transaction_lost |= self.transaction.take().is_some();
+    }
 }
--- a/src/config_flow.rs
+++ b/src/config_flow.rs
@@ -72,7 +72,10 @@
 /// Asks the platform and a random peer for each missing part.
 pub fn fetch_missing(ctx: &mut CoreContext) {
     let usable = ctx.peers.peers.values().filter(|peer| peer.heard.is_some());
-    let addresses: Vec<String> = usable.map(|peer| peer.address.clone()).collect();
+    let mut addresses: Vec<String> = usable.map(|peer| peer.address.clone()).collect();
+    if addresses.is_empty() {
+        addresses.clone_from(&ctx.identity.seeds);
+    }
     for hash in ctx.config.missing_parts() {
         let key = config_head::part_key(&hash);
         let purpose = CallPurpose::Part { hash: hash.clone() };
--- a/src/connection_flow.rs
+++ b/src/connection_flow.rs
@@ -158,7 +158,7 @@
     if let Some(caller) = state.pinned
         && let Some(caller) = ctx.callers.get_mut(caller)
     {
-        caller.transaction = None;
+        caller.lose_transaction();
     }
     discard(ctx, connection, "failed");
     if role == ConnectionRole::Status {
--- a/src/core_context.rs
+++ b/src/core_context.rs
@@ -233,7 +233,19 @@
         if self.peers.platform.is_some_and(|at| at >= since) {
             return true;
         }
-        self.config.pending.is_none() && self.majority_heard(since)
+        self.config.pending.is_none() && self.all_heard(since)
+    }
+
+    /// Whether every other data centre in service was heard at `since` or later.
+    ///
+    /// Only then does silence of the platform mean that it is out: a data centre that still
+    /// reached it would have told of a newer configuration.
+    pub fn all_heard(&self, since: ClockTime) -> bool {
+        let own = &self.identity.data_centre;
+        let in_service = self.config.world.centres.values().filter(|centre| centre.in_service);
+        let mut others = in_service.filter(|centre| centre.name != *own);
+        let heard = |at: &ClockTime| *at >= since;
+        others.all(|centre| self.peers.centres.get(&centre.name).is_some_and(heard))
     }
 
     /// Whether more than half of the data centres were heard at `since` or later.
--- a/src/failover_flow.rs
+++ b/src/failover_flow.rs
@@ -7,6 +7,8 @@
 //! claimant that pauses or dies half way loses to the next claim; whatever it still does is
 //! refused by the copies or by the record.
 
+use std::time::Duration;
+
 use crate::arena_keys::{EndpointKey, GroupKey};
 use crate::call_purpose::CallPurpose;
 use crate::confirm_flow;
@@ -31,6 +33,8 @@
 const FENCE_GRACE_MS: u64 = 150;
 /// Time that the first election of a group waits for all copies, in milliseconds.
 const FIRST_GRACE_MS: u64 = 1_000;
+/// Time between the taking out of a primary's endpoint and the change of primary.
+const LEAVE_GRACE: Duration = Duration::from_millis(2_500);
 /// Age of a status at which a peer still vouches for a primary, in milliseconds.
 const VOUCH_AGE_MS: u64 = 1_000;
 
@@ -251,7 +255,9 @@
         return Some(SuspectReason::Isolated);
     }
     let leaving = !ctx.endpoints[primary].in_service && successor_ready(ctx, group, primary);
-    leaving.then_some(SuspectReason::Leaving)
+    // Open transactions get some time to end: a fence ends them.
+    let settled = ctx.now.since(ctx.config.adopted.max(state.record_at)) >= LEAVE_GRACE;
+    (leaving && settled).then_some(SuspectReason::Leaving)
 }
 
 fn suspect(ctx: &mut CoreContext, group: GroupKey) {
--- a/src/request_verdict.rs
+++ b/src/request_verdict.rs
@@ -45,6 +45,8 @@
     DeadlinePassed,
     /// The connection to the endpoint broke.
     ConnectionLost,
+    /// The transaction was rolled back when its connection was lost.
+    TransactionLost,
     /// The primary was replaced before the write was confirmed.
     PrimaryReplaced,
     /// The session token is malformed, or was issued for another account.
@@ -105,6 +107,7 @@
             (VerdictCause::Draining, _) => "57P01",
             (VerdictCause::DeadlinePassed, _) => "57014",
             (VerdictCause::ConnectionLost | VerdictCause::PrimaryReplaced, _) => "08006",
+            (VerdictCause::TransactionLost, _) => "40000",
             (VerdictCause::TokenInvalid, _) => "22023",
             (VerdictCause::StatementInvalid { .. }, _) => "0A000",
         }
@@ -128,6 +131,9 @@
             VerdictCause::Draining => "this host is leaving service".to_owned(),
             VerdictCause::DeadlinePassed => "the deadline passed".to_owned(),
             VerdictCause::ConnectionLost => "the connection to the endpoint was lost".to_owned(),
+            VerdictCause::TransactionLost => {
+                "the transaction was rolled back when its connection was lost".to_owned()
+            }
             VerdictCause::PrimaryReplaced => {
                 "the primary was replaced before the write was confirmed".to_owned()
             }
--- a/src/statement_flow.rs
+++ b/src/statement_flow.rs
@@ -177,7 +177,7 @@
     count(ctx, &state, &verdict);
     if let Some(caller) = ctx.callers.get_mut(state.caller) {
         caller.statement = None;
-        let in_transaction = caller.transaction.is_some();
+        let in_transaction = caller.in_transaction();
         let caller = caller.id;
         ctx.actions.push(CoreAction::AnswerCaller { caller, verdict, body, in_transaction });
         drain_flow::after_answer(ctx, state.caller);
@@ -205,6 +205,7 @@
             let body = caller_flow::show_option(ctx, caller, &name)?;
             answer_now(ctx, caller, body)
         }
+        _ if ctx.callers[caller].transaction_lost => end_lost(ctx, caller, &class),
         _ if ctx.callers[caller].transaction.is_some() => begin_within(ctx, caller, text, class),
         StatementClass::Commit | StatementClass::Rollback => {
             answer_now(ctx, caller, tagged(step_tag(&class)))
@@ -213,6 +214,20 @@
     }
 }
 
+/// Answers a caller whose transaction was rolled back unasked, until it ends the transaction.
+fn end_lost(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    class: &StatementClass,
+) -> Result<(), RequestVerdict> {
+    let ends = matches!(class, StatementClass::Commit | StatementClass::Rollback);
+    ctx.callers[caller].transaction_lost = !ends;
+    if *class == StatementClass::Rollback {
+        return answer_now(ctx, caller, tagged(step_tag(class)));
+    }
+    Err(RequestVerdict::not_run(VerdictCause::TransactionLost, None))
+}
+
 /// Starts a statement of its own, or one that begins a transaction.
 fn begin_outside(
     ctx: &mut CoreContext,
@@ -358,7 +373,7 @@
     let Some(transaction) = ctx.callers[caller].transaction else { return Err(lost) };
     let pinned = ctx.connections.get(transaction.connection);
     if pinned.is_none_or(|connection| connection.cursor.state() != "pinned") {
-        ctx.callers[caller].transaction = None;
+        ctx.callers[caller].lose_transaction();
         return Err(lost);
     }
     dispatch(ctx, statement, transaction.connection);
@@ -438,7 +453,7 @@
         }
         _ => RequestVerdict::may_have_run(VerdictCause::ConnectionLost),
     };
-    ctx.callers[state.caller].transaction = None;
+    leave_transaction(ctx, statement);
     finish(ctx, statement, verdict, AnswerBody::default());
 }
 
@@ -463,14 +478,26 @@
 }
 
 fn end_transaction(ctx: &mut CoreContext, caller: CallerKey, transaction: OpenTransaction) {
-    ctx.callers[caller].transaction = None;
+    ctx.callers[caller].lose_transaction();
     connection_flow::discard(ctx, transaction.connection, "discarded");
 }
 
+/// Takes the caller out of the transaction whose connection is gone. A statement that was to end
+/// the transaction has ended it, one way or the other.
+fn leave_transaction(ctx: &mut CoreContext, statement: StatementKey) {
+    let state = &ctx.statements[statement];
+    let ends = matches!(state.request.step, TransactionStep::Commit | TransactionStep::Rollback);
+    let caller = &mut ctx.callers[state.caller];
+    if ends {
+        caller.transaction = None;
+    } else {
+        caller.lose_transaction();
+    }
+}
+
 fn give_up(ctx: &mut CoreContext, statement: StatementKey, verdict: RequestVerdict) {
-    let caller = ctx.statements[statement].caller;
     if matches!(ctx.statements[statement].phase, StatementPhase::Running { .. }) {
-        ctx.callers[caller].transaction = None;
+        leave_transaction(ctx, statement);
     }
     finish(ctx, statement, verdict, AnswerBody::default());
 }
@@ -523,7 +550,7 @@
 fn refuse(ctx: &mut CoreContext, caller: CallerKey, verdict: RequestVerdict) {
     let state = &ctx.callers[caller];
     let (id, account) = (state.id, state.account);
-    let in_transaction = state.transaction.is_some();
+    let in_transaction = state.in_transaction();
     ctx.accounts[account].counts.not_run += 1;
     let body = AnswerBody::default();
     ctx.actions.push(CoreAction::AnswerCaller { caller: id, verdict, body, in_transaction });
@@ -536,7 +563,7 @@
     body: AnswerBody,
 ) -> Result<(), RequestVerdict> {
     let state = &ctx.callers[caller];
-    let (caller, in_transaction) = (state.id, state.transaction.is_some());
+    let (caller, in_transaction) = (state.id, state.in_transaction());
     let verdict = RequestVerdict::ran();
     ctx.actions.push(CoreAction::AnswerCaller { caller, verdict, body, in_transaction });
     Ok(())
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,344 @@
+//! Scripted scenarios: each file under `tests/scenarios/` is a story told to real cores.
+
+mod fleet_fakes;
+
+use std::collections::HashMap;
+use std::fmt::Write as _;
+
+use datadriven::TestCase;
+use fleet_fakes::fleet_truth;
+use fleet_fakes::fleet_world;
+use fleet_fakes::FakeFleet;
+use quetzaldeal::request_verdict::{RequestFate, RequestVerdict};
+use quetzaldeal::world_file::WorldFile;
+
+/// Seed of all randomness in scenarios.
+const SEED: u64 = 7;
+/// Longest wait of a statement in virtual time, in milliseconds.
+const ANSWER_LIMIT_MS: u64 = 8_000;
+
+/// Names each scenario file as a test case.
+macro_rules! scenarios {
+    ($($name:ident),* $(,)?) => {
+        $(
+            #[test]
+            fn $name() {
+                run_file(concat!("tests/scenarios/", stringify!($name), ".txt"));
+            }
+        )*
+    };
+}
+
+scenarios! {
+    at_most_once,
+    configuration,
+    cut_off_centre,
+    draining,
+    keys,
+    open_routes,
+    overload,
+    platform_outage,
+    read_your_writes,
+    rebuilt_copy,
+    replaced_primary,
+    shares,
+    silent_connections,
+    stated_age,
+    transactions,
+}
+
+fn run_file(path: &str) {
+    let mut story = Story { fleet: None, keys: HashMap::new() };
+    datadriven::walk(path, |file| file.run(|case| story.tell(case)));
+}
+
+/// A story in progress.
+struct Story {
+    fleet: Option<FakeFleet>,
+    keys: HashMap<String, String>,
+}
+
+impl Story {
+    fn tell(&mut self, case: &TestCase) -> String {
+        let mut case = case.clone_parts();
+        let mut output = self.directive(&mut case);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.truth.check_logs(&fleet.platform, &fleet.bases);
+            for fault in std::mem::take(&mut fleet.truth.faults) {
+                writeln!(output, "FAULT: {fault}").unwrap();
+            }
+        }
+        if output.is_empty() { "ok\n".to_owned() } else { output }
+    }
+
+    fn directive(&mut self, case: &mut CaseParts) -> String {
+        if case.directive == "fleet" {
+            return self.build(case);
+        }
+        let keys = self.keys.clone();
+        let fleet = self.fleet.as_mut().expect("start with `fleet`");
+        match case.directive.as_str() {
+            "run" => fleet.run_ms(case.number("ms", 1_000)),
+            "kill" => fleet.kill(&case.text("name")),
+            "start" => fleet.start(&case.text("name")),
+            "pause" => fleet.pause(&case.text("name")),
+            "resume" => fleet.resume(&case.text("name")),
+            "cut" => fleet.cut(&case.text("from"), &case.text("to")),
+            "heal" if case.args.is_empty() => fleet.heal_all(),
+            "heal" => fleet.heal(&case.text("from"), &case.text("to")),
+            "silence" => fleet.silence(&case.text("name")),
+            "lag" => fleet.bases.get_mut(&case.text("name")).unwrap().lag_ms = case.number("ms", 10),
+            "work" => fleet.bases.get_mut(&case.text("name")).unwrap().work_ms = case.number("ms", 0),
+            "outage" => fleet.outage = case.text("on") == "true",
+            "slow_platform" => fleet.slow_ms = case.number("ms", 0),
+            "lose_answers" => fleet.lose_answers = case.number("count", 1) as u32,
+            "stop" => fleet.drain(&case.text("name")),
+            "publish" => return publish(fleet, &case.input),
+            "open" => return open(fleet, case, &keys),
+            "close" => fleet.close(&case.text("caller")),
+            "ask" => return ask(fleet, case),
+            "send" => fleet.send(&case.text("caller"), case.input.trim()),
+            "answer" => return answer(fleet, &case.text("caller")),
+            "load" => return load(fleet, case, &keys),
+            "primary" => return primary(fleet, &case.text("group")),
+            "versions" => return versions(fleet),
+            "settled" => {
+                let FakeFleet { truth, platform, bases, .. } = fleet;
+                truth.check_settled(platform, bases);
+            }
+            other => panic!("unknown directive {other}"),
+        }
+        String::new()
+    }
+
+    fn build(&mut self, case: &mut CaseParts) -> String {
+        let centres = case.args.remove("centres").unwrap_or_else(|| vec!["a".to_owned()]);
+        let hosts = case.number("hosts", 1) as usize;
+        let groups = case.number("groups", 1) as usize;
+        let mut accounts = Vec::new();
+        for line in case.input.lines() {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            accounts.push((words[0].to_owned(), words[1].parse().unwrap(), words[2].parse().unwrap()));
+        }
+        let built = fleet_world::build(&centres, hosts, groups, &accounts);
+        self.keys = built.keys.into_iter().collect();
+        let mut fleet = FakeFleet::new(built.world, SEED);
+        fleet.truth.secrets = self.keys.values().cloned().collect();
+        fleet.run_ms(case.number("ready_ms", 8_000));
+        self.fleet = Some(fleet);
+        String::new()
+    }
+}
+
+/// A directive's parts, taken apart.
+struct CaseParts {
+    directive: String,
+    args: HashMap<String, Vec<String>>,
+    input: String,
+}
+
+trait CloneParts {
+    fn clone_parts(&self) -> CaseParts;
+}
+
+impl CloneParts for TestCase {
+    fn clone_parts(&self) -> CaseParts {
+        CaseParts {
+            directive: self.directive.clone(),
+            args: self.args.clone(),
+            input: self.input.clone(),
+        }
+    }
+}
+
+impl CaseParts {
+    fn find(&self, name: &str) -> Option<String> {
+        self.args.get(name).and_then(|values| values.first()).cloned()
+    }
+
+    fn text(&self, name: &str) -> String {
+        self.find(name).unwrap_or_else(|| panic!("{}: no argument {name}", self.directive))
+    }
+
+    fn number(&self, name: &str, default: u64) -> u64 {
+        self.find(name).map_or(default, |text| text.parse().unwrap())
+    }
+}
+
+/// Publishes the present objects with changes, one a line.
+fn publish(fleet: &mut FakeFleet, changes: &str) -> String {
+    let mut world = fleet.world.clone();
+    let mut added = String::new();
+    for line in changes.lines() {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words.as_slice() {
+            ["withdraw", key] => drop(world.keys.remove(*key)),
+            ["drain", "centre", name] => world.centres.get_mut(*name).unwrap().in_service = false,
+            ["restore", "centre", name] => world.centres.get_mut(*name).unwrap().in_service = true,
+            ["drain", "endpoint", name] => world.endpoints.get_mut(*name).unwrap().in_service = false,
+            ["restore", "endpoint", name] => world.endpoints.get_mut(*name).unwrap().in_service = true,
+            ["drain", "host", name] => world.hosts.get_mut(*name).unwrap().in_service = false,
+            ["share", name, rate, burst] => {
+                let account = world.accounts.get_mut(*name).unwrap();
+                account.rate = rate.parse().unwrap();
+                account.burst = burst.parse().unwrap();
+            }
+            ["grace", name, millis] => {
+                world.accounts.get_mut(*name).unwrap().cut_off_grace_ms = millis.parse().unwrap();
+            }
+            _ => added += &format!("{line}\n"),
+        }
+    }
+    for object in WorldFile::parse(&added).unwrap().world.to_objects() {
+        world.insert(object).unwrap();
+    }
+    let findings = quetzaldeal::config_check::check_world(&world, Some(&fleet.world));
+    if !findings.is_empty() {
+        return findings.iter().map(|finding| format!("{finding}\n")).collect();
+    }
+    fleet.publish(world);
+    String::new()
+}
+
+fn open(fleet: &mut FakeFleet, case: &CaseParts, keys: &HashMap<String, String>) -> String {
+    let caller = case.text("caller");
+    let account = case.find("account").unwrap_or_default();
+    let key = case.find("key").unwrap_or_else(|| keys.get(&account).cloned().unwrap_or_default());
+    let mut settings = Vec::new();
+    if let Some(group) = case.find("group") {
+        settings.push(("group", group));
+    }
+    if let Some(other) = case.find("session_of") {
+        let (_, body) = fleet.ask(&other, "SHOW quetzaldeal.session", ANSWER_LIMIT_MS).unwrap();
+        let token = body.rows[0][0].clone().unwrap();
+        let seen = fleet.truth.must_see.get(&other).cloned().unwrap_or_default();
+        fleet.truth.must_see.insert(caller.clone(), seen);
+        settings.push(("session", token));
+    }
+    if let Some(token) = case.find("token") {
+        settings.push(("session", token));
+    }
+    fleet.open(&caller, &case.text("host"), &account, &key, &settings);
+    fleet.run_ms(5);
+    match &fleet.callers[&caller].open {
+        Some(Ok(())) => String::new(),
+        Some(Err(verdict)) => describe(verdict),
+        None => "no answer\n".to_owned(),
+    }
+}
+
+fn ask(fleet: &mut FakeFleet, case: &CaseParts) -> String {
+    let started = fleet.now;
+    let limit = case.number("limit_ms", ANSWER_LIMIT_MS);
+    let answer = fleet.ask(&case.text("caller"), case.input.trim(), limit);
+    let passed = fleet.now.since(started).as_millis() as u64;
+    let mut text = show_answer(fleet, &case.text("caller"), answer);
+    if let Some(limit) = case.find("within_ms") {
+        let limit: u64 = limit.parse().unwrap();
+        if passed > limit {
+            text += &format!("took {passed} ms, more than {limit}\n");
+        }
+    }
+    text
+}
+
+fn answer(fleet: &mut FakeFleet, caller: &str) -> String {
+    let answer = fleet.callers.get_mut(caller).unwrap().answer.take();
+    show_answer(fleet, caller, answer)
+}
+
+fn show_answer(
+    fleet: &FakeFleet,
+    caller: &str,
+    answer: Option<(RequestVerdict, quetzaldeal::endpoint_message::AnswerBody)>,
+) -> String {
+    let Some((verdict, body)) = answer else {
+        let closed = fleet.callers[caller].closed;
+        return if closed { "closed\n" } else { "no answer\n" }.to_owned();
+    };
+    let mut text = describe(&verdict);
+    for row in &body.rows {
+        let values: Vec<&str> = row.iter().map(|value| value.as_deref().unwrap_or("NULL")).collect();
+        text += &format!("row: {}\n", values.join(", "));
+    }
+    text
+}
+
+fn describe(verdict: &RequestVerdict) -> String {
+    let fate = match verdict.fate {
+        RequestFate::Ran => "ran",
+        RequestFate::NotRun => "not run",
+        RequestFate::MayHaveRun => "may have run",
+    };
+    let again = if verdict.retry_after.is_some() { ", come back" } else { "" };
+    format!("{fate}: {}{again}\n", verdict.message())
+}
+
+/// Offers reads of one account at some hosts at a steady rate and judges how many were admitted.
+fn load(fleet: &mut FakeFleet, case: &CaseParts, keys: &HashMap<String, String>) -> String {
+    let account = case.text("account");
+    let hosts = case.args["hosts"].clone();
+    let (rate, millis) = (case.number("rate", 100), case.number("ms", 1_000));
+    let callers = case.number("callers", 20);
+    let mut names = Vec::new();
+    for host in &hosts {
+        for index in 0..callers {
+            let name = format!("load-{account}-{host}-{index}");
+            fleet.open(&name, host, &account, &keys[&account], &[("group", "g1".to_owned())]);
+            names.push(name);
+        }
+    }
+    fleet.run_ms(5);
+    let (mut offered, mut ran, mut refused) = (0_u64, 0_u64, 0_u64);
+    let mut next = 0;
+    for step in 0..=millis + 2_000 {
+        let due = if step <= millis { step * rate / 1_000 } else { offered };
+        while offered < due {
+            let free = (0..names.len()).map(|turn| (next + turn) % names.len());
+            let mut free = free.filter(|index| fleet.callers[&names[*index]].sent.is_none());
+            let Some(index) = free.next() else { break };
+            fleet.send(&names[index], "SELECT state FROM orders WHERE id = 'none'");
+            next = index + 1;
+            offered += 1;
+        }
+        fleet.run_ms(1);
+        for name in &names {
+            let caller = fleet.callers.get_mut(name).unwrap();
+            if let Some((verdict, _)) = caller.answer.take() {
+                caller.sent = None;
+                match verdict.fate {
+                    RequestFate::Ran => ran += 1,
+                    _ => refused += 1,
+                }
+            }
+        }
+    }
+    for name in &names {
+        fleet.close(name);
+    }
+    let percent = ran * 100 / offered.max(1);
+    if case.args.contains_key("show") {
+        return format!("offered {offered}, ran {ran}, refused {refused}\n");
+    }
+    let (least, most) = (case.number("least", 0), case.number("most", 100));
+    if percent < least || percent > most {
+        return format!("{ran} of {offered} ran, {refused} refused: {percent} %\n");
+    }
+    String::new()
+}
+
+fn primary(fleet: &FakeFleet, group: &str) -> String {
+    match fleet_truth::read_record(&fleet.platform, group) {
+        Some(record) => format!("term {} {:?} {}\n", record.term, record.phase, record.primary),
+        None => "none\n".to_owned(),
+    }
+}
+
+fn versions(fleet: &FakeFleet) -> String {
+    let mut text = String::new();
+    for (name, host) in &fleet.hosts {
+        let Some(core) = &host.core else { continue };
+        writeln!(text, "{name} {}", core.context().config.version()).unwrap();
+    }
+    text
+}
