--- a/src/account_state.rs
+++ b/src/account_state.rs
@@ -1,5 +1,7 @@
 //! One client account on this host.
 
+use std::collections::BTreeSet;
+
 use crate::arena_keys::StatementKey;
 use crate::clock_time::ClockTime;
 use crate::share_ledger::ShareLedger;
@@ -27,8 +29,10 @@
     pub grace_ms: u64,
     /// Time that a newly dealt share stays closed beyond the usual, in milliseconds.
     pub hold_ms: u64,
-    /// Rounds of asking since the oldest waiting statement arrived.
+    /// Rounds of asking in a row that brought nothing.
     pub rounds: u32,
+    /// Hosts that peers have named as holders of what they have lent.
+    pub holders: BTreeSet<String>,
     /// Counts since the start.
     pub counts: AccountCounts,
 }
--- a/src/config_flow.rs
+++ b/src/config_flow.rs
@@ -244,6 +244,7 @@
                 grace_ms: 0,
                 hold_ms: 0,
                 rounds: 0,
+                holders: BTreeSet::new(),
                 counts: Default::default(),
             });
             ctx.account_names.insert(object.name.clone(), key);
--- a/src/decision_core.rs
+++ b/src/decision_core.rs
@@ -129,11 +129,11 @@
                 peer_flow::on_superseded(ctx, incarnation);
             }
             (Some(CallPurpose::Share { account, asked }), reply) => {
-                let grant = match reply {
-                    Some(PeerReply::Share { grant }) => grant,
-                    _ => None,
+                let (grant, holders) = match reply {
+                    Some(PeerReply::Share { grant, holders }) => (grant, holders),
+                    _ => (None, Vec::new()),
                 };
-                share_flow::on_answer(ctx, account, asked, grant);
+                share_flow::on_answer(ctx, account, asked, grant, holders);
             }
             (
                 Some(CallPurpose::PrimaryOpinion { group, term }),
--- a/src/peer_flow.rs
+++ b/src/peer_flow.rs
@@ -44,8 +44,8 @@
     ctx.control.peer_answers += 1;
     let reply = match request {
         PeerRequest::Pulse(pulse) => answer_pulse(ctx, &pulse),
-        PeerRequest::Share { account, version, want } => {
-            share_flow::on_ask(ctx, &account, version, want)
+        PeerRequest::Share { host, account, version, want } => {
+            share_flow::on_ask(ctx, &host, &account, version, want)
         }
         PeerRequest::Primary { group, term } => {
             PeerReply::Primary { serving: failover_flow::vouches(ctx, &group, term) }
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -102,6 +102,8 @@
     Pulse(PeerPulse),
     /// Asks for a loan of an account's share.
     Share {
+        /// The host that asks.
+        host: String,
         /// The account.
         account: String,
         /// The configuration in force at the asker; loans pass only within one version.
@@ -137,6 +139,8 @@
     Share {
         /// The loan.
         grant: Option<ShareGrant>,
+        /// Hosts that hold most of what the peer has lent; they may lend it on.
+        holders: Vec<String>,
     },
     /// Whether the peer saw the primary serve lately under the term asked for.
     Primary {
--- a/src/share_flow.rs
+++ b/src/share_flow.rs
@@ -1,5 +1,7 @@
 //! Charges statements to their accounts' shares, and moves shares between hosts on demand.
 
+use std::collections::BTreeSet;
+
 use rand::seq::SliceRandom;
 
 use crate::arena_keys::{AccountKey, StatementKey};
@@ -105,15 +107,24 @@
 }
 
 /// Answers a peer that asks for a loan.
-pub fn on_ask(ctx: &mut CoreContext, account: &str, version: u64, want: ShareGrant) -> PeerReply {
+pub fn on_ask(
+    ctx: &mut CoreContext,
+    host: &str,
+    account: &str,
+    version: u64,
+    want: ShareGrant,
+) -> PeerReply {
     let now = ctx.now;
     let same = version == ctx.config.version() && ctx.config.pending.is_none();
     let state = ctx.account_names.get(account).and_then(|key| ctx.accounts.get_mut(*key));
-    let grant = match state {
-        Some(state) if same && state.waiting.is_empty() => state.ledger.lend(now, want),
-        _ => None,
+    let Some(state) = state.filter(|_| same) else {
+        return PeerReply::Share { grant: None, holders: Vec::new() };
     };
-    PeerReply::Share { grant }
+    let free = state.waiting.is_empty();
+    let grant = if free { state.ledger.lend(now, host, want) } else { None };
+    let mut holders = state.ledger.holders(LENDERS_ASKED);
+    holders.retain(|holder| holder != host);
+    PeerReply::Share { grant, holders }
 }
 
 /// Takes up a peer's answer to the asking for a loan.
@@ -122,14 +133,21 @@
     account: AccountKey,
     asked: ClockTime,
     grant: Option<ShareGrant>,
+    holders: Vec<String>,
 ) {
     let now = ctx.now;
+    let own = ctx.identity.name.clone();
     let Some(state) = ctx.accounts.get_mut(account) else { return };
     state.asks_open = state.asks_open.saturating_sub(1);
+    state.holders.extend(holders.into_iter().filter(|holder| *holder != own));
     if let Some(grant) = grant {
         state.ledger.borrow(now, asked, grant);
+        state.rounds = 0;
     }
     pump(ctx, account);
+    if ctx.accounts[account].asks_open == 0 && !ctx.accounts[account].waiting.is_empty() {
+        ask_peers(ctx, account);
+    }
     refuse_hopeless(ctx, account);
 }
 
@@ -164,13 +182,12 @@
 fn refuse_hopeless(ctx: &mut CoreContext, account: AccountKey) {
     let now = ctx.now;
     let limit = CoreTuning::millis(ctx.tuning.share_wait_ms);
-    let lenders = usable_homes(ctx, account).len();
+    let rounds_max = lenders(ctx, account).len().div_ceil(LENDERS_ASKED) as u32;
     let state = &mut ctx.accounts[account];
-    if state.asks_open > 0 || state.waiting.is_empty() {
+    if state.asks_open > 0 || state.waiting.is_empty() || state.rounds < rounds_max {
         return;
     }
-    let exhausted = lenders == 0 || state.rounds >= lenders.div_ceil(LENDERS_ASKED) as u32;
-    if !exhausted || state.ledger.wait_for_token(now) <= limit {
+    if state.ledger.wait_for_token(now) <= limit {
         return;
     }
     for statement in state.waiting.clone() {
@@ -178,37 +195,58 @@
     }
 }
 
+/// Asks some lenders for what the account lacks here.
 fn ask_peers(ctx: &mut CoreContext, account: AccountKey) {
     let now = ctx.now;
     let gap = CoreTuning::millis(ctx.tuning.share_ask_gap_ms);
     let state = &mut ctx.accounts[account];
-    if state.waiting.is_empty() {
+    let urgent = !state.waiting.is_empty();
+    if !urgent {
         state.rounds = 0;
     }
-    if state.asks_open > 0 || now.since(state.asked) < gap {
+    if state.asks_open > 0 || (!urgent && now.since(state.asked) < gap) {
         return;
     }
     let waiting = state.waiting.len();
     let Some(want) = state.ledger.shortage(now, waiting) else { return };
-    let name = state.name.clone();
-    let mut lenders = usable_homes(ctx, account);
-    lenders.shuffle(&mut ctx.rng);
-    lenders.truncate(LENDERS_ASKED);
+    let lenders = pick_lenders(ctx, account);
+    let (host, version) = (ctx.identity.name.clone(), ctx.config.version());
     let state = &mut ctx.accounts[account];
+    let name = state.name.clone();
+    state.holders.clear();
     state.asked = now;
     state.rounds += 1;
     state.asks_open = lenders.len() as u32;
-    let version = ctx.config.version();
     for address in lenders {
         let call = ctx.open_call(CallPurpose::Share { account, asked: now });
-        let request = PeerRequest::Share { account: name.clone(), version, want };
+        let (host, account) = (host.clone(), name.clone());
+        let request = PeerRequest::Share { host, account, version, want };
         ctx.control.peer_calls += 1;
         ctx.actions.push(CoreAction::CallPeer { call, address, request });
     }
 }
 
-fn usable_homes(ctx: &CoreContext, account: AccountKey) -> Vec<String> {
+/// Picks the holders that peers have named, and homes at random beside them.
+fn pick_lenders(ctx: &mut CoreContext, account: AccountKey) -> Vec<String> {
+    let mut homes = lenders(ctx, account);
+    homes.shuffle(&mut ctx.rng);
+    let holders: Vec<String> = ctx.accounts[account].holders.iter().cloned().collect();
+    let mut picked: Vec<String> =
+        holders.iter().filter_map(|host| usable_address(ctx, host)).collect();
+    picked.extend(homes);
+    let mut seen = BTreeSet::new();
+    picked.retain(|address| seen.insert(address.clone()));
+    picked.truncate(LENDERS_ASKED);
+    picked
+}
+
+/// Returns the addresses of the account's homes that may lend.
+fn lenders(ctx: &CoreContext, account: AccountKey) -> Vec<String> {
     let homes = ctx.accounts[account].homes.iter();
-    let usable = homes.filter(|host| ctx.peers.usable(host, ctx.now));
-    usable.filter_map(|host| ctx.peers.peers.get(host)).map(|peer| peer.address.clone()).collect()
+    homes.filter_map(|host| usable_address(ctx, host)).collect()
+}
+
+fn usable_address(ctx: &CoreContext, host: &str) -> Option<String> {
+    let peer = ctx.peers.peers.get(host)?;
+    ctx.peers.usable(host, ctx.now).then(|| peer.address.clone())
 }
--- a/src/share_ledger.rs
+++ b/src/share_ledger.rs
@@ -5,6 +5,7 @@
 //! the borrower's loan has surely lapsed. The sum over all hosts therefore never exceeds the
 //! account's rate and burst, whatever pauses, dies or is cut off.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -16,13 +17,15 @@
 /// How much longer the lender waits, for clocks that run at different speeds.
 pub const LOAN_MARGIN: Duration = Duration::from_millis(50);
 /// Time constant of the demand estimate.
-const DEMAND_WINDOW: Duration = Duration::from_millis(500);
+const DEMAND_WINDOW: Duration = Duration::from_millis(250);
 /// Part of an unused share that one loan may take.
 const LOAN_PART: f64 = 0.5;
 /// Loans below this many tokens or tokens a second are not worth a message.
-const LOAN_LEAST: f64 = 0.01;
+const LOAN_LEAST: f64 = 0.05;
 /// Loans that expire within this span are renewed ahead.
 const RENEW_AHEAD: Duration = Duration::from_millis(300);
+/// Loans that expire within this span are not lent on.
+const ONWARD_LEAST: Duration = Duration::from_millis(150);
 /// Factor on the demand estimate when a share is sized to it.
 const DEMAND_HEADROOM: f64 = 1.25;
 
@@ -40,6 +43,20 @@
     pub fn least(self, other: Self) -> Self {
         Self { rate: self.rate.min(other.rate), burst: self.burst.min(other.burst) }
     }
+
+    /// The sum of two parts, field by field.
+    pub fn plus(self, other: Self) -> Self {
+        Self { rate: self.rate + other.rate, burst: self.burst + other.burst }
+    }
+
+    /// The difference of two parts, field by field, nothing less than zero.
+    pub fn minus(self, other: Self) -> Self {
+        Self { rate: (self.rate - other.rate).max(0.0), burst: (self.burst - other.burst).max(0.0) }
+    }
+
+    fn worth(self) -> f64 {
+        self.rate.max(self.burst)
+    }
 }
 
 /// What a short host asks its peers for, and what a lender grants.
@@ -49,10 +66,32 @@
     pub part: SharePart,
     /// Tokens that move at once.
     pub tokens: f64,
+    /// How long the loan lasts from the time that it was asked for, in milliseconds.
+    pub ttl_ms: u64,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct ShareLoan {
+/// A loan taken from a peer.
+#[derive(Debug, Clone)]
+struct TakenLoan {
+    number: u64,
+    part: SharePart,
+    until: ClockTime,
+}
+
+/// What a loan to a peer was taken out of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LoanSource {
+    /// The home share.
+    Home,
+    /// A loan taken, by number.
+    Taken(u64),
+}
+
+/// A loan given to a peer.
+#[derive(Debug, Clone)]
+struct GivenLoan {
+    peer: String,
+    source: LoanSource,
     part: SharePart,
     until: ClockTime,
 }
@@ -62,8 +101,11 @@
 pub struct ShareLedger {
     home: SharePart,
     next_home: Option<(SharePart, ClockTime)>,
-    lent: Vec<ShareLoan>,
-    borrowed: Vec<ShareLoan>,
+    lent: Vec<GivenLoan>,
+    borrowed: Vec<TakenLoan>,
+    next_loan: u64,
+    /// The part that may be used now; follows from the fields above.
+    usable: SharePart,
     tokens: f64,
     refilled: ClockTime,
     demand: f64,
@@ -78,6 +120,8 @@
             next_home: None,
             lent: Vec::new(),
             borrowed: Vec::new(),
+            next_loan: 0,
+            usable: SharePart::default(),
             tokens: 0.0,
             refilled: now,
             demand: 0.0,
@@ -93,7 +137,7 @@
         self.refill(now);
         self.home = self.home.least(home);
         self.next_home = Some((home, opens));
-        self.clip();
+        self.settle();
     }
 
     /// Sets the time at which a share that was dealt opens.
@@ -132,12 +176,7 @@
 
     /// Returns the part that this host may use now.
     pub fn current(&self) -> SharePart {
-        let lent = Self::sum(&self.lent);
-        let borrowed = Self::sum(&self.borrowed);
-        SharePart {
-            rate: (self.home.rate - lent.rate + borrowed.rate).max(0.0),
-            burst: (self.home.burst - lent.burst + borrowed.burst).max(0.0),
-        }
+        self.usable
     }
 
     /// Returns what to ask peers for, given `waiting` statements without a token.
@@ -145,53 +184,76 @@
         self.refill(now);
         self.decay_demand(now);
         let horizon = now.after(RENEW_AHEAD);
-        let lasting: Vec<ShareLoan> =
-            self.borrowed.iter().copied().filter(|loan| loan.until > horizon).collect();
-        let lent = Self::sum(&self.lent);
-        let held = self.home.rate - lent.rate + Self::sum(&lasting).rate;
-        let rate = (self.demand * DEMAND_HEADROOM - held).max(0.0);
-        let tokens = (waiting as f64 - self.tokens).max(0.0);
+        let lasting = self.borrowed.iter().filter(|loan| loan.until > horizon);
+        let lasting = lasting.map(|loan| self.free_of_loan(loan));
+        let lasting = lasting.fold(self.free_home(), SharePart::plus);
+        let rate = (self.demand * DEMAND_HEADROOM - lasting.rate).max(0.0);
         if waiting == 0 && (rate < LOAN_LEAST || self.demand < 1.0) {
             return None;
         }
-        let tokens = tokens + self.demand * RENEW_AHEAD.as_secs_f64();
-        Some(ShareGrant { part: SharePart { rate, burst: tokens.max(1.0) }, tokens })
+        // Tokens lapse with the loan that brought them, so no more are asked for than are used.
+        let target = waiting as f64 + self.demand * RENEW_AHEAD.as_secs_f64();
+        let tokens = (target - self.tokens).max(0.0);
+        let burst = (target.max(1.0) - lasting.burst).max(tokens);
+        let part = SharePart { rate, burst };
+        Some(ShareGrant { part, tokens, ttl_ms: LOAN_TTL.as_millis() as u64 })
     }
 
     /// Lends part of what this host does not use; `None` when there is nothing to lend.
-    pub fn lend(&mut self, now: ClockTime, want: ShareGrant) -> Option<ShareGrant> {
+    ///
+    /// A part that was borrowed itself is lent on for no longer than it was borrowed.
+    pub fn lend(&mut self, now: ClockTime, peer: &str, want: ShareGrant) -> Option<ShareGrant> {
         self.refill(now);
         self.decay_demand(now);
-        let lent = Self::sum(&self.lent);
-        let own_rate = self.demand * DEMAND_HEADROOM;
-        let own_tokens = (self.demand * RENEW_AHEAD.as_secs_f64()).min(self.home.burst);
-        let spare_rate = (self.home.rate - lent.rate - own_rate).max(0.0);
-        let spare_burst = (self.home.burst - lent.burst - own_tokens).max(0.0);
-        let spare_tokens = (self.tokens - own_tokens).max(0.0);
-        let rate = Self::part_of(want.part.rate, spare_rate);
-        let burst = Self::part_of(want.part.burst, spare_burst);
-        let tokens = want.tokens.clamp(0.0, spare_tokens).min(burst);
-        let worth = rate.max(tokens);
+        let own = SharePart {
+            rate: self.demand * DEMAND_HEADROOM,
+            burst: (self.demand * RENEW_AHEAD.as_secs_f64()).min(self.home.burst),
+        };
+        let current = self.current();
+        let spare = SharePart {
+            rate: (current.rate - own.rate).max(0.0),
+            burst: (current.burst - own.burst).max(0.0),
+        };
+        let wanted = SharePart {
+            rate: Self::part_of(want.part.rate, spare.rate),
+            burst: Self::part_of(want.part.burst, spare.burst),
+        };
+        let spare_tokens = (self.tokens - own.burst).max(0.0);
+        let worth = wanted.rate.max(want.tokens.min(spare_tokens).min(wanted.burst));
         if !worth.is_finite() || worth < LOAN_LEAST {
             return None;
         }
-        let part = SharePart { rate, burst };
+        let (part, ttl) = self.give(now, peer, wanted);
+        let tokens = want.tokens.clamp(0.0, spare_tokens).min(part.burst);
         self.tokens -= tokens;
-        self.lent.push(ShareLoan { part, until: now.after(LOAN_TTL + LOAN_MARGIN) });
-        self.clip();
-        Some(ShareGrant { part, tokens })
+        self.settle();
+        Some(ShareGrant { part, tokens, ttl_ms: ttl.as_millis() as u64 })
+    }
+
+    /// Returns the hosts that hold most of what this one has lent, the greatest part first.
+    pub fn holders(&self, most: usize) -> Vec<String> {
+        let mut held: BTreeMap<&str, f64> = BTreeMap::new();
+        for loan in &self.lent {
+            *held.entry(&loan.peer).or_default() += loan.part.rate + loan.part.burst;
+        }
+        let mut ranked: Vec<(&str, f64)> = held.into_iter().collect();
+        ranked.sort_by(|left, right| right.1.total_cmp(&left.1));
+        ranked.into_iter().take(most).map(|(peer, _)| peer.to_owned()).collect()
     }
 
     /// Takes up a loan that was asked for at `asked`; a loan that has lapsed is dropped.
     pub fn borrow(&mut self, now: ClockTime, asked: ClockTime, grant: ShareGrant) {
-        let until = asked.after(LOAN_TTL);
+        let ttl = Duration::from_millis(grant.ttl_ms).min(LOAN_TTL);
+        let until = asked.after(ttl);
         if until <= now {
             return;
         }
         self.refill(now);
-        self.borrowed.push(ShareLoan { part: grant.part, until });
+        let number = self.next_loan;
+        self.next_loan += 1;
+        self.borrowed.push(TakenLoan { number, part: grant.part, until });
         self.tokens += grant.tokens;
-        self.clip();
+        self.settle();
     }
 
     /// Returns the time after which one token will be there at the present rate.
@@ -201,17 +263,53 @@
         Duration::from_secs_f64(((1.0 - self.tokens) / rate).clamp(0.001, 60.0))
     }
 
+    /// Gives what is wanted out of the home share, and the rest out of loans taken, the longest
+    /// first.
+    ///
+    /// Returns the part and how long the borrower may use it: no longer than the first of the
+    /// sources lasts.
+    fn give(&mut self, now: ClockTime, peer: &str, wanted: SharePart) -> (SharePart, Duration) {
+        let mut sources =
+            vec![(now.after(LOAN_TTL + LOAN_MARGIN), LoanSource::Home, self.free_home())];
+        let lasting = self.borrowed.iter().filter(|loan| loan.until > now.after(ONWARD_LEAST));
+        let taken = lasting
+            .map(|loan| (loan.until, LoanSource::Taken(loan.number), self.free_of_loan(loan)));
+        sources.extend(taken);
+        sources[1..].sort_by_key(|(until, _, _)| std::cmp::Reverse(*until));
+        let mut given = SharePart::default();
+        let mut first = now.after(LOAN_TTL + LOAN_MARGIN);
+        for (until, source, free) in sources {
+            let part = wanted.minus(given).least(free);
+            if part.worth() < LOAN_LEAST {
+                continue;
+            }
+            given = given.plus(part);
+            first = first.min(until);
+            self.lent.push(GivenLoan { peer: peer.to_owned(), source, part, until });
+        }
+        (given, first.since(now.after(LOAN_MARGIN)))
+    }
+
+    /// What is left of the home share after the loans given out of it.
+    fn free_home(&self) -> SharePart {
+        self.home.minus(self.given_out_of(LoanSource::Home))
+    }
+
+    /// What is left of a loan taken after the loans given out of it.
+    fn free_of_loan(&self, loan: &TakenLoan) -> SharePart {
+        loan.part.minus(self.given_out_of(LoanSource::Taken(loan.number)))
+    }
+
+    fn given_out_of(&self, source: LoanSource) -> SharePart {
+        let given = self.lent.iter().filter(|loan| loan.source == source);
+        given.map(|loan| loan.part).fold(SharePart::default(), SharePart::plus)
+    }
+
     fn part_of(want: f64, spare: f64) -> f64 {
         let most = if spare < 1.0 { spare } else { (spare * LOAN_PART).max(1.0) };
         want.clamp(0.0, most)
     }
 
-    fn sum(loans: &[ShareLoan]) -> SharePart {
-        let rate = loans.iter().map(|loan| loan.part.rate).sum();
-        let burst = loans.iter().map(|loan| loan.part.burst).sum();
-        SharePart { rate, burst }
-    }
-
     /// Accrues tokens up to `now`, stopping at each loan's end and at the opening of a share.
     fn refill(&mut self, now: ClockTime) {
         while let Some(change) = self.next_change().filter(|change| *change <= now) {
@@ -222,8 +320,9 @@
     }
 
     fn next_change(&self) -> Option<ClockTime> {
-        let loans = self.lent.iter().chain(&self.borrowed).map(|loan| loan.until);
-        loans.chain(self.next_home.iter().map(|(_, opens)| *opens)).min()
+        let given = self.lent.iter().map(|loan| loan.until);
+        let taken = self.borrowed.iter().map(|loan| loan.until);
+        given.chain(taken).chain(self.next_home.iter().map(|(_, opens)| *opens)).min()
     }
 
     fn accrue(&mut self, at: ClockTime) {
@@ -239,11 +338,14 @@
         if let Some((home, _)) = self.next_home.take_if(|(_, opens)| *opens <= at) {
             self.home = home;
         }
-        self.clip();
+        self.settle();
     }
 
-    fn clip(&mut self) {
-        self.tokens = self.tokens.min(self.current().burst).max(0.0);
+    /// Works out the usable part anew after a change, and drops tokens beyond its burst.
+    fn settle(&mut self) {
+        let taken = self.borrowed.iter().map(|loan| self.free_of_loan(loan));
+        self.usable = taken.fold(self.free_home(), SharePart::plus);
+        self.tokens = self.tokens.min(self.usable.burst).max(0.0);
     }
 
     fn decay_demand(&mut self, now: ClockTime) {
--- a/tests/fleet_fakes/fleet_truth.rs
+++ b/tests/fleet_fakes/fleet_truth.rs
@@ -81,7 +81,12 @@
             self.note_service(now, host, out);
         }
         for account in new.accounts.values() {
-            let fresh = ExactBucket { rate: account.rate, burst: account.burst, tokens: account.burst, at: now };
+            let fresh = ExactBucket {
+                rate: account.rate,
+                burst: account.burst,
+                tokens: account.burst,
+                at: now,
+            };
             let bucket = self.buckets.entry(account.name.clone()).or_insert(fresh);
             bucket.advance(now);
             if account.rate < bucket.rate || account.burst < bucket.burst {
@@ -110,7 +115,13 @@
     }
 
     /// Checks a core after each event that it handled.
-    pub(crate) fn check_core(&mut self, now: ClockTime, host: &str, core: &DecisionCore, world: &WorldConfig) {
+    pub(crate) fn check_core(
+        &mut self,
+        now: ClockTime,
+        host: &str,
+        core: &DecisionCore,
+        world: &WorldConfig,
+    ) {
         let context = core.context();
         let version = context.config.version();
         let last = self.versions.insert(host.to_owned(), version).unwrap_or(0);
@@ -134,7 +145,8 @@
             bucket.advance(now);
             bucket.tokens -= fresh as f64;
             if bucket.tokens < -ROUNDING {
-                let text = format!("account {} got {:.3} over its share", account.name, -bucket.tokens);
+                let text =
+                    format!("account {} got {:.3} over its share", account.name, -bucket.tokens);
                 bucket.tokens = 0.0;
                 self.fault(text);
             }
@@ -143,7 +155,8 @@
 
     /// Checks that no action carries a caller's key.
     pub(crate) fn check_action(&mut self, action: &CoreAction) {
-        if matches!(action, CoreAction::OpenConnection { .. } | CoreAction::CloseConnection { .. }) {
+        if matches!(action, CoreAction::OpenConnection { .. } | CoreAction::CloseConnection { .. })
+        {
             return;
         }
         let text = format!("{action:?}");
@@ -152,7 +165,12 @@
         }
     }
 
-    pub(crate) fn check_endpoint_call(&mut self, now: ClockTime, base: &str, request: &EndpointRequest) {
+    pub(crate) fn check_endpoint_call(
+        &mut self,
+        now: ClockTime,
+        base: &str,
+        request: &EndpointRequest,
+    ) {
         let EndpointRequest::Run(statement) = request else { return };
         let fresh = matches!(statement.step, TransactionStep::Single | TransactionStep::Begin);
         if fresh && self.out_for_long(now, base) {
@@ -179,7 +197,10 @@
             && !plain
             && sent >= at.after(TAKES_HOLD)
         {
-            self.fault(format!("a statement ran for {account} {:?} after its key was withdrawn", now.since(*at)));
+            self.fault(format!(
+                "a statement ran for {account} {:?} after its key was withdrawn",
+                now.since(*at)
+            ));
         }
         self.note_transaction(caller, &upper, verdict);
         if let Some(id) = inserted(text) {
@@ -227,18 +248,28 @@
     }
 
     /// Checks the logs of all databases against the fates that callers were told.
-    pub(crate) fn check_logs(&mut self, platform: &PlatformModel, bases: &BTreeMap<String, FakeBase>) {
+    pub(crate) fn check_logs(
+        &mut self,
+        platform: &PlatformModel,
+        bases: &BTreeMap<String, FakeBase>,
+    ) {
         let mut faults = Vec::new();
         for (name, base) in bases {
             for id in logged_inserts(base) {
                 if self.inserts.get(&id) == Some(&RequestFate::NotRun) {
-                    faults.push(format!("{id} was answered as not run and stands in the log of {name}"));
+                    faults.push(format!(
+                        "{id} was answered as not run and stands in the log of {name}"
+                    ));
                 }
             }
         }
         for group in groups_of(bases) {
             let Some(record) = read_record(platform, &group) else { continue };
-            let members: Vec<&FakeBase> = bases.iter().filter(|(name, _)| name.starts_with(&group)).map(|(_, base)| base).collect();
+            let members: Vec<&FakeBase> = bases
+                .iter()
+                .filter(|(name, _)| name.starts_with(&group))
+                .map(|(_, base)| base)
+                .collect();
             let leaders = members.iter().filter(|base| {
                 let status = base.model.status();
                 base.alive && status.primary && status.adopted_term == record.term
@@ -254,7 +285,8 @@
             };
             let Some(primary) = bases.get(&record.primary).filter(counted) else { continue };
             let present: BTreeSet<String> = logged_inserts(primary).collect();
-            let elsewhere: BTreeSet<String> = members.iter().flat_map(|base| logged_inserts(base)).collect();
+            let elsewhere: BTreeSet<String> =
+                members.iter().flat_map(|base| logged_inserts(base)).collect();
             let lost = elsewhere.difference(&present);
             let acked = lost.filter(|id| self.inserts.get(*id) == Some(&RequestFate::Ran));
             for id in acked {
@@ -267,7 +299,11 @@
     }
 
     /// Checks, when all is healed, that nothing acknowledged is missing and no counter is off.
-    pub(crate) fn check_settled(&mut self, platform: &PlatformModel, bases: &BTreeMap<String, FakeBase>) {
+    pub(crate) fn check_settled(
+        &mut self,
+        platform: &PlatformModel,
+        bases: &BTreeMap<String, FakeBase>,
+    ) {
         let mut present = BTreeSet::new();
         let mut counter = 0;
         for group in groups_of(bases) {
@@ -278,7 +314,8 @@
             counter += row.and_then(|row| row[1].parse::<u64>().ok()).unwrap_or(0);
         }
         let acked = self.inserts.iter().filter(|(_, fate)| **fate == RequestFate::Ran);
-        let missing: Vec<String> = acked.map(|(id, _)| id.clone()).filter(|id| !present.contains(id)).collect();
+        let missing: Vec<String> =
+            acked.map(|(id, _)| id.clone()).filter(|id| !present.contains(id)).collect();
         for id in missing {
             self.fault(format!("{id} was acknowledged and is gone"));
         }
@@ -322,7 +359,11 @@
 }
 
 fn groups_of(bases: &BTreeMap<String, FakeBase>) -> BTreeSet<String> {
-    bases.keys().filter_map(|name| name.split_once('-')).map(|(group, _)| group.to_owned()).collect()
+    bases
+        .keys()
+        .filter_map(|name| name.split_once('-'))
+        .map(|(group, _)| group.to_owned())
+        .collect()
 }
 
 fn logged_inserts(base: &FakeBase) -> impl Iterator<Item = String> + '_ {
--- a/tests/fleet_fakes/fleet_world.rs
+++ b/tests/fleet_fakes/fleet_world.rs
@@ -12,7 +12,12 @@
 
 /// Builds `centres` data centres with `hosts` hosts each, and `groups` groups of one endpoint in
 /// each of the first three data centres.
-pub(crate) fn build(centres: &[String], hosts: usize, groups: usize, accounts: &[(String, f64, f64)]) -> FleetWorld {
+pub(crate) fn build(
+    centres: &[String],
+    hosts: usize,
+    groups: usize,
+    accounts: &[(String, f64, f64)],
+) -> FleetWorld {
     let mut text = String::new();
     for (index, centre) in centres.iter().enumerate() {
         text += &format!("---\nkind: data_centre\nname: {centre}\n");
--- a/tests/fleet_fakes/mod.rs
+++ b/tests/fleet_fakes/mod.rs
@@ -79,13 +79,45 @@
 }
 
 enum Delivery {
-    Host { host: String, process: u64, event: CoreEvent },
-    Wake { host: String, process: u64 },
-    Open { base: String, host: String, process: u64, connection: ConnectionKey },
-    Call { base: String, host: String, process: u64, connection: ConnectionKey, call: CallId, request: EndpointRequest },
-    Peer { to: String, from: String, process: u64, call: CallId, request: PeerRequest },
-    Platform { host: String, process: u64, call: CallId, request: PlatformRequest },
-    Replicate { base: String },
+    Host {
+        host: String,
+        process: u64,
+        event: CoreEvent,
+    },
+    Wake {
+        host: String,
+        process: u64,
+    },
+    Open {
+        base: String,
+        host: String,
+        process: u64,
+        connection: ConnectionKey,
+    },
+    Call {
+        base: String,
+        host: String,
+        process: u64,
+        connection: ConnectionKey,
+        call: CallId,
+        request: EndpointRequest,
+    },
+    Peer {
+        to: String,
+        from: String,
+        process: u64,
+        call: CallId,
+        request: PeerRequest,
+    },
+    Platform {
+        host: String,
+        process: u64,
+        call: CallId,
+        request: PlatformRequest,
+    },
+    Replicate {
+        base: String,
+    },
 }
 
 struct OpenWatch {
@@ -170,7 +202,11 @@
         let parts = config_head::split_world(&world).unwrap();
         for (hash, value) in &parts {
             let key = config_head::part_key(hash);
-            self.platform.handle(&PlatformRequest::CompareSwap { key, expected: 0, value: value.clone() });
+            self.platform.handle(&PlatformRequest::CompareSwap {
+                key,
+                expected: 0,
+                value: value.clone(),
+            });
         }
         self.version += 1;
         let head = config_head::ConfigHead {
@@ -237,7 +273,12 @@
                 caller.closed = true;
             }
             for base in self.bases.values_mut() {
-                let gone: Vec<LinkKey> = base.connections.keys().filter(|link| link.process == process).copied().collect();
+                let gone: Vec<LinkKey> = base
+                    .connections
+                    .keys()
+                    .filter(|link| link.process == process)
+                    .copied()
+                    .collect();
                 for link in gone {
                     if let Some(id) = base.connections.remove(&link) {
                         base.model.disconnect(id);
@@ -293,7 +334,14 @@
     }
 
     /// Opens a caller's connection; the answer is there after some time.
-    pub(crate) fn open(&mut self, name: &str, host: &str, account: &str, key: &str, settings: &[(&str, String)]) {
+    pub(crate) fn open(
+        &mut self,
+        name: &str,
+        host: &str,
+        account: &str,
+        key: &str,
+        settings: &[(&str, String)],
+    ) {
         self.sequence += 1;
         let id = self.sequence;
         let service = self.world.services.keys().next().cloned().unwrap_or_default();
@@ -330,7 +378,12 @@
     }
 
     /// Sends a statement and lets time pass until it is answered, at most `limit_ms`.
-    pub(crate) fn ask(&mut self, name: &str, text: &str, limit_ms: u64) -> Option<(RequestVerdict, AnswerBody)> {
+    pub(crate) fn ask(
+        &mut self,
+        name: &str,
+        text: &str,
+        limit_ms: u64,
+    ) -> Option<(RequestVerdict, AnswerBody)> {
         self.send(name, text);
         for _ in 0..limit_ms {
             let caller = &self.callers[name];
@@ -389,7 +442,10 @@
             [Some(name.to_owned()), centre]
         };
         let (left, right) = (places(left), places(right));
-        let pairs = left.iter().flatten().flat_map(|one| right.iter().flatten().map(move |other| (one, other)));
+        let pairs = left
+            .iter()
+            .flatten()
+            .flat_map(|one| right.iter().flatten().map(move |other| (one, other)));
         !pairs.into_iter().any(|(one, other)| self.cuts.contains(&(one.clone(), other.clone())))
     }
 
@@ -408,12 +464,18 @@
                 }
                 self.to_host(&host, CoreEvent::Woken);
             }
-            Delivery::Open { base, host, process, connection } => self.open_link(&base, &host, process, connection),
+            Delivery::Open { base, host, process, connection } => {
+                self.open_link(&base, &host, process, connection)
+            }
             Delivery::Call { base, host, process, connection, call, request } => {
                 self.call_base(&base, &host, process, connection, call, &request);
             }
-            Delivery::Peer { to, from, process, call, request } => self.ask_peer(&to, &from, process, call, request),
-            Delivery::Platform { host, process, call, request } => self.call_platform(&host, process, call, request),
+            Delivery::Peer { to, from, process, call, request } => {
+                self.ask_peer(&to, &from, process, call, request)
+            }
+            Delivery::Platform { host, process, call, request } => {
+                self.call_platform(&host, process, call, request)
+            }
             Delivery::Replicate { base } => self.replicate(&base),
             Delivery::Host { .. } | Delivery::Wake { .. } => {}
         }
@@ -456,7 +518,9 @@
         match action {
             CoreAction::AdmitCaller { caller } => self.note_opened(caller, Ok(())),
             CoreAction::RefuseCaller { caller, verdict } => self.note_opened(caller, Err(verdict)),
-            CoreAction::AnswerCaller { caller, verdict, body, .. } => self.note_answer(caller, verdict, body),
+            CoreAction::AnswerCaller { caller, verdict, body, .. } => {
+                self.note_answer(caller, verdict, body)
+            }
             CoreAction::CloseCaller { caller, .. } => {
                 for state in self.callers.values_mut().filter(|state| state.id == caller) {
                     state.closed = true;
@@ -480,7 +544,10 @@
                 let Some((base, _)) = base else { return };
                 self.truth.check_endpoint_call(self.now, base, &request);
                 let base = base.clone();
-                self.push_after(HOP_US, Delivery::Call { base, host, process, connection, call, request });
+                self.push_after(
+                    HOP_US,
+                    Delivery::Call { base, host, process, connection, call, request },
+                );
             }
             CoreAction::CallPeer { call, address, request } => {
                 let to = self.hosts.iter().find(|(_, state)| state.address == address);
@@ -525,7 +592,8 @@
     }
 
     fn open_link(&mut self, base: &str, host: &str, process: u64, connection: ConnectionKey) {
-        let opened = self.reaches(host, base) && self.bases.get(base).is_some_and(|base| base.alive);
+        let opened =
+            self.reaches(host, base) && self.bases.get(base).is_some_and(|base| base.alive);
         let reachable = self.reaches(host, base);
         if opened {
             let state = self.bases.get_mut(base).unwrap();
@@ -548,7 +616,15 @@
         self.push_after(HOP_US, Delivery::Host { host, process: link.process, event });
     }
 
-    fn call_base(&mut self, base: &str, host: &str, process: u64, connection: ConnectionKey, call: CallId, request: &EndpointRequest) {
+    fn call_base(
+        &mut self,
+        base: &str,
+        host: &str,
+        process: u64,
+        connection: ConnectionKey,
+        call: CallId,
+        request: &EndpointRequest,
+    ) {
         if !self.reaches(host, base) {
             return;
         }
@@ -570,7 +646,10 @@
         let up = self.hosts.get(to).is_some_and(|host| host.core.is_some() && !host.paused);
         if !up || !self.reaches(to, from) {
             let event = CoreEvent::PeerAnswered { call, reply: None };
-            return self.push_after(LOST_CALL_US, Delivery::Host { host: from.to_owned(), process, event });
+            return self.push_after(
+                LOST_CALL_US,
+                Delivery::Host { host: from.to_owned(), process, event },
+            );
         }
         self.sequence += 1;
         let ask = self.sequence;
@@ -592,16 +671,28 @@
         match (reply, request) {
             (None, PlatformRequest::Watch { prefix, after, wait_ms }) => {
                 let until = self.now.after(std::time::Duration::from_millis(wait_ms));
-                self.watches.push(OpenWatch { host: host.to_owned(), process, call, prefix, after, until });
-                self.push(until, Delivery::Platform {
+                self.watches.push(OpenWatch {
                     host: host.to_owned(),
                     process,
                     call,
-                    request: PlatformRequest::Get { key: String::new() },
+                    prefix,
+                    after,
+                    until,
                 });
+                self.push(
+                    until,
+                    Delivery::Platform {
+                        host: host.to_owned(),
+                        process,
+                        call,
+                        request: PlatformRequest::Get { key: String::new() },
+                    },
+                );
                 // The entry above only wakes the fake at the watch's end; see `expire_watch`.
             }
-            (Some(_), PlatformRequest::Get { key }) if key.is_empty() => self.expire_watch(process, call),
+            (Some(_), PlatformRequest::Get { key }) if key.is_empty() => {
+                self.expire_watch(process, call)
+            }
             (reply, _) => {
                 if swap {
                     self.notify_watches();
@@ -618,7 +709,8 @@
     }
 
     fn expire_watch(&mut self, process: u64, call: CallId) {
-        let index = self.watches.iter().position(|watch| watch.process == process && watch.call == call);
+        let index =
+            self.watches.iter().position(|watch| watch.process == process && watch.call == call);
         let Some(index) = index else { return };
         let watch = self.watches.remove(index);
         let reply = self.platform.snapshot(&watch.prefix, watch.after);
@@ -653,7 +745,9 @@
         let Some(address) = base.model.status().following else { return };
         let primary = self.base_at(&address);
         let open = base.alive && self.reaches(name, &primary);
-        let Some(source) = self.bases.get(&primary).filter(|source| open && source.alive) else { return };
+        let Some(source) = self.bases.get(&primary).filter(|source| open && source.alive) else {
+            return;
+        };
         let term = base.model.status().adopted_term;
         let batch = source.model.changes_after(term, &base.model.term_ends());
         if let Some(batch) = batch {
@@ -663,5 +757,6 @@
 }
 
 fn copy_number(name: &str, copies: u64) -> u64 {
-    name.bytes().fold(copies + 1, |number, byte| number.wrapping_mul(31).wrapping_add(u64::from(byte)))
+    name.bytes()
+        .fold(copies + 1, |number, byte| number.wrapping_mul(31).wrapping_add(u64::from(byte)))
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,9 +6,9 @@
 use std::fmt::Write as _;
 
 use datadriven::TestCase;
+use fleet_fakes::FakeFleet;
 use fleet_fakes::fleet_truth;
 use fleet_fakes::fleet_world;
-use fleet_fakes::FakeFleet;
 use quetzaldeal::request_verdict::{RequestFate, RequestVerdict};
 use quetzaldeal::world_file::WorldFile;
 
@@ -87,8 +87,12 @@
             "heal" if case.args.is_empty() => fleet.heal_all(),
             "heal" => fleet.heal(&case.text("from"), &case.text("to")),
             "silence" => fleet.silence(&case.text("name")),
-            "lag" => fleet.bases.get_mut(&case.text("name")).unwrap().lag_ms = case.number("ms", 10),
-            "work" => fleet.bases.get_mut(&case.text("name")).unwrap().work_ms = case.number("ms", 0),
+            "lag" => {
+                fleet.bases.get_mut(&case.text("name")).unwrap().lag_ms = case.number("ms", 10)
+            }
+            "work" => {
+                fleet.bases.get_mut(&case.text("name")).unwrap().work_ms = case.number("ms", 0)
+            }
             "outage" => fleet.outage = case.text("on") == "true",
             "slow_platform" => fleet.slow_ms = case.number("ms", 0),
             "lose_answers" => fleet.lose_answers = case.number("count", 1) as u32,
@@ -118,7 +122,11 @@
         let mut accounts = Vec::new();
         for line in case.input.lines() {
             let words: Vec<&str> = line.split_whitespace().collect();
-            accounts.push((words[0].to_owned(), words[1].parse().unwrap(), words[2].parse().unwrap()));
+            accounts.push((
+                words[0].to_owned(),
+                words[1].parse().unwrap(),
+                words[2].parse().unwrap(),
+            ));
         }
         let built = fleet_world::build(&centres, hosts, groups, &accounts);
         self.keys = built.keys.into_iter().collect();
@@ -175,8 +183,12 @@
             ["withdraw", key] => drop(world.keys.remove(*key)),
             ["drain", "centre", name] => world.centres.get_mut(*name).unwrap().in_service = false,
             ["restore", "centre", name] => world.centres.get_mut(*name).unwrap().in_service = true,
-            ["drain", "endpoint", name] => world.endpoints.get_mut(*name).unwrap().in_service = false,
-            ["restore", "endpoint", name] => world.endpoints.get_mut(*name).unwrap().in_service = true,
+            ["drain", "endpoint", name] => {
+                world.endpoints.get_mut(*name).unwrap().in_service = false
+            }
+            ["restore", "endpoint", name] => {
+                world.endpoints.get_mut(*name).unwrap().in_service = true
+            }
             ["drain", "host", name] => world.hosts.get_mut(*name).unwrap().in_service = false,
             ["share", name, rate, burst] => {
                 let account = world.accounts.get_mut(*name).unwrap();
@@ -258,7 +270,8 @@
     };
     let mut text = describe(&verdict);
     for row in &body.rows {
-        let values: Vec<&str> = row.iter().map(|value| value.as_deref().unwrap_or("NULL")).collect();
+        let values: Vec<&str> =
+            row.iter().map(|value| value.as_deref().unwrap_or("NULL")).collect();
         text += &format!("row: {}\n", values.join(", "));
     }
     text
@@ -281,8 +294,14 @@
     let (rate, millis) = (case.number("rate", 100), case.number("ms", 1_000));
     let callers = case.number("callers", 20);
     let mut names = Vec::new();
-    for host in &hosts {
-        for index in 0..callers {
+    let moving = case.args.contains_key("moving");
+    let pairs = |index: u64| hosts.iter().map(move |host| (host, index));
+    let mut places: Vec<(&String, u64)> = (0..callers).flat_map(pairs).collect();
+    if moving {
+        places.sort();
+    }
+    {
+        for (host, index) in places {
             let name = format!("load-{account}-{host}-{index}");
             fleet.open(&name, host, &account, &keys[&account], &[("group", "g1".to_owned())]);
             names.push(name);
