fix(failover): a leaving primary gets no new work, also when a copy is down

Ruled out: electing with the replica as it stood, which lags behind under writes and hands the group back to the leaving primary.

--- a/src/failover_flow.rs
+++ b/src/failover_flow.rs
@@ -256,10 +256,16 @@
     }
     let leaving = !ctx.endpoints[primary].in_service && successor_ready(ctx, group, primary);
     // Open transactions get some time to end: a fence ends them.
-    let settled = ctx.now.since(ctx.config.adopted.max(state.record_at)) >= LEAVE_GRACE;
+    let settled = age >= LEAVE_GRACE && leave_grace_over(ctx);
     (leaving && settled).then_some(SuspectReason::Leaving)
 }
 
+/// Whether endpoints that the configuration takes out of service get no new work any more, even
+/// as primaries. Their replicas can then catch up for the change of primary.
+pub fn leave_grace_over(ctx: &CoreContext) -> bool {
+    ctx.now.since(ctx.config.adopted) >= LEAVE_GRACE
+}
+
 fn suspect(ctx: &mut CoreContext, group: GroupKey) {
     let now = ctx.now;
     let reason = find_reason(ctx, group);
@@ -354,8 +360,8 @@
 /// Returns the fenced copy that takes over.
 ///
 /// An acknowledged write is on a majority of all copies, so it is on all of the best
-/// `majority - missing` fenced ones. Among these, one in service is preferred, then the most
-/// advanced.
+/// `majority - missing` fenced ones, and on all that are level with the best. Among these, one in
+/// service is preferred, then the most advanced.
 fn choose_primary(ctx: &CoreContext, group: GroupKey) -> Option<EndpointKey> {
     let state = &ctx.groups[group];
     let mut ranked: Vec<(&EndpointKey, &EndpointStatus)> = state.fenced.iter().collect();
@@ -364,7 +370,9 @@
     });
     let missing = state.members.len() - state.fenced.len();
     let safe = state.majority().saturating_sub(missing).max(1);
-    let safe = &ranked[..safe.min(ranked.len())];
+    let best = ranked.first().map(|(_, status)| status.log_point())?;
+    let level = ranked.iter().filter(|(_, status)| status.log_point() == best).count();
+    let safe = &ranked[..safe.max(level).min(ranked.len())];
     let serving = safe.iter().find(|(endpoint, _)| ctx.endpoints[**endpoint].in_service);
     serving.or(safe.first()).map(|(endpoint, _)| **endpoint)
 }
@@ -436,16 +444,20 @@
     state.members.iter().filter(live).count() + 1 >= state.majority()
 }
 
-/// Whether a replica in service is up to date enough to take over from a leaving primary.
+/// Whether a replica in service holds all that the leaving primary holds, among a majority in
+/// reach.
 fn successor_ready(ctx: &CoreContext, group: GroupKey, primary: EndpointKey) -> bool {
     let since = ctx.now.before(CoreTuning::millis(ctx.tuning.suspect_after_ms));
-    let all_seen = ctx.groups[group]
-        .members
-        .iter()
-        .all(|endpoint| ctx.endpoints[*endpoint].status_since(since).is_some());
-    let others = ctx.groups[group].members.iter().filter(|endpoint| **endpoint != primary);
-    let in_service = others.filter(|endpoint| ctx.endpoints[**endpoint].in_service).count();
-    all_seen && in_service > 0
+    let state = &ctx.groups[group];
+    let live = |endpoint: &EndpointKey| ctx.endpoints[*endpoint].status_since(since);
+    let Some(leader) = live(&primary) else { return false };
+    let point = leader.log_point();
+    let reachable = state.members.iter().filter(|endpoint| live(endpoint).is_some()).count();
+    let level = state.members.iter().any(|endpoint| {
+        ctx.endpoints[*endpoint].in_service
+            && live(endpoint).is_some_and(|status| status.reached(point))
+    });
+    reachable >= state.majority() && level
 }
 
 /// Follows copies that were rebuilt, until they hold what counts and enter the record.
--- a/src/route_choice.rs
+++ b/src/route_choice.rs
@@ -6,6 +6,7 @@
 use crate::core_context::CoreContext;
 use crate::core_tuning::{self, CoreTuning};
 use crate::endpoint_message::LogPoint;
+use crate::failover_flow;
 use crate::request_verdict::{RequestVerdict, VerdictCause};
 use crate::statement_state::StatementState;
 
@@ -105,6 +106,9 @@
     if !ctx.endpoints[endpoint].circuit.closed() {
         return Err(no_primary());
     }
+    if !ctx.endpoints[endpoint].in_service && failover_flow::leave_grace_over(ctx) {
+        return Err(no_primary());
+    }
     let write_term = if read_point.is_none() { Some(record.term) } else { None };
     Ok(RouteChoice { endpoint, read_point, write_term })
 }
--- /dev/null
+++ b/stand-ins/tests/processes.rs
@@ -0,0 +1,219 @@
+//! A small fleet of real processes under signals, faults and bad input.
+//!
+//! Needs the daemon and the operators' command line built: run with `cargo test --workspace`.
+
+mod process_fleet;
+
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use process_fleet::ProcessFleet;
+use stand_ins::caller_story::{first_value, is_not_run};
+use stand_ins::fault_message::PlatformFaults;
+use tokio_postgres::Client;
+
+/// Longest time in which service must be back after a fault.
+const SERVICE_BACK: Duration = Duration::from_secs(17);
+/// Longest time in which a withdrawn key may still work.
+const WITHDRAWN_WITHIN: Duration = Duration::from_secs(7);
+
+/// Names each test with the first port of its fleet.
+macro_rules! fleet_tests {
+    ($($name:ident at $port:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let runtime = tokio::runtime::Builder::new_current_thread()
+                    .enable_all()
+                    .build()
+                    .unwrap();
+                runtime.block_on(cases::$name(ProcessFleet::start($port)));
+            }
+        )*
+    };
+}
+
+fleet_tests! {
+    driver_is_served at 21000;
+    killed_primary_is_replaced at 21100;
+    frozen_primary_is_replaced at 21200;
+    frozen_host_wakes_to_a_withdrawn_key at 21300;
+    platform_may_freeze at 21400;
+    lost_answer_is_recognised at 21500;
+    racing_operators_conflict at 21600;
+    garbage_harms_nothing at 21700;
+    stopping_host_cuts_no_request at 21800;
+}
+
+async fn write(client: &Client, id: &str) -> Result<(), tokio_postgres::Error> {
+    let insert = format!("INSERT INTO orders (id, state) VALUES ('{id}', 'new')");
+    client.simple_query(&insert).await.map(|_| ())
+}
+
+/// Writes rows until one is acknowledged; returns how long it took.
+async fn write_until_acknowledged(client: &Client, name: &str) -> Duration {
+    let started = Instant::now();
+    for attempt in 0.. {
+        if write(client, &format!("{name}-{attempt}")).await.is_ok() {
+            break;
+        }
+        assert!(started.elapsed() < SERVICE_BACK, "no write was acknowledged in time");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    started.elapsed()
+}
+
+async fn count(client: &Client) -> Option<String> {
+    first_value(client, "SELECT count(*) FROM orders").await.unwrap()
+}
+
+fn code(error: &tokio_postgres::Error) -> String {
+    error.code().map(|code| code.code().to_owned()).unwrap_or_default()
+}
+
+mod cases {
+    use super::*;
+
+    pub(crate) async fn driver_is_served(fleet: ProcessFleet) {
+        let ann = fleet.caller(0, None).await;
+        write_until_acknowledged(&ann, "first").await;
+        let session = first_value(&ann, "SHOW quetzaldeal.session").await.unwrap().unwrap();
+        let moved = fleet.caller(1, Some(&session)).await;
+        assert_eq!(count(&moved).await.as_deref(), Some("1"));
+
+        ann.simple_query("BEGIN").await.unwrap();
+        write(&ann, "kept").await.unwrap();
+        moved.simple_query("BEGIN").await.unwrap();
+        write(&moved, "dropped").await.unwrap();
+        moved.simple_query("ROLLBACK").await.unwrap();
+        ann.simple_query("COMMIT").await.unwrap();
+        assert_eq!(count(&ann).await.as_deref(), Some("2"));
+
+        let refused = ann.prepare("SELECT state FROM orders WHERE id = $1").await.unwrap_err();
+        assert_eq!(code(&refused), "0A000");
+        let refused = ann.simple_query("SELECT quetzaldeal.fence(9)").await.unwrap_err();
+        assert!(is_not_run(&refused), "{refused:?}");
+        let refused = ann.simple_query("SELECT 1; SELECT 2").await.unwrap_err();
+        assert!(is_not_run(&refused), "{refused:?}");
+        assert_eq!(count(&ann).await.as_deref(), Some("2"));
+    }
+
+    pub(crate) async fn killed_primary_is_replaced(mut fleet: ProcessFleet) {
+        let client = fleet.caller(0, None).await;
+        write_until_acknowledged(&client, "before").await;
+        let before = count(&client).await;
+        fleet.kill(&fleet.primary());
+        write_until_acknowledged(&client, "after").await;
+        let after: u64 = count(&client).await.unwrap().parse().unwrap();
+        assert!(after > before.unwrap().parse().unwrap());
+    }
+
+    pub(crate) async fn frozen_primary_is_replaced(fleet: ProcessFleet) {
+        let client = fleet.caller(0, None).await;
+        write_until_acknowledged(&client, "before").await;
+        let primary = fleet.primary();
+        fleet.signal(&primary, "STOP");
+        write_until_acknowledged(&client, "during").await;
+        fleet.signal(&primary, "CONT");
+        let seen = count(&client).await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        write(&client, "last").await.unwrap();
+        let now: u64 = count(&client).await.unwrap().parse().unwrap();
+        assert_eq!(now, seen.unwrap().parse::<u64>().unwrap() + 1);
+    }
+
+    pub(crate) async fn frozen_host_wakes_to_a_withdrawn_key(fleet: ProcessFleet) {
+        let client = fleet.caller(2, None).await;
+        write_until_acknowledged(&client, "before").await;
+        fleet.signal("c1", "STOP");
+        fleet.operator(&["key", "withdraw", "desk-1"]).unwrap();
+        tokio::time::sleep(WITHDRAWN_WITHIN).await;
+        fleet.signal("c1", "CONT");
+        let answer = client.simple_query("SELECT count(*) FROM orders").await;
+        assert!(answer.is_err(), "the host served a key withdrawn while it was frozen");
+        assert!(fleet.try_caller(0, None).await.is_err());
+    }
+
+    pub(crate) async fn platform_may_freeze(mut fleet: ProcessFleet) {
+        let client = fleet.caller(1, None).await;
+        write_until_acknowledged(&client, "before").await;
+        fleet.signal("platform", "STOP");
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(9) {
+            let id = format!("during-{}", started.elapsed().as_millis());
+            write(&client, &id).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        fleet.signal("platform", "CONT");
+        fleet.kill(&fleet.primary());
+        write_until_acknowledged(&client, "after").await;
+    }
+
+    pub(crate) async fn lost_answer_is_recognised(fleet: ProcessFleet) {
+        let faults = PlatformFaults { lose_answers: 1, ..PlatformFaults::default() };
+        fleet.set_faults(faults).await;
+        // The first write of a publication is a part; its answer is lost too, and tried again.
+        let told = fleet.operator(&["key", "new", "desk-2", "--account", "desk"]).unwrap();
+        assert!(told.contains("published version 2"), "{told}");
+        fleet.set_faults(PlatformFaults { lose_answers: 3, ..faults }).await;
+        let told = fleet.operator(&["key", "withdraw", "desk-2"]).unwrap();
+        assert!(told.contains("published version 3"), "{told}");
+        let history = fleet.operator(&["history"]).unwrap();
+        assert_eq!(history.lines().count(), 4, "{history}");
+    }
+
+    pub(crate) async fn racing_operators_conflict(fleet: ProcessFleet) {
+        let shown = fleet.operator(&["show"]).unwrap();
+        let first = fleet.file("first.yaml", &shown.replace("rate: 200", "rate: 150"));
+        let second = fleet.file("second.yaml", &shown.replace("burst: 400", "burst: 300"));
+        let told = fleet.operator(&["publish", &first, "--wait"]).unwrap();
+        assert!(told.contains("in force on 3 of 3 hosts"), "{told}");
+        let refused = fleet.operator(&["publish", &second]).unwrap_err();
+        assert!(refused.contains("conflict: version 2"), "{refused}");
+        assert!(refused.contains("+ rate: 150"), "{refused}");
+        let dangling = shown.replace("version: 1", "version: 2").replace("- g1-2", "- nowhere");
+        let third = fleet.file("third.yaml", &dangling);
+        let refused = fleet.operator(&["publish", &third]).unwrap_err();
+        assert!(refused.contains("group g1: field endpoints: \"nowhere\""), "{refused}");
+        let unknown = fleet.file("fourth.yaml", "kind: account\nname: x\nrat: 3\n");
+        let refused = fleet.operator(&["check", &unknown]).unwrap_err();
+        assert!(refused.contains("unknown field `rat`"), "{refused}");
+    }
+
+    pub(crate) async fn garbage_harms_nothing(fleet: ProcessFleet) {
+        let client = fleet.caller(0, None).await;
+        write_until_acknowledged(&client, "before").await;
+        for address in fleet.all_addresses() {
+            for garbage in [&b"\x00\x00\x00\x08\x00\x00\x00\x00"[..], b"POST /v1/peer HTTP/1.1\r\n\
+                content-length: 5\r\n\r\n\xc1\xc1\xc1\xc1\xc1", &[0xff; 4_096]]
+            {
+                if let Ok(mut stream) = TcpStream::connect(&address) {
+                    drop(stream.write_all(garbage));
+                }
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let long = "x".repeat(1_100_000);
+        let refused = client.simple_query(&format!("SELECT '{long}'")).await.unwrap_err();
+        assert!(is_not_run(&refused));
+        write(&client, "after").await.unwrap();
+        assert_eq!(count(&client).await.as_deref(), Some("2"));
+    }
+
+    pub(crate) async fn stopping_host_cuts_no_request(mut fleet: ProcessFleet) {
+        let client = fleet.caller(0, None).await;
+        write_until_acknowledged(&client, "before").await;
+        let idle = fleet.caller(0, None).await;
+        client.simple_query("BEGIN").await.unwrap();
+        write(&client, "within").await.unwrap();
+        fleet.signal("a1", "TERM");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert!(idle.is_closed(), "an idle connection stayed open");
+        client.simple_query("COMMIT").await.unwrap();
+        let code = fleet.wait("a1");
+        assert_eq!(code, Some(0), "the daemon did not end well");
+        let other = fleet.caller(1, None).await;
+        assert_eq!(count(&other).await.as_deref(), Some("2"));
+    }
+}
