test: a fleet of real processes under signals, lost answers and garbage

Nine tests start the platform, three databases and three hosts each: driver, SIGKILL and SIGSTOP of a primary, SIGSTOP of a host and of the platform, lost answers, racing operators, garbage on every port, SIGTERM with an open transaction.

Found: a stand-in replica hung on its frozen primary and never looked whom to follow. Ruled out: a fault of the election, whose logs show the new primary chosen after 0.16 s, then counted as isolated because its replica stood still. The stand-in now gives a pull 500 ms.

--- a/stand-ins/src/endpoint_program.rs
+++ b/stand-ins/src/endpoint_program.rs
@@ -29,6 +29,8 @@
 
 /// Statements that are not counted against the slots: the proxy's own functions.
 const OWN_PREFIX: &str = "SELECT * FROM quetzaldeal.";
+/// Longest wait of a replica for its primary, before it looks whom to follow.
+const PULL_TIMEOUT: Duration = Duration::from_millis(500);
 const CHANGES_PREFIX: &str = "SELECT * FROM quetzaldeal.changes(";
 const AWAIT_PREFIX: &str = "SELECT * FROM quetzaldeal.await(";
 
@@ -121,7 +123,8 @@
         let target: SocketAddr = address.parse()?;
         let mut config = tokio_postgres::Config::new();
         config.host(target.ip().to_string()).port(target.port()).user("replica").dbname("replica");
-        let (client, connection) = config.connect(NoTls).await?;
+        let (client, connection) =
+            tokio::time::timeout(PULL_TIMEOUT, config.connect(NoTls)).await??;
         let connection = tokio::spawn(connection);
         let pulled = async {
             loop {
@@ -131,7 +134,8 @@
                 }
                 let ends = to_hex(&rmp_serde::to_vec(&self.model().term_ends())?);
                 let query = format!("{CHANGES_PREFIX}{}, '{ends}')", status.adopted_term);
-                let rows = client.simple_query(&query).await?;
+                let rows =
+                    tokio::time::timeout(PULL_TIMEOUT, client.simple_query(&query)).await??;
                 let row = rows.iter().find_map(|message| match message {
                     SimpleQueryMessage::Row(row) => row.get(0),
                     _ => None,
--- a/stand-ins/tests/processes.rs
+++ b/stand-ins/tests/processes.rs
@@ -185,9 +185,12 @@
         let client = fleet.caller(0, None).await;
         write_until_acknowledged(&client, "before").await;
         for address in fleet.all_addresses() {
-            for garbage in [&b"\x00\x00\x00\x08\x00\x00\x00\x00"[..], b"POST /v1/peer HTTP/1.1\r\n\
-                content-length: 5\r\n\r\n\xc1\xc1\xc1\xc1\xc1", &[0xff; 4_096]]
-            {
+            for garbage in [
+                &b"\x00\x00\x00\x08\x00\x00\x00\x00"[..],
+                b"POST /v1/peer HTTP/1.1\r\n\
+                content-length: 5\r\n\r\n\xc1\xc1\xc1\xc1\xc1",
+                &[0xff; 4_096],
+            ] {
                 if let Ok(mut stream) = TcpStream::connect(&address) {
                     drop(stream.write_all(garbage));
                 }
