test: experiments against separate processes, with baselines

Cause: no policy was judged by figures yet. Change: a seeded open-loop load tool with plans in YAML, an exact bucket to judge refusals by, per-account quantiles and gaps; scripts that run a deployment in full; settings that switch replica reads and loans off for comparison.

--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -46,6 +46,7 @@
   user: quetzaldeal
   database: app
 log_level: ${FLEET_LOG:-info}
+${FLEET_TUNING:+tuning: {$FLEET_TUNING\}}
 YAML
   fleet_start "$name" "$(fleet_bin quetzaldeald)" --settings "$FLEET_DIR/$name.yaml"
 }
--- a/src/core_tuning.rs
+++ b/src/core_tuning.rs
@@ -44,6 +44,10 @@
     pub statement_max_bytes: usize,
     /// Longest graceful shutdown, in milliseconds.
     pub drain_timeout_ms: u64,
+    /// Whether replicas serve reads; without, all reads go to primaries.
+    pub replica_reads: bool,
+    /// Whether hosts lend each other shares; without, each keeps its home share.
+    pub share_loans: bool,
 }
 
 impl Default for CoreTuning {
@@ -67,6 +71,8 @@
             idle_test_ms: 2_000,
             statement_max_bytes: 1_000_000,
             drain_timeout_ms: 30_000,
+            replica_reads: true,
+            share_loans: true,
         }
     }
 }
--- a/src/route_choice.rs
+++ b/src/route_choice.rs
@@ -64,6 +64,7 @@
         return choose_primary(ctx, state, None);
     };
     if !state.primary_only
+        && ctx.tuning.replica_reads
         && let Some(endpoint) = best_replica(ctx, state, point)
     {
         return Ok(RouteChoice { endpoint, read_point: Some(point), write_term: None });
--- a/src/share_flow.rs
+++ b/src/share_flow.rs
@@ -242,6 +242,9 @@
 
 /// Returns the addresses of the account's homes that may lend.
 fn lenders(ctx: &CoreContext, account: AccountKey) -> Vec<String> {
+    if !ctx.tuning.share_loans {
+        return Vec::new();
+    }
     let homes = ctx.accounts[account].homes.iter();
     homes.filter_map(|host| usable_address(ctx, host)).collect()
 }
--- a/stand-ins/src/load_plan.rs
+++ b/stand-ins/src/load_plan.rs
@@ -39,8 +39,9 @@
     /// Age that those reads accept, in milliseconds.
     #[serde(default)]
     pub max_age_ms: u64,
-    /// Connections of each account to each host.
-    pub connections: usize,
+    /// Groups of the service; each account has two connections for each at each host, one of them
+    /// for reads that accept data of `max_age_ms`.
+    pub groups: Vec<String>,
     /// Part of the load that goes to the first host, from 0 to 1; the rest is spread evenly.
     #[serde(default)]
     pub skew: f64,
@@ -63,8 +64,8 @@
                 bail!("field {field}: {value}: give a part from 0 to 1");
             }
         }
-        if plan.hosts.is_empty() || plan.connections == 0 {
-            bail!("fields hosts and connections: give at least one");
+        if plan.hosts.is_empty() || plan.groups.is_empty() {
+            bail!("fields hosts and groups: give at least one of each");
         }
         Ok(plan)
     }
--- a/stand-ins/src/load_run.rs
+++ b/stand-ins/src/load_run.rs
@@ -19,7 +19,10 @@
 /// Statements that wait for one connection before more are counted as late and dropped.
 const BACKLOG_MAX: usize = 4_096;
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(5);
-const ROUTE_KEYS: u32 = 300;
+const ORDERS: u32 = 300;
+/// Longest latency kept apart, in microseconds.
+const LATENCY_MAX_US: u64 = 60_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
 const STATE_OVER_RATE: &str = "53400";
 
 /// How one account fared.
@@ -45,8 +48,10 @@
     pub p99_ms: f64,
     /// Exceeded by one in a thousand.
     pub p999_ms: f64,
-    /// Longest time between two writes that ran, in milliseconds.
+    /// Longest time between two writes to one group that ran, in milliseconds.
     pub write_gap_ms: f64,
+    /// Errors other than refusals over the rate, by text.
+    pub errors: BTreeMap<String, u64>,
 }
 
 /// An exact bucket over the whole fleet, to judge refusals by.
@@ -78,7 +83,7 @@
     bucket: ExactBucket,
     entitled: u64,
     latencies: Histogram<u64>,
-    last_write: Option<Instant>,
+    last_writes: BTreeMap<String, Instant>,
 }
 
 type SharedRecord = Arc<Mutex<AccountRecord>>;
@@ -86,8 +91,8 @@
 struct OfferedStatement {
     due: Instant,
     text: String,
-    settings: Vec<String>,
     write: bool,
+    aged: bool,
     entitled: bool,
 }
 
@@ -103,11 +108,11 @@
     for (index, account) in plan.accounts.iter().enumerate() {
         let record = Arc::new(Mutex::new(new_record(account, started)?));
         records.insert(account.account.clone(), record.clone());
-        let senders = open_connections(&plan, account, &record).await?;
+        let hosts = open_connections(&plan, account, &record).await?;
         let plan = plan.clone();
         let account = account.clone();
         let seed = plan.seed.wrapping_add(index as u64);
-        tasks.push(tokio::spawn(offer(plan, account, record, senders, seed, started)));
+        tasks.push(tokio::spawn(offer(plan, account, record, hosts, seed, started)));
     }
     let progress = tokio::spawn(show_progress(records.clone(), plan.seconds));
     for task in tasks {
@@ -135,36 +140,59 @@
             at: started,
         },
         entitled: 0,
-        latencies: Histogram::new(3)?,
-        last_write: None,
+        latencies: Histogram::new_with_bounds(1, LATENCY_MAX_US, SIGNIFICANT_DIGITS)?,
+        last_writes: BTreeMap::new(),
     })
 }
 
+/// The connections of an account to one host.
+struct HostConnections {
+    fresh: Vec<mpsc::Sender<OfferedStatement>>,
+    aged: Vec<mpsc::Sender<OfferedStatement>>,
+}
+
 async fn open_connections(
     plan: &LoadPlan,
     account: &AccountLoad,
     record: &SharedRecord,
-) -> Result<Vec<Vec<mpsc::Sender<OfferedStatement>>>> {
-    let mut senders = Vec::new();
+) -> Result<Vec<HostConnections>> {
+    let mut hosts = Vec::new();
     for address in &plan.hosts {
-        let login = CallerLogin {
-            address: address.clone(),
-            account: account.account.clone(),
-            key: account.key.clone(),
-            service: plan.service.clone(),
-            group: String::new(),
-        };
-        let mut host = Vec::new();
-        for _ in 0..plan.connections {
-            let client = login.connect(None).await;
-            let client = client.with_context(|| format!("{} at {address}", account.account))?;
-            let (sender, receiver) = mpsc::channel(BACKLOG_MAX);
-            tokio::spawn(work(login.clone(), client, receiver, record.clone()));
-            host.push(sender);
+        let mut host = HostConnections { fresh: Vec::new(), aged: Vec::new() };
+        for group in &plan.groups {
+            let login = CallerLogin {
+                address: address.clone(),
+                account: account.account.clone(),
+                key: account.key.clone(),
+                service: plan.service.clone(),
+                group: group.clone(),
+            };
+            host.fresh.push(open_connection(&login, 0, record).await?);
+            host.aged.push(open_connection(&login, plan.max_age_ms, record).await?);
         }
-        senders.push(host);
+        hosts.push(host);
     }
-    Ok(senders)
+    Ok(hosts)
+}
+
+async fn open_connection(
+    login: &CallerLogin,
+    max_age_ms: u64,
+    record: &SharedRecord,
+) -> Result<mpsc::Sender<OfferedStatement>> {
+    let client = connect_aged(login, max_age_ms).await;
+    let client = client.with_context(|| format!("{} at {}", login.account, login.address))?;
+    let (sender, receiver) = mpsc::channel(BACKLOG_MAX);
+    tokio::spawn(work(login.clone(), max_age_ms, client, receiver, record.clone()));
+    Ok(sender)
+}
+
+async fn connect_aged(login: &CallerLogin, max_age_ms: u64) -> Result<Client> {
+    let client = login.connect(None).await?;
+    if max_age_ms > 0 {
+        client.simple_query(&format!("SET quetzaldeal.max_age_ms = {max_age_ms}")).await?;
+    }
+    Ok(client)
 }
 
 /// Offers an account's statements at their times, whether or not earlier ones are answered.
@@ -172,7 +200,7 @@
     plan: LoadPlan,
     account: AccountLoad,
     record: SharedRecord,
-    senders: Vec<Vec<mpsc::Sender<OfferedStatement>>>,
+    hosts: Vec<HostConnections>,
     seed: u64,
     started: Instant,
 ) {
@@ -190,10 +218,12 @@
         let host = if rng.random::<f64>() < plan.skew {
             0
         } else {
-            (rng.random::<u32>() as usize) % senders.len()
+            (rng.random::<u32>() as usize) % hosts.len()
         };
-        let connection = (rng.random::<u32>() as usize) % senders[host].len();
-        if senders[host][connection].try_send(statement).is_err() {
+        let host = &hosts[host];
+        let connections = if statement.aged { &host.aged } else { &host.fresh };
+        let connection = (rng.random::<u32>() as usize) % connections.len();
+        if connections[connection].try_send(statement).is_err() {
             lock(&record).outcome.not_run += 1;
         }
     }
@@ -212,33 +242,29 @@
         record.entitled += u64::from(entitled);
         entitled
     };
-    let route = rng.random::<u32>() % ROUTE_KEYS;
+    let order = rng.random::<u32>() % ORDERS;
     let read = rng.random::<f64>() < plan.read_part;
     let aged = read && rng.random::<f64>() < plan.aged_part;
-    let age = if aged { plan.max_age_ms.to_string() } else { String::new() };
     let text = if read {
-        format!("SELECT state FROM orders WHERE id = 'order-{route}'")
+        format!("SELECT state FROM orders WHERE id = 'order-{order}'")
     } else {
         let id: u64 = rng.random();
         format!("INSERT INTO orders (id, state) VALUES ('load-{id}', 'new')")
     };
-    let settings = vec![
-        format!("SET quetzaldeal.route_key = '{route}'"),
-        format!("SET quetzaldeal.max_age_ms = '{age}'"),
-    ];
-    OfferedStatement { due, text, settings, write: !read, entitled }
+    OfferedStatement { due, text, write: !read, aged, entitled }
 }
 
 /// Runs the statements of one connection in order.
 async fn work(
     login: CallerLogin,
+    max_age_ms: u64,
     mut client: Client,
     mut statements: mpsc::Receiver<OfferedStatement>,
     record: SharedRecord,
 ) {
     while let Some(statement) = statements.recv().await {
         if client.is_closed() {
-            match login.connect(None).await {
+            match connect_aged(&login, max_age_ms).await {
                 Ok(fresh) => client = fresh,
                 Err(_) => {
                     lock(&record).outcome.not_run += 1;
@@ -246,17 +272,14 @@
                 }
             }
         }
-        for setting in &statement.settings {
-            // A setting that fails shows in the outcome of the statement after it.
-            drop(client.simple_query(setting).await);
-        }
         let answer = client.simple_query(&statement.text).await;
-        note(&record, &statement, answer.map(|_| ()));
+        note(&record, &login.group, &statement, answer.map(|_| ()));
     }
 }
 
 fn note(
     record: &SharedRecord,
+    group: &str,
     statement: &OfferedStatement,
     answer: Result<(), tokio_postgres::Error>,
 ) {
@@ -268,18 +291,31 @@
             let latency = now.saturating_duration_since(statement.due);
             record.latencies.saturating_record(latency.as_micros() as u64);
             if statement.write {
-                let gap = record.last_write.map_or(Duration::ZERO, |last| now - last);
+                let last = record.last_writes.insert(group.to_owned(), now);
+                let gap = last.map_or(Duration::ZERO, |last| now - last);
                 let gap_ms = gap.as_secs_f64() * 1_000.0;
                 record.outcome.write_gap_ms = record.outcome.write_gap_ms.max(gap_ms);
-                record.last_write = Some(now);
             }
         }
         Err(error) if error.code().is_some_and(|code| code.code() == STATE_OVER_RATE) => {
             record.outcome.over_rate += 1;
             record.outcome.wrongly_refused += u64::from(statement.entitled);
         }
-        Err(error) if is_not_run(&error) => record.outcome.not_run += 1,
-        Err(_) => record.outcome.unknown += 1,
+        Err(error) => {
+            if is_not_run(&error) {
+                record.outcome.not_run += 1;
+            } else {
+                record.outcome.unknown += 1;
+            }
+            *record.outcome.errors.entry(describe(&error)).or_default() += 1;
+        }
+    }
+}
+
+fn describe(error: &tokio_postgres::Error) -> String {
+    match error.as_db_error() {
+        Some(error) => format!("{} ({})", error.message(), error.detail().unwrap_or_default()),
+        None => error.to_string(),
     }
 }
 
