feat(capacity): slopes measured and a sheet worked out from them; small parts, shares off the clock

Cause: the size designed for asks what each role costs. Measuring it in one process found: - an endpoint that does not take up its role was told it over and over, as fast as it answered; it is told once a probe now; - dealing shares ranked all hosts for each account at each change, with the hash worked out again in each comparison: 203 us for each object configured, 2.5 s at full size.

Pulses, probes, metrics and the bringing into force are the parts to mend. Scenarios and properties pass.

--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -1,5 +1,6 @@
 # Functions that start and stop a small fleet of separate processes; read by the scripts here.
-# Needs: FLEET_WORLD (name of a file in deploy/), FLEET_BASE (first port), FLEET_DIR (work folder).
+# Needs: FLEET_WORLD (name of a file in deploy/) or FLEET_FILE (path of a world), FLEET_BASE (first
+# port), FLEET_DIR (work folder).
 
 fleet_bin() { echo "target/release/$1"; }
 fleet_platform() { echo "127.0.0.1:$FLEET_BASE"; }
@@ -20,7 +21,7 @@
   awk -v kind="$1" '
     /^---/ { if (k == kind) print n, c, a; k = n = c = a = "" }
     /^kind:/ { k = $2 } /^name:/ { n = $2 } /^data_centre:/ { c = $2 } /^address:/ { a = $2 }
-    END { if (k == kind) print n, c, a }' "deploy/$FLEET_WORLD.yaml"
+    END { if (k == kind) print n, c, a }' "${FLEET_FILE:-deploy/$FLEET_WORLD.yaml}"
 }
 
 # fleet_callers HOST: the address of a host's callers' door.
@@ -33,7 +34,7 @@
 fleet_host() {
   local name centre address port seeds
   read -r name centre address < <(fleet_objects host | awk -v host="$1" '$1 == host')
-  seeds=$(fleet_objects host | awk -v host="$1" '$1 != host { print "  - " $3 }')
+  seeds=$(fleet_objects host | awk -v host="$1" '$1 != host && ++count <= 9 { print "  - " $3 }')
   cat >"$FLEET_DIR/$name.yaml" <<YAML
 host: $name
 data_centre: $centre
--- a/src/config_flow.rs
+++ b/src/config_flow.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
 
 use crate::account_state::AccountState;
 use crate::arena_keys::{EndpointKey, GroupKey};
@@ -21,6 +24,7 @@
 use crate::peer_message::PeerRequest;
 use crate::peer_table::PeerState;
 use crate::platform_message::{PlatformReply, PlatformRequest};
+use crate::rendezvous_rank::HomeMap;
 use crate::share_flow;
 use crate::share_ledger::ShareLedger;
 use crate::timer_queue::TimerKind;
@@ -28,9 +32,14 @@
 
 /// Connections of an endpoint that are left for its operators and its replicas.
 const CONNECTIONS_RESERVED: u32 = 2;
+/// Time between two rounds of asking for missing parts.
+const PARTS_RETRY: Duration = Duration::from_millis(100);
+/// Time for which a host that heard of a head from a peer leaves the platform alone.
+const PEERS_FIRST: Duration = Duration::from_millis(1_500);
 
-/// Looks at a live record that changed; a newer head starts the fetching of its parts.
-pub fn on_live_entry(ctx: &mut CoreContext, key: &str) {
+/// Looks at a live record that changed; a newer head starts the fetching of its parts. `from` is
+/// the address of the peer that told of it, if it was not the platform.
+pub fn on_live_entry(ctx: &mut CoreContext, key: &str, from: Option<&str>) {
     if key != config_head::head_key() {
         return;
     }
@@ -39,6 +48,8 @@
         Ok(head) if head.version > ctx.config.known_version() => {
             ctx.config.pending = Some(head);
             ctx.config.pending_confirmed = None;
+            ctx.config.pending_since = ctx.now;
+            ctx.config.pending_from = from.map(str::to_owned);
             fetch_missing(ctx);
             adopt_complete(ctx);
         }
@@ -69,26 +80,40 @@
     on_part(ctx, hash, bytes);
 }
 
-/// Asks the platform and a random peer for each missing part.
+/// Asks for each missing part: the platform, when this host watches it, or else the peer that told
+/// of the head. After some time without success any peer and the platform are asked.
 pub fn fetch_missing(ctx: &mut CoreContext) {
-    let usable = ctx.peers.peers.values().filter(|peer| peer.heard.is_some());
-    let mut addresses: Vec<String> = usable.map(|peer| peer.address.clone()).collect();
-    if addresses.is_empty() {
-        addresses.clone_from(&ctx.identity.seeds);
+    let missing = ctx.config.missing_parts();
+    if missing.is_empty() {
+        return;
     }
-    for hash in ctx.config.missing_parts() {
-        let key = config_head::part_key(&hash);
+    let late = ctx.now.since(ctx.config.pending_since) >= PEERS_FIRST;
+    let told_by = ctx.config.pending_from.clone();
+    let platform = late || told_by.is_none();
+    let peer = if late || told_by.is_none() { random_peer(ctx) } else { told_by };
+    for hash in missing {
         let purpose = CallPurpose::Part { hash: hash.clone() };
-        ctx.call_platform(purpose.clone(), PlatformRequest::Get { key });
-        if !addresses.is_empty() {
-            let pick = (ctx.jitter() * addresses.len() as f64) as usize % addresses.len();
+        if platform {
+            let key = config_head::part_key(&hash);
+            ctx.call_platform(purpose.clone(), PlatformRequest::Get { key });
+        }
+        if let Some(address) = peer.clone() {
             let call = ctx.open_call(purpose);
             let request = PeerRequest::Part { hash };
             ctx.control.peer_calls += 1;
-            let address = addresses[pick].clone();
             ctx.actions.push(CoreAction::CallPeer { call, address, request });
         }
     }
+    ctx.wake_after(PARTS_RETRY, TimerKind::Parts);
+}
+
+fn random_peer(ctx: &mut CoreContext) -> Option<String> {
+    let usable = ctx.peers.peers.values().filter(|peer| peer.heard.is_some());
+    let mut addresses: Vec<String> = usable.map(|peer| peer.address.clone()).collect();
+    if addresses.is_empty() {
+        addresses.clone_from(&ctx.identity.seeds);
+    }
+    addresses.choose(&mut ctx.rng).cloned()
 }
 
 fn adopt_complete(ctx: &mut CoreContext) {
@@ -184,6 +209,7 @@
         seen: None,
         refusing_since: None,
         probed: ClockTime::default(),
+        repaired: ClockTime::default(),
         queue: Vec::new(),
         circuit: CircuitBreaker::default(),
         new_copy: None,
@@ -231,6 +257,7 @@
 }
 
 fn adopt_accounts(ctx: &mut CoreContext, world: &WorldConfig) {
+    let hosts = HomeMap::new(world);
     for object in world.accounts.values() {
         let known = ctx.account_names.get(&object.name).copied();
         let key = known.unwrap_or_else(|| {
@@ -252,7 +279,7 @@
             key
         });
         ctx.accounts[key].weight = object.weight;
-        share_flow::deal(ctx, key, object);
+        share_flow::deal(ctx, key, object, &hosts);
     }
     let gone: Vec<_> = ctx
         .account_names
--- a/src/config_head.rs
+++ b/src/config_head.rs
@@ -1,7 +1,7 @@
 //! The head of the published configuration and the parts that it names.
 //!
-//! Parts are content-addressed: a change rewrites only the parts that differ, and each stays well
-//! below the platform's limit of a megabyte.
+//! Parts are content-addressed and small: a change rewrites only the parts that differ, so that a
+//! change of one object costs each host one small part, however many objects there are.
 
 use std::collections::BTreeMap;
 
@@ -16,8 +16,10 @@
 pub const PART_PREFIX: &str = "parts/";
 /// Platform prefix of replaced heads, by version.
 pub const HISTORY_PREFIX: &str = "history/";
-/// The largest part that is written, in bytes.
-pub const PART_MAX_BYTES: usize = 256 * 1024;
+/// The largest part of several objects, in bytes.
+pub const PART_MAX_BYTES: usize = 16 * 1024;
+/// The largest part of one object, in bytes; the platform holds values up to a megabyte.
+pub const OBJECT_MAX_BYTES: usize = 900_000;
 const BUCKETS_MAX: u64 = 1 << 16;
 
 /// The head of the configuration, changed only by compare-and-swap.
@@ -81,7 +83,7 @@
 ///
 /// # Errors
 ///
-/// Fails when one object alone is larger than a part.
+/// Names an object that is too large to publish.
 pub fn split_world(world: &world_config::WorldConfig) -> Result<Vec<(String, Vec<u8>)>> {
     let mut by_kind: BTreeMap<&str, Vec<world_object::WorldObject>> = BTreeMap::new();
     for object in world.to_objects() {
@@ -113,21 +115,38 @@
 
 fn split_kind(objects: &[world_object::WorldObject]) -> Result<Vec<(String, Vec<u8>)>> {
     let mut buckets = 1;
-    while buckets <= BUCKETS_MAX {
+    loop {
         let parts = encode_buckets(objects, buckets)?;
-        if parts.iter().all(|bytes| bytes.len() <= PART_MAX_BYTES) {
-            return Ok(parts.into_iter().map(|bytes| (part_hash(&bytes), bytes)).collect());
+        let fits = |(count, bytes): &(usize, Vec<u8>)| *count == 1 || bytes.len() <= PART_MAX_BYTES;
+        if parts.iter().all(fits) || buckets >= BUCKETS_MAX {
+            return parts.into_iter().map(|(_, bytes)| name_part(bytes)).collect();
         }
         buckets *= 2;
     }
-    bail!("an object is larger than {PART_MAX_BYTES} bytes")
 }
 
-fn encode_buckets(objects: &[world_object::WorldObject], buckets: u64) -> Result<Vec<Vec<u8>>> {
+fn name_part(bytes: Vec<u8>) -> Result<(String, Vec<u8>)> {
+    if bytes.len() > OBJECT_MAX_BYTES {
+        let objects: Vec<world_object::WorldObject> = rmp_serde::from_slice(&bytes)?;
+        let object = objects.first().context("an empty part")?;
+        let (kind, name) = (object.kind(), object.name());
+        bail!("{kind} {name}: {} bytes; at most {OBJECT_MAX_BYTES} can be published", bytes.len());
+    }
+    Ok((part_hash(&bytes), bytes))
+}
+
+/// Encodes objects by the bucket of their names; each with the number of its objects.
+fn encode_buckets(
+    objects: &[world_object::WorldObject],
+    buckets: u64,
+) -> Result<Vec<(usize, Vec<u8>)>> {
     let mut grouped: BTreeMap<u64, Vec<&world_object::WorldObject>> = BTreeMap::new();
     for object in objects {
         let bucket = xxh3::xxh3_64(object.name().as_bytes()) % buckets;
         grouped.entry(bucket).or_default().push(object);
     }
-    grouped.values().map(|bucket| Ok(rmp_serde::to_vec_named(bucket)?)).collect()
+    let encode = |bucket: &Vec<&world_object::WorldObject>| {
+        Ok((bucket.len(), rmp_serde::to_vec_named(bucket)?))
+    };
+    grouped.values().map(encode).collect()
 }
--- a/src/config_state.rs
+++ b/src/config_state.rs
@@ -18,6 +18,10 @@
     pub pending: Option<ConfigHead>,
     /// When the platform last confirmed the pending head as the newest.
     pub pending_confirmed: Option<ClockTime>,
+    /// When the pending head was learnt.
+    pub pending_since: ClockTime,
+    /// Address of the peer that told of the pending head; it has or is getting the parts.
+    pub pending_from: Option<String>,
     /// Parts by hash.
     pub parts: BTreeMap<String, Vec<u8>>,
     /// When the configuration came into force here.
--- a/src/core_context.rs
+++ b/src/core_context.rs
@@ -1,6 +1,6 @@
 //! All state of the decision core, handed by reference to its functions.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -115,6 +115,10 @@
     pub accounts: SlotMap<AccountKey, AccountState>,
     /// Client accounts by name.
     pub account_names: HashMap<String, AccountKey>,
+    /// Accounts with statements lately.
+    pub active_accounts: BTreeSet<AccountKey>,
+    /// Whether the timer of the shares is set.
+    pub shares_armed: bool,
     /// Groups.
     pub groups: SlotMap<GroupKey, GroupState>,
     /// Groups by name.
@@ -167,6 +171,8 @@
             peers: PeerTable::default(),
             accounts: SlotMap::with_key(),
             account_names: HashMap::new(),
+            active_accounts: BTreeSet::new(),
+            shares_armed: false,
             groups: SlotMap::with_key(),
             group_names: HashMap::new(),
             endpoints: SlotMap::with_key(),
--- a/src/decision_core.rs
+++ b/src/decision_core.rs
@@ -49,7 +49,6 @@
         let mut context = CoreContext::new(identity, tuning, charts, seed, now);
         context.timers.push(now, TimerKind::Platform);
         context.timers.push(now, TimerKind::Pulse);
-        context.timers.push(now, TimerKind::Shares);
         Ok(Self { context })
     }
 
@@ -172,6 +171,7 @@
                 TimerKind::Pulse => peer_flow::on_timer(ctx),
                 TimerKind::Platform => platform_flow::on_timer(ctx),
                 TimerKind::Shares => share_flow::on_timer(ctx),
+                TimerKind::Parts => config_flow::fetch_missing(ctx),
                 TimerKind::Drain => drain_flow::on_timer(ctx),
             }
         }
--- a/src/endpoint_state.rs
+++ b/src/endpoint_state.rs
@@ -50,6 +50,8 @@
     pub refusing_since: Option<ClockTime>,
     /// When the last probe was sent.
     pub probed: ClockTime,
+    /// When it was last told its role.
+    pub repaired: ClockTime,
     /// Statements that wait for a connection, oldest first.
     pub queue: Vec<StatementKey>,
     /// Keeps work away while the endpoint fails.
--- a/src/failover_flow.rs
+++ b/src/failover_flow.rs
@@ -418,7 +418,7 @@
         let leads = status.primary && status.adopted_term == record.term;
         if counted && !leads {
             let request = EndpointRequest::Promote { term: record.term, least: record.start };
-            connection_flow::command(ctx, endpoint, request);
+            tell_role(ctx, endpoint, request);
         }
         return;
     }
@@ -427,10 +427,23 @@
     let follows = status.adopted_term == record.term && status.following.as_ref() == Some(&address);
     if !follows {
         let request = EndpointRequest::Follow { term: record.term, address };
-        connection_flow::command(ctx, endpoint, request);
+        tell_role(ctx, endpoint, request);
     }
 }
 
+/// Tells an endpoint its role, at most once a probe: one that does not take it up must not be
+/// told over and over.
+fn tell_role(ctx: &mut CoreContext, endpoint: EndpointKey, request: EndpointRequest) {
+    let gap = CoreTuning::millis(ctx.tuning.probe_interval_ms / 2);
+    let now = ctx.now;
+    let state = &mut ctx.endpoints[endpoint];
+    if now.since(state.repaired) < gap {
+        return;
+    }
+    state.repaired = now;
+    connection_flow::command(ctx, endpoint, request);
+}
+
 /// Notes when the replicas last advanced, or had nothing to advance to.
 fn note_progress(ctx: &mut CoreContext, group: GroupKey) {
     let now = ctx.now;
--- a/src/peer_flow.rs
+++ b/src/peer_flow.rs
@@ -4,7 +4,6 @@
 
 use crate::call_purpose::CallPurpose;
 use crate::clock_time::ClockTime;
-use crate::config_flow;
 use crate::core_context::CoreContext;
 use crate::core_message::{AskId, CoreAction};
 use crate::core_tuning::CoreTuning;
@@ -31,9 +30,6 @@
         ctx.control.peer_calls += 1;
         ctx.actions.push(CoreAction::CallPeer { call, address, request });
     }
-    if ctx.config.pending.is_some() {
-        config_flow::fetch_missing(ctx);
-    }
     share_flow::open_shares(ctx);
     let interval = ctx.spread(CoreTuning::millis(ctx.tuning.pulse_interval_ms));
     ctx.wake_after(interval, TimerKind::Pulse);
@@ -67,7 +63,8 @@
         peer.leaving = pulse.leaving;
     }
     let after = ctx.feed.watermark();
-    platform_flow::merge(ctx, after, pulse.watermark, pulse.entries.clone());
+    let entries = pulse.entries.clone();
+    platform_flow::merge(ctx, after, pulse.watermark, entries, Some(address));
     if pulse.version == 0 || pulse.version != ctx.config.known_version() {
         return;
     }
--- a/src/platform_flow.rs
+++ b/src/platform_flow.rs
@@ -36,7 +36,7 @@
         return ctx.wake_after(pause, TimerKind::Platform);
     };
     let current = revision >= ctx.feed.watermark();
-    merge(ctx, after, revision, entries);
+    merge(ctx, after, revision, entries, None);
     if current {
         note_confirmed(ctx, sent);
     }
@@ -45,11 +45,18 @@
     ctx.wake_after(pause, TimerKind::Platform);
 }
 
-/// Takes up live records that are complete from `after` to `upto`, from the platform or a peer.
-pub fn merge(ctx: &mut CoreContext, after: u64, upto: u64, entries: Vec<StoreEntry>) {
+/// Takes up live records that are complete from `after` to `upto`, from the platform or from the
+/// peer at the address `from`.
+pub fn merge(
+    ctx: &mut CoreContext,
+    after: u64,
+    upto: u64,
+    entries: Vec<StoreEntry>,
+    from: Option<&str>,
+) {
     let changed = ctx.feed.merge(after, upto, entries);
     for key in changed {
-        config_flow::on_live_entry(ctx, &key);
+        config_flow::on_live_entry(ctx, &key, from);
         on_group_entry(ctx, &key);
     }
 }
--- a/src/share_flow.rs
+++ b/src/share_flow.rs
@@ -26,13 +26,17 @@
 const WAITING_MAX: usize = 64;
 /// Time between looks at the accounts' shares, in milliseconds.
 const LOOK_INTERVAL_MS: u64 = 10;
-/// A time that no clock reaches.
-const NEVER: ClockTime = ClockTime::from_micros(u64::MAX);
 
 /// Deals this host its home share of an account under a new configuration.
-pub fn deal(ctx: &mut CoreContext, account: AccountKey, object: &AccountObject) {
-    let world = ctx.config.world.clone();
-    let homes = rendezvous_rank::account_homes(&world, &object.name, object.burst);
+///
+/// A share that does not differ is left alone, with all that was lent out of it.
+pub fn deal(
+    ctx: &mut CoreContext,
+    account: AccountKey,
+    object: &AccountObject,
+    hosts: &rendezvous_rank::HomeMap,
+) {
+    let homes = hosts.homes(&object.name, object.burst);
     let count = homes.len().max(1) as f64;
     let part = match homes.contains(&ctx.identity.name) {
         true => SharePart { rate: object.rate / count, burst: object.burst / count },
@@ -41,11 +45,12 @@
     let now = ctx.now;
     let state = &mut ctx.accounts[account];
     // Hosts that still serve under the old configuration may do so for the longer grace of both.
-    let hold_ms = state.grace_ms.max(object.cut_off_grace_ms);
+    state.hold_ms = state.grace_ms.max(object.cut_off_grace_ms);
     state.grace_ms = object.cut_off_grace_ms;
     state.homes = homes;
-    state.hold_ms = hold_ms;
-    state.ledger.deal(now, part, NEVER);
+    if state.ledger.dealt() != part {
+        state.ledger.deal(now, part);
+    }
 }
 
 /// Takes away this host's share of an account that is no longer configured.
@@ -53,7 +58,8 @@
     let now = ctx.now;
     let state = &mut ctx.accounts[account];
     state.homes.clear();
-    state.ledger.deal(now, SharePart::default(), now);
+    state.ledger.deal(now, SharePart::default());
+    state.ledger.open_at(now);
 }
 
 /// Opens the shares dealt under the configuration in force once no host can serve under an older
@@ -78,6 +84,7 @@
 pub fn charge(ctx: &mut CoreContext, statement: StatementKey) {
     let now = ctx.now;
     let account = ctx.statements[statement].account;
+    note_active(ctx, account);
     let state = &mut ctx.accounts[account];
     state.ledger.note_demand(now);
     if state.waiting.is_empty() && state.ledger.admit(now) {
@@ -95,15 +102,32 @@
     refuse_hopeless(ctx, account);
 }
 
-/// Looks after all accounts: lets waiting statements go on and asks for shares ahead of need.
+/// Looks after the accounts in use: lets waiting statements go on and asks for shares ahead of
+/// need.
 pub fn on_timer(ctx: &mut CoreContext) {
-    let accounts: Vec<AccountKey> = ctx.accounts.keys().collect();
+    let accounts: Vec<AccountKey> = ctx.active_accounts.iter().copied().collect();
     for account in accounts {
         pump(ctx, account);
         ask_peers(ctx, account);
         refuse_hopeless(ctx, account);
+        let now = ctx.now;
+        let state = &mut ctx.accounts[account];
+        if state.waiting.is_empty() && state.ledger.idle(now) {
+            ctx.active_accounts.remove(&account);
+        }
+    }
+    ctx.shares_armed = !ctx.active_accounts.is_empty();
+    if ctx.shares_armed {
+        ctx.wake_after(CoreTuning::millis(LOOK_INTERVAL_MS), TimerKind::Shares);
+    }
+}
+
+fn note_active(ctx: &mut CoreContext, account: AccountKey) {
+    ctx.active_accounts.insert(account);
+    if !ctx.shares_armed {
+        ctx.shares_armed = true;
+        ctx.wake_after(CoreTuning::millis(LOOK_INTERVAL_MS), TimerKind::Shares);
     }
-    ctx.wake_after(CoreTuning::millis(LOOK_INTERVAL_MS), TimerKind::Shares);
 }
 
 /// Answers a peer that asks for a loan.
--- a/src/share_ledger.rs
+++ b/src/share_ledger.rs
@@ -18,6 +18,10 @@
 pub const LOAN_MARGIN: Duration = Duration::from_millis(50);
 /// Time constant of the demand estimate.
 const DEMAND_WINDOW: Duration = Duration::from_millis(250);
+/// Demand below this many statements a second counts as none.
+const DEMAND_IDLE: f64 = 0.01;
+/// A time that no clock reaches.
+const NEVER: ClockTime = ClockTime::from_micros(u64::MAX);
 /// Part of an unused share that one loan may take.
 const LOAN_PART: f64 = 0.5;
 /// Loans below this many tokens or tokens a second are not worth a message.
@@ -140,24 +144,35 @@
         }
     }
 
-    /// Deals this host a new home share.
+    /// Deals this host a new home share, which stays closed until `open_at`.
     ///
-    /// Until `opens` the lesser of the old and new share holds, so that hosts which have not heard
+    /// Until it opens the lesser of the old and new share holds, so that hosts which have not heard
     /// of the change can't be admitting what this one already counts as its own.
-    pub fn deal(&mut self, now: ClockTime, home: SharePart, opens: ClockTime) {
+    pub fn deal(&mut self, now: ClockTime, home: SharePart) {
         self.refill(now);
         self.home = self.home.least(home);
-        self.next_home = Some((home, opens));
+        self.next_home = Some((home, NEVER));
         self.settle();
     }
 
-    /// Sets the time at which a share that was dealt opens.
+    /// Sets the time at which a share that was dealt opens, unless it is set already.
     pub fn open_at(&mut self, opens: ClockTime) {
-        if let Some((_, at)) = &mut self.next_home {
+        if let Some((_, at)) = self.next_home.as_mut().filter(|(_, at)| *at == NEVER) {
             *at = opens;
         }
     }
 
+    /// Returns the home share dealt last, open or not.
+    pub fn dealt(&self) -> SharePart {
+        self.next_home.map_or(self.home, |(home, _)| home)
+    }
+
+    /// Whether there is hardly any demand.
+    pub fn idle(&mut self, now: ClockTime) -> bool {
+        self.decay_demand(now);
+        self.demand < DEMAND_IDLE
+    }
+
     /// Takes one token, if there is one.
     pub fn admit(&mut self, now: ClockTime) -> bool {
         self.refill(now);
--- a/src/timer_queue.rs
+++ b/src/timer_queue.rs
@@ -22,6 +22,8 @@
     Platform,
     /// Accounts that are short of their share may ask again.
     Shares,
+    /// Missing parts of the configuration are due to be asked for again.
+    Parts,
     /// The graceful shutdown may have taken too long.
     Drain,
 }
--- /dev/null
+++ b/stand-ins/src/bin/quetzaldeal-capacity.rs
@@ -0,0 +1,66 @@
+//! Measures the slopes of the capacity page, and works the page's figures out from them.
+
+use std::io::Write as _;
+
+use anyhow::{Context, Result};
+use clap::{Arg, Command};
+use stand_ins::capacity_sheet;
+use stand_ins::capacity_slopes::{self, CapacitySlopes, FleetSample, MemorySlopes};
+
+fn main() -> Result<()> {
+    let option = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).required(true).help(help)
+    };
+    let file = |help: &'static str| Arg::new("file").required(true).help(help);
+    let matches = Command::new("quetzaldeal-capacity")
+        .about("Measures the slopes of the capacity page, and works its figures out from them")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("measure")
+                .about("Measure the core's slopes; samples of fleets are read from a file")
+                .arg(option("fleets", "YAML file with samples of fleets"))
+                .arg(option("memory", "YAML file with the slopes of memory"))
+                .arg(file("Where the slopes go, as YAML")),
+        )
+        .subcommand(
+            Command::new("memory")
+                .about("Print the resident bytes of a process with so many things of a kind")
+                .arg(Arg::new("kind").required(true))
+                .arg(Arg::new("count").required(true).value_parser(clap::value_parser!(usize))),
+        )
+        .subcommand(
+            Command::new("sheet")
+                .about("Work out the figures from slopes")
+                .arg(file("YAML file with the slopes")),
+        )
+        .get_matches();
+    match matches.subcommand() {
+        Some(("measure", matches)) => {
+            let core = capacity_slopes::measure_core()?;
+            let path = |name: &str| matches.get_one::<String>(name).context("no file given");
+            let fleets: Vec<FleetSample> = serde_yaml_ng::from_str(&read(path("fleets")?)?)?;
+            let memory: MemorySlopes = serde_yaml_ng::from_str(&read(path("memory")?)?)?;
+            let text = serde_yaml_ng::to_string(&CapacitySlopes { core, memory, fleets })?;
+            let path: &String = matches.get_one("file").context("no file")?;
+            std::fs::write(path, text).with_context(|| format!("cannot write {path}"))
+        }
+        Some(("memory", matches)) => {
+            let kind: &String = matches.get_one("kind").context("no kind")?;
+            let count = matches.get_one::<usize>("count").copied().context("no count")?;
+            let bytes = capacity_slopes::memory_of(kind, count)?;
+            Ok(writeln!(std::io::stdout(), "{bytes}")?)
+        }
+        Some(("sheet", matches)) => {
+            let path: &String = matches.get_one("file").context("no file")?;
+            let slopes: CapacitySlopes =
+                serde_yaml_ng::from_str(&read(path)?).with_context(|| path.clone())?;
+            let text = capacity_sheet::render(&slopes);
+            Ok(std::io::stdout().write_all(text.as_bytes())?)
+        }
+        _ => Ok(()),
+    }
+}
+
+fn read(path: &str) -> Result<String> {
+    std::fs::read_to_string(path).with_context(|| format!("cannot read {path}"))
+}
--- a/stand-ins/src/bin/quetzaldeal-load.rs
+++ b/stand-ins/src/bin/quetzaldeal-load.rs
@@ -1,10 +1,17 @@
 //! Callers for demonstrations and measurements.
 
+use std::io::Write as _;
+use std::time::Duration;
+
 use anyhow::{Context, Result, bail};
 use clap::{Arg, ArgMatches, Command, value_parser};
+use quetzaldeal::http_call;
 use stand_ins::caller_story;
 use stand_ins::load_plan::LoadPlan;
 use stand_ins::load_run;
+use stand_ins::platform_program::COUNTS_PATH;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<()> {
@@ -19,6 +26,14 @@
             caller_story::measure_gap(&login(matches)?, seconds).await
         }
         Some(("hold", matches)) => caller_story::hold_until_refused(&login(matches)?).await,
+        Some(("platform-calls", matches)) => {
+            let client = http_call::client(CONNECT_TIMEOUT)?;
+            let address = text(matches, "address")?;
+            let counts: (u64, u64) =
+                http_call::post_message(&client, address, COUNTS_PATH, &(), CONNECT_TIMEOUT)
+                    .await?;
+            Ok(writeln!(std::io::stdout(), "{}", counts.0 + counts.1)?)
+        }
         Some(("run", matches)) => {
             let path = text(matches, "plan")?;
             let plan = std::fs::read_to_string(path).with_context(|| path.to_owned())?;
@@ -59,6 +74,11 @@
             ),
         )
         .subcommand(caller("hold", "Read on one connection until refused"))
+        .subcommand(
+            Command::new("platform-calls")
+                .about("Print the calls that the stand-in platform has counted")
+                .arg(option("address", "IP and port of the platform")),
+        )
         .subcommand(
             Command::new("run")
                 .about("Run an experiment")
--- /dev/null
+++ b/stand-ins/src/capacity_sheet.rs
@@ -0,0 +1,296 @@
+//! The capacity page's arithmetic: from slopes to the size designed for.
+
+use std::fmt::Write as _;
+
+use crate::capacity_slopes::{CapacitySlopes, FleetSample};
+
+/// Daemons.
+const HOSTS: f64 = 2_200.0;
+/// Databases.
+const ENDPOINTS: f64 = 3_100.0;
+/// Client connections.
+const CALLERS: f64 = 11_000_000.0;
+/// Statements a second.
+const STATEMENTS: f64 = 7_600_000.0;
+/// Data centres.
+const CENTRES: f64 = 15.0;
+/// Changes of configuration a day.
+const CHANGES_PER_DAY: f64 = 4_300.0;
+/// Hosts that are restarted, replaced or fail a day.
+const RESTARTS_PER_DAY: f64 = 344.0;
+/// Changes of primary a day.
+const FAILOVERS_PER_DAY: f64 = 5.0;
+const DAY_S: f64 = 86_400.0;
+/// Client accounts assumed; the users' plan names none.
+const ACCOUNTS: f64 = 3_000.0;
+/// Accounts that one host serves in a minute, assumed.
+const ACCOUNTS_ACTIVE: f64 = 300.0;
+/// Part of the statements that write, assumed.
+const WRITE_PART: f64 = 0.2;
+/// Connections that an endpoint accepts.
+const ENDPOINT_CONNECTIONS: f64 = 20.0;
+/// Endpoints in a group.
+const COPIES: f64 = 3.0;
+/// Serving hosts of a group in each data centre that holds one of its copies.
+const SERVERS_PER_COPY: f64 = 2.0;
+/// Pulses that a host sends a second.
+const PULSES_PER_S: f64 = 10.0;
+/// Rounds of asking for shares that a host makes a second, for all active accounts.
+const SHARE_ASKS_PER_S: f64 = 15.0;
+/// Pulses with 15 data centres in the time that a change may take.
+const BUDGET_CPU_PERCENT: f64 = 1.3;
+const BUDGET_MB: f64 = 256.0;
+const BUDGET_BYTES_PER_S: f64 = 18_000.0;
+const PLATFORM_READS_PER_S: f64 = 2_000.0;
+const MB: f64 = 1_000_000.0;
+
+/// Renders the sheet as Markdown.
+pub fn render(slopes: &CapacitySlopes) -> String {
+    let mut out = String::new();
+    write_fleets(&mut out, &slopes.fleets);
+    write_roles(&mut out, slopes);
+    write_platform(&mut out);
+    write_limits(&mut out);
+    out
+}
+
+fn line(out: &mut String, text: &str) {
+    // Writing to a string cannot fail.
+    let _written = writeln!(out, "{text}");
+}
+
+fn write_fleets(out: &mut String, fleets: &[FleetSample]) {
+    line(out, "### Fleets of real processes at rest\n");
+    line(
+        out,
+        "| daemons | endpoints probed by each | CPU of a daemon, % of a core | memory, MB | loopback bytes/s for each daemon | platform calls/s, all | publication in force, ms |",
+    );
+    line(out, "|---|---|---|---|---|---|---|");
+    for fleet in fleets {
+        line(
+            out,
+            &format!(
+                "| {} | {} | {:.2} | {:.1} | {:.0} | {:.1} | {:.0} |",
+                fleet.hosts,
+                fleet.endpoints,
+                fleet.cpu_percent,
+                fleet.rss_mb,
+                fleet.bytes_per_s,
+                fleet.platform_calls_per_s,
+                fleet.publish_ms
+            ),
+        );
+    }
+    if let Some((base, slope)) = fit(fleets, |fleet| fleet.cpu_percent) {
+        line(
+            out,
+            &format!(
+                "\nCPU of a daemon at rest: {base:.3} % + {slope:.4} % for each endpoint probed."
+            ),
+        );
+    }
+    if let Some((base, slope)) = fit(fleets, |fleet| fleet.bytes_per_s) {
+        line(out, &format!("Bytes: {base:.0} a second + {slope:.0} for each endpoint probed."));
+    }
+}
+
+/// Fits a straight line over the endpoints probed.
+fn fit(fleets: &[FleetSample], value: impl Fn(&FleetSample) -> f64) -> Option<(f64, f64)> {
+    let count = fleets.len() as f64;
+    let mean_x = fleets.iter().map(|fleet| fleet.endpoints).sum::<f64>() / count;
+    let mean_y = fleets.iter().map(&value).sum::<f64>() / count;
+    let spread: f64 = fleets.iter().map(|fleet| (fleet.endpoints - mean_x).powi(2)).sum();
+    if fleets.len() < 2 || spread == 0.0 {
+        return None;
+    }
+    let joint: f64 =
+        fleets.iter().map(|fleet| (fleet.endpoints - mean_x) * (value(fleet) - mean_y)).sum();
+    let slope = joint / spread;
+    Some((mean_y - slope * mean_x, slope))
+}
+
+struct RoleRow {
+    role: &'static str,
+    mechanism: &'static str,
+    control: bool,
+    state_mb: f64,
+    messages_per_s: f64,
+    bytes_per_s: f64,
+    cpu_percent: f64,
+}
+
+fn roles(slopes: &CapacitySlopes) -> Vec<RoleRow> {
+    let core = &slopes.core;
+    let memory = &slopes.memory;
+    let callers = CALLERS / HOSTS;
+    let statements = STATEMENTS / HOSTS;
+    let groups = ENDPOINTS / COPIES;
+    let served = groups * COPIES * SERVERS_PER_COPY / HOSTS;
+    let probed = served * COPIES;
+    let objects = HOSTS + ENDPOINTS + groups + 2.0 * ACCOUNTS;
+    let changes = CHANGES_PER_DAY / DAY_S;
+    let probe_bytes =
+        fit(&slopes.fleets, |fleet| fleet.bytes_per_s).map_or(0.0, |(_, slope)| slope);
+    let probe_cpu = fit(&slopes.fleets, |fleet| fleet.cpu_percent).map_or(0.0, |(_, slope)| slope);
+    let rest_cpu = fit(&slopes.fleets, |fleet| fleet.cpu_percent).map_or(0.0, |(base, _)| base);
+    let head_bytes = core.head_bytes_per_object * objects;
+    let percent = |us_per_s: f64| us_per_s / 10_000.0;
+    vec![
+        RoleRow {
+            role: "callers' door",
+            mechanism: "one small state for each caller in an arena; sessions travel as tokens",
+            control: false,
+            state_mb: callers * memory.caller_bytes / MB,
+            messages_per_s: statements * 2.0,
+            bytes_per_s: f64::NAN,
+            cpu_percent: f64::NAN,
+        },
+        RoleRow {
+            role: "decisions",
+            mechanism: "one thread, no locks; reads on replicas by log points",
+            control: false,
+            state_mb: 0.0,
+            messages_per_s: statements * 2.0,
+            bytes_per_s: 0.0,
+            cpu_percent: percent(
+                statements * (core.read_us * (1.0 - WRITE_PART) + core.write_us * WRITE_PART),
+            ),
+        },
+        RoleRow {
+            role: "group terms and positions, endpoint pools",
+            mechanism: "serving hosts: two in each data centre with a copy probe a group and hold its connections (to build; today every host does)",
+            control: true,
+            state_mb: groups * memory.group_bytes / MB,
+            messages_per_s: probed * 4.0 * 2.0,
+            bytes_per_s: probed * probe_bytes,
+            cpu_percent: probed * probe_cpu.max(percent(core.probe_us_per_s)),
+        },
+        RoleRow {
+            role: "limits",
+            mechanism: "home shares on at most 4 hosts a data centre; loans between hosts, no platform call",
+            control: true,
+            state_mb: ACCOUNTS * memory.account_bytes / MB,
+            messages_per_s: SHARE_ASKS_PER_S * 2.0,
+            bytes_per_s: SHARE_ASKS_PER_S * core.share_bytes,
+            cpu_percent: percent(ACCOUNTS * core.account_us_per_s),
+        },
+        RoleRow {
+            role: "membership and evidence",
+            mechanism: "pulses to 2 hosts nearby and 3 data centres, ages of all data centres in each",
+            control: true,
+            state_mb: HOSTS * memory.host_bytes / MB,
+            messages_per_s: PULSES_PER_S * 4.0,
+            bytes_per_s: PULSES_PER_S * 2.0 * core.pulse_bytes_15,
+            cpu_percent: rest_cpu,
+        },
+        RoleRow {
+            role: "configuration feed",
+            mechanism: "two watchers a data centre; heads by pulses, changed parts from the peer that told",
+            control: true,
+            state_mb: objects * 200.0 / MB,
+            messages_per_s: changes * 4.0,
+            bytes_per_s: changes * (head_bytes + core.part_bytes) * 2.0,
+            cpu_percent: percent(changes * objects * core.adopt_us_per_object),
+        },
+        RoleRow {
+            role: "metrics",
+            mechanism: "histograms for accounts that a host has served, StatsD every 10 s",
+            control: true,
+            state_mb: ACCOUNTS_ACTIVE * memory.histogram_bytes / MB,
+            messages_per_s: ACCOUNTS_ACTIVE,
+            bytes_per_s: ACCOUNTS_ACTIVE * 10.0 * 60.0 / 10.0,
+            cpu_percent: 0.0,
+        },
+    ]
+}
+
+fn write_roles(out: &mut String, slopes: &CapacitySlopes) {
+    line(out, "\n### One daemon at the size designed for\n");
+    line(out, "| role | mechanism | memory, MB | messages/s | bytes/s | % of a core |");
+    line(out, "|---|---|---|---|---|---|");
+    let show = |value: f64, digits: usize| {
+        if value.is_nan() { "not measured".to_owned() } else { format!("{value:.digits$}") }
+    };
+    let rows = roles(slopes);
+    for row in &rows {
+        line(
+            out,
+            &format!(
+                "| {}{} | {} | {} | {} | {} | {} |",
+                row.role,
+                if row.control { " (control)" } else { "" },
+                row.mechanism,
+                show(row.state_mb, 1),
+                show(row.messages_per_s, 1),
+                show(row.bytes_per_s, 0),
+                show(row.cpu_percent, 3)
+            ),
+        );
+    }
+    let control: Vec<&RoleRow> = rows.iter().filter(|row| row.control).collect();
+    let sum = |value: fn(&RoleRow) -> f64| control.iter().map(|row| value(row)).sum::<f64>();
+    let process = slopes.fleets.iter().map(|fleet| fleet.rss_mb).fold(f64::INFINITY, f64::min);
+    let process = if process.is_finite() { process } else { 0.0 };
+    line(
+        out,
+        &format!(
+            "| **control, sum** | the process itself {process:.1} MB | {:.1} of {BUDGET_MB} | {:.1} | {:.0} of {BUDGET_BYTES_PER_S} | {:.2} of {BUDGET_CPU_PERCENT} |",
+            sum(|row| row.state_mb) + process,
+            sum(|row| row.messages_per_s),
+            sum(|row| row.bytes_per_s),
+            sum(|row| row.cpu_percent)
+        ),
+    );
+}
+
+fn write_platform(out: &mut String) {
+    let watches = CENTRES * 2.0;
+    let parts = CHANGES_PER_DAY / DAY_S * watches * 2.0;
+    let starts = RESTARTS_PER_DAY / DAY_S * 5.0;
+    let writes = CHANGES_PER_DAY / DAY_S * 5.0 + FAILOVERS_PER_DAY / DAY_S * 4.0;
+    line(out, "\n### The platform's service at that size\n");
+    line(out, "| who | calls/s | of |");
+    line(out, "|---|---|---|");
+    line(
+        out,
+        &format!(
+            "| waiting watches, two hosts a data centre, renewed each second | {watches:.1} | {PLATFORM_READS_PER_S:.0} reads |"
+        ),
+    );
+    line(
+        out,
+        &format!(
+            "| parts of changed configurations, read by watchers | {parts:.1} | {PLATFORM_READS_PER_S:.0} reads |"
+        ),
+    );
+    line(out, &format!("| hosts that start | {starts:.2} | {PLATFORM_READS_PER_S:.0} reads |"));
+    line(
+        out,
+        &format!("| publications and changes of primary | {writes:.2} | several hundred writes |"),
+    );
+    line(out, "| limits | 0 | |");
+}
+
+fn write_limits(out: &mut String) {
+    let hosts = ENDPOINT_CONNECTIONS - 2.0;
+    line(out, "\n### Where today's mechanisms end\n");
+    line(out, "| mechanism | ends at | what replaces it |");
+    line(out, "|---|---|---|");
+    line(
+        out,
+        &format!(
+            "| every host holds a status and a work connection to every endpoint | {:.0} hosts at {ENDPOINT_CONNECTIONS:.0} connections an endpoint | serving hosts of a group; the others hand statements on to them |",
+            hosts / 2.0
+        ),
+    );
+    line(
+        out,
+        &format!(
+            "| every host probes every endpoint | {BUDGET_CPU_PERCENT} % of a core or {BUDGET_BYTES_PER_S:.0} bytes/s, by the slopes above | serving hosts of a group |"
+        ),
+    );
+    line(
+        out,
+        "| every host keeps the whole configuration | memory above; no end in sight at this size | nothing needed |",
+    );
+}
--- /dev/null
+++ b/stand-ins/src/capacity_slopes.rs
@@ -0,0 +1,243 @@
+//! Slopes that the capacity sheet is worked out from, and how the core's own are measured.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use quetzaldeal::latency_book::LatencyBook;
+use quetzaldeal::peer_message::{CentreAge, PEER_VERSION, PeerEnvelope, PeerPulse, PeerRequest};
+use quetzaldeal::share_ledger::{ShareGrant, SharePart};
+use serde::{Deserialize, Serialize};
+
+use crate::core_bench::{CoreBench, WorldSize, build_world};
+
+/// Bytes of an HTTP request and reply around a message, without the message.
+const HTTP_FRAME_BYTES: f64 = 260.0;
+
+/// A fleet of real processes at rest.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FleetSample {
+    /// Daemons.
+    pub hosts: f64,
+    /// Endpoints that each daemon probes.
+    pub endpoints: f64,
+    /// Processor time of one daemon, in percent of a core.
+    pub cpu_percent: f64,
+    /// Resident memory of one daemon, in MB.
+    pub rss_mb: f64,
+    /// Bytes on the loopback device a second, for each daemon.
+    pub bytes_per_s: f64,
+    /// Platform calls a second, of all daemons.
+    pub platform_calls_per_s: f64,
+    /// Time until a publication is in force everywhere, in milliseconds.
+    pub publish_ms: f64,
+}
+
+/// Costs of the core's parts, each measured at two sizes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CoreSlopes {
+    /// Decisions' time of one read, in microseconds.
+    pub read_us: f64,
+    /// Decisions' time of one write, in microseconds.
+    pub write_us: f64,
+    /// Time of probing one endpoint for a second, in microseconds.
+    pub probe_us_per_s: f64,
+    /// Time of looking after one account without traffic for a second, in microseconds.
+    pub account_us_per_s: f64,
+    /// Time of bringing one changed object into force, for each object configured, in microseconds.
+    pub adopt_us_per_object: f64,
+    /// Bytes of a pulse and its reply with 3 data centres, framed.
+    pub pulse_bytes_3: f64,
+    /// Bytes of a pulse and its reply with 15 data centres, framed.
+    pub pulse_bytes_15: f64,
+    /// Bytes of asking for a share and the reply, framed.
+    pub share_bytes: f64,
+    /// Bytes of the largest part of a configuration.
+    pub part_bytes: f64,
+    /// Bytes of the head for each object configured.
+    pub head_bytes_per_object: f64,
+}
+
+/// Memory of the core's parts; each is the difference of two fresh processes of different sizes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MemorySlopes {
+    /// One open caller, in bytes.
+    pub caller_bytes: f64,
+    /// One configured host, in bytes.
+    pub host_bytes: f64,
+    /// One configured group with its three endpoints, in bytes.
+    pub group_bytes: f64,
+    /// One configured account with its key, in bytes.
+    pub account_bytes: f64,
+    /// One account's histogram, in bytes.
+    pub histogram_bytes: f64,
+}
+
+/// All slopes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CapacitySlopes {
+    /// Of the core.
+    pub core: CoreSlopes,
+    /// Of its memory.
+    pub memory: MemorySlopes,
+    /// Of fleets of real processes.
+    #[serde(default)]
+    pub fleets: Vec<FleetSample>,
+}
+
+/// Measures the core's slopes in this process.
+///
+/// # Errors
+///
+/// Fails when a bench cannot be built or the process's memory cannot be read.
+pub fn measure_core() -> Result<CoreSlopes> {
+    let (read_us, write_us) = measure_statements()?;
+    let probe_us_per_s = measure_probes()?;
+    let account_us_per_s = measure_accounts()?;
+    let adopt_us_per_object = measure_adoption()?;
+    let largest = build_world(sized(2_200, 1_033, 3_000))?;
+    let objects = largest.to_objects().len() as f64;
+    let parts = quetzaldeal::config_head::split_world(&largest)?;
+    let part_bytes = parts.iter().map(|(_, bytes)| bytes.len()).max().unwrap_or(0) as f64;
+    Ok(CoreSlopes {
+        read_us,
+        write_us,
+        probe_us_per_s,
+        account_us_per_s,
+        adopt_us_per_object,
+        pulse_bytes_3: pulse_bytes(3)?,
+        pulse_bytes_15: pulse_bytes(15)?,
+        share_bytes: share_bytes()?,
+        part_bytes,
+        head_bytes_per_object: parts.len() as f64 * 66.0 / objects,
+    })
+}
+
+fn sized(hosts: usize, groups: usize, accounts: usize) -> WorldSize {
+    WorldSize { centres: 15, hosts, groups, accounts }
+}
+
+fn measure_statements() -> Result<(f64, f64)> {
+    const STATEMENTS: u64 = 20_000;
+    let mut bench = CoreBench::new(sized(30, 10, 10))?;
+    bench.open_callers(1, 1_000);
+    let read = "SELECT state FROM orders WHERE id = 'order-17'";
+    let write = "UPDATE orders SET state = 'paid' WHERE id = 'order-17'";
+    bench.statements(1, STATEMENTS / 10, write);
+    let read_us = micros(bench.statements(1, STATEMENTS, read)) / STATEMENTS as f64;
+    let write_us = micros(bench.statements(1, STATEMENTS, write)) / STATEMENTS as f64;
+    Ok((read_us, write_us))
+}
+
+/// Returns the resident memory of this process, in bytes, with `count` things of a kind in it.
+///
+/// # Errors
+///
+/// Names a kind that is unknown.
+pub fn memory_of(kind: &str, count: usize) -> Result<f64> {
+    let size = match kind {
+        "hosts" => sized(count, 10, 10),
+        "groups" => sized(30, count, 10),
+        "accounts" => sized(30, 10, count),
+        "callers" => sized(30, 10, 10),
+        "histograms" => return histogram_memory(count),
+        other => anyhow::bail!("kind {other}: give hosts, groups, accounts, callers or histograms"),
+    };
+    let mut bench = CoreBench::new(size)?;
+    if kind == "callers" {
+        bench.open_callers(1, count as u64 + 1);
+    }
+    let bytes = resident_bytes()?;
+    drop(bench);
+    Ok(bytes)
+}
+
+/// Time of a second at rest, for each endpoint probed.
+fn measure_probes() -> Result<f64> {
+    let at = |groups: usize| -> Result<f64> {
+        let mut bench = CoreBench::new(sized(30, groups, 10))?;
+        Ok(micros(bench.run(Duration::from_secs(60))) / 60.0)
+    };
+    let (few, many) = (at(10)?, at(110)?);
+    Ok((many - few) / (100.0 * 3.0))
+}
+
+fn measure_accounts() -> Result<f64> {
+    let at = |accounts: usize| -> Result<f64> {
+        let mut bench = CoreBench::new(sized(30, 10, accounts))?;
+        Ok(micros(bench.run(Duration::from_secs(60))) / 60.0)
+    };
+    let (few, many) = (at(100)?, at(1_100)?);
+    Ok((many - few) / 1_000.0)
+}
+
+fn measure_adoption() -> Result<f64> {
+    let at = |hosts: usize, groups: usize, accounts: usize| -> Result<(f64, f64)> {
+        let size = sized(hosts, groups, accounts);
+        let mut bench = CoreBench::new(size)?;
+        let mut world = build_world(size)?;
+        let objects = world.to_objects().len() as f64;
+        let key = bench.core().context().config.world.keys.get("key-0").cloned();
+        world.keys.extend(key.map(|key| (key.name.clone(), key)));
+        if let Some(account) = world.accounts.get_mut("account-1") {
+            account.weight = 2;
+        }
+        Ok((micros(bench.publish(&world, 2)?), objects))
+    };
+    let (few_us, few) = at(220, 100, 300)?;
+    let (many_us, many) = at(2_200, 1_033, 3_000)?;
+    Ok((many_us - few_us) / (many - few))
+}
+
+fn histogram_memory(accounts: usize) -> Result<f64> {
+    let book = LatencyBook::default();
+    for account in 0..accounts {
+        let name = format!("account-{account}");
+        (1..2_000).for_each(|step| book.record(&name, Duration::from_micros(step * 37)));
+    }
+    let bytes = resident_bytes()?;
+    drop(book);
+    Ok(bytes)
+}
+
+fn pulse_bytes(centres: usize) -> Result<f64> {
+    let ages = (0..centres)
+        .map(|centre| CentreAge { centre: format!("data-centre-{centre}"), age_ms: 1_234 });
+    let pulse = PeerPulse {
+        host: "data-centre-12-host-120".to_owned(),
+        incarnation: 1_790_000_000_000,
+        version: 12_345,
+        watermark: 123_456,
+        platform_age_ms: Some(1_234),
+        ages: ages.collect(),
+        leaving: false,
+        entries: Vec::new(),
+    };
+    let request = PeerEnvelope { version: PEER_VERSION, request: PeerRequest::Pulse(pulse) };
+    Ok(rmp_serde::to_vec(&request)?.len() as f64 * 2.0 + HTTP_FRAME_BYTES)
+}
+
+fn share_bytes() -> Result<f64> {
+    let part = SharePart { rate: 12.5, burst: 3.25 };
+    let request = PeerEnvelope {
+        version: PEER_VERSION,
+        request: PeerRequest::Share {
+            host: "data-centre-12-host-120".to_owned(),
+            account: "account-1234".to_owned(),
+            version: 12_345,
+            want: ShareGrant { part, tokens: 2.5, ttl_ms: 1_000 },
+        },
+    };
+    Ok(rmp_serde::to_vec(&request)?.len() as f64 * 2.0 + HTTP_FRAME_BYTES)
+}
+
+fn micros(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e6
+}
+
+/// Returns the resident memory of this process, in bytes.
+fn resident_bytes() -> Result<f64> {
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).context("no VmRSS")?;
+    let kilobytes = line.split_whitespace().nth(1).context("no VmRSS value")?;
+    Ok(kilobytes.parse::<f64>()? * 1_024.0)
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -4,6 +4,9 @@
 //! programs put sockets around the same models. Nothing here is linked into the daemon.
 
 pub mod caller_story;
+pub mod capacity_sheet;
+pub mod capacity_slopes;
+pub mod core_bench;
 pub mod database_model;
 pub mod endpoint_program;
 pub mod fault_message;
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -105,7 +105,8 @@
         let part = SharePart { rate: 25.0, burst: 10.0 };
         let mut ledgers: Vec<ShareLedger> = (0..4).map(|_| ShareLedger::new(now)).collect();
         for ledger in &mut ledgers {
-            ledger.deal(now, part, now);
+            ledger.deal(now, part);
+            ledger.open_at(now);
         }
         let mut bucket = 40.0_f64;
         for (asker, lender, passed, arrivals) in steps {
