--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -40,6 +40,7 @@
     idle_transaction,
     keys,
     leaving_list,
+    leaving_with_a_copy_down,
     open_routes,
     overload,
     platform_outage,
