fix(session,rules): failed transactions are not committed; identifiers survive refusals; rules indexed

Cause, found by reading the way of a statement as a newcomer would: - COMMIT of a transaction in which a statement had failed is a rollback in the database, told only by a tag that drivers do not look at: callers were told that it was committed. The proxy now rolls back and says "not run". The stand-in answered with an error of its own; it does as PostgreSQL now, and the scenario fails without the change. - An identifier was used up by a write that was refused "not run": the retry went out without it. - Each statement cloned its rule with the names of all accounts, and searched them one by one.

Change: see above; rules are indexed when they come into force. Messages between hosts carry 16 bytes of seal instead of 64. Ruled out: reading the tag (the text protocol's library does not give it).

--- a/src/caller_flow.rs
+++ b/src/caller_flow.rs
@@ -173,7 +173,7 @@
     };
     let key = ctx.callers.insert(state);
     let outcome = check_proof(ctx, key)
-        .and_then(|()| statement_flow::find_rule(ctx, key).map(|_| ()))
+        .and_then(|()| statement_flow::find_grant(ctx, key).map(|_| ()))
         .and_then(|()| apply_settings(ctx, key, &login.settings));
     match outcome {
         Ok(()) => {
@@ -194,8 +194,7 @@
         let proof = CallerProof::Key { name: key.name.clone(), hash: key.hash.clone() };
         return Ok((login.account.clone(), proof));
     }
-    let open = world.rules.values().any(|rule| rule.open && rule.service == login.service);
-    if open && login.key.is_empty() {
+    if ctx.config.grants.open_to_all(&login.service) && login.key.is_empty() {
         return Ok((PUBLIC_ACCOUNT.to_owned(), CallerProof::OpenRoute));
     }
     Err(RequestVerdict::not_run(VerdictCause::KeyRejected, None))
--- a/src/caller_state.rs
+++ b/src/caller_state.rs
@@ -40,6 +40,8 @@
     pub group: GroupKey,
     /// The connection that belongs to it.
     pub connection: ConnectionKey,
+    /// Whether the database has refused one of its statements; it can only be rolled back then.
+    pub failed: bool,
 }
 
 /// One caller's open connection.
--- a/src/config_flow.rs
+++ b/src/config_flow.rs
@@ -19,6 +19,7 @@
 use crate::core_message::CoreAction;
 use crate::endpoint_state::EndpointState;
 use crate::failover_flow;
+use crate::grant_index::GrantIndex;
 use crate::group_record;
 use crate::group_state::GroupState;
 use crate::leaving_flow;
@@ -160,6 +161,7 @@
         ctx.peers.note_platform(at);
     }
     let world = ctx.config.world.clone();
+    ctx.config.grants = GrantIndex::new(&world);
     adopt_peers(ctx, &world);
     adopt_endpoints(ctx, &world);
     adopt_groups(ctx, &world);
--- a/src/config_state.rs
+++ b/src/config_state.rs
@@ -5,6 +5,7 @@
 
 use crate::clock_time::ClockTime;
 use crate::config_head::ConfigHead;
+use crate::grant_index::GrantIndex;
 use crate::rendezvous_rank::HomeMap;
 use crate::world_config::WorldConfig;
 
@@ -25,6 +26,8 @@
     pub pending_from: Option<String>,
     /// Parts by hash.
     pub parts: BTreeMap<String, Vec<u8>>,
+    /// What the rules in force let each account do.
+    pub grants: GrantIndex,
     /// The hosts that shares were last dealt to.
     pub home_map: HomeMap,
     /// When the configuration came into force here.
--- a/src/key_secret.rs
+++ b/src/key_secret.rs
@@ -47,11 +47,16 @@
 
 /// Computes an HMAC-SHA-256 of `message`, in hexadecimal.
 pub fn keyed_hash(secret: &[u8], message: &[u8]) -> String {
+    to_hex(&keyed_mac(secret, message))
+}
+
+/// Computes an HMAC-SHA-256 of `message`.
+pub fn keyed_mac(secret: &[u8], message: &[u8]) -> Vec<u8> {
     let Ok(mut mac) = Hmac::<Sha256>::new_from_slice(secret) else {
         unreachable!("an HMAC key may have any length")
     };
     mac.update(message);
-    to_hex(&mac.finalize().into_bytes())
+    mac.finalize().into_bytes().to_vec()
 }
 
 fn salted_hash(salt: &str, text: &str) -> String {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod endpoint_sql;
 pub mod endpoint_state;
 pub mod failover_flow;
+pub mod grant_index;
 pub mod group_record;
 pub mod group_state;
 pub mod host_daemon;
--- a/src/operator_command.rs
+++ b/src/operator_command.rs
@@ -12,6 +12,7 @@
 use crate::config_store::{self, ConfigStore, PublishOutcome, PublishedConfig};
 use crate::http_call;
 use crate::key_secret::KeySecret;
+use crate::status_report::StatusReport;
 use crate::world_config::WorldConfig;
 use crate::world_file::WorldFile;
 use crate::world_object::WorldObject;
@@ -314,6 +315,7 @@
             Err(_) => writeln!(text, "{host:<12} no answer")?,
         }
     }
+    write_control(&mut text, reports.values().flatten())?;
     writeln!(text, "\n{:<12} {:<12} {:>5} {:<14} state", "host", "group", "term", "primary")?;
     for report in reports.values().flatten() {
         for (group, status) in &report.groups {
@@ -358,6 +360,25 @@
     Ok(text)
 }
 
+fn write_control<'a>(
+    text: &mut String,
+    reports: impl Iterator<Item = &'a StatusReport>,
+) -> Result<()> {
+    writeln!(
+        text,
+        "\n{:<12} {:>14} {:>10} {:>12} {:>8}",
+        "host", "platform calls", "peer calls", "share asks", "probes"
+    )?;
+    for StatusReport { host, control, .. } in reports {
+        writeln!(
+            text,
+            "{host:<12} {:>14} {:>10} {:>12} {:>8}",
+            control.platform_calls, control.peer_calls, control.share_asks, control.probes
+        )?;
+    }
+    Ok(())
+}
+
 async fn published(store: &ConfigStore) -> Result<PublishedConfig> {
     store.current().await?.context("nothing is published yet")
 }
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -15,6 +15,8 @@
 /// Version of the messages; a peer of another version is answered with an error.
 pub const PEER_VERSION: u32 = 1;
 
+/// Bytes of a message's seal.
+const SEAL_BYTES: usize = 16;
 /// Unit of the ages of data centres, in milliseconds.
 pub const AGE_UNIT_MS: u64 = 10;
 /// Age of a data centre that was never heard.
@@ -162,8 +164,9 @@
 pub struct PeerEnvelope {
     /// The sender's version of the messages.
     pub version: u32,
-    /// HMAC of the body under the fleet's secret, in hexadecimal.
-    pub seal: String,
+    /// First bytes of the HMAC of the body under the fleet's secret.
+    #[serde(with = "serde_bytes")]
+    pub seal: Vec<u8>,
     /// The encoded request.
     #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
@@ -177,7 +180,7 @@
     /// Fails when the request cannot be encoded.
     pub fn seal(secret: &str, request: &PeerRequest) -> Result<Self> {
         let body = rmp_serde::to_vec(request)?;
-        let seal = key_secret::keyed_hash(secret.as_bytes(), &body);
+        let seal = Self::mac(secret, &body);
         Ok(Self { version: PEER_VERSION, seal, body })
     }
 
@@ -190,10 +193,15 @@
         if self.version != PEER_VERSION {
             bail!("messages of version {}; this host speaks {PEER_VERSION}", self.version);
         }
-        let expected = key_secret::keyed_hash(secret.as_bytes(), &self.body);
-        if !bool::from(expected.as_bytes().ct_eq(self.seal.as_bytes())) {
+        if !bool::from(Self::mac(secret, &self.body).ct_eq(&self.seal)) {
             bail!("the message's seal does not match: field fleet_secret differs");
         }
         Ok(rmp_serde::from_slice(&self.body)?)
     }
+
+    fn mac(secret: &str, body: &[u8]) -> Vec<u8> {
+        let mut mac = key_secret::keyed_mac(secret.as_bytes(), body);
+        mac.truncate(SEAL_BYTES);
+        mac
+    }
 }
--- a/src/request_verdict.rs
+++ b/src/request_verdict.rs
@@ -45,7 +45,8 @@
     DeadlinePassed,
     /// The connection to the endpoint broke.
     ConnectionLost,
-    /// The transaction was rolled back: its connection was lost, or it was idle for too long.
+    /// The transaction was rolled back: its connection was lost, it was idle for too long, or the
+    /// database had refused one of its statements.
     TransactionLost,
     /// The primary was replaced before the write was confirmed.
     PrimaryReplaced,
@@ -132,7 +133,8 @@
             VerdictCause::DeadlinePassed => "the deadline passed".to_owned(),
             VerdictCause::ConnectionLost => "the connection to the endpoint was lost".to_owned(),
             VerdictCause::TransactionLost => {
-                "the transaction was rolled back: its connection was lost or idle".to_owned()
+                "the transaction was rolled back: a statement failed, or it was lost or idle"
+                    .to_owned()
             }
             VerdictCause::PrimaryReplaced => {
                 "the primary was replaced before the write was confirmed".to_owned()
--- a/src/share_flow.rs
+++ b/src/share_flow.rs
@@ -197,7 +197,6 @@
 
 fn admit(ctx: &mut CoreContext, statement: StatementKey) {
     let Some(state) = ctx.statements.get_mut(statement) else { return };
-    state.charged = true;
     ctx.accounts[state.account].counts.admitted += 1;
     statement_flow::proceed(ctx, statement);
 }
@@ -256,6 +255,7 @@
         let (host, account) = (host.clone(), name.clone());
         let request = PeerRequest::Share { host, account, version, want };
         ctx.control.peer_calls += 1;
+        ctx.control.share_asks += 1;
         ctx.actions.push(CoreAction::CallPeer { call, address, request });
     }
 }
--- a/src/statement_flow.rs
+++ b/src/statement_flow.rs
@@ -3,7 +3,7 @@
 use crate::arena_keys::{CallerKey, ConnectionKey, EndpointKey, GroupKey, StatementKey};
 use crate::call_purpose::CallPurpose;
 use crate::caller_flow;
-use crate::caller_state::OpenTransaction;
+use crate::caller_state::{CallerState, OpenTransaction};
 use crate::clock_time::ClockTime;
 use crate::confirm_flow;
 use crate::connection_flow;
@@ -15,13 +15,14 @@
     AnswerBody, EndpointOutcome, EndpointRequest, EndpointStatement, EndpointStatus, RequestRecord,
     TransactionStep,
 };
+use crate::grant_index::RuleGrant;
 use crate::request_verdict::{RequestFate, RequestVerdict, VerdictCause};
 use crate::route_choice;
 use crate::share_flow;
 use crate::statement_state::{StatementPhase, StatementState};
 use crate::statement_text::{self, StatementClass};
 use crate::timer_queue::TimerKind;
-use crate::world_object::{RuleAccess, RuleObject};
+use crate::world_object::RuleAccess;
 
 /// Most times that a read is sent to an endpoint.
 const READ_ATTEMPTS_MAX: u32 = 3;
@@ -39,16 +40,14 @@
     }
 }
 
-/// Returns the rule that lets the caller use its service.
+/// Returns what the rules let the caller do with its service.
 ///
 /// # Errors
 ///
-/// Names the account and service when there is none.
-pub fn find_rule(ctx: &CoreContext, caller: CallerKey) -> Result<RuleObject, RequestVerdict> {
+/// Names the account and service when that is nothing.
+pub fn find_grant(ctx: &CoreContext, caller: CallerKey) -> Result<&RuleGrant, RequestVerdict> {
     let state = &ctx.callers[caller];
-    let mut rules = ctx.config.world.rules.values().filter(|rule| rule.service == state.service);
-    let allows = |rule: &&RuleObject| rule.open || rule.accounts.contains(&state.account_name);
-    rules.find(allows).cloned().ok_or_else(|| {
+    ctx.config.grants.find(&state.service, &state.account_name).ok_or_else(|| {
         let detail =
             format!("account {} may not use service {}", state.account_name, state.service);
         RequestVerdict::not_run(VerdictCause::RuleDenied { detail }, None)
@@ -180,6 +179,7 @@
     count(ctx, &state, &verdict);
     if let Some(caller) = ctx.callers.get_mut(state.caller) {
         caller.statement = None;
+        keep_request_id(caller, &state, &verdict);
         let in_transaction = caller.in_transaction();
         let caller = caller.id;
         ctx.actions.push(CoreAction::AnswerCaller { caller, verdict, body, in_transaction });
@@ -187,6 +187,14 @@
     }
 }
 
+/// Gives a caller the identifier back that it set for a write which was not run.
+fn keep_request_id(caller: &mut CallerState, state: &StatementState, verdict: &RequestVerdict) {
+    if verdict.fate != RequestFate::NotRun || caller.settings.request_id.is_some() {
+        return;
+    }
+    caller.settings.request_id = state.request.record.as_ref().map(|record| record.id.clone());
+}
+
 fn begin(ctx: &mut CoreContext, caller: CallerKey, text: String) -> Result<(), RequestVerdict> {
     if text.len() > ctx.tuning.statement_max_bytes {
         let detail = format!(
@@ -239,13 +247,12 @@
     class: StatementClass,
 ) -> Result<(), RequestVerdict> {
     caller_flow::check_proof(ctx, caller)?;
-    let rule = find_rule(ctx, caller)?;
     if !ctx.takes_work() {
         let wait = Some(core_tuning::SHORT_RETRY);
         return Err(RequestVerdict::not_run(VerdictCause::Draining, wait));
     }
     let read = class == StatementClass::Read;
-    check_access(ctx, caller, &rule, read)?;
+    check_access(ctx, caller, read)?;
     let group = route_choice::pick_group(ctx, caller)?;
     let step = match class {
         StatementClass::Begin => TransactionStep::Begin,
@@ -273,20 +280,23 @@
     caller_flow::check_proof(ctx, caller).inspect_err(|_| {
         end_transaction(ctx, caller, transaction);
     })?;
+    // The database would roll back, and say so in a tag that drivers do not look at.
+    let commit_refused = class == StatementClass::Commit && transaction.failed;
     let step = match class {
-        StatementClass::Commit => TransactionStep::Commit,
-        StatementClass::Rollback => TransactionStep::Rollback,
+        StatementClass::Commit if !commit_refused => TransactionStep::Commit,
+        StatementClass::Commit | StatementClass::Rollback => TransactionStep::Rollback,
         _ => TransactionStep::Within,
     };
+    let text = if commit_refused { "ROLLBACK".to_owned() } else { text };
     let read = class == StatementClass::Read;
     let mut state = new_statement(ctx, caller, transaction.group, text, step, read);
-    state.charged = step != TransactionStep::Within;
-    let charged = state.charged;
+    state.commit_refused = commit_refused;
     let statement = register(ctx, caller, state);
-    if charged {
-        proceed(ctx, statement);
-    } else {
+    if step == TransactionStep::Within {
         share_flow::charge(ctx, statement);
+    } else {
+        // The end of a transaction gives its connection back, and is never held up.
+        proceed(ctx, statement);
     }
     Ok(())
 }
@@ -324,7 +334,7 @@
         deadline: now.after(CoreTuning::millis(timeout)),
         attempts: 0,
         primary_only: false,
-        charged: false,
+        commit_refused: false,
         phase: StatementPhase::AwaitShare { until: now },
     }
 }
@@ -338,21 +348,17 @@
     statement
 }
 
-fn check_access(
-    ctx: &CoreContext,
-    caller: CallerKey,
-    rule: &RuleObject,
-    read: bool,
-) -> Result<(), RequestVerdict> {
+fn check_access(ctx: &CoreContext, caller: CallerKey, read: bool) -> Result<(), RequestVerdict> {
+    let grant = find_grant(ctx, caller)?;
     let denied =
         |detail: String| Err(RequestVerdict::not_run(VerdictCause::RuleDenied { detail }, None));
-    if !read && rule.access == RuleAccess::Read {
-        return denied(format!("rule {} allows reads only", rule.name));
+    if !read && grant.access == RuleAccess::Read {
+        return denied(format!("rule {} allows reads only", grant.rule));
     }
     match ctx.callers[caller].settings.max_age_ms {
-        Some(age) if read && age > rule.max_age_ms => denied(format!(
+        Some(age) if read && age > grant.max_age_ms => denied(format!(
             "rule {} allows ages up to {} ms, not {age} ms",
-            rule.name, rule.max_age_ms
+            grant.rule, grant.max_age_ms
         )),
         _ => Ok(()),
     }
@@ -398,6 +404,10 @@
     note_status(ctx, endpoint, asked, &status);
     let Some(state) = ctx.statements.get(statement) else { return };
     let group = state.group;
+    if state.commit_refused {
+        let verdict = RequestVerdict::not_run(VerdictCause::TransactionLost, None);
+        return finish(ctx, statement, verdict, AnswerBody::default());
+    }
     match state.request.step {
         TransactionStep::Begin | TransactionStep::Within | TransactionStep::Rollback => {
             return finish(ctx, statement, verdict, body);
@@ -451,6 +461,10 @@
     message: String,
 ) {
     end_use(ctx, statement, connection, false);
+    let caller = ctx.statements[statement].caller;
+    if let Some(transaction) = &mut ctx.callers[caller].transaction {
+        transaction.failed = true;
+    }
     let cause = VerdictCause::DatabaseError { sqlstate, message };
     finish(ctx, statement, RequestVerdict::not_run(cause, None), AnswerBody::default());
 }
@@ -483,7 +497,8 @@
     match step {
         TransactionStep::Begin if ran => {
             connection_flow::pin(ctx, connection, caller);
-            ctx.callers[caller].transaction = Some(OpenTransaction { group, connection });
+            let transaction = OpenTransaction { group, connection, failed: false };
+            ctx.callers[caller].transaction = Some(transaction);
         }
         TransactionStep::Within => connection_flow::pin(ctx, connection, caller),
         TransactionStep::Commit | TransactionStep::Rollback => {
--- a/src/statement_state.rs
+++ b/src/statement_state.rs
@@ -62,8 +62,8 @@
     pub attempts: u32,
     /// Whether it must go to the primary.
     pub primary_only: bool,
-    /// Whether its account's share has been charged.
-    pub charged: bool,
+    /// Whether it rolls back a failed transaction that the caller asked to commit.
+    pub commit_refused: bool,
     /// Where it stands.
     pub phase: StatementPhase,
 }
--- a/src/status_report.rs
+++ b/src/status_report.rs
@@ -45,6 +45,8 @@
     pub platform_calls: u64,
     /// Calls to peers.
     pub peer_calls: u64,
+    /// Of these, calls that asked for a share.
+    pub share_asks: u64,
     /// Questions of peers answered.
     pub peer_answers: u64,
     /// Status probes of endpoints.
--- a/stand-ins/src/capacity_slopes.rs
+++ b/stand-ins/src/capacity_slopes.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result};
 use quetzaldeal::latency_book::LatencyBook;
-use quetzaldeal::peer_message::{PeerEnvelope, PeerPulse, PeerRequest};
+use quetzaldeal::peer_message::{PeerEnvelope, PeerPulse, PeerReply, PeerRequest};
 use quetzaldeal::share_ledger::{ShareGrant, SharePart};
 use serde::{Deserialize, Serialize};
 
@@ -118,7 +118,7 @@
 
 fn measure_statements() -> Result<(f64, f64)> {
     const STATEMENTS: u64 = 20_000;
-    let mut bench = CoreBench::new(sized(30, 10, 10))?;
+    let mut bench = CoreBench::new(sized(30, 10, 3_000))?;
     bench.open_callers(1, 1_000);
     let read = "SELECT state FROM orders WHERE id = 'order-17'";
     let write = "UPDATE orders SET state = 'paid' WHERE id = 'order-17'";
@@ -210,8 +210,9 @@
         leaving: false,
         entries: Vec::new(),
     };
-    let request = PeerEnvelope::seal("secret", &PeerRequest::Pulse(pulse))?;
-    Ok(rmp_serde::to_vec(&request)?.len() as f64 * 2.0 + HTTP_FRAME_BYTES)
+    let reply = rmp_serde::to_vec(&PeerReply::Pulse(pulse.clone()))?;
+    let request = rmp_serde::to_vec(&PeerEnvelope::seal("secret", &PeerRequest::Pulse(pulse))?)?;
+    Ok((request.len() + reply.len()) as f64 + HTTP_FRAME_BYTES)
 }
 
 fn share_bytes() -> Result<f64> {
@@ -222,8 +223,11 @@
         version: 12_345,
         want: ShareGrant { part, tokens: 2.5, ttl_ms: 1_000 },
     };
-    let request = PeerEnvelope::seal("secret", &request)?;
-    Ok(rmp_serde::to_vec(&request)?.len() as f64 * 2.0 + HTTP_FRAME_BYTES)
+    let request = rmp_serde::to_vec(&PeerEnvelope::seal("secret", &request)?)?;
+    let grant = Some(ShareGrant { part, tokens: 2.5, ttl_ms: 1_000 });
+    let holders = vec!["data-centre-12-host-121".to_owned(); 3];
+    let reply = rmp_serde::to_vec(&PeerReply::Share { grant, holders })?;
+    Ok((request.len() + reply.len()) as f64 + HTTP_FRAME_BYTES)
 }
 
 fn micros(span: Duration) -> f64 {
--- a/stand-ins/src/database_model.rs
+++ b/stand-ins/src/database_model.rs
@@ -43,8 +43,10 @@
 pub struct OpenTransaction {
     /// Changes not committed yet.
     pub changes: Vec<TableChange>,
-    /// Whether an error or a fence has ended it.
+    /// Whether an error has ended it; COMMIT then rolls back.
     pub failed: bool,
+    /// Whether a fence has ended it; COMMIT is then an error.
+    pub fenced: bool,
     /// Whether it may not write.
     pub read_only: bool,
 }
@@ -155,7 +157,7 @@
         self.primary = false;
         self.following = None;
         for transaction in self.transactions.values_mut() {
-            transaction.failed = true;
+            transaction.fenced = true;
         }
     }
 
--- a/stand-ins/src/sql_engine.rs
+++ b/stand-ins/src/sql_engine.rs
@@ -52,7 +52,7 @@
 
 impl BatchRun<'_> {
     fn statement(&mut self, statement: &Statement) -> Result<SqlResult, SqlError> {
-        let failed = self.pending(|transaction| transaction.failed);
+        let failed = self.pending(|transaction| transaction.failed || transaction.fenced);
         let ends = matches!(statement, Statement::Commit { .. } | Statement::Rollback { .. });
         if failed && !ends && self.explicit {
             return Err(error(STATE_FAILED_TRANSACTION, "the transaction is aborted"));
@@ -96,9 +96,12 @@
         let transaction = self.database.take_transaction(self.connection).unwrap_or_default();
         self.explicit = false;
         self.database.begin(self.connection);
-        if transaction.failed {
+        if transaction.fenced {
             let state = endpoint_sql::STATE_WRONG_TERM;
-            return Err(error(state, "the transaction was ended by a fence or an error"));
+            return Err(error(state, "the transaction was ended by a fence"));
+        }
+        if transaction.failed {
+            return Ok(SqlResult::default());
         }
         self.database.commit(transaction.changes)?;
         Ok(SqlResult::default())
--- a/tests/fleet_fakes/fleet_truth.rs
+++ b/tests/fleet_fakes/fleet_truth.rs
@@ -208,7 +208,7 @@
                 rows.push(id);
                 return;
             }
-            self.inserts.insert(id.clone(), verdict.fate);
+            self.note_fate(id.clone(), verdict.fate);
             if ran {
                 self.must_see.entry(caller.to_owned()).or_default().insert(id);
             }
@@ -229,6 +229,14 @@
         }
     }
 
+    /// Notes the fate of a row; one that ran stays so, though its identifier is tried again.
+    fn note_fate(&mut self, id: String, fate: RequestFate) {
+        let known = self.inserts.entry(id).or_insert(fate);
+        if *known != RequestFate::Ran {
+            *known = fate;
+        }
+    }
+
     /// Follows a caller's transaction: its rows have the fate of its end.
     fn note_transaction(&mut self, caller: &str, upper: &str, verdict: &RequestVerdict) {
         match upper {
@@ -241,7 +249,7 @@
                     "COMMIT" => verdict.fate,
                     _ => RequestFate::NotRun,
                 };
-                self.inserts.extend(rows.into_iter().map(|id| (id, fate)));
+                rows.into_iter().for_each(|id| self.note_fate(id, fate));
             }
             _ => {}
         }
