fix(limit): no storm of asking for shares; refactor(core): intake and roles in modules of their own

Ruled out: asking less when all is well (it was the hopeless case that stormed). Change: rounds follow each other only until all lenders may have been asked; then 20 to 80 ms apart, until 100 ms have passed or a loan has come.

A tool compares the way through a host with the way straight to the database, and measures a hop between threads.

--- a/src/caller_flow.rs
+++ b/src/caller_flow.rs
@@ -12,6 +12,7 @@
 use crate::request_verdict::{RequestVerdict, VerdictCause};
 use crate::session_token::SessionToken;
 use crate::statement_flow;
+use crate::statement_intake;
 
 /// The account that callers of open routes without a key run under.
 pub const PUBLIC_ACCOUNT: &str = "public";
@@ -173,7 +174,7 @@
     };
     let key = ctx.callers.insert(state);
     let outcome = check_proof(ctx, key)
-        .and_then(|()| statement_flow::find_grant(ctx, key).map(|_| ()))
+        .and_then(|()| statement_intake::find_grant(ctx, key).map(|_| ()))
         .and_then(|()| apply_settings(ctx, key, &login.settings));
     match outcome {
         Ok(()) => {
--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -11,8 +11,10 @@
 use crate::config_head::{self, ConfigHead};
 use crate::http_call;
 use crate::key_secret;
+use crate::peer_driver;
 use crate::platform_driver;
 use crate::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
+use crate::status_report::StatusReport;
 use crate::world_config::WorldConfig;
 
 /// How long a command goes on trying when the platform gives no answer.
@@ -290,13 +292,13 @@
 pub async fn host_versions(
     client: &Client,
     world: &WorldConfig,
-) -> BTreeMap<String, Result<crate::status_report::StatusReport>> {
+) -> BTreeMap<String, Result<StatusReport>> {
     let mut reports = BTreeMap::new();
     let asked = world.hosts.values().map(|host| async {
         let report = http_call::post_message(
             client,
             &host.address,
-            crate::peer_driver::STATUS_PATH,
+            peer_driver::STATUS_PATH,
             &(),
             CONNECT_TIMEOUT,
         );
--- a/src/connection_flow.rs
+++ b/src/connection_flow.rs
@@ -157,12 +157,7 @@
     if let Some(CallPurpose::Statement { statement, .. }) = purpose {
         return statement_flow::on_outcome(ctx, statement, EndpointOutcome::Lost);
     }
-    if let Some(caller) = state.pinned
-        && let Some(caller) = ctx.callers.get_mut(caller)
-    {
-        caller.lose_transaction();
-    }
-    discard(ctx, connection, "failed");
+    lose_pinned(ctx, connection);
     if role == ConnectionRole::Status {
         let now = ctx.now;
         ctx.endpoints[endpoint].refusing_since.get_or_insert(now);
@@ -266,12 +261,11 @@
     let silent_after = CoreTuning::millis(ctx.tuning.probe_timeout_ms);
     let idle_limit = CoreTuning::millis(ctx.tuning.idle_test_ms);
     let pinned_limit = CoreTuning::millis(ctx.tuning.idle_transaction_ms);
-    let (endpoint, role) = (state.endpoint, state.role);
-    let state = state.clone();
-    let testing = state
-        .call
-        .is_some_and(|call| matches!(ctx.calls.get(&call), Some(CallPurpose::IdleTest { .. })));
-    match state.cursor.state() {
+    let (endpoint, role, call) = (state.endpoint, state.role, state.call);
+    let cursor = state.cursor.clone();
+    let testing =
+        call.is_some_and(|call| matches!(ctx.calls.get(&call), Some(CallPurpose::IdleTest { .. })));
+    match cursor.state() {
         "opening" if passed >= silent_after => {
             discard(ctx, connection, "silent");
             note_failure(ctx, endpoint);
@@ -285,13 +279,7 @@
         "pinned" if passed < pinned_limit => {
             arm_idle_test(ctx, connection, pinned_limit - passed);
         }
-        "pinned" => {
-            let caller = state.pinned.and_then(|caller| ctx.callers.get_mut(caller));
-            if let Some(caller) = caller {
-                caller.lose_transaction();
-            }
-            discard(ctx, connection, "discarded");
-        }
+        "pinned" => lose_pinned(ctx, connection),
         "busy" if role == ConnectionRole::Work && !testing => {
             arm_idle_test(ctx, connection, idle_limit);
         }
@@ -307,6 +295,15 @@
     }
 }
 
+/// Rolls back the transaction that a connection is kept for, and closes the connection.
+fn lose_pinned(ctx: &mut CoreContext, connection: ConnectionKey) {
+    let caller = ctx.connections[connection].pinned;
+    if let Some(caller) = caller.and_then(|caller| ctx.callers.get_mut(caller)) {
+        caller.lose_transaction();
+    }
+    discard(ctx, connection, "discarded");
+}
+
 /// Opens a connection to the endpoint.
 fn open(ctx: &mut CoreContext, endpoint: EndpointKey, role: ConnectionRole) -> ConnectionKey {
     let connection = ctx.connections.insert(ConnectionState {
--- a/src/decision_core.rs
+++ b/src/decision_core.rs
@@ -25,6 +25,7 @@
 use crate::platform_message::PlatformReply;
 use crate::share_flow;
 use crate::statement_flow;
+use crate::statement_intake;
 use crate::status_report::{GroupStatus, StatusReport};
 use crate::timer_queue::TimerKind;
 
@@ -84,7 +85,7 @@
             }
             CoreEvent::CallerClosed { caller } => caller_flow::close(ctx, caller),
             CoreEvent::StatementArrived { caller, text } => {
-                statement_flow::arrive(ctx, caller, text);
+                statement_intake::arrive(ctx, caller, text);
             }
             CoreEvent::ConnectionOpened { connection, opened } => {
                 connection_flow::on_opened(ctx, connection, opened);
--- a/src/failover_flow.rs
+++ b/src/failover_flow.rs
@@ -1,4 +1,4 @@
-//! Changes of primary: noticing, claiming a term, fencing a majority, choosing, repairing roles.
+//! Changes of primary: noticing, claiming a term, fencing a majority, choosing.
 //!
 //! A term is claimed by compare-and-swap on the group's record in the platform. The claimant then
 //! fences the copies: a fenced copy takes nothing more from lower terms, neither statements nor
@@ -17,12 +17,12 @@
 use crate::core_message::CoreAction;
 use crate::core_tuning::CoreTuning;
 use crate::endpoint_message::{EndpointRequest, EndpointStatus, LogPoint};
-use crate::endpoint_state::NewCopy;
 use crate::group_record::{self, GroupRecord, TermPhase};
-use crate::group_state::SuspectReason;
+use crate::group_state::{GroupState, SuspectReason};
 use crate::peer_message::PeerRequest;
 use crate::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
 use crate::rendezvous_rank;
+use crate::role_flow;
 use crate::timer_queue::TimerKind;
 
 /// Peers asked for their opinion before a primary out of reach is replaced.
@@ -92,8 +92,8 @@
         note_fenced(ctx, group, endpoint, &seen.status);
     }
     note_progress(ctx, group);
-    note_copy(ctx, group, endpoint, &seen.status);
-    repair_role(ctx, group, endpoint, &seen.status);
+    role_flow::note_copy(ctx, group, endpoint, &seen.status);
+    role_flow::repair_role(ctx, group, endpoint, &seen.status);
     if let Some(sample) = confirm_flow::majority_sample(ctx, group) {
         ctx.groups[group].note_sample(sample);
     }
@@ -405,56 +405,13 @@
     }
 }
 
-/// Tells an endpoint its role when its status shows that it does not have it.
-fn repair_role(
-    ctx: &mut CoreContext,
-    group: GroupKey,
-    endpoint: EndpointKey,
-    status: &EndpointStatus,
-) {
-    let Some(record) = ctx.groups[group].serving().cloned() else { return };
-    if status.adopted_term > record.term {
-        return;
-    }
-    let name = &ctx.endpoints[endpoint].name;
-    if *name == record.primary {
-        let counted = record.copies.get(name) == Some(&status.copy);
-        let leads = status.primary && status.adopted_term == record.term;
-        if counted && !leads {
-            let request = EndpointRequest::Promote { term: record.term, least: record.start };
-            tell_role(ctx, endpoint, request);
-        }
-        return;
-    }
-    let Some(primary) = ctx.endpoint_names.get(&record.primary) else { return };
-    let address = ctx.endpoints[*primary].address.clone();
-    let follows = status.adopted_term == record.term && status.following.as_ref() == Some(&address);
-    if !follows {
-        let request = EndpointRequest::Follow { term: record.term, address };
-        tell_role(ctx, endpoint, request);
-    }
-}
-
-/// Tells an endpoint its role, at most once a probe: one that does not take it up must not be
-/// told over and over.
-fn tell_role(ctx: &mut CoreContext, endpoint: EndpointKey, request: EndpointRequest) {
-    let gap = CoreTuning::millis(ctx.tuning.probe_interval_ms / 2);
-    let now = ctx.now;
-    let state = &mut ctx.endpoints[endpoint];
-    if now.since(state.repaired) < gap {
-        return;
-    }
-    state.repaired = now;
-    connection_flow::command(ctx, endpoint, request);
-}
-
 /// Notes when the replicas last advanced, or had nothing to advance to.
 fn note_progress(ctx: &mut CoreContext, group: GroupKey) {
     let now = ctx.now;
     let Some(record) = ctx.groups[group].serving() else { return };
     let Some(primary) = ctx.endpoint_names.get(&record.primary).copied() else { return };
     let primary_point = ctx.endpoints[primary].seen.as_ref().map(|seen| seen.status.log_point());
-    let best = |state: &crate::group_state::GroupState| {
+    let best = |state: &GroupState| {
         let others = state.members.iter().filter(|member| **member != primary);
         let seen = others.filter_map(|member| ctx.endpoints[*member].seen.as_ref());
         seen.map(|seen| seen.status.log_point()).max().unwrap_or_default()
@@ -493,61 +450,8 @@
     reachable >= state.majority() && level
 }
 
-/// Follows copies that were rebuilt, until they hold what counts and enter the record.
-fn note_copy(
-    ctx: &mut CoreContext,
-    group: GroupKey,
-    endpoint: EndpointKey,
-    status: &EndpointStatus,
-) {
-    let now = ctx.now;
-    let Some(record) = ctx.groups[group].serving().cloned() else { return };
-    let name = ctx.endpoints[endpoint].name.clone();
-    if record.copies.get(&name) == Some(&status.copy) || name == record.primary {
-        ctx.endpoints[endpoint].new_copy = None;
-        return;
-    }
-    let known = ctx.endpoints[endpoint].new_copy.as_ref().map(|copy| copy.copy);
-    if known != Some(status.copy) {
-        let new_copy = NewCopy { copy: status.copy, since: now, target: None };
-        ctx.endpoints[endpoint].new_copy = Some(new_copy);
-    }
-    let Some(mut new_copy) = ctx.endpoints[endpoint].new_copy.clone() else { return };
-    let primary = ctx.endpoint_names.get(&record.primary).map(|key| &ctx.endpoints[*key]);
-    let primary = primary.and_then(|primary| primary.status_since(new_copy.since));
-    let leads = |status: &&EndpointStatus| status.primary && status.adopted_term == record.term;
-    if new_copy.target.is_none() {
-        new_copy.target = primary.filter(leads).map(EndpointStatus::log_point);
-        ctx.endpoints[endpoint].new_copy = Some(new_copy.clone());
-    }
-    let caught_up = new_copy.target.is_some_and(|target| {
-        status.adopted_term == record.term
-            && status.log_term == record.term
-            && status.reached(target)
-    });
-    let turn = CoreTuning::millis(ctx.tuning.claim_turn_ms) * claim_rank(ctx, group);
-    if caught_up && now.since(new_copy.since) >= turn && !ctx.groups[group].readmitting {
-        readmit(ctx, group, record, name, status.copy);
-    }
-}
-
-fn readmit(
-    ctx: &mut CoreContext,
-    group: GroupKey,
-    mut record: GroupRecord,
-    endpoint: String,
-    copy: u64,
-) {
-    if ctx.groups[group].cursor.state() != "watching" {
-        return;
-    }
-    log::info!("group {}: counting the new copy of {endpoint}", ctx.groups[group].name);
-    record.copies.insert(endpoint, copy);
-    ctx.groups[group].readmitting = true;
-    swap(ctx, group, record);
-}
-
-fn swap(ctx: &mut CoreContext, group: GroupKey, record: GroupRecord) {
+/// Swaps the group's record for a new one.
+pub fn swap(ctx: &mut CoreContext, group: GroupKey, record: GroupRecord) {
     let Ok(value) = rmp_serde::to_vec(&record) else { return };
     let state = &ctx.groups[group];
     let key = group_record::record_key(&state.name);
@@ -581,7 +485,7 @@
 }
 
 /// Returns this host's turn among the hosts that may claim the group's next term.
-fn claim_rank(ctx: &CoreContext, group: GroupKey) -> u32 {
+pub fn claim_rank(ctx: &CoreContext, group: GroupKey) -> u32 {
     let state = &ctx.groups[group];
     let subject = format!("{}/{}", state.name, state.term());
     let hosts = ctx
--- /dev/null
+++ b/src/role_flow.rs
@@ -0,0 +1,107 @@
+//! Keeps endpoints in their roles, and counts rebuilt copies once they hold what matters.
+
+use crate::arena_keys::{EndpointKey, GroupKey};
+use crate::connection_flow;
+use crate::core_context::CoreContext;
+use crate::core_tuning::CoreTuning;
+use crate::endpoint_message::{EndpointRequest, EndpointStatus};
+use crate::endpoint_state::NewCopy;
+use crate::failover_flow;
+use crate::group_record::GroupRecord;
+
+/// Tells an endpoint its role when its status shows that it does not have it.
+pub fn repair_role(
+    ctx: &mut CoreContext,
+    group: GroupKey,
+    endpoint: EndpointKey,
+    status: &EndpointStatus,
+) {
+    let Some(record) = ctx.groups[group].serving().cloned() else { return };
+    if status.adopted_term > record.term {
+        return;
+    }
+    let name = &ctx.endpoints[endpoint].name;
+    if *name == record.primary {
+        let counted = record.copies.get(name) == Some(&status.copy);
+        let leads = status.primary && status.adopted_term == record.term;
+        if counted && !leads {
+            let request = EndpointRequest::Promote { term: record.term, least: record.start };
+            tell_role(ctx, endpoint, request);
+        }
+        return;
+    }
+    let Some(primary) = ctx.endpoint_names.get(&record.primary) else { return };
+    let address = ctx.endpoints[*primary].address.clone();
+    let follows = status.adopted_term == record.term && status.following.as_ref() == Some(&address);
+    if !follows {
+        let request = EndpointRequest::Follow { term: record.term, address };
+        tell_role(ctx, endpoint, request);
+    }
+}
+
+/// Tells an endpoint its role, at most once a probe: one that does not take it up must not be
+/// told over and over.
+fn tell_role(ctx: &mut CoreContext, endpoint: EndpointKey, request: EndpointRequest) {
+    let gap = CoreTuning::millis(ctx.tuning.probe_interval_ms / 2);
+    let now = ctx.now;
+    let state = &mut ctx.endpoints[endpoint];
+    if now.since(state.repaired) < gap {
+        return;
+    }
+    state.repaired = now;
+    connection_flow::command(ctx, endpoint, request);
+}
+
+/// Follows copies that were rebuilt, until they hold what counts and enter the record.
+pub fn note_copy(
+    ctx: &mut CoreContext,
+    group: GroupKey,
+    endpoint: EndpointKey,
+    status: &EndpointStatus,
+) {
+    let now = ctx.now;
+    let Some(record) = ctx.groups[group].serving().cloned() else { return };
+    let name = ctx.endpoints[endpoint].name.clone();
+    if record.copies.get(&name) == Some(&status.copy) || name == record.primary {
+        ctx.endpoints[endpoint].new_copy = None;
+        return;
+    }
+    let known = ctx.endpoints[endpoint].new_copy.as_ref().map(|copy| copy.copy);
+    if known != Some(status.copy) {
+        let new_copy = NewCopy { copy: status.copy, since: now, target: None };
+        ctx.endpoints[endpoint].new_copy = Some(new_copy);
+    }
+    let Some(mut new_copy) = ctx.endpoints[endpoint].new_copy.clone() else { return };
+    let primary = ctx.endpoint_names.get(&record.primary).map(|key| &ctx.endpoints[*key]);
+    let primary = primary.and_then(|primary| primary.status_since(new_copy.since));
+    let leads = |status: &&EndpointStatus| status.primary && status.adopted_term == record.term;
+    if new_copy.target.is_none() {
+        new_copy.target = primary.filter(leads).map(EndpointStatus::log_point);
+        ctx.endpoints[endpoint].new_copy = Some(new_copy.clone());
+    }
+    let caught_up = new_copy.target.is_some_and(|target| {
+        status.adopted_term == record.term
+            && status.log_term == record.term
+            && status.reached(target)
+    });
+    let turn = CoreTuning::millis(ctx.tuning.claim_turn_ms) * failover_flow::claim_rank(ctx, group);
+    if caught_up && now.since(new_copy.since) >= turn && !ctx.groups[group].readmitting {
+        readmit(ctx, group, record, name, status.copy);
+    }
+}
+
+fn readmit(
+    ctx: &mut CoreContext,
+    group: GroupKey,
+    mut record: GroupRecord,
+    endpoint: String,
+    copy: u64,
+) {
+    if ctx.groups[group].cursor.state() != "watching" {
+        return;
+    }
+    log::info!("group {}: counting the new copy of {endpoint}", ctx.groups[group].name);
+    record.copies.insert(endpoint, copy);
+    ctx.groups[group].readmitting = true;
+    failover_flow::swap(ctx, group, record);
+}
--- a/src/share_flow.rs
+++ b/src/share_flow.rs
@@ -1,6 +1,7 @@
 //! Charges statements to their accounts' shares, and moves shares between hosts on demand.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use rand::seq::SliceRandom;
 
@@ -26,6 +27,10 @@
 const WAITING_MAX: usize = 64;
 /// Time between looks at the accounts' shares, in milliseconds.
 const LOOK_INTERVAL_MS: u64 = 10;
+/// Doublings of the time between rounds of asking that bring nothing.
+const GAP_DOUBLINGS_MAX: u32 = 2;
+/// Time after which rounds that brought nothing no longer count: others may have spare shares now.
+const VAIN_FORGOTTEN: Duration = Duration::from_millis(100);
 
 /// Deals this host its home share of an account under a new configuration.
 ///
@@ -227,15 +232,20 @@
 }
 
 /// Asks some lenders for what the account lacks here.
+///
+/// While statements wait, one round follows the other until all lenders may have been asked; after
+/// that, and while nothing comes of it, rounds are made ever less often.
 fn ask_peers(ctx: &mut CoreContext, account: AccountKey) {
     let now = ctx.now;
     let gap = CoreTuning::millis(ctx.tuning.share_ask_gap_ms);
+    let rounds_max = lenders(ctx, account).len().div_ceil(LENDERS_ASKED) as u32;
     let state = &mut ctx.accounts[account];
-    let urgent = !state.waiting.is_empty();
-    if !urgent {
+    if now.since(state.asked) >= VAIN_FORGOTTEN {
         state.rounds = 0;
     }
-    if state.asking(now) || (!urgent && now.since(state.asked) < gap) {
+    let urgent = !state.waiting.is_empty() && state.rounds < rounds_max;
+    let vain = state.rounds.saturating_sub(rounds_max).min(GAP_DOUBLINGS_MAX);
+    if state.asking(now) || (!urgent && now.since(state.asked) < gap * (1 << vain)) {
         return;
     }
     let waiting = state.waiting.len();
--- /dev/null
+++ b/src/statement_intake.rs
@@ -0,0 +1,258 @@
+//! Takes up statements from callers: what they are, whether they are allowed, where they go first.
+
+use crate::arena_keys::{CallerKey, GroupKey, StatementKey};
+use crate::caller_flow;
+use crate::caller_state::OpenTransaction;
+use crate::connection_flow;
+use crate::core_context::CoreContext;
+use crate::core_message::{CallerId, CoreAction};
+use crate::core_tuning::{self, CoreTuning};
+use crate::drain_flow;
+use crate::endpoint_message::{AnswerBody, EndpointStatement, RequestRecord, TransactionStep};
+use crate::grant_index::RuleGrant;
+use crate::request_verdict::{RequestVerdict, VerdictCause};
+use crate::route_choice;
+use crate::share_flow;
+use crate::statement_flow;
+use crate::statement_state::{StatementPhase, StatementState};
+use crate::statement_text::{self, StatementClass};
+use crate::timer_queue::TimerKind;
+use crate::world_object::RuleAccess;
+
+/// Takes up a statement from a caller.
+pub fn arrive(ctx: &mut CoreContext, id: CallerId, text: String) {
+    let Some(caller) = ctx.caller_ids.get(&id).copied() else { return };
+    if ctx.callers[caller].statement.is_some() {
+        let detail = "the last statement is not answered yet".to_owned();
+        let cause = VerdictCause::StatementInvalid { detail };
+        return refuse(ctx, caller, RequestVerdict::not_run(cause, None));
+    }
+    if let Err(verdict) = begin(ctx, caller, text) {
+        refuse(ctx, caller, verdict);
+    }
+}
+
+/// Returns what the rules let the caller do with its service.
+///
+/// # Errors
+///
+/// Names the account and service when that is nothing.
+pub fn find_grant(ctx: &CoreContext, caller: CallerKey) -> Result<&RuleGrant, RequestVerdict> {
+    let state = &ctx.callers[caller];
+    ctx.config.grants.find(&state.service, &state.account_name).ok_or_else(|| {
+        let detail =
+            format!("account {} may not use service {}", state.account_name, state.service);
+        RequestVerdict::not_run(VerdictCause::RuleDenied { detail }, None)
+    })
+}
+
+fn begin(ctx: &mut CoreContext, caller: CallerKey, text: String) -> Result<(), RequestVerdict> {
+    if text.len() > ctx.tuning.statement_max_bytes {
+        let detail = format!(
+            "the statement has {} bytes; at most {} are accepted",
+            text.len(),
+            ctx.tuning.statement_max_bytes
+        );
+        return Err(invalid(detail));
+    }
+    let class = statement_text::classify(&text);
+    match class {
+        StatementClass::Forbidden { detail } => Err(invalid(detail)),
+        StatementClass::InertSet => answer_now(ctx, caller, tagged("SET")),
+        StatementClass::SetOption { name, value } => {
+            caller_flow::set_option(ctx, caller, &name, &value)?;
+            answer_now(ctx, caller, tagged("SET"))
+        }
+        StatementClass::ShowOption { name } => {
+            let body = caller_flow::show_option(ctx, caller, &name)?;
+            answer_now(ctx, caller, body)
+        }
+        _ if ctx.callers[caller].transaction_lost => end_lost(ctx, caller, &class),
+        _ if ctx.callers[caller].transaction.is_some() => begin_within(ctx, caller, text, class),
+        StatementClass::Commit | StatementClass::Rollback => {
+            answer_now(ctx, caller, tagged(step_tag(&class)))
+        }
+        _ => begin_outside(ctx, caller, text, class),
+    }
+}
+
+/// Answers a caller whose transaction was rolled back unasked, until it ends the transaction.
+fn end_lost(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    class: &StatementClass,
+) -> Result<(), RequestVerdict> {
+    let ends = matches!(class, StatementClass::Commit | StatementClass::Rollback);
+    ctx.callers[caller].transaction_lost = !ends;
+    if *class == StatementClass::Rollback {
+        return answer_now(ctx, caller, tagged(step_tag(class)));
+    }
+    Err(RequestVerdict::not_run(VerdictCause::TransactionLost, None))
+}
+
+/// Starts a statement of its own, or one that begins a transaction.
+fn begin_outside(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    text: String,
+    class: StatementClass,
+) -> Result<(), RequestVerdict> {
+    caller_flow::check_proof(ctx, caller)?;
+    if !ctx.takes_work() {
+        let wait = Some(core_tuning::SHORT_RETRY);
+        return Err(RequestVerdict::not_run(VerdictCause::Draining, wait));
+    }
+    let read = class == StatementClass::Read;
+    check_access(ctx, caller, read)?;
+    let group = route_choice::pick_group(ctx, caller)?;
+    let step = match class {
+        StatementClass::Begin => TransactionStep::Begin,
+        _ => TransactionStep::Single,
+    };
+    let state = new_statement(ctx, caller, group, text, step, read);
+    let statement = register(ctx, caller, state);
+    share_flow::charge(ctx, statement);
+    Ok(())
+}
+
+/// Starts a statement inside the caller's transaction.
+fn begin_within(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    text: String,
+    class: StatementClass,
+) -> Result<(), RequestVerdict> {
+    let Some(transaction) = ctx.callers[caller].transaction else {
+        return Err(invalid("no transaction is open".to_owned()));
+    };
+    if class == StatementClass::Begin {
+        return Err(invalid("a transaction is open already".to_owned()));
+    }
+    caller_flow::check_proof(ctx, caller).inspect_err(|_| {
+        end_transaction(ctx, caller, transaction);
+    })?;
+    // The database would roll back, and say so in a tag that drivers do not look at.
+    let commit_refused = class == StatementClass::Commit && transaction.failed;
+    let step = match class {
+        StatementClass::Commit if !commit_refused => TransactionStep::Commit,
+        StatementClass::Commit | StatementClass::Rollback => TransactionStep::Rollback,
+        _ => TransactionStep::Within,
+    };
+    let text = if commit_refused { "ROLLBACK".to_owned() } else { text };
+    let read = class == StatementClass::Read;
+    let mut state = new_statement(ctx, caller, transaction.group, text, step, read);
+    state.commit_refused = commit_refused;
+    let statement = register(ctx, caller, state);
+    if step == TransactionStep::Within {
+        share_flow::charge(ctx, statement);
+    } else {
+        // The end of a transaction gives its connection back, and is never held up.
+        statement_flow::proceed(ctx, statement);
+    }
+    Ok(())
+}
+
+fn new_statement(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    group: GroupKey,
+    text: String,
+    step: TransactionStep,
+    read: bool,
+) -> StatementState {
+    let now = ctx.now;
+    let default_timeout = ctx.tuning.statement_timeout_ms;
+    let state = &mut ctx.callers[caller];
+    let writes = !read && matches!(step, TransactionStep::Single | TransactionStep::Within);
+    let id = if writes { state.settings.request_id.take() } else { None };
+    let account = state.account_name.clone();
+    let record = id.map(|id| RequestRecord { account, id });
+    let timeout = state.settings.timeout_ms.unwrap_or(default_timeout);
+    StatementState {
+        caller,
+        account: state.account,
+        group,
+        request: EndpointStatement {
+            text,
+            step,
+            write_term: None,
+            read_point: None,
+            read_only: read && step == TransactionStep::Single,
+            record,
+        },
+        read,
+        max_age_ms: state.settings.max_age_ms,
+        deadline: now.after(CoreTuning::millis(timeout)),
+        attempts: 0,
+        primary_only: false,
+        commit_refused: false,
+        phase: StatementPhase::AwaitShare { until: now },
+    }
+}
+
+fn register(ctx: &mut CoreContext, caller: CallerKey, state: StatementState) -> StatementKey {
+    let deadline = state.deadline;
+    let statement = ctx.statements.insert(state);
+    ctx.retries.earn();
+    ctx.callers[caller].statement = Some(statement);
+    ctx.timers.push(deadline, TimerKind::Statement(statement));
+    statement
+}
+
+fn check_access(ctx: &CoreContext, caller: CallerKey, read: bool) -> Result<(), RequestVerdict> {
+    let grant = find_grant(ctx, caller)?;
+    let denied =
+        |detail: String| Err(RequestVerdict::not_run(VerdictCause::RuleDenied { detail }, None));
+    if !read && grant.access == RuleAccess::Read {
+        return denied(format!("rule {} allows reads only", grant.rule));
+    }
+    match ctx.callers[caller].settings.max_age_ms {
+        Some(age) if read && age > grant.max_age_ms => denied(format!(
+            "rule {} allows ages up to {} ms, not {age} ms",
+            grant.rule, grant.max_age_ms
+        )),
+        _ => Ok(()),
+    }
+}
+
+fn end_transaction(ctx: &mut CoreContext, caller: CallerKey, transaction: OpenTransaction) {
+    ctx.callers[caller].lose_transaction();
+    connection_flow::discard(ctx, transaction.connection, "discarded");
+}
+
+fn refuse(ctx: &mut CoreContext, caller: CallerKey, verdict: RequestVerdict) {
+    let state = &ctx.callers[caller];
+    let (id, account) = (state.id, state.account);
+    let in_transaction = state.in_transaction();
+    ctx.accounts[account].counts.not_run += 1;
+    let body = AnswerBody::default();
+    ctx.actions.push(CoreAction::AnswerCaller { caller: id, verdict, body, in_transaction });
+    drain_flow::after_answer(ctx, caller);
+}
+
+fn answer_now(
+    ctx: &mut CoreContext,
+    caller: CallerKey,
+    body: AnswerBody,
+) -> Result<(), RequestVerdict> {
+    let state = &ctx.callers[caller];
+    let (caller, in_transaction) = (state.id, state.in_transaction());
+    let verdict = RequestVerdict::ran();
+    ctx.actions.push(CoreAction::AnswerCaller { caller, verdict, body, in_transaction });
+    Ok(())
+}
+
+fn tagged(tag: &str) -> AnswerBody {
+    AnswerBody { tag: tag.to_owned(), ..AnswerBody::default() }
+}
+
+fn step_tag(class: &StatementClass) -> &'static str {
+    match class {
+        StatementClass::Commit => "COMMIT",
+        _ => "ROLLBACK",
+    }
+}
+
+fn invalid(detail: String) -> RequestVerdict {
+    RequestVerdict::not_run(VerdictCause::StatementInvalid { detail }, None)
+}
--- a/stand-ins/src/bin/quetzaldeal-load.rs
+++ b/stand-ins/src/bin/quetzaldeal-load.rs
@@ -9,6 +9,7 @@
 use stand_ins::caller_story;
 use stand_ins::load_plan::LoadPlan;
 use stand_ins::load_run;
+use stand_ins::path_cost;
 use stand_ins::platform_program::COUNTS_PATH;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -26,6 +27,10 @@
             caller_story::measure_gap(&login(matches)?, seconds).await
         }
         Some(("hold", matches)) => caller_story::hold_until_refused(&login(matches)?).await,
+        Some(("compare", matches)) => {
+            path_cost::compare(&login(matches)?, text(matches, "direct")?).await
+        }
+        Some(("hop", _)) => path_cost::measure_hop(),
         Some(("platform-calls", matches)) => {
             let client = http_call::client(CONNECT_TIMEOUT)?;
             let address = text(matches, "address")?;
@@ -74,6 +79,11 @@
             ),
         )
         .subcommand(caller("hold", "Read on one connection until refused"))
+        .subcommand(
+            caller("compare", "Compare reads through a host with reads straight at a database")
+                .arg(option("direct", "IP and port of the database")),
+        )
+        .subcommand(Command::new("hop").about("Measure one way through a ring between threads"))
         .subcommand(
             Command::new("platform-calls")
                 .about("Print the calls that the stand-in platform has counted")
