fix(session): a statement on an ended connection has a verdict of its own

Its cause said that the host was leaving, which is wrong for a withdrawn key; it has a cause of its own.

--- a/src/request_verdict.rs
+++ b/src/request_verdict.rs
@@ -41,6 +41,8 @@
     QueueFull,
     /// The host or its data centre is leaving service.
     Draining,
+    /// The host had ended the caller's connection when the statement arrived.
+    CallerEnded,
     /// The deadline passed.
     DeadlinePassed,
     /// The connection to the endpoint broke.
@@ -105,7 +107,7 @@
             (VerdictCause::OverRate | VerdictCause::QueueFull, _) => "53400",
             (VerdictCause::ConfigStale | VerdictCause::ConfigMissing, _) => "57P03",
             (VerdictCause::NoPrimary | VerdictCause::NoEndpoint, _) => "57P03",
-            (VerdictCause::Draining, _) => "57P01",
+            (VerdictCause::Draining | VerdictCause::CallerEnded, _) => "57P01",
             (VerdictCause::DeadlinePassed, _) => "57014",
             (VerdictCause::ConnectionLost | VerdictCause::PrimaryReplaced, _) => "08006",
             (VerdictCause::TransactionLost, _) => "40000",
@@ -130,6 +132,7 @@
             VerdictCause::NoEndpoint => "no endpoint can take the request".to_owned(),
             VerdictCause::QueueFull => "the queue is full".to_owned(),
             VerdictCause::Draining => "this host is leaving service".to_owned(),
+            VerdictCause::CallerEnded => "this host has ended the connection".to_owned(),
             VerdictCause::DeadlinePassed => "the deadline passed".to_owned(),
             VerdictCause::ConnectionLost => "the connection to the endpoint was lost".to_owned(),
             VerdictCause::TransactionLost => {
--- a/src/statement_intake.rs
+++ b/src/statement_intake.rs
@@ -35,7 +35,7 @@
 /// Answers a statement that was under way when its caller's connection was ended here.
 fn refuse_unknown(ctx: &mut CoreContext, caller: CallerId) {
     let wait = Some(core_tuning::SHORT_RETRY);
-    let verdict = RequestVerdict::not_run(VerdictCause::Draining, wait);
+    let verdict = RequestVerdict::not_run(VerdictCause::CallerEnded, wait);
     let body = AnswerBody::default();
     ctx.actions.push(CoreAction::AnswerCaller { caller, verdict, body, in_transaction: false });
 }
