test: a replica that lacks the session's point is asked for want of a primary

Cause: with the replica's proof taken out, read_your_writes still passed: it never reaches a replica that believes wrongly. Change: a scenario that does. Seen: it passes; with the proof taken out, not run yet.

--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -44,6 +44,7 @@
     open_routes,
     overload,
     platform_outage,
+    read_without_primary,
     read_your_writes,
     rebuilt_copy,
     replaced_primary,
