refactor(core): work done twice taken out, dead accessors removed

Found by reading the whole change once more; behaviour stays as it is: - the hosts that shares are dealt to were compared anew for each account when a configuration came into force; they are compared once; - the addresses of all lenders were copied to count them, two or three times for each statement that waits for a share; they are counted in place, by one function for both callers; - whether an endpoint is in service was worked out when its object was taken up and again by the record of who is leaving; only the latter is left; - the live records of each pulse were cloned although the pulse is owned; - three accessors had no caller.

--- a/src/config_flow.rs
+++ b/src/config_flow.rs
@@ -198,22 +198,14 @@
         let moved = !state.address.is_empty() && state.address != object.address;
         state.address = object.address.clone();
         state.data_centre = object.data_centre.clone();
-        state.in_service = world.endpoint_in_service(&object.name);
         state.work_quota = (share.saturating_sub(1) as usize).max(1);
         if moved {
             drop_connections(ctx, key);
         }
     }
-    let gone: Vec<String> = ctx
-        .endpoint_names
-        .keys()
-        .filter(|name| !world.endpoints.contains_key(*name))
-        .cloned()
-        .collect();
-    for name in gone {
-        let Some(key) = ctx.endpoint_names.get(&name).copied() else { continue };
-        ctx.endpoints[key].in_service = false;
-        ctx.endpoints[key].group = None;
+    let configured = |endpoint: &EndpointState| world.endpoints.contains_key(&endpoint.name);
+    for endpoint in ctx.endpoints.values_mut().filter(|endpoint| !configured(endpoint)) {
+        endpoint.group = None;
     }
 }
 
@@ -279,6 +271,7 @@
 
 fn adopt_accounts(ctx: &mut CoreContext, world: &WorldConfig) {
     let hosts = HomeMap::new(world);
+    let same_hosts = ctx.config.home_map == hosts;
     for object in world.accounts.values() {
         let known = ctx.account_names.get(&object.name).copied();
         let key = known.unwrap_or_else(|| {
@@ -301,7 +294,7 @@
             key
         });
         ctx.accounts[key].weight = object.weight;
-        share_flow::deal(ctx, key, object, &hosts);
+        share_flow::deal(ctx, key, object, &hosts, same_hosts);
     }
     ctx.config.home_map = hosts;
     let gone: Vec<_> = ctx
--- a/src/endpoint_state.rs
+++ b/src/endpoint_state.rs
@@ -65,9 +65,4 @@
     pub fn status_since(&self, since: ClockTime) -> Option<&EndpointStatus> {
         self.seen.as_ref().filter(|seen| seen.asked >= since).map(|seen| &seen.status)
     }
-
-    /// Statements running or waiting here.
-    pub fn load(&self) -> usize {
-        self.work.len() + self.queue.len()
-    }
 }
--- a/src/latency_book.rs
+++ b/src/latency_book.rs
@@ -53,10 +53,4 @@
             p999_us: histogram.value_at_quantile(0.999),
         }
     }
-
-    /// Returns the accounts with histograms.
-    pub fn accounts(&self) -> Vec<String> {
-        let histograms = self.histograms.lock().unwrap_or_else(PoisonError::into_inner);
-        histograms.keys().cloned().collect()
-    }
 }
--- a/src/peer_flow.rs
+++ b/src/peer_flow.rs
@@ -63,7 +63,7 @@
 }
 
 /// Takes up a peer's pulse that answers one sent at `sent`.
-pub fn on_pulse(ctx: &mut CoreContext, address: &str, sent: ClockTime, pulse: PeerPulse) {
+pub fn on_pulse(ctx: &mut CoreContext, address: &str, sent: ClockTime, mut pulse: PeerPulse) {
     if !ctx.peers.note_heard(&pulse.host, pulse.incarnation, sent) {
         log::warn!("peer {} at {address} is an earlier process of that name", pulse.host);
         return;
@@ -72,7 +72,7 @@
         peer.leaving = pulse.leaving;
     }
     let after = ctx.feed.watermark();
-    let entries = pulse.entries.clone();
+    let entries = std::mem::take(&mut pulse.entries);
     platform_flow::merge(ctx, after, pulse.watermark, entries, Some(address));
     if pulse.version == 0 || pulse.version != ctx.config.known_version() {
         return;
--- a/src/share_flow.rs
+++ b/src/share_flow.rs
@@ -34,14 +34,15 @@
 
 /// Deals this host its home share of an account under a new configuration.
 ///
-/// A share that does not differ is left alone, with all that was lent out of it.
+/// A share that does not differ is left alone, with all that was lent out of it. `same_hosts` says
+/// that shares were last dealt to the same hosts.
 pub fn deal(
     ctx: &mut CoreContext,
     account: AccountKey,
     object: &AccountObject,
     hosts: &rendezvous_rank::HomeMap,
+    same_hosts: bool,
 ) {
-    let same_hosts = ctx.config.home_map == *hosts;
     if same_hosts && ctx.accounts[account].object.as_ref() == Some(object) {
         return;
     }
@@ -218,7 +219,7 @@
 fn refuse_hopeless(ctx: &mut CoreContext, account: AccountKey) {
     let now = ctx.now;
     let limit = CoreTuning::millis(ctx.tuning.share_wait_ms);
-    let rounds_max = lenders(ctx, account).len().div_ceil(LENDERS_ASKED) as u32;
+    let rounds_max = rounds_to_ask_all(ctx, account);
     let state = &mut ctx.accounts[account];
     if state.asking(now) || state.waiting.is_empty() || state.rounds < rounds_max {
         return;
@@ -238,7 +239,7 @@
 fn ask_peers(ctx: &mut CoreContext, account: AccountKey) {
     let now = ctx.now;
     let gap = CoreTuning::millis(ctx.tuning.share_ask_gap_ms);
-    let rounds_max = lenders(ctx, account).len().div_ceil(LENDERS_ASKED) as u32;
+    let rounds_max = rounds_to_ask_all(ctx, account);
     let state = &mut ctx.accounts[account];
     if now.since(state.asked) >= VAIN_FORGOTTEN {
         state.rounds = 0;
@@ -272,7 +273,8 @@
 
 /// Picks the holders that peers have named, and homes at random beside them.
 fn pick_lenders(ctx: &mut CoreContext, account: AccountKey) -> Vec<String> {
-    let mut homes = lenders(ctx, account);
+    let mut homes: Vec<String> =
+        lenders(ctx, account).filter_map(|host| usable_address(ctx, host)).collect();
     homes.shuffle(&mut ctx.rng);
     let holders: Vec<String> = ctx.accounts[account].holders.iter().cloned().collect();
     let mut picked: Vec<String> =
@@ -284,13 +286,15 @@
     picked
 }
 
-/// Returns the addresses of the account's homes that may lend.
-fn lenders(ctx: &CoreContext, account: AccountKey) -> Vec<String> {
-    if !ctx.tuning.share_loans {
-        return Vec::new();
-    }
-    let homes = ctx.accounts[account].homes.iter();
-    homes.filter_map(|host| usable_address(ctx, host)).collect()
+/// Returns the rounds of asking in which every lender has surely had its turn.
+fn rounds_to_ask_all(ctx: &CoreContext, account: AccountKey) -> u32 {
+    lenders(ctx, account).count().div_ceil(LENDERS_ASKED) as u32
+}
+
+/// Returns the account's homes that may lend.
+fn lenders(ctx: &CoreContext, account: AccountKey) -> impl Iterator<Item = &String> {
+    let homes = ctx.accounts[account].homes.iter().filter(|_| ctx.tuning.share_loans);
+    homes.filter(|host| ctx.peers.usable(host, ctx.now))
 }
 
 fn usable_address(ctx: &CoreContext, host: &str) -> Option<String> {
--- a/src/share_ledger.rs
+++ b/src/share_ledger.rs
@@ -189,11 +189,6 @@
         self.demand += 1.0 / DEMAND_WINDOW.as_secs_f64();
     }
 
-    /// Returns the estimated arrivals a second.
-    pub fn demand(&self) -> f64 {
-        self.demand
-    }
-
     /// Returns the tokens held.
     pub fn tokens(&mut self, now: ClockTime) -> f64 {
         self.refill(now);
--- a/src/statement_flow.rs
+++ b/src/statement_flow.rs
@@ -72,10 +72,7 @@
             }
             retry(ctx, statement, VerdictCause::ConnectionLost);
         }
-        EndpointOutcome::Lost => on_lost(ctx, statement, connection),
-        EndpointOutcome::Status(_) => {
-            on_lost(ctx, statement, connection);
-        }
+        EndpointOutcome::Lost | EndpointOutcome::Status(_) => on_lost(ctx, statement, connection),
     }
 }
 
