--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod platform_driver;
 pub mod platform_flow;
 pub mod platform_message;
+pub mod proxy;
 pub mod rendezvous_rank;
 pub mod request_verdict;
 pub mod retry_budget;
--- /dev/null
+++ b/src/proxy/change_flow.rs
@@ -0,0 +1,540 @@
+//! Changes of primary.
+//!
+//! The holder of the duty writes to the group's record that hosts are to stop, waits until every
+//! host whose member record stands has said that it did, asks the endpoints how far their logs
+//! reach, names the furthest one in the record, has the platform appoint it, and lets the hosts go
+//! on once the endpoint itself says that it leads. A host that cannot be asked stops by itself when
+//! its lease runs out, and its member record vanishes after that.
+
+use std::time::Duration;
+
+use crate::arena_keys;
+use crate::core_message;
+use crate::proxy::change_record;
+use crate::proxy::endpoint_command;
+use crate::proxy::group_view;
+use crate::proxy::job_state;
+use crate::proxy::link_flow;
+use crate::proxy::link_state;
+use crate::proxy::member_flow;
+use crate::proxy::operation_flow;
+use crate::proxy::proxy_context;
+use crate::proxy::proxy_message;
+use crate::proxy::store_message;
+use crate::proxy::store_session;
+
+/// Time that a write of the record may take before the change begins anew.
+const RECORD_LIMIT: Duration = Duration::from_millis(2_000);
+/// Time between questions to the endpoints while a change is under way.
+const ASK_GAP: Duration = Duration::from_millis(50);
+/// Time for which an election waits for endpoints that do not answer.
+const CHOICE_WAIT: Duration = Duration::from_millis(250);
+/// Time for which a planned change waits for a replica that holds all that the primary holds.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(1_500);
+/// Pause before an appointment without an answer is asked for again.
+const APPOINT_PAUSE: Duration = Duration::from_millis(300);
+/// Time that an appointed endpoint has to say that it leads.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(4_000);
+/// Least time between two changes of one group's primary, unless the primary is gone.
+const CHANGE_GAP: Duration = Duration::from_millis(1_000);
+
+/// Stops using the old primary where the record asks for it, and drives changes as far as the duty
+/// goes.
+pub fn drive_all(ctx: &mut proxy_context::ProxyContext) {
+    let groups: Vec<arena_keys::GroupKey> = ctx.groups.keys().collect();
+    for group in groups {
+        settle_stop(ctx, group);
+        drive(ctx, group);
+    }
+}
+
+/// Takes up an endpoint's report.
+pub fn on_report(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    drive(ctx, group);
+}
+
+/// Takes up the group's record as the store holds it.
+pub fn on_record(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    record: change_record::ChangeRecord,
+    revision: u64,
+) {
+    let now = ctx.now;
+    let own = record.proposer == proposer(ctx);
+    let view = &mut ctx.groups[group];
+    if revision <= view.revision {
+        return;
+    }
+    log::info!(
+        "event=group_record group={} epoch={} phase={:?} primary={} term={} candidate={:?} by={} revision={revision}",
+        view.name,
+        record.epoch,
+        record.phase,
+        record.primary,
+        record.term,
+        record.candidate,
+        record.proposer
+    );
+    view.revision = revision;
+    view.learnt = now;
+    view.lost_lead = false;
+    let serving = record.phase == change_record::ChangePhase::Serving;
+    view.record = Some(record);
+    let state = view.change.cursor.state().to_owned();
+    if !own && state != "watching" {
+        fire(ctx, group, "record_lost");
+    } else if own && ((state == "stopping" && !serving) || (state == "deciding" && serving)) {
+        fire(ctx, group, "record_written");
+    }
+    settle_stop(ctx, group);
+    drive(ctx, group);
+}
+
+/// Takes up the store's answer to the writing of a record.
+pub fn on_written(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    record: change_record::ChangeRecord,
+    reply: &store_message::StoreReply,
+) {
+    ctx.groups[group].change.calling = false;
+    match reply {
+        store_message::StoreReply::Written { revision } => {
+            on_record(ctx, group, record, *revision);
+        }
+        store_message::StoreReply::Conflict => fire(ctx, group, "record_lost"),
+        _ => {}
+    }
+    drive(ctx, group);
+}
+
+/// Takes up the platform's answer to an appointment.
+pub fn on_appointment(
+    ctx: &mut proxy_context::ProxyContext,
+    call: core_message::CallId,
+    reply: proxy_message::AppointmentReply,
+) {
+    let Some(group) = ctx.appointments.remove(&call) else { return };
+    let now = ctx.now;
+    let view = &mut ctx.groups[group];
+    view.change.calling = false;
+    view.change.asked = now;
+    log::info!("event=appointment_answered group={} reply={reply:?}", view.name);
+    if view.change.cursor.state() != "appointing" {
+        return;
+    }
+    match reply {
+        proxy_message::AppointmentReply::Accepted => fire(ctx, group, "appointed"),
+        proxy_message::AppointmentReply::Rejected => {
+            let candidate = view.record.as_ref().and_then(|record| record.candidate.clone());
+            let key = candidate.and_then(|id| ctx.endpoint_names.get(&id).copied());
+            ctx.groups[group].change.rejected.extend(key);
+            fire(ctx, group, "rejected");
+        }
+        proxy_message::AppointmentReply::Unanswered => {}
+    }
+    drive(ctx, group);
+}
+
+/// Says that this host uses the old primary no more, once that is so.
+fn settle_stop(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let view = &ctx.groups[group];
+    let Some(record) = &view.record else { return };
+    let stopping = record.phase != change_record::ChangePhase::Serving;
+    if !stopping || view.stopped_epoch >= record.epoch {
+        return;
+    }
+    let epoch = record.epoch;
+    let primary = ctx.endpoint_names.get(&record.primary).copied();
+    let late = ctx.now.since(view.learnt) >= ctx.tuning.stop_writes;
+    let failing = primary.is_none_or(|endpoint| ctx.endpoints[endpoint].failing.is_some());
+    let (jobs, links) = work_on(ctx, group, primary);
+    if !jobs.is_empty() || !links.is_empty() {
+        if !late && !failing {
+            return;
+        }
+        for job in jobs {
+            operation_flow::cut_short(ctx, job);
+        }
+        for link in links {
+            if let Some(session) = ctx.links.get(link).and_then(|view| view.pinned) {
+                operation_flow::lose_work(ctx, session, "primary_replaced");
+                link_flow::close(ctx, link, "discarded");
+            }
+        }
+    }
+    ctx.groups[group].stopped_epoch = epoch;
+    log::info!("event=primary_stopped group={} epoch={epoch}", ctx.groups[group].name);
+    member_flow::pulse_all(ctx);
+}
+
+/// Returns the jobs and idle transactions that rely on the primary.
+fn work_on(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    primary: Option<arena_keys::EndpointKey>,
+) -> (Vec<arena_keys::StatementKey>, Vec<arena_keys::ConnectionKey>) {
+    let jobs = ctx.jobs.iter().filter(|(_, job)| {
+        let running = matches!(job.phase, job_state::JobPhase::Running { .. });
+        let within = ctx.sessions[job.session].open_work().is_some_and(|work| !work.read_only);
+        running && job.group == group && job.primary_epoch.is_some() && (within || !job.reads())
+    });
+    let jobs = jobs.map(|(key, _)| key).collect();
+    let links = ctx.links.iter().filter(|(_, link)| {
+        let session = link.pinned.and_then(|session| ctx.sessions.get(session));
+        let plain = session.and_then(|session| session.open_work());
+        Some(link.endpoint) == primary
+            && link.user.is_none()
+            && plain.is_some_and(|work| !work.read_only)
+    });
+    (jobs, links.map(|(key, _)| key).collect())
+}
+
+fn drive(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    if ctx.duty_token().is_none() || !ctx.store.tenured(ctx.now) {
+        if ctx.groups[group].change.cursor.state() != "watching" {
+            fire(ctx, group, "record_lost");
+        }
+        return;
+    }
+    match ctx.groups[group].change.cursor.state() {
+        "watching" => watch(ctx, group),
+        "stopping" | "deciding" => limit_record(ctx, group),
+        "awaiting" => await_hosts(ctx, group),
+        "choosing" => choose(ctx, group),
+        "appointing" => appoint(ctx, group),
+        "confirming" => confirm(ctx, group),
+        _ => {}
+    }
+}
+
+fn watch(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let Some(reason) = find_reason(ctx, group) else { return demote_others(ctx, group) };
+    let now = ctx.now;
+    let view = &mut ctx.groups[group];
+    view.change.reason = Some(reason);
+    view.change.began = now;
+    view.change.rejected.clear();
+    log::info!(
+        "event=change_begins group={} reason={reason:?} epoch={} primary={:?}",
+        view.name,
+        view.epoch(),
+        view.record.as_ref().map(|record| &record.primary)
+    );
+    match reason {
+        group_view::ChangeReason::NoRecord => fire(ctx, group, "record_missing"),
+        group_view::ChangeReason::Unfinished => {
+            fire(ctx, group, "unfinished_found");
+        }
+        _ => {
+            let Some(mut record) = ctx.groups[group].record.clone() else { return };
+            record.epoch += 1;
+            record.phase = change_record::ChangePhase::Stopping;
+            record.candidate = None;
+            fire(ctx, group, "reason_found");
+            write(ctx, group, record);
+        }
+    }
+    drive(ctx, group);
+}
+
+/// Returns why the group's primary must be replaced, if it must.
+fn find_reason(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+) -> Option<group_view::ChangeReason> {
+    let view = &ctx.groups[group];
+    if view.members.is_empty() {
+        return None;
+    }
+    let Some(record) = &view.record else { return Some(group_view::ChangeReason::NoRecord) };
+    if record.phase != change_record::ChangePhase::Serving {
+        return Some(group_view::ChangeReason::Unfinished);
+    }
+    let successor = view.members.iter().any(|endpoint| {
+        let other = &ctx.endpoints[*endpoint];
+        other.entry.id != record.primary && other.eligible() && other.circuit.closed()
+    });
+    if !successor {
+        return None;
+    }
+    if view.lost_lead {
+        return Some(group_view::ChangeReason::LostLead);
+    }
+    let Some(endpoint) = ctx.endpoint_names.get(&record.primary) else {
+        return Some(group_view::ChangeReason::Leaving);
+    };
+    let primary = &ctx.endpoints[*endpoint];
+    if primary.leaving(ctx.now, &ctx.tuning) {
+        return Some(group_view::ChangeReason::Leaving);
+    }
+    let settled = ctx.now.since(view.learnt) >= CHANGE_GAP;
+    let silent =
+        primary.failing.is_some_and(|since| ctx.now.since(since) >= ctx.tuning.silent_after / 2);
+    (settled && silent && member_flow::most_fail(ctx, &view.name))
+        .then_some(group_view::ChangeReason::Unreachable)
+}
+
+fn limit_record(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    if ctx.now.since(ctx.groups[group].change.since) >= RECORD_LIMIT {
+        fire(ctx, group, "timed_out");
+    }
+}
+
+fn await_hosts(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let view = &ctx.groups[group];
+    let (name, epoch) = (&view.name, view.epoch());
+    let own = &ctx.identity.host;
+    let stopped = view.stopped_epoch >= epoch;
+    let all = ctx.members.values().all(|member| {
+        member.gone.is_some()
+            || member.record.host == *own
+            || member.sights.get(name).is_some_and(|sight| sight.stopped_epoch >= epoch)
+    });
+    if stopped && all {
+        let waited = ctx.now.since(view.change.began).as_millis();
+        log::info!("event=hosts_stopped group={name} epoch={epoch} after_ms={waited}");
+        fire(ctx, group, "hosts_stopped");
+        drive(ctx, group);
+    }
+}
+
+fn choose(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    ask_all(ctx, group);
+    let view = &ctx.groups[group];
+    let since = view.change.since;
+    let term = view.term();
+    let reports: Vec<(arena_keys::EndpointKey, endpoint_command::EndpointReport)> = view
+        .members
+        .iter()
+        .filter_map(|endpoint| {
+            let (asked, report) = ctx.endpoints[*endpoint].report?;
+            (asked >= since).then_some((*endpoint, report))
+        })
+        .collect();
+    let waited = ctx.now.since(since);
+    let expected = view.members.iter().filter(|endpoint| {
+        let other = &ctx.endpoints[**endpoint];
+        other.gone.is_none() && other.failing.is_none()
+    });
+    let complete =
+        expected.clone().all(|endpoint| reports.iter().any(|(other, _)| other == endpoint));
+    if reports.is_empty() || (!complete && waited < CHOICE_WAIT) {
+        return;
+    }
+    let recorded = view.record.as_ref().map(|record| record.primary.clone()).unwrap_or_default();
+    let leader = reports.iter().filter(|(_, report)| report.primary);
+    let leader = leader.max_by_key(|(_, report)| report.term).copied();
+    if let Some((endpoint, report)) = leader {
+        let other = &ctx.endpoints[endpoint];
+        let new = other.entry.id != recorded;
+        // Another endpoint leads already, or the old primary answers again and may stay.
+        if (new && report.term >= term) || (!new && other.eligible()) {
+            return decide(ctx, group, endpoint, report.term);
+        }
+    }
+    let old = reports.iter().find(|(endpoint, _)| ctx.endpoints[*endpoint].entry.id == recorded);
+    let held = old.map(|(_, report)| report.position);
+    let rejected = &ctx.groups[group].change.rejected;
+    let candidate = reports
+        .iter()
+        .filter(|(endpoint, report)| {
+            let other = &ctx.endpoints[*endpoint];
+            other.eligible() && !report.primary && !rejected.contains(endpoint)
+        })
+        .max_by_key(|(_, report)| report.position);
+    let Some((endpoint, report)) = candidate else {
+        if waited >= CONFIRM_LIMIT {
+            ctx.groups[group].change.rejected.clear();
+        }
+        return;
+    };
+    let behind = held.is_some_and(|held| report.position < held);
+    if behind && waited < CATCH_UP_WAIT {
+        return;
+    }
+    if !enough_copies(ctx, group, &reports) {
+        return;
+    }
+    let id = ctx.endpoints[*endpoint].entry.id.clone();
+    log::info!(
+        "event=candidate_chosen group={} endpoint={id} position={:?} primary_position={held:?} reports={} after_ms={}",
+        ctx.groups[group].name,
+        report.position,
+        reports.len(),
+        waited.as_millis()
+    );
+    let Some(mut record) = ctx.groups[group].record.clone() else { return };
+    record.phase = change_record::ChangePhase::Appointing;
+    record.candidate = Some(id);
+    fire(ctx, group, "candidate_chosen");
+    write(ctx, group, record);
+}
+
+/// Whether the replicas that were asked surely include one with every acknowledged commit, where
+/// the group asks for copies before an acknowledgement.
+fn enough_copies(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    reports: &[(arena_keys::EndpointKey, endpoint_command::EndpointReport)],
+) -> bool {
+    let view = &ctx.groups[group];
+    let object = ctx.config.as_ref().and_then(|config| config.groups.get(&view.name));
+    let copies = object.map_or(0, |object| object.copies) as usize;
+    let recorded = view.record.as_ref().map(|record| record.primary.as_str());
+    let replicas = view.members.iter();
+    let replicas =
+        replicas.filter(|endpoint| Some(ctx.endpoints[**endpoint].entry.id.as_str()) != recorded);
+    let asked = reports.iter();
+    let asked =
+        asked.filter(|(endpoint, _)| Some(ctx.endpoints[*endpoint].entry.id.as_str()) != recorded);
+    copies == 0 || asked.count() + copies > replicas.count()
+}
+
+fn appoint(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let Some(token) = ctx.duty_token() else { return };
+    let view = &ctx.groups[group];
+    let Some(record) = &view.record else { return };
+    let written = record.phase == change_record::ChangePhase::Appointing;
+    if view.change.calling {
+        return;
+    }
+    if !written {
+        // The record's answer was lost; the feed has yet to tell what became of it.
+        if ctx.now.since(view.change.since) >= RECORD_LIMIT {
+            fire(ctx, group, "record_lost");
+        }
+        return;
+    }
+    let Some(candidate) = record.candidate.clone() else { return };
+    if ctx.now.since(view.change.asked) < APPOINT_PAUSE && view.change.asked > view.change.since {
+        return;
+    }
+    let name = view.name.clone();
+    let call = ctx.next_number();
+    ctx.appointments.insert(call, group);
+    ctx.groups[group].change.calling = true;
+    let holder = ctx.identity.host.clone();
+    log::info!("event=appointing group={name} endpoint={candidate} token={token}");
+    ctx.actions.push(proxy_message::ProxyAction::Appoint {
+        call,
+        group: name,
+        endpoint: candidate,
+        holder,
+        token,
+    });
+}
+
+fn confirm(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    ask_all(ctx, group);
+    let view = &ctx.groups[group];
+    let Some(record) = &view.record else { return };
+    let candidate = record.candidate.as_ref().and_then(|id| ctx.endpoint_names.get(id)).copied();
+    let report = candidate.and_then(|endpoint| ctx.endpoints[endpoint].report);
+    let leads = report.filter(|(asked, report)| {
+        *asked >= view.change.since && report.primary && report.term > record.term
+    });
+    if let (Some((_, report)), Some(endpoint)) = (leads, candidate) {
+        return decide(ctx, group, endpoint, report.term);
+    }
+    if ctx.now.since(view.change.since) >= CONFIRM_LIMIT {
+        fire(ctx, group, "timed_out");
+    }
+}
+
+/// Lets the hosts go on with a primary.
+fn decide(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    endpoint: arena_keys::EndpointKey,
+    term: u64,
+) {
+    let epoch = ctx.groups[group].epoch();
+    let record = change_record::ChangeRecord {
+        epoch: epoch.max(1),
+        phase: change_record::ChangePhase::Serving,
+        primary: ctx.endpoints[endpoint].entry.id.clone(),
+        term,
+        candidate: None,
+        proposer: proposer(ctx),
+    };
+    let spent = ctx.now.since(ctx.groups[group].change.began).as_millis();
+    log::info!(
+        "event=primary_decided group={} endpoint={} term={term} epoch={} after_ms={spent}",
+        ctx.groups[group].name,
+        record.primary,
+        record.epoch
+    );
+    fire(ctx, group, "leader_found");
+    write(ctx, group, record);
+}
+
+/// Tells endpoints that still lead in an older term to step down.
+fn demote_others(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let view = &ctx.groups[group];
+    let Some(record) = view.serving() else { return };
+    let (term, primary) = (record.term, record.primary.clone());
+    let old: Vec<arena_keys::EndpointKey> = view
+        .members
+        .iter()
+        .copied()
+        .filter(|endpoint| {
+            let other = &ctx.endpoints[*endpoint];
+            let claims = other.entry.primary
+                || other.report.is_some_and(|(_, report)| report.primary && report.term < term);
+            let known =
+                other.report.is_some_and(|(asked, report)| asked >= view.learnt && !report.primary);
+            other.entry.id != primary && claims && !known
+        })
+        .collect();
+    for endpoint in old {
+        let user = link_state::LinkUser::Change(group);
+        let command = endpoint_command::EndpointCommand::StepDown { term };
+        link_flow::command(ctx, endpoint, user, command);
+    }
+}
+
+fn ask_all(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    if ctx.now.since(ctx.groups[group].change.asked) < ASK_GAP {
+        return;
+    }
+    ctx.groups[group].change.asked = ctx.now;
+    for endpoint in ctx.groups[group].members.clone() {
+        let user = link_state::LinkUser::Change(group);
+        let command = endpoint_command::EndpointCommand::Status;
+        link_flow::command(ctx, endpoint, user, command);
+    }
+    ctx.timers.push(ctx.now.after(ASK_GAP), proxy_context::ProxyTimer::Change(group));
+}
+
+fn write(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    mut record: change_record::ChangeRecord,
+) {
+    record.proposer = proposer(ctx);
+    let Ok(value) = rmp_serde::to_vec(&record) else { return };
+    let view = &mut ctx.groups[group];
+    view.change.calling = true;
+    let request = store_message::StoreRequest::Write {
+        key: format!("{}{}", change_record::GROUP_PREFIX, view.name),
+        value,
+        lease: 0,
+        expect: Some(view.revision),
+    };
+    ctx.call_store(store_session::StorePurpose::GroupRecord { group, record }, request);
+}
+
+fn fire(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey, event: &str) {
+    let now = ctx.now;
+    let change = &mut ctx.groups[group].change;
+    if change.cursor.fire(event) {
+        change.since = now;
+        change.calling = false;
+    }
+}
+
+fn proposer(ctx: &proxy_context::ProxyContext) -> String {
+    format!("{}#{}", ctx.identity.host, ctx.identity.incarnation)
+}
--- /dev/null
+++ b/src/proxy/duty_flow.rs
@@ -0,0 +1,138 @@
+//! The duty of changing primaries: one host at a time holds it, under a short lease.
+//!
+//! The record's revision in the store is the token: it grows with every holder.
+
+use std::time::Duration;
+
+use crate::proxy::change_record;
+use crate::proxy::proxy_context;
+use crate::proxy::store_message;
+use crate::proxy::store_session;
+use crate::rendezvous_rank;
+
+/// Time between the turns of hosts that may claim a vacant duty.
+const TURN: Duration = Duration::from_millis(300);
+/// Pause after a claim that failed.
+const CLAIM_PAUSE: Duration = Duration::from_millis(400);
+
+/// Claims the duty when it is vacant, renews it when it is held.
+pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
+    if ctx.stopping.is_some() || ctx.duty.open || ctx.now < ctx.duty.next {
+        return;
+    }
+    if !ctx.store.tenured(ctx.now) {
+        return;
+    }
+    match &ctx.duty.record {
+        Some((record, _)) if record.host != ctx.identity.host => {}
+        Some((record, _)) if record.incarnation == ctx.identity.incarnation => renew(ctx),
+        Some(_) => claim(ctx),
+        None => {
+            let present = ctx.members.values().filter(|member| member.gone.is_none());
+            let names = present.map(|member| member.record.host.as_str());
+            let ranked = rendezvous_rank::rank("duty", names);
+            let turn = ranked.iter().position(|host| *host == ctx.identity.host);
+            let turn = turn.unwrap_or(ranked.len()) as u32;
+            if ctx.now.since(ctx.duty.vacant) >= TURN * turn {
+                claim(ctx);
+            }
+        }
+    }
+}
+
+/// Takes up the store's answer to the taking of a lease.
+pub fn on_lease(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    reply: &store_message::StoreReply,
+) {
+    let store_message::StoreReply::Leased { lease, ttl } = reply else { return fail(ctx) };
+    let record = change_record::DutyRecord {
+        host: ctx.identity.host.clone(),
+        incarnation: ctx.identity.incarnation,
+        lease: *lease,
+    };
+    let Ok(value) = rmp_serde::to_vec(&record) else { return fail(ctx) };
+    ctx.duty.lease = Some((*lease, call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin))));
+    let expect = ctx.duty.record.as_ref().map_or(0, |(_, revision)| *revision);
+    let request = store_message::StoreRequest::Write {
+        key: change_record::DUTY_KEY.to_owned(),
+        value,
+        lease: *lease,
+        expect: Some(expect),
+    };
+    ctx.call_store(store_session::StorePurpose::DutyRecord, request);
+}
+
+/// Takes up the store's answer to the writing of the record.
+pub fn on_record(ctx: &mut proxy_context::ProxyContext, reply: &store_message::StoreReply) {
+    ctx.duty.open = false;
+    // The record itself comes with the feed; the answer only tells when to try again.
+    if !matches!(reply, store_message::StoreReply::Written { .. }) {
+        fail(ctx);
+    }
+}
+
+/// Takes up the store's answer to a renewal.
+pub fn on_keep(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    reply: &store_message::StoreReply,
+) {
+    ctx.duty.open = false;
+    match reply {
+        store_message::StoreReply::Leased { ttl, .. } => {
+            let until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
+            ctx.duty.until = ctx.duty.until.max(until);
+        }
+        store_message::StoreReply::LeaseGone => {
+            log::warn!("event=duty_lost cause=lease_ended");
+            ctx.duty.until = Default::default();
+            ctx.duty.lease = None;
+            ctx.duty.next = ctx.now.after(CLAIM_PAUSE);
+        }
+        _ => ctx.duty.next = ctx.now.after(CLAIM_PAUSE / 2),
+    }
+}
+
+/// Takes up the record as the feed tells it.
+pub fn on_feed(
+    ctx: &mut proxy_context::ProxyContext,
+    record: Option<change_record::DutyRecord>,
+    revision: u64,
+) {
+    let Some(record) = record else {
+        ctx.duty.record = None;
+        ctx.duty.vacant = ctx.now;
+        return;
+    };
+    let own = record.host == ctx.identity.host
+        && record.incarnation == ctx.identity.incarnation
+        && ctx.duty.lease.is_some_and(|(lease, _)| lease == record.lease);
+    if let (true, Some((_, until))) = (own, ctx.duty.lease) {
+        ctx.duty.until = ctx.duty.until.max(until);
+    }
+    log::info!("event=duty_holder host={} token={revision} own={own}", record.host);
+    ctx.duty.record = Some((record, revision));
+}
+
+fn claim(ctx: &mut proxy_context::ProxyContext) {
+    ctx.duty.open = true;
+    let ttl = ctx.tuning.duty_lease;
+    let request = store_message::StoreRequest::Lease { ttl };
+    ctx.call_store(store_session::StorePurpose::DutyLease, request);
+}
+
+fn renew(ctx: &mut proxy_context::ProxyContext) {
+    let Some((lease, _)) = ctx.duty.lease else { return claim(ctx) };
+    ctx.duty.open = true;
+    ctx.duty.next = ctx.now.after(ctx.tuning.duty_renewal);
+    let request = store_message::StoreRequest::Keep { lease };
+    ctx.call_store(store_session::StorePurpose::DutyKeep, request);
+}
+
+fn fail(ctx: &mut proxy_context::ProxyContext) {
+    ctx.duty.open = false;
+    let pause = ctx.spread(CLAIM_PAUSE);
+    ctx.duty.next = ctx.now.after(pause);
+}
--- /dev/null
+++ b/src/proxy/feed_flow.rs
@@ -0,0 +1,540 @@
+//! What this host learns from the store, and its own membership there.
+//!
+//! One watch over all items follows one full reading. A host that was cut off keeps what it knows;
+//! a configuration never goes back to an older version.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::arena_keys;
+use crate::chart_cursor;
+use crate::circuit_breaker;
+use crate::clock_time;
+use crate::proxy::change_flow;
+use crate::proxy::change_record;
+use crate::proxy::duty_flow;
+use crate::proxy::endpoint_view;
+use crate::proxy::group_view;
+use crate::proxy::link_flow;
+use crate::proxy::member_flow;
+use crate::proxy::member_view;
+use crate::proxy::proxy_config;
+use crate::proxy::proxy_context;
+use crate::proxy::quota_flow;
+use crate::proxy::store_message;
+use crate::proxy::store_session;
+use crate::share_ledger;
+
+/// Doublings of the pause between calls to the store that fail.
+const PAUSE_DOUBLINGS_MAX: u32 = 3;
+/// Latency assumed of an endpoint that has not answered yet, in milliseconds.
+const FIRST_LATENCY_MS: f64 = 20.0;
+
+/// Makes the calls to the store that are due.
+pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
+    if !ctx.store.reading_open && ctx.now >= ctx.store.next_read {
+        read_on(ctx);
+    }
+    let stopping = ctx.stopping.is_some();
+    if !ctx.store.lease_open && ctx.now >= ctx.store.next_lease && !ctx.stopped {
+        look_after_lease(ctx, stopping);
+    }
+}
+
+/// Takes up an answer of the store.
+pub fn on_reply(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    reply: store_message::StoreReply,
+) {
+    note_reach(ctx, &reply);
+    match &call.purpose {
+        store_session::StorePurpose::List => on_listed(ctx, reply),
+        store_session::StorePurpose::Watch => on_changed(ctx, reply),
+        store_session::StorePurpose::HostLease => on_host_lease(ctx, call, &reply),
+        store_session::StorePurpose::HostRecord { lease } => on_host_record(ctx, *lease, &reply),
+        store_session::StorePurpose::HostKeep { lease } => on_host_keep(ctx, call, *lease, &reply),
+        store_session::StorePurpose::DutyLease => duty_flow::on_lease(ctx, call, &reply),
+        store_session::StorePurpose::DutyRecord => duty_flow::on_record(ctx, &reply),
+        store_session::StorePurpose::DutyKeep => duty_flow::on_keep(ctx, call, &reply),
+        store_session::StorePurpose::GroupRecord { group, record } => {
+            change_flow::on_written(ctx, *group, record.clone(), &reply);
+        }
+        store_session::StorePurpose::Farewell => {}
+    }
+    on_tick(ctx);
+}
+
+fn note_reach(ctx: &mut proxy_context::ProxyContext, reply: &store_message::StoreReply) {
+    let failed =
+        matches!(reply, store_message::StoreReply::Unanswered | store_message::StoreReply::Refused);
+    let age = ctx.now.since(ctx.store.answered).as_millis();
+    if !failed {
+        ctx.store.answered = ctx.now;
+        ctx.store.failures = 0;
+    } else {
+        ctx.store.failures = ctx.store.failures.saturating_add(1);
+    }
+    if failed != ctx.store.lost {
+        ctx.store.lost = failed;
+        let revision = ctx.store.revision;
+        let event = if failed { "store_lost" } else { "store_regained" };
+        log::warn!(
+            "event={event} last_answer_ms={age} revision={revision:?} reply={}",
+            reply_name(reply)
+        );
+    }
+}
+
+fn reply_name(reply: &store_message::StoreReply) -> &'static str {
+    match reply {
+        store_message::StoreReply::Unanswered => "unanswered",
+        store_message::StoreReply::Refused => "refused",
+        _ => "answered",
+    }
+}
+
+fn pause(ctx: &mut proxy_context::ProxyContext) -> clock_time::ClockTime {
+    let doublings = ctx.store.failures.min(PAUSE_DOUBLINGS_MAX);
+    let span = ctx.tuning.store_pause * (1 << doublings);
+    let span = ctx.spread(span);
+    ctx.now.after(span)
+}
+
+fn read_on(ctx: &mut proxy_context::ProxyContext) {
+    ctx.store.reading_open = true;
+    let (purpose, request) = match (&ctx.store.reading, ctx.store.revision) {
+        (None, Some(after)) => {
+            let wait = ctx.tuning.watch_wait;
+            let request = store_message::StoreRequest::Watch { after, wait };
+            (store_session::StorePurpose::Watch, request)
+        }
+        _ => {
+            ctx.store.reading = Some(store_session::FullReading::default());
+            let request = store_message::StoreRequest::List { after: None };
+            (store_session::StorePurpose::List, request)
+        }
+    };
+    ctx.call_store(purpose, request);
+}
+
+fn on_listed(ctx: &mut proxy_context::ProxyContext, reply: store_message::StoreReply) {
+    ctx.store.reading_open = false;
+    let store_message::StoreReply::Listed { items, next, revision } = reply else {
+        ctx.store.next_read = pause(ctx);
+        return;
+    };
+    let reading = ctx.store.reading.get_or_insert_default();
+    reading.items.extend(items);
+    let first = *reading.revision.get_or_insert(revision);
+    if next.is_some() {
+        ctx.store.reading_open = true;
+        let request = store_message::StoreRequest::List { after: next };
+        return ctx.call_store(store_session::StorePurpose::List, request);
+    }
+    let reading = ctx.store.reading.take().unwrap_or_default();
+    let listed: BTreeSet<&store_message::FeedSubject> =
+        reading.items.iter().map(|item| &item.subject).collect();
+    let vanished: Vec<store_message::FeedItem> = ctx
+        .store
+        .known
+        .iter()
+        .filter(|(subject, known)| !listed.contains(subject) && **known <= first)
+        .map(|(subject, _)| store_message::FeedItem {
+            subject: subject.clone(),
+            revision: first,
+            body: None,
+        })
+        .collect();
+    log::info!("event=store_read items={} revision={first}", reading.items.len());
+    ctx.store.revision = Some(first);
+    take_all(ctx, vanished);
+    take_all(ctx, reading.items);
+    quota_flow::deal(ctx);
+    change_flow::drive_all(ctx);
+}
+
+fn on_changed(ctx: &mut proxy_context::ProxyContext, reply: store_message::StoreReply) {
+    ctx.store.reading_open = false;
+    match reply {
+        store_message::StoreReply::Changed { items, revision } => {
+            ctx.store.revision = Some(revision.max(ctx.store.revision.unwrap_or(0)));
+            if !items.is_empty() {
+                take_all(ctx, items);
+                quota_flow::deal(ctx);
+                change_flow::drive_all(ctx);
+            }
+        }
+        store_message::StoreReply::HistoryGone => {
+            log::warn!("event=store_history_gone revision={:?}", ctx.store.revision);
+            ctx.store.reading = Some(store_session::FullReading::default());
+        }
+        _ => ctx.store.next_read = pause(ctx),
+    }
+}
+
+fn take_all(ctx: &mut proxy_context::ProxyContext, items: Vec<store_message::FeedItem>) {
+    for item in items {
+        let known = ctx.store.known.get(&item.subject).copied().unwrap_or(0);
+        if item.revision <= known {
+            continue;
+        }
+        ctx.store.known.insert(item.subject.clone(), item.revision);
+        take(ctx, item);
+    }
+}
+
+fn take(ctx: &mut proxy_context::ProxyContext, item: store_message::FeedItem) {
+    let revision = item.revision;
+    if let Some(store_message::FeedBody::Unusable { detail }) = &item.body {
+        let line = format!(
+            "event=item_unusable subject={:?} revision={revision} cause={detail:?}",
+            item.subject
+        );
+        ctx.note(|| line);
+    }
+    match (item.subject, item.body) {
+        (store_message::FeedSubject::Config, Some(store_message::FeedBody::Config(config))) => {
+            adopt(ctx, config);
+        }
+        (store_message::FeedSubject::Endpoint(id), body) => match body {
+            Some(store_message::FeedBody::Endpoint(entry)) => take_endpoint(ctx, entry),
+            _ => lose_endpoint(ctx, &id),
+        },
+        (store_message::FeedSubject::Evacuation(centre), body) => {
+            evacuate(ctx, centre, body.is_some());
+        }
+        (store_message::FeedSubject::Record(key), body) => {
+            let bytes = match body {
+                Some(store_message::FeedBody::Record(bytes)) => Some(bytes),
+                _ => None,
+            };
+            take_record(ctx, &key, bytes, revision);
+        }
+        _ => {}
+    }
+}
+
+fn adopt(ctx: &mut proxy_context::ProxyContext, config: Arc<proxy_config::ProxyConfig>) {
+    let old = ctx.config.as_ref().map_or(0, |config| config.version);
+    if ctx.config.is_some() && config.version <= old {
+        log::warn!("event=config_ignored version={} in_force={old}", config.version);
+        return;
+    }
+    log::info!(
+        "event=config_in_force version={} before={old} routes={} accounts={}",
+        config.version,
+        config.routes.len(),
+        config.accounts.len()
+    );
+    let now = ctx.now;
+    for name in config.groups.keys() {
+        group_key(ctx, name);
+    }
+    for name in config.accounts.keys() {
+        if !ctx.account_names.contains_key(name) {
+            let account = ctx.accounts.insert(proxy_context::AccountView {
+                name: name.clone(),
+                object: None,
+                ledger: share_ledger::ShareLedger::new(now),
+                waiting: Default::default(),
+                asked: now,
+            });
+            ctx.account_names.insert(name.clone(), account);
+        }
+    }
+    ctx.config = Some(config);
+}
+
+/// Returns the group of this name, which is made up if need be.
+pub fn group_key(ctx: &mut proxy_context::ProxyContext, name: &str) -> arena_keys::GroupKey {
+    if let Some(group) = ctx.group_names.get(name) {
+        return *group;
+    }
+    let group = ctx.groups.insert(group_view::GroupView {
+        name: name.to_owned(),
+        members: Vec::new(),
+        record: None,
+        revision: 0,
+        learnt: ctx.now,
+        stopped_epoch: 0,
+        lost_lead: false,
+        samples: Default::default(),
+        sample_wanted: Default::default(),
+        change: group_view::ChangeState {
+            cursor: chart_cursor::ChartCursor::new(ctx.change_chart.clone()),
+            reason: None,
+            since: ctx.now,
+            began: ctx.now,
+            asked: Default::default(),
+            rejected: Vec::new(),
+            calling: false,
+        },
+    });
+    ctx.group_names.insert(name.to_owned(), group);
+    group
+}
+
+fn take_endpoint(ctx: &mut proxy_context::ProxyContext, entry: store_message::EndpointEntry) {
+    let group = group_key(ctx, &entry.group);
+    let now = ctx.now;
+    let evacuated = ctx.evacuations.get(&entry.data_centre).copied();
+    let Some(endpoint) = ctx.endpoint_names.get(&entry.id).copied() else {
+        log::info!(
+            "event=endpoint_registered endpoint={} group={} address={} primary={} draining={}",
+            entry.id,
+            entry.group,
+            entry.address,
+            entry.primary,
+            entry.draining
+        );
+        let id = entry.id.clone();
+        let draining = entry.draining.then_some(now);
+        let endpoint = ctx.endpoints.insert(endpoint_view::EndpointView {
+            entry,
+            group,
+            gone: None,
+            draining,
+            evacuated,
+            circuit: circuit_breaker::CircuitBreaker::default(),
+            links: Vec::new(),
+            queue: Vec::new(),
+            position: Default::default(),
+            lagging_until: Default::default(),
+            answered: Default::default(),
+            failing: None,
+            refusing: None,
+            report: None,
+            latency_ms: FIRST_LATENCY_MS,
+        });
+        ctx.endpoint_names.insert(id, endpoint);
+        ctx.groups[group].members.push(endpoint);
+        return;
+    };
+    let view = &mut ctx.endpoints[endpoint];
+    let reborn = view.entry.born != entry.born || view.entry.address != entry.address;
+    let moved = view.group != group;
+    let old_group = view.group;
+    if view.entry.draining != entry.draining || view.gone.is_some() || reborn {
+        log::info!(
+            "event=endpoint_changed endpoint={} draining={} back={} reborn={reborn} primary={}",
+            entry.id,
+            entry.draining,
+            view.gone.is_some(),
+            entry.primary
+        );
+    }
+    view.gone = None;
+    view.draining = if entry.draining { view.draining.or(Some(now)) } else { None };
+    view.evacuated = evacuated;
+    view.group = group;
+    view.entry = entry;
+    if reborn {
+        view.position = Default::default();
+        view.report = None;
+        view.circuit.succeed();
+        view.failing = None;
+    }
+    if moved {
+        ctx.groups[old_group].members.retain(|member| *member != endpoint);
+        ctx.groups[group].members.push(endpoint);
+    }
+    if reborn || moved {
+        close_links(ctx, endpoint);
+    }
+}
+
+fn lose_endpoint(ctx: &mut proxy_context::ProxyContext, id: &str) {
+    let now = ctx.now;
+    let Some(endpoint) = ctx.endpoint_names.get(id).copied() else { return };
+    log::info!("event=endpoint_gone endpoint={id}");
+    ctx.endpoints[endpoint].gone.get_or_insert(now);
+}
+
+fn close_links(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
+    for link in ctx.endpoints[endpoint].links.clone() {
+        link_flow::on_ended(ctx, link, false);
+    }
+    ctx.endpoints[endpoint].circuit.succeed();
+    ctx.endpoints[endpoint].failing = None;
+}
+
+fn evacuate(ctx: &mut proxy_context::ProxyContext, centre: String, on: bool) {
+    log::info!("event=evacuation data_centre={centre} on={on}");
+    let now = ctx.now;
+    if on {
+        ctx.evacuations.entry(centre.clone()).or_insert(now);
+    } else {
+        ctx.evacuations.remove(&centre);
+    }
+    let since = ctx.evacuations.get(&centre).copied();
+    for endpoint in ctx.endpoints.values_mut() {
+        if endpoint.entry.data_centre == centre {
+            endpoint.evacuated = since;
+        }
+    }
+}
+
+fn take_record(
+    ctx: &mut proxy_context::ProxyContext,
+    key: &str,
+    bytes: Option<Vec<u8>>,
+    revision: u64,
+) {
+    if key == change_record::DUTY_KEY {
+        let record = bytes.and_then(|bytes| decode(key, &bytes));
+        return duty_flow::on_feed(ctx, record, revision);
+    }
+    if let Some(host) = key.strip_prefix(change_record::MEMBER_PREFIX) {
+        let record = bytes.and_then(|bytes| decode(key, &bytes));
+        return take_member(ctx, host, record);
+    }
+    if let Some(group) = key.strip_prefix(change_record::GROUP_PREFIX) {
+        let group = group_key(ctx, group);
+        if let Some(record) = bytes.and_then(|bytes| decode(key, &bytes)) {
+            change_flow::on_record(ctx, group, record, revision);
+        }
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(key: &str, bytes: &[u8]) -> Option<T> {
+    match rmp_serde::from_slice(bytes) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            log::error!("event=record_malformed key={key} cause={error}");
+            None
+        }
+    }
+}
+
+fn take_member(
+    ctx: &mut proxy_context::ProxyContext,
+    host: &str,
+    record: Option<change_record::MemberRecord>,
+) {
+    let now = ctx.now;
+    let Some(record) = record else {
+        if let Some(member) = ctx.members.get_mut(host) {
+            log::info!("event=host_gone host={host}");
+            member.gone.get_or_insert(now);
+        }
+        return;
+    };
+    let same = ctx
+        .members
+        .get(host)
+        .is_some_and(|member| member.record == record && member.gone.is_none());
+    if same {
+        return;
+    }
+    log::info!(
+        "event=host_present host={host} incarnation={} address={}",
+        record.incarnation,
+        record.address
+    );
+    let view = member_view::MemberView {
+        record,
+        gone: None,
+        heard: None,
+        dealing: 0,
+        sights: Default::default(),
+    };
+    ctx.members.insert(host.to_owned(), view);
+    // The newcomer learns at once what this host says of itself.
+    ctx.pulsed = Default::default();
+    member_flow::on_tick(ctx);
+}
+
+fn look_after_lease(ctx: &mut proxy_context::ProxyContext, stopping: bool) {
+    match (ctx.store.lease, ctx.store.registered) {
+        (Some(lease), Some(_)) => {
+            ctx.store.lease_open = true;
+            let request = store_message::StoreRequest::Keep { lease };
+            ctx.call_store(store_session::StorePurpose::HostKeep { lease }, request);
+        }
+        (Some(lease), None) if !stopping => register(ctx, lease),
+        (None, _) if !stopping => {
+            ctx.store.lease_open = true;
+            let ttl = ctx.tuning.host_lease;
+            let request = store_message::StoreRequest::Lease { ttl };
+            ctx.call_store(store_session::StorePurpose::HostLease, request);
+        }
+        _ => {}
+    }
+}
+
+fn register(ctx: &mut proxy_context::ProxyContext, lease: u64) {
+    let Ok(value) = rmp_serde::to_vec(&ctx.identity) else { return };
+    ctx.store.lease_open = true;
+    let request = store_message::StoreRequest::Write {
+        key: format!("{}{}", change_record::MEMBER_PREFIX, ctx.identity.host),
+        value,
+        lease,
+        expect: None,
+    };
+    ctx.call_store(store_session::StorePurpose::HostRecord { lease }, request);
+}
+
+fn on_host_lease(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    reply: &store_message::StoreReply,
+) {
+    ctx.store.lease_open = false;
+    let store_message::StoreReply::Leased { lease, ttl } = reply else {
+        ctx.store.next_lease = pause(ctx);
+        return;
+    };
+    ctx.store.lease = Some(*lease);
+    ctx.store.registered = None;
+    ctx.store.lease_until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
+}
+
+fn on_host_record(
+    ctx: &mut proxy_context::ProxyContext,
+    lease: u64,
+    reply: &store_message::StoreReply,
+) {
+    ctx.store.lease_open = false;
+    match reply {
+        store_message::StoreReply::Written { revision } if ctx.store.lease == Some(lease) => {
+            log::info!("event=registered lease={lease} revision={revision}");
+            ctx.store.registered = Some(*revision);
+            let renewal = ctx.tuning.host_renewal;
+            ctx.store.next_lease = ctx.now.after(renewal);
+        }
+        store_message::StoreReply::LeaseGone => {
+            ctx.store.lease = None;
+            ctx.store.next_lease = pause(ctx);
+        }
+        _ => ctx.store.next_lease = pause(ctx),
+    }
+}
+
+fn on_host_keep(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    lease: u64,
+    reply: &store_message::StoreReply,
+) {
+    ctx.store.lease_open = false;
+    if ctx.store.lease != Some(lease) {
+        return;
+    }
+    match reply {
+        store_message::StoreReply::Leased { ttl, .. } => {
+            let until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
+            ctx.store.lease_until = ctx.store.lease_until.max(until);
+            let renewal = ctx.tuning.host_renewal;
+            ctx.store.next_lease = ctx.now.after(renewal);
+        }
+        store_message::StoreReply::LeaseGone => {
+            log::warn!("event=membership_lost lease={lease}");
+            ctx.store.lease = None;
+            ctx.store.registered = None;
+            ctx.store.next_lease = ctx.now.after(Duration::ZERO);
+        }
+        _ => ctx.store.next_lease = pause(ctx),
+    }
+}
--- /dev/null
+++ b/src/proxy/group_view.rs
@@ -0,0 +1,83 @@
+//! What this host knows of one group of endpoints.
+
+use crate::arena_keys;
+use crate::chart_cursor;
+use crate::clock_time;
+use crate::proxy::change_record;
+use crate::proxy::sample_log;
+
+/// Why a primary is to be replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeReason {
+    /// The group has no record yet.
+    NoRecord,
+    /// Another holder of the duty did not finish its change.
+    Unfinished,
+    /// Its registration is gone, it drains, or its data centre is evacuated.
+    Leaving,
+    /// Most hosts get no answer from it.
+    Unreachable,
+    /// It says itself that it does not lead.
+    LostLead,
+}
+
+/// A change of primary as this host drives it.
+#[derive(Debug, Clone)]
+pub struct ChangeState {
+    /// Life cycle, by the chart `primary_change`.
+    pub cursor: chart_cursor::ChartCursor,
+    /// Why.
+    pub reason: Option<ChangeReason>,
+    /// When the state was entered.
+    pub since: clock_time::ClockTime,
+    /// When the change began.
+    pub began: clock_time::ClockTime,
+    /// When endpoints were last asked for their status.
+    pub asked: clock_time::ClockTime,
+    /// Endpoints that the platform would not appoint.
+    pub rejected: Vec<arena_keys::EndpointKey>,
+    /// Whether a call is under way.
+    pub calling: bool,
+}
+
+/// What this host knows of one group of endpoints.
+#[derive(Debug)]
+pub struct GroupView {
+    /// Name.
+    pub name: String,
+    /// Its endpoints.
+    pub members: Vec<arena_keys::EndpointKey>,
+    /// The record in the store.
+    pub record: Option<change_record::ChangeRecord>,
+    /// The record's revision, 0 for none.
+    pub revision: u64,
+    /// When the record was learnt.
+    pub learnt: clock_time::ClockTime,
+    /// The last epoch in which this host uses no primary any more.
+    pub stopped_epoch: u64,
+    /// Whether an endpoint said that the recorded primary does not lead.
+    pub lost_lead: bool,
+    /// Proof of how far the log had grown.
+    pub samples: sample_log::SampleLog,
+    /// When a read last needed a sample.
+    pub sample_wanted: clock_time::ClockTime,
+    /// A change driven by this host.
+    pub change: ChangeState,
+}
+
+impl GroupView {
+    /// Returns the record when its primary may be used.
+    pub fn serving(&self) -> Option<&change_record::ChangeRecord> {
+        self.record.as_ref().filter(|record| record.phase == change_record::ChangePhase::Serving)
+    }
+
+    /// Returns the record's epoch, 0 for none.
+    pub fn epoch(&self) -> u64 {
+        self.record.as_ref().map_or(0, |record| record.epoch)
+    }
+
+    /// Returns the record's term, 0 for none.
+    pub fn term(&self) -> u64 {
+        self.record.as_ref().map_or(0, |record| record.term)
+    }
+}
--- /dev/null
+++ b/src/proxy/job_state.rs
@@ -0,0 +1,97 @@
+//! One request of a caller that has not been answered yet.
+
+use crate::arena_keys;
+use crate::clock_time;
+use crate::proxy::endpoint_command;
+use crate::proxy::proxy_config;
+use crate::proxy::session_request;
+
+/// What a job does.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobKind {
+    /// Opens a transaction; nothing is sent to an endpoint.
+    Begin {
+        /// Whether it only reads.
+        read_only: bool,
+    },
+    /// Runs a statement.
+    Statement {
+        /// Reads or writes.
+        kind: session_request::StatementKind,
+        /// What the endpoint runs.
+        body: endpoint_command::StatementBody,
+        /// The caller's name of the prepared statement that it runs.
+        prepared: Option<String>,
+    },
+    /// Commits.
+    Commit,
+}
+
+/// Where a job stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobPhase {
+    /// It waits for its account's share.
+    AwaitShare {
+        /// When the wait ends.
+        until: clock_time::ClockTime,
+    },
+    /// It waits for a link.
+    Queued {
+        /// The endpoint.
+        endpoint: arena_keys::EndpointKey,
+        /// When the wait ends.
+        until: clock_time::ClockTime,
+    },
+    /// It has a link; what precedes it on the link may still be under way.
+    Running {
+        /// The link.
+        link: arena_keys::ConnectionKey,
+        /// Whether the statement itself was sent.
+        sent: bool,
+    },
+}
+
+/// One request of a caller that has not been answered yet.
+#[derive(Debug)]
+pub struct JobState {
+    /// The session.
+    pub session: arena_keys::CallerKey,
+    /// The caller's request id.
+    pub id: String,
+    /// What it does.
+    pub kind: JobKind,
+    /// The route that it goes by.
+    pub route: proxy_config::RouteObject,
+    /// The group.
+    pub group: arena_keys::GroupKey,
+    /// The account; `None` on open routes.
+    pub account: Option<arena_keys::AccountKey>,
+    /// When it arrived.
+    pub arrived: clock_time::ClockTime,
+    /// When it is given up.
+    pub deadline: clock_time::ClockTime,
+    /// Times that it was given a link.
+    pub attempts: u32,
+    /// Endpoints that turned it away.
+    pub avoided: Vec<arena_keys::EndpointKey>,
+    /// Whether the endpoint that it was placed on leads the group, and in which epoch.
+    pub primary_epoch: Option<u64>,
+    /// Where it stands.
+    pub phase: JobPhase,
+}
+
+impl JobState {
+    /// Whether the job only reads.
+    pub fn reads(&self) -> bool {
+        match &self.kind {
+            JobKind::Statement { kind, .. } => *kind == session_request::StatementKind::Read,
+            JobKind::Begin { read_only } => *read_only,
+            JobKind::Commit => false,
+        }
+    }
+
+    /// Whether the statement itself was sent to an endpoint.
+    pub fn sent(&self) -> bool {
+        matches!(self.phase, JobPhase::Running { sent: true, .. })
+    }
+}
--- /dev/null
+++ b/src/proxy/mod.rs
@@ -0,0 +1,35 @@
+//! The proxy core: one host in front of databases that keep their own terms and logs.
+//!
+//! Events in, actions out, without I/O, clocks or threads, like `decision_core`. An adapter turns a
+//! platform's names into the typed messages of `proxy_message`, `store_message` and
+//! `endpoint_command`.
+
+pub mod change_flow;
+pub mod change_record;
+pub mod decision_log;
+pub mod duty_flow;
+pub mod endpoint_command;
+pub mod endpoint_view;
+pub mod feed_flow;
+pub mod group_view;
+pub mod job_state;
+pub mod link_flow;
+pub mod link_state;
+pub mod member_flow;
+pub mod member_view;
+pub mod operation_flow;
+pub mod peer_datagram;
+pub mod placement_policy;
+pub mod proxy_config;
+pub mod proxy_context;
+pub mod proxy_core;
+pub mod proxy_message;
+pub mod proxy_tuning;
+pub mod quota_flow;
+pub mod sample_log;
+pub mod session_flow;
+pub mod session_request;
+pub mod session_state;
+pub mod shutdown_flow;
+pub mod store_message;
+pub mod store_session;
--- /dev/null
+++ b/src/proxy/operation_flow.rs
@@ -0,0 +1,698 @@
+//! The life of a caller's request: admission, placing, answers, refusals.
+
+use std::time::Duration;
+
+use crate::arena_keys;
+use crate::endpoint_message;
+use crate::proxy::endpoint_command;
+use crate::proxy::job_state;
+use crate::proxy::link_flow;
+use crate::proxy::placement_policy;
+use crate::proxy::proxy_context;
+use crate::proxy::quota_flow;
+use crate::proxy::session_flow;
+use crate::proxy::session_state;
+use crate::request_verdict;
+
+/// Time for which a replica that lacked a point is left alone.
+const LAG_PAUSE: Duration = Duration::from_millis(150);
+/// When to come back after a refusal for want of a primary.
+const PRIMARY_RETRY: Duration = Duration::from_millis(400);
+/// When to come back after a refusal by a full queue.
+const QUEUE_RETRY: Duration = Duration::from_millis(100);
+/// When to come back to the fleet after a refusal by one host.
+const HOST_RETRY: Duration = Duration::from_millis(50);
+
+/// Takes up a request that needs an endpoint or a share.
+pub fn start(
+    ctx: &mut proxy_context::ProxyContext,
+    session: arena_keys::CallerKey,
+    id: String,
+    kind: job_state::JobKind,
+) {
+    let state = &ctx.sessions[session];
+    let within = state.open_work().map(|work| (work.route.clone(), work.group));
+    let checked = session_flow::check_access(ctx, &state.database, &state.digest);
+    let (route, group, account) = match (within, checked) {
+        (_, Err(cause)) if !keeps_transaction(&cause, state) => {
+            return refuse_start(ctx, session, cause);
+        }
+        (Some((route, group)), Ok((_, account))) => (route, group, account),
+        (Some((route, group)), Err(_)) => {
+            let link = state.open_work().and_then(|work| work.link);
+            let account = link.and_then(|link| ctx.links.get(link)).and_then(|link| link.account);
+            (route, group, account)
+        }
+        (None, Ok((route, account))) => {
+            let Some(group) = ctx.group_names.get(&route.group).copied() else {
+                let cause = request_verdict::VerdictCause::NoEndpoint;
+                return refuse_start(ctx, session, cause);
+            };
+            (route, group, account)
+        }
+        (None, Err(cause)) => return refuse_start(ctx, session, cause),
+    };
+    let first = ctx.sessions[session].open_work().is_none();
+    let deadline = ctx.now.after(route.timeout);
+    let job = ctx.jobs.insert(job_state::JobState {
+        session,
+        id,
+        kind,
+        route,
+        group,
+        account,
+        arrived: ctx.now,
+        deadline,
+        attempts: 0,
+        avoided: Vec::new(),
+        primary_epoch: None,
+        phase: job_state::JobPhase::AwaitShare { until: ctx.now },
+    });
+    ctx.sessions[session].job = Some(job);
+    ctx.timers.push(deadline, proxy_context::ProxyTimer::Job(job));
+    if first {
+        quota_flow::charge(ctx, job);
+    } else {
+        admitted(ctx, job);
+    }
+}
+
+/// Moves a job on that was granted its account's share.
+pub fn admitted(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    let state = &ctx.jobs[job];
+    if let job_state::JobKind::Begin { read_only } = state.kind {
+        let work = session_state::OpenWork {
+            read_only,
+            route: state.route.clone(),
+            group: state.group,
+            link: None,
+            wrote: false,
+        };
+        ctx.sessions[state.session].work = session_state::WorkPhase::Open(work);
+        return finish(ctx, job, Vec::new(), None, request_verdict::RequestVerdict::ran());
+    }
+    place(ctx, job);
+}
+
+/// Takes up the endpoint's answer to a job's own statement.
+pub fn on_answer(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+    answer: endpoint_command::EndpointAnswer,
+) {
+    let state = &ctx.jobs[job];
+    let commit = state.kind == job_state::JobKind::Commit;
+    let single = ctx.sessions[state.session].open_work().is_none();
+    if commit {
+        on_commit(ctx, job, link, answer);
+    } else if single {
+        on_single(ctx, job, link, answer);
+    } else {
+        on_within(ctx, job, link, answer);
+    }
+}
+
+/// Takes up an endpoint's refusal of what precedes a job's statement on a link.
+pub fn on_setup_fault(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+    fault: endpoint_command::EndpointFault,
+) {
+    let endpoint = ctx.links[link].endpoint;
+    let pinned = ctx.links[link].pinned.is_some();
+    note_fault(ctx, job, endpoint, &fault);
+    let clean = matches!(
+        fault,
+        endpoint_command::EndpointFault::Busy
+            | endpoint_command::EndpointFault::Lagging
+            | endpoint_command::EndpointFault::ReadOnly
+    );
+    if pinned {
+        return lose_transaction(ctx, job, link);
+    }
+    // The job has no link while another place is sought.
+    ctx.jobs[job].phase = job_state::JobPhase::AwaitShare { until: ctx.now };
+    if clean {
+        link_flow::release(ctx, link);
+    } else {
+        link_flow::close(ctx, link, "discarded");
+    }
+    try_elsewhere(ctx, job, endpoint, cause_of(&fault));
+}
+
+/// Takes up the loss of the link that a job had.
+pub fn on_link_lost(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    let Some(state) = ctx.jobs.get(job) else { return };
+    let sent = state.sent();
+    let within = ctx.sessions[state.session].open_work().cloned();
+    let commit = state.kind == job_state::JobKind::Commit;
+    let cause = request_verdict::VerdictCause::ConnectionLost;
+    match within {
+        Some(work) if commit && sent => {
+            ctx.sessions[state.session].work = session_state::WorkPhase::Idle;
+            // Without a write there is nothing that could be kept.
+            let verdict = if work.wrote {
+                request_verdict::RequestVerdict::may_have_run(cause)
+            } else {
+                refusal(ctx, Some(job), request_verdict::VerdictCause::TransactionLost)
+            };
+            finish(ctx, job, Vec::new(), None, verdict);
+        }
+        Some(work) if work.link.is_some() || sent => {
+            ctx.sessions[state.session].work = session_state::WorkPhase::Failed;
+            let verdict = refusal(ctx, Some(job), request_verdict::VerdictCause::TransactionLost);
+            finish(ctx, job, Vec::new(), None, verdict);
+        }
+        _ if sent && !state.reads() => {
+            let verdict = request_verdict::RequestVerdict::may_have_run(cause);
+            finish(ctx, job, Vec::new(), None, verdict);
+        }
+        _ => again(ctx, job, cause),
+    }
+}
+
+/// Sends a job that surely did not run, or only reads, to another endpoint, or refuses it.
+pub fn try_elsewhere(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    endpoint: arena_keys::EndpointKey,
+    cause: request_verdict::VerdictCause,
+) {
+    let Some(state) = ctx.jobs.get_mut(job) else { return };
+    state.avoided.push(endpoint);
+    again(ctx, job, cause);
+}
+
+/// Acts on a job whose time limits may have passed.
+pub fn on_timer(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    let Some(state) = ctx.jobs.get(job) else { return };
+    let now = ctx.now;
+    match state.phase {
+        job_state::JobPhase::AwaitShare { until } if now >= until => {
+            refuse(ctx, job, request_verdict::VerdictCause::OverRate);
+        }
+        job_state::JobPhase::Queued { endpoint, until } if now >= until => {
+            if now < state.deadline && state.attempts + 1 < ctx.tuning.attempts_max {
+                ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != job);
+                ctx.jobs[job].attempts += 1;
+                return try_elsewhere(ctx, job, endpoint, request_verdict::VerdictCause::QueueFull);
+            }
+            refuse(ctx, job, request_verdict::VerdictCause::QueueFull);
+        }
+        job_state::JobPhase::Running { link, sent } if now >= state.deadline => {
+            time_out(ctx, job, link, sent);
+        }
+        _ => {}
+    }
+}
+
+/// Drops a job whose caller has gone.
+pub fn abandon(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    leave_queues(ctx, job);
+    if let Some(state) = ctx.jobs.remove(job)
+        && let job_state::JobPhase::Running { link, .. } = state.phase
+    {
+        link_flow::close(ctx, link, "discarded");
+    }
+}
+
+/// Ends a session's transaction that has no request under way.
+pub fn lose_work(
+    ctx: &mut proxy_context::ProxyContext,
+    session: arena_keys::CallerKey,
+    cause: &str,
+) {
+    let Some(state) = ctx.sessions.get_mut(session) else { return };
+    if state.open_work().is_none() {
+        return;
+    }
+    let caller = state.caller;
+    state.work = session_state::WorkPhase::Failed;
+    ctx.note(|| format!("event=transaction_ended caller={caller} cause={cause}"));
+}
+
+/// Gives a job its final answer for a cause that kept it from running.
+pub fn refuse(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    cause: request_verdict::VerdictCause,
+) {
+    let verdict = refusal(ctx, Some(job), cause);
+    let session = ctx.jobs[job].session;
+    if let Some(work) = ctx.sessions[session].open_work() {
+        let link = work.link;
+        ctx.sessions[session].work = session_state::WorkPhase::Failed;
+        if ctx.jobs[job].kind == job_state::JobKind::Commit {
+            ctx.sessions[session].work = session_state::WorkPhase::Idle;
+        }
+        if let Some(link) = link {
+            link_flow::roll_back(ctx, link);
+        }
+    }
+    finish(ctx, job, Vec::new(), None, verdict);
+}
+
+/// Gives a job whose primary is being replaced its final answer.
+pub fn cut_short(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    let Some(state) = ctx.jobs.get(job) else { return };
+    let job_state::JobPhase::Running { link, sent } = state.phase else { return };
+    let commit = state.kind == job_state::JobKind::Commit;
+    let within = ctx.sessions[state.session].open_work().is_some();
+    let keeps = sent && (commit || !within) && !state.reads();
+    let session = state.session;
+    if within {
+        let phase = match commit {
+            true => session_state::WorkPhase::Idle,
+            false => session_state::WorkPhase::Failed,
+        };
+        ctx.sessions[session].work = phase;
+    }
+    link_flow::close(ctx, link, "discarded");
+    let verdict = if keeps {
+        let cause = request_verdict::VerdictCause::PrimaryReplaced;
+        request_verdict::RequestVerdict::may_have_run(cause)
+    } else {
+        refusal(ctx, Some(job), request_verdict::VerdictCause::TransactionLost)
+    };
+    finish(ctx, job, Vec::new(), None, verdict);
+}
+
+/// Returns the log point that `endpoint` must hold for what the job reads; `None` when it leads or
+/// nothing is read.
+pub fn required_point(
+    ctx: &proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    endpoint: arena_keys::EndpointKey,
+) -> Option<endpoint_message::LogPoint> {
+    let group = ctx.jobs[job].group;
+    if placement_policy::needs_primary(ctx, job) || ctx.usable_primary(group) == Some(endpoint) {
+        return None;
+    }
+    placement_policy::read_point(ctx, job)
+}
+
+/// Returns the verdict for a cause that kept a request from running, with when to come back.
+pub fn refusal(
+    ctx: &mut proxy_context::ProxyContext,
+    job: Option<arena_keys::StatementKey>,
+    cause: request_verdict::VerdictCause,
+) -> request_verdict::RequestVerdict {
+    let wait = match &cause {
+        request_verdict::VerdictCause::OverRate => job
+            .and_then(|job| ctx.jobs[job].account)
+            .map(|account| ctx.accounts[account].ledger.wait_for_token(ctx.now)),
+        request_verdict::VerdictCause::NoPrimary => Some(PRIMARY_RETRY),
+        request_verdict::VerdictCause::NoEndpoint
+        | request_verdict::VerdictCause::QueueFull
+        | request_verdict::VerdictCause::TransactionLost
+        | request_verdict::VerdictCause::ConnectionLost => Some(QUEUE_RETRY),
+        request_verdict::VerdictCause::Draining | request_verdict::VerdictCause::ConfigMissing => {
+            Some(HOST_RETRY)
+        }
+        _ => None,
+    };
+    let wait = wait.map(|wait| ctx.spread(wait));
+    request_verdict::RequestVerdict::not_run(cause, wait)
+}
+
+/// Whether a transaction that was begun goes on although new ones would be refused: a changed
+/// route holds from the next transaction on, a withdrawn key at once.
+fn keeps_transaction(
+    cause: &request_verdict::VerdictCause,
+    state: &session_state::SessionState,
+) -> bool {
+    let route_gone = matches!(cause, request_verdict::VerdictCause::RuleDenied { .. });
+    route_gone && state.open_work().is_some()
+}
+
+/// Refuses a request before it became a job.
+fn refuse_start(
+    ctx: &mut proxy_context::ProxyContext,
+    session: arena_keys::CallerKey,
+    cause: request_verdict::VerdictCause,
+) {
+    let link = ctx.sessions[session].open_work().map(|work| work.link);
+    if let Some(link) = link {
+        ctx.sessions[session].work = session_state::WorkPhase::Failed;
+        if let Some(link) = link {
+            link_flow::roll_back(ctx, link);
+        }
+    }
+    let verdict = refusal(ctx, None, cause);
+    let caller = ctx.sessions[session].caller;
+    let text = verdict.message();
+    ctx.note(|| format!("event=request_refused caller={caller} cause={text:?}"));
+    session_flow::answer(ctx, session, Vec::new(), None, verdict);
+}
+
+fn place(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    let session = ctx.jobs[job].session;
+    let held = ctx.sessions[session].open_work().and_then(|work| work.link);
+    if let Some(link) = held {
+        if ctx.links.get(link).is_some_and(|view| view.pinned == Some(session)) {
+            return link_flow::dispatch(ctx, link, job);
+        }
+        return refuse(ctx, job, request_verdict::VerdictCause::TransactionLost);
+    }
+    let placed = placement_policy::choose(ctx, job)
+        .and_then(|endpoint| link_flow::acquire(ctx, endpoint, job));
+    if let Err(cause) = placed {
+        refuse(ctx, job, cause);
+    }
+}
+
+fn again(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    cause: request_verdict::VerdictCause,
+) {
+    let Some(state) = ctx.jobs.get_mut(job) else { return };
+    state.phase = job_state::JobPhase::AwaitShare { until: ctx.now };
+    if state.attempts >= ctx.tuning.attempts_max || ctx.now >= state.deadline {
+        return refuse(ctx, job, cause);
+    }
+    let needs_primary = placement_policy::needs_primary(ctx, job);
+    if needs_primary {
+        // There is only one primary to go to, and it has just said no.
+        return refuse(ctx, job, cause);
+    }
+    ctx.counts.retries += 1;
+    place(ctx, job);
+}
+
+fn on_single(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+    answer: endpoint_command::EndpointAnswer,
+) {
+    let endpoint = ctx.links[link].endpoint;
+    let reads = ctx.jobs[job].reads();
+    if let Err(fault) = &answer.outcome {
+        note_fault(ctx, job, endpoint, fault);
+    }
+    let unknown = answer.outcome == Err(endpoint_command::EndpointFault::UnknownName);
+    if unknown {
+        ctx.links[link].prepared.clear();
+    }
+    let lasting = lasting_primary(ctx, job, endpoint);
+    // The job has no link any more when the link serves the next one.
+    ctx.jobs[job].phase = job_state::JobPhase::AwaitShare { until: ctx.now };
+    if answer.phase == endpoint_command::SessionPhase::Idle {
+        link_flow::release(ctx, link);
+    } else {
+        link_flow::close(ctx, link, "discarded");
+    }
+    match answer.outcome {
+        Ok(_) if !reads && !lasting => {
+            let cause = request_verdict::VerdictCause::PrimaryReplaced;
+            let verdict = request_verdict::RequestVerdict::may_have_run(cause);
+            finish(ctx, job, Vec::new(), None, verdict);
+        }
+        Ok(signature) => {
+            if reads {
+                count_read(ctx, job);
+            } else {
+                mark(ctx, job, answer.position);
+            }
+            let verdict = request_verdict::RequestVerdict::ran();
+            finish(ctx, job, answer.rows, Some(signature), verdict);
+        }
+        Err(endpoint_command::EndpointFault::Other { code, text }) => {
+            finish(ctx, job, Vec::new(), None, failed(code, text));
+        }
+        Err(endpoint_command::EndpointFault::UnknownName) => {
+            again_same(ctx, job);
+        }
+        Err(fault) => try_elsewhere(ctx, job, endpoint, cause_of(&fault)),
+    }
+}
+
+fn on_within(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+    answer: endpoint_command::EndpointAnswer,
+) {
+    let session = ctx.jobs[job].session;
+    let reads = ctx.jobs[job].reads();
+    let endpoint = ctx.links[link].endpoint;
+    match answer.outcome {
+        Ok(signature) => {
+            if let session_state::WorkPhase::Open(work) = &mut ctx.sessions[session].work {
+                work.link = Some(link);
+                work.wrote |= !reads;
+            }
+            link_flow::pin(ctx, link, session);
+            if reads {
+                count_read(ctx, job);
+            }
+            let verdict = request_verdict::RequestVerdict::ran();
+            finish(ctx, job, answer.rows, Some(signature), verdict);
+        }
+        Err(fault) => {
+            note_fault(ctx, job, endpoint, &fault);
+            ctx.sessions[session].work = session_state::WorkPhase::Failed;
+            link_flow::roll_back(ctx, link);
+            let verdict = match fault {
+                endpoint_command::EndpointFault::Other { code, text } => failed(code, text),
+                endpoint_command::EndpointFault::UnknownName => {
+                    refusal(ctx, Some(job), request_verdict::VerdictCause::TransactionLost)
+                }
+                fault => refusal(ctx, Some(job), cause_of(&fault)),
+            };
+            finish(ctx, job, Vec::new(), None, verdict);
+        }
+    }
+}
+
+fn on_commit(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+    answer: endpoint_command::EndpointAnswer,
+) {
+    let session = ctx.jobs[job].session;
+    let endpoint = ctx.links[link].endpoint;
+    let wrote = ctx.sessions[session].open_work().is_some_and(|work| work.wrote);
+    let lasting = lasting_primary(ctx, job, endpoint);
+    ctx.sessions[session].work = session_state::WorkPhase::Idle;
+    if let Err(fault) = &answer.outcome {
+        note_fault(ctx, job, endpoint, fault);
+    }
+    if answer.phase == endpoint_command::SessionPhase::Idle {
+        link_flow::release(ctx, link);
+    } else {
+        link_flow::roll_back(ctx, link);
+    }
+    let verdict = match answer.outcome {
+        Ok(_) if wrote && !lasting => {
+            let cause = request_verdict::VerdictCause::PrimaryReplaced;
+            request_verdict::RequestVerdict::may_have_run(cause)
+        }
+        Ok(signature) => {
+            if wrote {
+                mark(ctx, job, answer.position);
+            }
+            let verdict = request_verdict::RequestVerdict::ran();
+            return finish(ctx, job, answer.rows, Some(signature), verdict);
+        }
+        Err(endpoint_command::EndpointFault::Other { code, text }) => failed(code, text),
+        Err(fault) => refusal(ctx, Some(job), cause_of(&fault)),
+    };
+    finish(ctx, job, Vec::new(), None, verdict);
+}
+
+/// Ends the transaction of a job whose link refused what precedes its statement.
+fn lose_transaction(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+) {
+    link_flow::close(ctx, link, "discarded");
+    let session = ctx.jobs[job].session;
+    ctx.sessions[session].work = session_state::WorkPhase::Failed;
+    let verdict = refusal(ctx, Some(job), request_verdict::VerdictCause::TransactionLost);
+    finish(ctx, job, Vec::new(), None, verdict);
+}
+
+/// Runs a job again whose prepared statement the link had lost.
+fn again_same(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    if ctx.jobs[job].attempts >= ctx.tuning.attempts_max {
+        return refuse(ctx, job, request_verdict::VerdictCause::NoEndpoint);
+    }
+    place(ctx, job);
+}
+
+fn time_out(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+    sent: bool,
+) {
+    let state = &ctx.jobs[job];
+    let session = state.session;
+    let commit = state.kind == job_state::JobKind::Commit;
+    if ctx.sessions[session].open_work().is_some() {
+        let phase = match commit {
+            true => session_state::WorkPhase::Idle,
+            false => session_state::WorkPhase::Failed,
+        };
+        ctx.sessions[session].work = phase;
+    }
+    link_flow::close(ctx, link, "silent");
+    let cause = request_verdict::VerdictCause::DeadlinePassed;
+    let verdict = match sent {
+        true => request_verdict::RequestVerdict::may_have_run(cause),
+        false => refusal(ctx, Some(job), request_verdict::VerdictCause::QueueFull),
+    };
+    finish(ctx, job, Vec::new(), None, verdict);
+}
+
+/// Gives a job its final answer.
+fn finish(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    rows: Vec<String>,
+    signature: Option<String>,
+    verdict: request_verdict::RequestVerdict,
+) {
+    leave_queues(ctx, job);
+    let Some(state) = ctx.jobs.remove(job) else { return };
+    count(ctx, &state, &verdict);
+    session_flow::answer(ctx, state.session, rows, signature, verdict);
+}
+
+fn leave_queues(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    let Some(state) = ctx.jobs.get(job) else { return };
+    match state.phase {
+        job_state::JobPhase::AwaitShare { .. } => {
+            if let Some(account) = state.account {
+                ctx.accounts[account].waiting.retain(|waiting| *waiting != job);
+            }
+        }
+        job_state::JobPhase::Queued { endpoint, .. } => {
+            ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != job);
+        }
+        job_state::JobPhase::Running { .. } => {}
+    }
+}
+
+/// Whether the primary that a job went to is still in force, so that what it kept counts.
+fn lasting_primary(
+    ctx: &proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    endpoint: arena_keys::EndpointKey,
+) -> bool {
+    let state = &ctx.jobs[job];
+    let view = &ctx.groups[state.group];
+    // A host that was told to stop may still pass answers on until it has said that it stopped.
+    let epoch = match view.serving() {
+        Some(record) => Some(record.epoch),
+        None if view.stopped_epoch < view.epoch() => Some(view.epoch() - 1),
+        None => None,
+    };
+    let recorded = view.record.as_ref().map(|record| record.primary.as_str());
+    state.primary_epoch.is_some()
+        && state.primary_epoch == epoch
+        && recorded == Some(ctx.endpoints[endpoint].entry.id.as_str())
+        && ctx.store.tenured(ctx.now)
+}
+
+fn note_fault(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    endpoint: arena_keys::EndpointKey,
+    fault: &endpoint_command::EndpointFault,
+) {
+    let now = ctx.now;
+    match fault {
+        endpoint_command::EndpointFault::Lagging => {
+            ctx.endpoints[endpoint].lagging_until = now.after(LAG_PAUSE);
+        }
+        endpoint_command::EndpointFault::ReadOnly => {
+            let group = ctx.endpoints[endpoint].group;
+            if ctx.usable_primary(group) == Some(endpoint) {
+                ctx.groups[group].lost_lead = true;
+            }
+        }
+        _ => {}
+    }
+    let id = ctx.jobs[job].id.clone();
+    let name = ctx.endpoints[endpoint].entry.id.clone();
+    let attempts = ctx.jobs[job].attempts;
+    ctx.note(|| {
+        format!(
+            "event=endpoint_fault request={id} endpoint={name} attempt={attempts} fault={fault:?}"
+        )
+    });
+}
+
+fn cause_of(fault: &endpoint_command::EndpointFault) -> request_verdict::VerdictCause {
+    match fault {
+        endpoint_command::EndpointFault::Busy => request_verdict::VerdictCause::QueueFull,
+        endpoint_command::EndpointFault::ReadOnly => request_verdict::VerdictCause::NoPrimary,
+        _ => request_verdict::VerdictCause::NoEndpoint,
+    }
+}
+
+fn failed(code: String, text: String) -> request_verdict::RequestVerdict {
+    let cause = request_verdict::VerdictCause::DatabaseError { sqlstate: code, message: text };
+    request_verdict::RequestVerdict::may_have_run(cause)
+}
+
+fn mark(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    position: Option<endpoint_message::LogPoint>,
+) {
+    let state = &ctx.jobs[job];
+    let (session, group) = (state.session, state.group);
+    if let Some(point) = position {
+        ctx.sessions[session].mark = Some((group, point));
+        ctx.sessions[session].position = Some(point);
+    }
+}
+
+fn count_read(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    if ctx.jobs[job].primary_epoch.is_some() {
+        ctx.counts.primary_reads += 1;
+    } else {
+        ctx.counts.replica_reads += 1;
+    }
+}
+
+fn count(
+    ctx: &mut proxy_context::ProxyContext,
+    state: &job_state::JobState,
+    verdict: &request_verdict::RequestVerdict,
+) {
+    let account = state.account.map(|account| ctx.accounts[account].name.clone());
+    let account = account.unwrap_or_default();
+    if verdict.fate == request_verdict::RequestFate::Ran {
+        *ctx.counts.served.entry(account).or_default() += 1;
+        return;
+    }
+    let cause = format!("{:?}", verdict.cause);
+    let cause = cause.split([' ', '{']).next().unwrap_or_default().to_owned();
+    let passed = ctx.now.since(state.arrived).as_millis();
+    let (id, phase, attempts) = (state.id.clone(), state.phase, state.attempts);
+    let (database, fate) = (state.route.database.clone(), verdict.fate);
+    let version = ctx.config.as_ref().map_or(0, |config| config.version);
+    let view = &ctx.groups[state.group];
+    let (group, epoch) = (view.name.clone(), view.epoch());
+    let serving = view.serving().is_some();
+    let tenured = ctx.store.tenured(ctx.now);
+    let retry = verdict.retry_after.map_or(0, |wait| wait.as_millis());
+    ctx.note(|| {
+        format!(
+            "event=request_unserved request={id} account={account} database={database} \
+             group={group} epoch={epoch} serving={serving} tenured={tenured} version={version} \
+             phase={phase:?} attempts={attempts} age_ms={passed} fate={fate:?} cause={cause} \
+             retry_ms={retry}"
+        )
+    });
+    *ctx.counts.unserved.entry((account, cause)).or_default() += 1;
+}
--- /dev/null
+++ b/src/proxy/placement_policy.rs
@@ -0,0 +1,148 @@
+//! Which endpoint a job goes to.
+//!
+//! Writes, transactions that may write and reads of primary routes go to the primary in force. Any
+//! other read goes where it should be answered soonest: that weighs what the endpoint has taken
+//! lately, what this host has under way there, whether a link of the account rests there, the data
+//! centre, and that primaries have work which nobody else can do.
+
+use std::time::Duration;
+
+use crate::arena_keys;
+use crate::endpoint_message;
+use crate::proxy::job_state;
+use crate::proxy::link_flow;
+use crate::proxy::proxy_context;
+use crate::request_verdict;
+
+/// Taken off a route's age, for the time between placing a read and the sending of it, in
+/// milliseconds.
+const AGE_MARGIN_MS: u64 = 50;
+/// Latency assumed at least, in milliseconds.
+const LATENCY_LEAST_MS: f64 = 5.0;
+/// Cost of opening a link in a free place, in milliseconds: the endpoint's time for a handshake.
+const OPEN_COST_MS: f64 = 15.0;
+/// Cost of opening a link in place of another at rest, in milliseconds.
+const REPLACE_COST_MS: f64 = 25.0;
+/// Cost of waiting for a busy link, in milliseconds.
+const WAIT_COST_MS: f64 = 40.0;
+/// Cost of leaving the data centre, in milliseconds; covers the way there and back.
+const CENTRE_COST_MS: f64 = 4.0;
+/// Cost of using a primary for what a replica can do, in milliseconds.
+const PRIMARY_COST_MS: f64 = 10.0;
+/// Cost of a replica that was last seen behind the point needed, in milliseconds.
+const BEHIND_COST_MS: f64 = 8.0;
+/// Spread of costs, so that hosts do not choose alike, in milliseconds.
+const SPREAD_MS: f64 = 2.0;
+
+/// Whether the job, or the transaction that it belongs to, can only run on a primary.
+pub fn needs_primary(ctx: &proxy_context::ProxyContext, job: arena_keys::StatementKey) -> bool {
+    let state = &ctx.jobs[job];
+    let work = ctx.sessions[state.session].open_work();
+    let reads = work.map_or(state.reads(), |work| work.read_only);
+    !reads || state.route.kind.max_age().is_none()
+}
+
+/// Returns the log point that an endpoint other than the primary must hold for the job, if it is
+/// known.
+pub fn read_point(
+    ctx: &proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+) -> Option<endpoint_message::LogPoint> {
+    let state = &ctx.jobs[job];
+    let group = &ctx.groups[state.group];
+    let age = state.route.kind.max_age()?;
+    let since = ctx.now.before(age.saturating_sub(Duration::from_millis(AGE_MARGIN_MS)));
+    let point = group.samples.required(since)?;
+    let session = &ctx.sessions[state.session];
+    let mark = session.mark.filter(|(marked, _)| *marked == state.group).map(|(_, mark)| mark);
+    let point = mark.map_or(point, |mark| mark.max(point));
+    if point.term < group.term() {
+        // Part of an older term's log may be gone; the new primary's log holds what is left of it.
+        return group.samples.first_of_term(group.term());
+    }
+    Some(point)
+}
+
+/// Chooses an endpoint for a job.
+///
+/// # Errors
+///
+/// The cause, when no endpoint can take the job now.
+pub fn choose(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+) -> Result<arena_keys::EndpointKey, request_verdict::VerdictCause> {
+    let group = ctx.jobs[job].group;
+    let primary = ctx.usable_primary(group).filter(|endpoint| {
+        let view = &ctx.endpoints[*endpoint];
+        let open = view.circuit.closed() || view.circuit.may_probe(ctx.now);
+        open && !ctx.jobs[job].avoided.contains(endpoint)
+    });
+    if needs_primary(ctx, job) {
+        return primary.ok_or(request_verdict::VerdictCause::NoPrimary);
+    }
+    let point = read_point(ctx, job);
+    if point.is_none() {
+        ctx.groups[group].sample_wanted = ctx.now;
+    }
+    let members = ctx.groups[group].members.clone();
+    let mut best: Option<(f64, arena_keys::EndpointKey)> = None;
+    for endpoint in members {
+        let leads = primary == Some(endpoint);
+        if !leads && !replica_fits(ctx, job, endpoint, point) {
+            continue;
+        }
+        let cost = cost(ctx, job, endpoint, leads, point) + ctx.jitter() * SPREAD_MS;
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, endpoint));
+        }
+    }
+    best.map(|(_, endpoint)| endpoint).ok_or(request_verdict::VerdictCause::NoEndpoint)
+}
+
+fn replica_fits(
+    ctx: &proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    endpoint: arena_keys::EndpointKey,
+    point: Option<endpoint_message::LogPoint>,
+) -> bool {
+    let view = &ctx.endpoints[endpoint];
+    let Some(point) = point else { return false };
+    view.takes_reads(ctx.now)
+        && !ctx.jobs[job].avoided.contains(&endpoint)
+        && (view.position >= point || ctx.now >= view.lagging_until)
+}
+
+fn cost(
+    ctx: &proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    endpoint: arena_keys::EndpointKey,
+    leads: bool,
+    point: Option<endpoint_message::LogPoint>,
+) -> f64 {
+    let view = &ctx.endpoints[endpoint];
+    let state: &job_state::JobState = &ctx.jobs[job];
+    let links = view.links.iter().map(|link| &ctx.links[*link]);
+    let busy = links.clone().filter(|link| link.current.is_some()).count() + view.queue.len();
+    let slots = f64::from(view.entry.slots.max(1));
+    let mut cost = view.latency_ms.max(LATENCY_LEAST_MS) * (1.0 + busy as f64 / slots);
+    let own = links.clone().any(|link| link.idle() && link.account == state.account);
+    if !own {
+        let room = view.links.len() < link_flow::link_limit(ctx, view.group);
+        let resting = links.clone().any(|link| link.idle());
+        cost += match (room, resting) {
+            (true, _) => OPEN_COST_MS,
+            (false, true) => REPLACE_COST_MS,
+            (false, false) => WAIT_COST_MS,
+        };
+    }
+    if view.entry.data_centre != ctx.identity.data_centre {
+        cost += CENTRE_COST_MS;
+    }
+    if leads {
+        cost += PRIMARY_COST_MS;
+    } else if point.is_some_and(|point| view.position < point) {
+        cost += BEHIND_COST_MS;
+    }
+    cost
+}
--- /dev/null
+++ b/src/proxy/proxy_context.rs
@@ -0,0 +1,313 @@
+//! All state of the proxy core, handed by reference to its functions.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use slotmap::SlotMap;
+
+use crate::arena_keys;
+use crate::clock_time;
+use crate::core_message;
+use crate::proxy::change_record;
+use crate::proxy::decision_log;
+use crate::proxy::endpoint_view;
+use crate::proxy::group_view;
+use crate::proxy::job_state;
+use crate::proxy::link_state;
+use crate::proxy::member_view;
+use crate::proxy::proxy_config;
+use crate::proxy::proxy_message;
+use crate::proxy::proxy_tuning;
+use crate::proxy::session_state;
+use crate::proxy::store_message;
+use crate::proxy::store_session;
+use crate::share_ledger;
+use crate::state_chart;
+use crate::timer_queue;
+
+const CHANGE_CHART: &str = include_str!("../../charts/primary_change.yaml");
+const LINK_CHART: &str = include_str!("../../charts/endpoint_connection.yaml");
+const CHANGE_EVENTS: [&str; 11] = [
+    "reason_found",
+    "record_missing",
+    "unfinished_found",
+    "record_written",
+    "record_lost",
+    "timed_out",
+    "hosts_stopped",
+    "candidate_chosen",
+    "leader_found",
+    "appointed",
+    "rejected",
+];
+const LINK_EVENTS: [&str; 7] =
+    ["opened", "failed", "silent", "discarded", "call_sent", "call_answered", "transaction_begun"];
+
+/// What a timer is for. Timers are never cancelled; those that have lost their cause do nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProxyTimer {
+    /// A job may have reached one of its time limits.
+    Job(arena_keys::StatementKey),
+    /// A change of primary may go on.
+    Change(arena_keys::GroupKey),
+    /// Everything that time alone changes is due for a look.
+    Tick,
+}
+
+/// Counts since the start, for the metrics page.
+#[derive(Debug, Clone, Default)]
+pub struct ProxyCounts {
+    /// Requests answered with success, by account.
+    pub served: BTreeMap<String, u64>,
+    /// Requests refused or failed, by account and cause.
+    pub unserved: BTreeMap<(String, String), u64>,
+    /// Reads that ran on replicas.
+    pub replica_reads: u64,
+    /// Reads that ran on primaries.
+    pub primary_reads: u64,
+    /// Links opened.
+    pub links_opened: u64,
+    /// Statements sent again because they surely had not run.
+    pub retries: u64,
+    /// Calls to the store.
+    pub store_calls: u64,
+    /// Datagrams to peers.
+    pub datagrams: u64,
+}
+
+/// One client account on this host.
+#[derive(Debug)]
+pub struct AccountView {
+    /// Name.
+    pub name: String,
+    /// Its object; `None` once the configuration lacks it.
+    pub object: Option<proxy_config::AccountObject>,
+    /// This host's share of its rate and burst.
+    pub ledger: share_ledger::ShareLedger,
+    /// Jobs that wait for a share.
+    pub waiting: VecDeque<arena_keys::StatementKey>,
+    /// When peers were last asked for a loan.
+    pub asked: clock_time::ClockTime,
+}
+
+/// How shares are dealt at present.
+#[derive(Debug, Default)]
+pub struct DealingState {
+    /// Identifies the hosts and configuration that shares were dealt by.
+    pub number: u64,
+    /// When they were dealt.
+    pub since: clock_time::ClockTime,
+    /// Whether all hosts are known to go by the same dealing.
+    pub attested: bool,
+}
+
+/// The duty of changing primaries as this host sees it.
+#[derive(Debug, Default)]
+pub struct DutyState {
+    /// The record in the store and its revision, which serves as the token.
+    pub record: Option<(change_record::DutyRecord, u64)>,
+    /// When the record was last seen to vanish.
+    pub vacant: clock_time::ClockTime,
+    /// A lease taken for a claim, and when the call for it was sent.
+    pub lease: Option<(u64, clock_time::ClockTime)>,
+    /// Until when this host surely holds the duty, if the record names it.
+    pub until: clock_time::ClockTime,
+    /// Whether a call about the duty is under way.
+    pub open: bool,
+    /// When the next call may be sent.
+    pub next: clock_time::ClockTime,
+}
+
+/// All state of the proxy core.
+#[derive(Debug)]
+pub struct ProxyContext {
+    /// This host.
+    pub identity: change_record::MemberRecord,
+    /// Spans and bounds.
+    pub tuning: proxy_tuning::ProxyTuning,
+    /// Chart of a change of primary.
+    pub change_chart: Arc<state_chart::StateChart>,
+    /// Chart of a link.
+    pub link_chart: Arc<state_chart::StateChart>,
+    /// The time of the event being handled.
+    pub now: clock_time::ClockTime,
+    /// Source of all randomness.
+    pub rng: SmallRng,
+    /// Actions of the event being handled.
+    pub actions: Vec<proxy_message::ProxyAction>,
+    /// Timers.
+    pub timers: timer_queue::TimerQueue<ProxyTimer>,
+    /// Budget of log lines about requests.
+    pub decisions: decision_log::DecisionLog,
+    /// Counts since the start.
+    pub counts: ProxyCounts,
+    /// The configuration in force.
+    pub config: Option<Arc<proxy_config::ProxyConfig>>,
+    /// Data centres under evacuation, and since when that is known.
+    pub evacuations: BTreeMap<String, clock_time::ClockTime>,
+    /// Standing with the store.
+    pub store: store_session::StoreSession,
+    /// Calls to the store under way.
+    pub store_calls: HashMap<core_message::CallId, store_session::StoreCall>,
+    /// Appointments under way.
+    pub appointments: HashMap<core_message::CallId, arena_keys::GroupKey>,
+    /// All hosts, by name.
+    pub members: BTreeMap<String, member_view::MemberView>,
+    /// When the last pulse was sent.
+    pub pulsed: clock_time::ClockTime,
+    /// The duty of changing primaries.
+    pub duty: DutyState,
+    /// How shares are dealt.
+    pub dealing: DealingState,
+    /// Client accounts.
+    pub accounts: SlotMap<arena_keys::AccountKey, AccountView>,
+    /// Client accounts by name.
+    pub account_names: HashMap<String, arena_keys::AccountKey>,
+    /// Groups.
+    pub groups: SlotMap<arena_keys::GroupKey, group_view::GroupView>,
+    /// Groups by name.
+    pub group_names: BTreeMap<String, arena_keys::GroupKey>,
+    /// Endpoints.
+    pub endpoints: SlotMap<arena_keys::EndpointKey, endpoint_view::EndpointView>,
+    /// Endpoints by id.
+    pub endpoint_names: BTreeMap<String, arena_keys::EndpointKey>,
+    /// Links.
+    pub links: SlotMap<arena_keys::ConnectionKey, link_state::LinkState>,
+    /// Sessions.
+    pub sessions: SlotMap<arena_keys::CallerKey, session_state::SessionState>,
+    /// Sessions by the door's number.
+    pub callers: HashMap<core_message::CallerId, arena_keys::CallerKey>,
+    /// Jobs.
+    pub jobs: SlotMap<arena_keys::StatementKey, job_state::JobState>,
+    /// When the process was asked to stop.
+    pub stopping: Option<clock_time::ClockTime>,
+    /// Whether the end was announced.
+    pub stopped: bool,
+    /// Whether this host said last that new callers are welcome.
+    pub ready: bool,
+    next_call: core_message::CallId,
+}
+
+impl ProxyContext {
+    /// Builds the state of a host that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a state chart is malformed.
+    pub fn new(
+        identity: change_record::MemberRecord,
+        tuning: proxy_tuning::ProxyTuning,
+        seed: u64,
+        now: clock_time::ClockTime,
+    ) -> Result<Self> {
+        let change_chart = state_chart::StateChart::parse(CHANGE_CHART)?;
+        change_chart.require_events(&CHANGE_EVENTS)?;
+        let link_chart = state_chart::StateChart::parse(LINK_CHART)?;
+        link_chart.require_events(&LINK_EVENTS)?;
+        Ok(Self {
+            identity,
+            tuning,
+            change_chart: Arc::new(change_chart),
+            link_chart: Arc::new(link_chart),
+            now,
+            rng: SmallRng::seed_from_u64(seed),
+            actions: Vec::new(),
+            timers: timer_queue::TimerQueue::default(),
+            decisions: decision_log::DecisionLog::new(now),
+            counts: ProxyCounts::default(),
+            config: None,
+            evacuations: BTreeMap::new(),
+            store: store_session::StoreSession::default(),
+            store_calls: HashMap::new(),
+            appointments: HashMap::new(),
+            members: BTreeMap::new(),
+            pulsed: clock_time::ClockTime::default(),
+            duty: DutyState::default(),
+            dealing: DealingState::default(),
+            accounts: SlotMap::with_key(),
+            account_names: HashMap::new(),
+            groups: SlotMap::with_key(),
+            group_names: BTreeMap::new(),
+            endpoints: SlotMap::with_key(),
+            endpoint_names: BTreeMap::new(),
+            links: SlotMap::with_key(),
+            sessions: SlotMap::with_key(),
+            callers: HashMap::new(),
+            jobs: SlotMap::with_key(),
+            stopping: None,
+            stopped: false,
+            ready: false,
+            next_call: 1,
+        })
+    }
+
+    /// Calls the store.
+    pub fn call_store(
+        &mut self,
+        purpose: store_session::StorePurpose,
+        request: store_message::StoreRequest,
+    ) {
+        let call = self.next_number();
+        self.counts.store_calls += 1;
+        let sent = self.now;
+        self.store_calls.insert(call, store_session::StoreCall { purpose, sent });
+        self.actions.push(proxy_message::ProxyAction::CallStore { call, request });
+    }
+
+    /// Returns a number for a call that awaits an answer.
+    pub fn next_number(&mut self) -> core_message::CallId {
+        let number = self.next_call;
+        self.next_call += 1;
+        number
+    }
+
+    /// Returns `span` lengthened by up to a half, so that hosts do not act in step.
+    pub fn spread(&mut self, span: Duration) -> Duration {
+        let part: f64 = self.rng.random();
+        span.mul_f64(1.0 + part / 2.0)
+    }
+
+    /// Returns a number between 0 and 1.
+    pub fn jitter(&mut self) -> f64 {
+        self.rng.random()
+    }
+
+    /// Returns the endpoint that may be used as the group's primary now.
+    pub fn usable_primary(&self, group: arena_keys::GroupKey) -> Option<arena_keys::EndpointKey> {
+        if !self.store.tenured(self.now) {
+            return None;
+        }
+        let record = self.groups[group].serving()?;
+        let endpoint = *self.endpoint_names.get(&record.primary)?;
+        let view = &self.endpoints[endpoint];
+        (view.group == group && !view.barred(self.now, &self.tuning)).then_some(endpoint)
+    }
+
+    /// Whether this host surely holds the duty of changing primaries; returns the token.
+    pub fn duty_token(&self) -> Option<u64> {
+        let (record, revision) = self.duty.record.as_ref()?;
+        let own = record.host == self.identity.host
+            && record.incarnation == self.identity.incarnation
+            && self.now < self.duty.until;
+        own.then_some(*revision)
+    }
+
+    /// Returns how many hosts share the endpoints' connections.
+    pub fn host_count(&self) -> u32 {
+        let kept = self.tuning.share_kept;
+        let present = self
+            .members
+            .values()
+            .filter(|member| member.gone.is_none_or(|since| self.now.since(since) < kept));
+        (present.count() as u32).max(1)
+    }
+
+    /// Writes a line about a request or a belief, within the budget of lines.
+    pub fn note(&mut self, line: impl FnOnce() -> String) {
+        self.decisions.write(self.now, line);
+    }
+}
--- /dev/null
+++ b/src/proxy/proxy_core.rs
@@ -0,0 +1,161 @@
+//! The proxy core's one dispatcher: events in, actions out.
+
+use anyhow::Result;
+
+use crate::clock_time;
+use crate::proxy::change_flow;
+use crate::proxy::change_record;
+use crate::proxy::duty_flow;
+use crate::proxy::feed_flow;
+use crate::proxy::link_flow;
+use crate::proxy::member_flow;
+use crate::proxy::operation_flow;
+use crate::proxy::proxy_context;
+use crate::proxy::proxy_message;
+use crate::proxy::proxy_tuning;
+use crate::proxy::quota_flow;
+use crate::proxy::session_flow;
+use crate::proxy::session_state;
+use crate::proxy::shutdown_flow;
+
+/// The proxy core of one host.
+#[derive(Debug)]
+pub struct ProxyCore {
+    context: proxy_context::ProxyContext,
+}
+
+impl ProxyCore {
+    /// Builds the core of a host that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a state chart is malformed.
+    pub fn new(
+        identity: change_record::MemberRecord,
+        tuning: proxy_tuning::ProxyTuning,
+        seed: u64,
+        now: clock_time::ClockTime,
+    ) -> Result<Self> {
+        let mut context = proxy_context::ProxyContext::new(identity, tuning, seed, now)?;
+        context.timers.push(now, proxy_context::ProxyTimer::Tick);
+        Ok(Self { context })
+    }
+
+    /// Takes up one event at `now` and returns what is to be done.
+    pub fn handle(
+        &mut self,
+        now: clock_time::ClockTime,
+        event: proxy_message::ProxyEvent,
+    ) -> Vec<proxy_message::ProxyAction> {
+        let ctx = &mut self.context;
+        ctx.now = ctx.now.max(now);
+        Self::dispatch(ctx, event);
+        Self::run_timers(ctx);
+        std::mem::take(&mut ctx.actions)
+    }
+
+    /// Returns the time at which the core wants to be woken.
+    pub fn next_wake(&self) -> Option<clock_time::ClockTime> {
+        self.context.timers.first_time()
+    }
+
+    /// Returns the state, for tests and reports.
+    pub fn context(&self) -> &proxy_context::ProxyContext {
+        &self.context
+    }
+
+    fn dispatch(ctx: &mut proxy_context::ProxyContext, event: proxy_message::ProxyEvent) {
+        match event {
+            proxy_message::ProxyEvent::CallerOpened { caller, database, key } => {
+                session_flow::open(ctx, caller, database, &key);
+            }
+            proxy_message::ProxyEvent::CallerAsked { caller, id, request } => {
+                session_flow::ask(ctx, caller, id, request);
+            }
+            proxy_message::ProxyEvent::CallerClosed { caller } => session_flow::close(ctx, caller),
+            proxy_message::ProxyEvent::LinkGreeted { link, answer } => {
+                link_flow::on_greeted(ctx, link, answer);
+            }
+            proxy_message::ProxyEvent::LinkAnswered { link, answer } => {
+                link_flow::on_answered(ctx, link, answer);
+            }
+            proxy_message::ProxyEvent::LinkEnded { link, refused } => {
+                link_flow::on_ended(ctx, link, refused);
+            }
+            proxy_message::ProxyEvent::StoreAnswered { call, reply } => {
+                if let Some(call) = ctx.store_calls.remove(&call) {
+                    feed_flow::on_reply(ctx, &call, reply);
+                }
+            }
+            proxy_message::ProxyEvent::AppointmentAnswered { call, reply } => {
+                change_flow::on_appointment(ctx, call, reply);
+            }
+            proxy_message::ProxyEvent::PeerSaid { message } => {
+                member_flow::on_datagram(ctx, message);
+            }
+            proxy_message::ProxyEvent::StopAsked => shutdown_flow::start(ctx),
+            proxy_message::ProxyEvent::Woken => {}
+        }
+    }
+
+    fn run_timers(ctx: &mut proxy_context::ProxyContext) {
+        while let Some(timer) = ctx.timers.pop_due(ctx.now) {
+            match timer {
+                proxy_context::ProxyTimer::Job(job) => operation_flow::on_timer(ctx, job),
+                proxy_context::ProxyTimer::Change(_) => change_flow::drive_all(ctx),
+                proxy_context::ProxyTimer::Tick => Self::tick(ctx),
+            }
+        }
+    }
+
+    fn tick(ctx: &mut proxy_context::ProxyContext) {
+        let next = ctx.now.after(ctx.tuning.tick);
+        ctx.timers.push(next, proxy_context::ProxyTimer::Tick);
+        feed_flow::on_tick(ctx);
+        link_flow::on_tick(ctx);
+        link_flow::ping_primaries(ctx);
+        member_flow::on_tick(ctx);
+        quota_flow::deal(ctx);
+        quota_flow::attest(ctx);
+        quota_flow::on_tick(ctx);
+        duty_flow::on_tick(ctx);
+        change_flow::drive_all(ctx);
+        Self::end_idle_transactions(ctx);
+        shutdown_flow::on_tick(ctx);
+        Self::tell_readiness(ctx);
+    }
+
+    /// Rolls back transactions whose callers have been silent for longer than the configuration
+    /// allows.
+    fn end_idle_transactions(ctx: &mut proxy_context::ProxyContext) {
+        let Some(limit) = ctx.config.as_ref().map(|config| config.idle_transaction) else { return };
+        let idle: Vec<_> = ctx
+            .sessions
+            .iter()
+            .filter(|(_, state)| {
+                state.job.is_none()
+                    && state.open_work().is_some()
+                    && ctx.now.since(state.active) >= limit
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for session in idle {
+            let link = ctx.sessions[session].open_work().and_then(|work| work.link);
+            operation_flow::lose_work(ctx, session, "idle");
+            ctx.sessions[session].work = session_state::WorkPhase::Failed;
+            if let Some(link) = link {
+                link_flow::roll_back(ctx, link);
+            }
+        }
+    }
+
+    fn tell_readiness(ctx: &mut proxy_context::ProxyContext) {
+        let configured = ctx.config.is_some() && !ctx.endpoints.is_empty();
+        let ready = configured && ctx.dealing.attested && ctx.stopping.is_none();
+        if ready != ctx.ready {
+            ctx.ready = ready;
+            log::info!("event=readiness ready={ready}");
+            ctx.actions.push(proxy_message::ProxyAction::SetReady { ready });
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/proxy_tuning.rs
@@ -0,0 +1,81 @@
+//! Spans and bounds of the proxy core.
+
+use std::time::Duration;
+
+/// Spans and bounds of the proxy core.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProxyTuning {
+    /// Time between looks at everything that time alone changes.
+    pub tick: Duration,
+    /// Lease of a host's membership; a host that is cut off uses no primary for longer than this.
+    pub host_lease: Duration,
+    /// Time between renewals of a host's lease.
+    pub host_renewal: Duration,
+    /// Lease of the duty of changing primaries.
+    pub duty_lease: Duration,
+    /// Time between renewals of the duty's lease.
+    pub duty_renewal: Duration,
+    /// Taken off every lease, for the time between a check and what it allows.
+    pub lease_margin: Duration,
+    /// Longest wait of a watch on the store.
+    pub watch_wait: Duration,
+    /// Pause before a call to the store that failed is made again; doubled up to eight times it.
+    pub store_pause: Duration,
+    /// Time between pulses to peers.
+    pub pulse: Duration,
+    /// Time without an answer after which a primary is pinged.
+    pub ping_after: Duration,
+    /// Time without an answer after which an endpoint that was asked is held to be silent.
+    pub silent_after: Duration,
+    /// Longest wait for a new link.
+    pub open_limit: Duration,
+    /// Time for which a registration that vanished may come back.
+    pub gone_grace: Duration,
+    /// Time after which an endpoint that leaves gets no work at all.
+    pub leave_limit: Duration,
+    /// Time after which an endpoint in an evacuated data centre gets no work at all.
+    pub evacuation_limit: Duration,
+    /// Time between a request to stop and the end of the process.
+    pub stop_limit: Duration,
+    /// Longest wait of a statement for a link.
+    pub queue_wait: Duration,
+    /// Statements that wait for one endpoint at most.
+    pub queue_limit: usize,
+    /// Longest wait for a loan of another host's share.
+    pub share_wait: Duration,
+    /// Time for which an absent host's share is kept for it.
+    pub share_kept: Duration,
+    /// Time that writes under way have to end when their primary is to be replaced.
+    pub stop_writes: Duration,
+    /// Times that a statement which surely did not run is sent to an endpoint.
+    pub attempts_max: u32,
+}
+
+impl Default for ProxyTuning {
+    fn default() -> Self {
+        Self {
+            tick: Duration::from_millis(100),
+            host_lease: Duration::from_millis(8_000),
+            host_renewal: Duration::from_millis(2_000),
+            duty_lease: Duration::from_millis(2_500),
+            duty_renewal: Duration::from_millis(700),
+            lease_margin: Duration::from_millis(300),
+            watch_wait: Duration::from_millis(10_000),
+            store_pause: Duration::from_millis(100),
+            pulse: Duration::from_millis(500),
+            ping_after: Duration::from_millis(300),
+            silent_after: Duration::from_millis(600),
+            open_limit: Duration::from_millis(800),
+            gone_grace: Duration::from_millis(2_500),
+            leave_limit: Duration::from_millis(5_500),
+            evacuation_limit: Duration::from_millis(3_500),
+            stop_limit: Duration::from_millis(5_500),
+            queue_wait: Duration::from_millis(250),
+            queue_limit: 64,
+            share_wait: Duration::from_millis(40),
+            share_kept: Duration::from_millis(30_000),
+            stop_writes: Duration::from_millis(300),
+            attempts_max: 4,
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/session_flow.rs
@@ -0,0 +1,263 @@
+//! Sessions of callers: opening, taking requests in order, answering, closing.
+
+use crate::arena_keys;
+use crate::core_message;
+use crate::proxy::endpoint_command;
+use crate::proxy::job_state;
+use crate::proxy::link_flow;
+use crate::proxy::operation_flow;
+use crate::proxy::proxy_config;
+use crate::proxy::proxy_context;
+use crate::proxy::proxy_message;
+use crate::proxy::session_request;
+use crate::proxy::session_state;
+use crate::proxy::shutdown_flow;
+use crate::request_verdict;
+
+/// Requests that a caller may send ahead of answers.
+const BACKLOG_MAX: usize = 16;
+/// Session values and prepared statements that one session may hold.
+const SESSION_ITEMS_MAX: usize = 256;
+
+/// Opens a session, or refuses it.
+pub fn open(
+    ctx: &mut proxy_context::ProxyContext,
+    caller: core_message::CallerId,
+    database: String,
+    key: &str,
+) {
+    let digest = proxy_config::digest_key(key);
+    let refusal = check_access(ctx, &database, &digest)
+        .err()
+        .map(|cause| operation_flow::refusal(ctx, None, cause));
+    if let Some(verdict) = &refusal {
+        let cause = verdict.message();
+        let line =
+            format!("event=session_refused caller={caller} database={database} cause={cause:?}");
+        ctx.note(|| line);
+    } else {
+        let session = ctx.sessions.insert(session_state::SessionState {
+            caller,
+            database,
+            digest,
+            values: Default::default(),
+            prepared: Default::default(),
+            mark: None,
+            position: None,
+            work: session_state::WorkPhase::Idle,
+            job: None,
+            backlog: Default::default(),
+            active: ctx.now,
+        });
+        ctx.callers.insert(caller, session);
+    }
+    ctx.actions.push(proxy_message::ProxyAction::GreetCaller { caller, refusal });
+}
+
+/// Takes up a caller's request, or keeps it until the last one is answered.
+pub fn ask(
+    ctx: &mut proxy_context::ProxyContext,
+    caller: core_message::CallerId,
+    id: String,
+    request: session_request::SessionRequest,
+) {
+    let Some(session) = ctx.callers.get(&caller).copied() else { return };
+    let state = &mut ctx.sessions[session];
+    state.active = ctx.now;
+    if state.job.is_none() && state.backlog.is_empty() {
+        return process(ctx, session, id, request);
+    }
+    if state.backlog.len() >= BACKLOG_MAX {
+        log::warn!("event=session_closed caller={caller} cause=too_many_requests_ahead");
+        ctx.actions.push(proxy_message::ProxyAction::CloseCaller { caller });
+        return close(ctx, caller);
+    }
+    state.backlog.push_back((id, request));
+}
+
+/// Forgets a caller that has gone; its transaction is rolled back.
+pub fn close(ctx: &mut proxy_context::ProxyContext, caller: core_message::CallerId) {
+    let Some(session) = ctx.callers.remove(&caller) else { return };
+    if let Some(job) = ctx.sessions[session].job {
+        operation_flow::abandon(ctx, job);
+    }
+    let link = ctx.sessions[session].open_work().and_then(|work| work.link);
+    ctx.sessions.remove(session);
+    if let Some(link) = link {
+        link_flow::roll_back(ctx, link);
+    }
+}
+
+/// Answers a session's caller, and takes up its next request.
+pub fn answer(
+    ctx: &mut proxy_context::ProxyContext,
+    session: arena_keys::CallerKey,
+    rows: Vec<String>,
+    signature: Option<String>,
+    verdict: request_verdict::RequestVerdict,
+) {
+    let now = ctx.now;
+    let Some(state) = ctx.sessions.get_mut(session) else { return };
+    state.job = None;
+    state.active = now;
+    let (caller, phase, position) = (state.caller, state.phase(), state.position);
+    let answer = proxy_message::CallerAnswer { rows, signature, verdict, phase, position };
+    ctx.actions.push(proxy_message::ProxyAction::AnswerCaller { caller, answer });
+    shutdown_flow::after_answer(ctx, session);
+    let Some(state) = ctx.sessions.get_mut(session) else { return };
+    if let Some((id, request)) = state.backlog.pop_front() {
+        process(ctx, session, id, request);
+    }
+}
+
+/// Returns the route and account of a caller, if the configuration in force lets it in.
+///
+/// # Errors
+///
+/// The cause of the refusal.
+pub fn check_access(
+    ctx: &proxy_context::ProxyContext,
+    database: &str,
+    digest: &proxy_config::KeyDigest,
+) -> Result<
+    (proxy_config::RouteObject, Option<arena_keys::AccountKey>),
+    request_verdict::VerdictCause,
+> {
+    let config = ctx.config.as_ref().ok_or(request_verdict::VerdictCause::ConfigMissing)?;
+    let Some(route) = config.routes.get(database) else {
+        let detail = format!("no route names database {database:?}");
+        return Err(request_verdict::VerdictCause::RuleDenied { detail });
+    };
+    let account = config.keys.get(digest).and_then(|name| ctx.account_names.get(name));
+    if account.is_none() && !route.open {
+        return Err(request_verdict::VerdictCause::KeyRejected);
+    }
+    Ok((route.clone(), account.copied().filter(|_| !route.open)))
+}
+
+fn process(
+    ctx: &mut proxy_context::ProxyContext,
+    session: arena_keys::CallerKey,
+    id: String,
+    request: session_request::SessionRequest,
+) {
+    let phase = ctx.sessions[session].phase();
+    match (request, phase) {
+        (session_request::SessionRequest::Rollback, endpoint_command::SessionPhase::Open) => {
+            let link = ctx.sessions[session].open_work().and_then(|work| work.link);
+            ctx.sessions[session].work = session_state::WorkPhase::Idle;
+            if let Some(link) = link {
+                link_flow::roll_back(ctx, link);
+            }
+            done(ctx, session);
+        }
+        (session_request::SessionRequest::Rollback, endpoint_command::SessionPhase::Failed) => {
+            ctx.sessions[session].work = session_state::WorkPhase::Idle;
+            done(ctx, session);
+        }
+        (session_request::SessionRequest::Commit, endpoint_command::SessionPhase::Failed) => {
+            ctx.sessions[session].work = session_state::WorkPhase::Idle;
+            let cause = request_verdict::VerdictCause::TransactionLost;
+            fail(ctx, session, cause);
+        }
+        (_, endpoint_command::SessionPhase::Failed) => {
+            invalid(ctx, session, "the transaction failed; end it first");
+        }
+        (session_request::SessionRequest::Malformed { detail }, _) => {
+            invalid(ctx, session, &detail);
+        }
+        (session_request::SessionRequest::Set { name, value }, _) => {
+            let state = &mut ctx.sessions[session];
+            if state.values.len() >= SESSION_ITEMS_MAX && !state.values.contains_key(&name) {
+                return invalid(ctx, session, "the session holds too many values");
+            }
+            state.values.insert(name, value);
+            done(ctx, session);
+        }
+        (session_request::SessionRequest::Prepare { name, kind, shape }, _) => {
+            prepare(ctx, session, name, kind, shape);
+        }
+        (session_request::SessionRequest::Forget { name }, _) => {
+            ctx.sessions[session].prepared.remove(&name);
+            done(ctx, session);
+        }
+        (
+            session_request::SessionRequest::Commit | session_request::SessionRequest::Rollback,
+            endpoint_command::SessionPhase::Idle,
+        ) => invalid(ctx, session, "no transaction is open"),
+        (session_request::SessionRequest::Begin { .. }, endpoint_command::SessionPhase::Open) => {
+            invalid(ctx, session, "a transaction is open already");
+        }
+        (session_request::SessionRequest::Begin { read_only }, _) => {
+            operation_flow::start(ctx, session, id, job_state::JobKind::Begin { read_only });
+        }
+        (session_request::SessionRequest::Commit, _) => {
+            operation_flow::start(ctx, session, id, job_state::JobKind::Commit);
+        }
+        (session_request::SessionRequest::Statement { kind, text }, _) => {
+            let body = endpoint_command::StatementBody::Text(text);
+            let kind = job_state::JobKind::Statement { kind, body, prepared: None };
+            operation_flow::start(ctx, session, id, kind);
+        }
+        (session_request::SessionRequest::Execute { name, arguments }, _) => {
+            execute(ctx, session, id, name, arguments);
+        }
+    }
+}
+
+fn prepare(
+    ctx: &mut proxy_context::ProxyContext,
+    session: arena_keys::CallerKey,
+    name: String,
+    kind: session_request::StatementKind,
+    shape: String,
+) {
+    let state = &mut ctx.sessions[session];
+    if state.prepared.len() >= SESSION_ITEMS_MAX && !state.prepared.contains_key(&name) {
+        return invalid(ctx, session, "the session holds too many prepared statements");
+    }
+    // The same statement has the same name on every link, whoever prepared it.
+    let letter = match kind {
+        session_request::StatementKind::Read => 'r',
+        session_request::StatementKind::Write => 'w',
+    };
+    let hash = xxhash_rust::xxh3::xxh3_128(shape.as_bytes());
+    let own = format!("{letter}{hash:032x}");
+    let shape = session_state::PreparedShape { kind, shape, name: own };
+    state.prepared.insert(name, shape);
+    done(ctx, session);
+}
+
+fn execute(
+    ctx: &mut proxy_context::ProxyContext,
+    session: arena_keys::CallerKey,
+    id: String,
+    name: String,
+    arguments: String,
+) {
+    let Some(shape) = ctx.sessions[session].prepared.get(&name) else {
+        return invalid(ctx, session, &format!("no statement {name:?} is prepared"));
+    };
+    let kind = shape.kind;
+    let body = endpoint_command::StatementBody::Prepared { name: shape.name.clone(), arguments };
+    let kind = job_state::JobKind::Statement { kind, body, prepared: Some(name) };
+    operation_flow::start(ctx, session, id, kind);
+}
+
+fn done(ctx: &mut proxy_context::ProxyContext, session: arena_keys::CallerKey) {
+    answer(ctx, session, Vec::new(), None, request_verdict::RequestVerdict::ran());
+}
+
+fn invalid(ctx: &mut proxy_context::ProxyContext, session: arena_keys::CallerKey, detail: &str) {
+    let detail = detail.to_owned();
+    fail(ctx, session, request_verdict::VerdictCause::StatementInvalid { detail });
+}
+
+fn fail(
+    ctx: &mut proxy_context::ProxyContext,
+    session: arena_keys::CallerKey,
+    cause: request_verdict::VerdictCause,
+) {
+    let verdict = request_verdict::RequestVerdict::not_run(cause, None);
+    answer(ctx, session, Vec::new(), None, verdict);
+}
--- a/src/timer_queue.rs
+++ b/src/timer_queue.rs
@@ -31,21 +31,27 @@
 }
 
 /// Timers in the order of their times.
-#[derive(Debug, Default)]
-pub struct TimerQueue {
-    timers: BTreeMap<(ClockTime, u64), TimerKind>,
+#[derive(Debug)]
+pub struct TimerQueue<K = TimerKind> {
+    timers: BTreeMap<(ClockTime, u64), K>,
     next_number: u64,
 }
 
-impl TimerQueue {
+impl<K> Default for TimerQueue<K> {
+    fn default() -> Self {
+        Self { timers: BTreeMap::new(), next_number: 0 }
+    }
+}
+
+impl<K> TimerQueue<K> {
     /// Adds a timer.
-    pub fn push(&mut self, at: ClockTime, kind: TimerKind) {
+    pub fn push(&mut self, at: ClockTime, kind: K) {
         self.timers.insert((at, self.next_number), kind);
         self.next_number += 1;
     }
 
     /// Removes and returns a timer whose time has come.
-    pub fn pop_due(&mut self, now: ClockTime) -> Option<TimerKind> {
+    pub fn pop_due(&mut self, now: ClockTime) -> Option<K> {
         let entry = self.timers.first_entry()?;
         if entry.key().0 > now {
             return None;
