fix(proxy): proof of age and lead is checked when a statement is sent; tokens move one by one

Change: still_fits at dispatch; a peer spends a token on the asking host's behalf; requests wait for what the account accrues meanwhile. A scenario harness in virtual time.

--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -240,6 +240,9 @@
                 ledger: share_ledger::ShareLedger::new(now),
                 waiting: Default::default(),
                 asked: now,
+                turn: 0,
+                vain: 0,
+                dry_until: clock_time::ClockTime::default(),
             });
             ctx.account_names.insert(name.clone(), account);
         }
--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -12,6 +12,7 @@
 use crate::proxy::job_state;
 use crate::proxy::link_state;
 use crate::proxy::operation_flow;
+use crate::proxy::placement_policy;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
 use crate::proxy::sample_log;
@@ -66,13 +67,21 @@
 }
 
 /// Sends the first command of a job on an idle link, after what restores its session there.
+///
+/// What allowed the placing may have passed while the job waited; then it is sought another place.
+/// Returns whether the link is in use.
 pub fn dispatch(
     ctx: &mut proxy_context::ProxyContext,
     link: arena_keys::ConnectionKey,
     job: arena_keys::StatementKey,
-) {
-    let commands = plan_commands(ctx, link, job);
+) -> bool {
     let endpoint = ctx.links[link].endpoint;
+    if ctx.links[link].pinned.is_none() && !placement_policy::still_fits(ctx, job, endpoint) {
+        let cause = request_verdict::VerdictCause::NoEndpoint;
+        operation_flow::try_elsewhere(ctx, job, endpoint, cause);
+        return false;
+    }
+    let commands = plan_commands(ctx, link, job);
     let group = ctx.endpoints[endpoint].group;
     let primary = ctx.usable_primary(group) == Some(endpoint);
     let epoch = ctx.groups[group].epoch();
@@ -84,6 +93,7 @@
     view.user = Some(link_state::LinkUser::Job(job));
     view.todo = commands.into();
     send_next(ctx, link);
+    true
 }
 
 /// Takes up the greeting's answer on a link that was being opened.
@@ -379,15 +389,25 @@
     if ctx.endpoints[endpoint].links.len() > link_limit(ctx, group) {
         return close(ctx, link, "discarded");
     }
+    while let Some(job) = take_waiting(ctx, endpoint, account) {
+        if dispatch(ctx, link, job) || !ctx.links.contains_key(link) {
+            return;
+        }
+    }
+    open_for_queue(ctx, endpoint);
+}
+
+/// Takes the most urgent job of an account out of an endpoint's queue.
+fn take_waiting(
+    ctx: &mut proxy_context::ProxyContext,
+    endpoint: arena_keys::EndpointKey,
+    account: Option<arena_keys::AccountKey>,
+) -> Option<arena_keys::StatementKey> {
     let queue = &ctx.endpoints[endpoint].queue;
     let fitting = (0..queue.len())
         .filter(|position| ctx.jobs[queue[*position]].account == account)
-        .min_by_key(|position| (ctx.jobs[queue[*position]].route.priority, *position));
-    if let Some(position) = fitting {
-        let job = ctx.endpoints[endpoint].queue.remove(position);
-        return dispatch(ctx, link, job);
-    }
-    open_for_queue(ctx, endpoint);
+        .min_by_key(|position| (ctx.jobs[queue[*position]].route.priority, *position))?;
+    Some(ctx.endpoints[endpoint].queue.remove(fitting))
 }
 
 /// Opens links for queued jobs whose account has none on the way; links at rest make room.
--- a/src/proxy/member_flow.rs
+++ b/src/proxy/member_flow.rs
@@ -17,11 +17,11 @@
 pub fn on_datagram(ctx: &mut proxy_context::ProxyContext, message: peer_datagram::PeerDatagram) {
     match message {
         peer_datagram::PeerDatagram::Pulse(pulse) => on_pulse(ctx, pulse),
-        peer_datagram::PeerDatagram::LoanAsk { host, account, dealing, want, asked } => {
-            quota_flow::on_ask(ctx, &host, account, dealing, want, asked);
+        peer_datagram::PeerDatagram::TokenAsk { host, account, dealing, count } => {
+            quota_flow::on_ask(ctx, &host, account, dealing, count);
         }
-        peer_datagram::PeerDatagram::LoanGiven { account, grant, asked } => {
-            quota_flow::on_given(ctx, &account, grant, asked);
+        peer_datagram::PeerDatagram::TokenGiven { account, count } => {
+            quota_flow::on_given(ctx, &account, count);
         }
     }
 }
--- a/src/proxy/operation_flow.rs
+++ b/src/proxy/operation_flow.rs
@@ -352,7 +352,8 @@
     let held = ctx.sessions[session].open_work().and_then(|work| work.link);
     if let Some(link) = held {
         if ctx.links.get(link).is_some_and(|view| view.pinned == Some(session)) {
-            return link_flow::dispatch(ctx, link, job);
+            link_flow::dispatch(ctx, link, job);
+            return;
         }
         return refuse(ctx, job, request_verdict::VerdictCause::TransactionLost);
     }
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -2,8 +2,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::share_ledger;
-
 /// One host's view of one group's primary.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrimarySight {
@@ -31,30 +29,26 @@
 }
 
 /// A datagram between hosts.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerDatagram {
     /// State of the sender.
     Pulse(HostPulse),
-    /// Asks for a loan out of the receiver's share.
-    LoanAsk {
+    /// Asks the receiver to spend tokens of its share for requests that wait at the sender.
+    TokenAsk {
         /// Who asks.
         host: String,
         /// Account.
         account: String,
         /// Identifies the dealing that the asking host goes by.
         dealing: u64,
-        /// Part wanted.
-        want: share_ledger::ShareGrant,
-        /// The asking host's clock in microseconds, returned as it is.
-        asked: u64,
+        /// Tokens wanted.
+        count: u32,
     },
-    /// Answers the asking for a loan.
-    LoanGiven {
+    /// Answers the asking for tokens.
+    TokenGiven {
         /// Account.
         account: String,
-        /// The loan; `None` when there is nothing to lend.
-        grant: Option<share_ledger::ShareGrant>,
-        /// The asking host's clock in microseconds.
-        asked: u64,
+        /// Tokens spent for the receiver.
+        count: u32,
     },
 }
--- a/src/proxy/placement_policy.rs
+++ b/src/proxy/placement_policy.rs
@@ -19,16 +19,16 @@
 const AGE_MARGIN_MS: u64 = 50;
 /// Latency assumed at least, in milliseconds.
 const LATENCY_LEAST_MS: f64 = 5.0;
-/// Cost of opening a link in a free place, in milliseconds: the endpoint's time for a handshake.
-const OPEN_COST_MS: f64 = 15.0;
+/// Cost of opening a link in a free place, in milliseconds; later jobs have the use of it too.
+const OPEN_COST_MS: f64 = 6.0;
 /// Cost of opening a link in place of another at rest, in milliseconds.
-const REPLACE_COST_MS: f64 = 25.0;
+const REPLACE_COST_MS: f64 = 20.0;
 /// Cost of waiting for a busy link, in milliseconds.
 const WAIT_COST_MS: f64 = 40.0;
 /// Cost of leaving the data centre, in milliseconds; covers the way there and back.
 const CENTRE_COST_MS: f64 = 4.0;
 /// Cost of using a primary for what a replica can do, in milliseconds.
-const PRIMARY_COST_MS: f64 = 10.0;
+const PRIMARY_COST_MS: f64 = 15.0;
 /// Cost of a replica that was last seen behind the point needed, in milliseconds.
 const BEHIND_COST_MS: f64 = 8.0;
 /// Spread of costs, so that hosts do not choose alike, in milliseconds.
@@ -63,6 +63,21 @@
     Some(point)
 }
 
+/// Whether a job that was placed on an endpoint earlier may still be sent there.
+pub fn still_fits(
+    ctx: &proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    endpoint: arena_keys::EndpointKey,
+) -> bool {
+    let leads = ctx.usable_primary(ctx.jobs[job].group) == Some(endpoint);
+    if leads || needs_primary(ctx, job) {
+        return leads;
+    }
+    let view = &ctx.endpoints[endpoint];
+    let stays = view.gone.is_none() && view.draining.is_none() && view.evacuated.is_none();
+    stays && read_point(ctx, job).is_some()
+}
+
 /// Chooses an endpoint for a job.
 ///
 /// # Errors
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -52,6 +52,8 @@
 pub enum ProxyTimer {
     /// A job may have reached one of its time limits.
     Job(arena_keys::StatementKey),
+    /// Requests may go on that wait for tokens.
+    Share(arena_keys::AccountKey),
     /// A change of primary may go on.
     Change(arena_keys::GroupKey),
     /// Everything that time alone changes is due for a look.
@@ -90,8 +92,14 @@
     pub ledger: share_ledger::ShareLedger,
     /// Jobs that wait for a share.
     pub waiting: VecDeque<arena_keys::StatementKey>,
-    /// When peers were last asked for a loan.
+    /// When peers were last asked for tokens.
     pub asked: clock_time::ClockTime,
+    /// The peer that is asked next, by its place among those in reach.
+    pub turn: usize,
+    /// Answers in a row that brought nothing.
+    pub vain: usize,
+    /// Until when nobody is held to have tokens to spare.
+    pub dry_until: clock_time::ClockTime,
 }
 
 /// How shares are dealt at present.
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -102,6 +102,7 @@
         while let Some(timer) = ctx.timers.pop_due(ctx.now) {
             match timer {
                 proxy_context::ProxyTimer::Job(job) => operation_flow::on_timer(ctx, job),
+                proxy_context::ProxyTimer::Share(account) => quota_flow::on_timer(ctx, account),
                 proxy_context::ProxyTimer::Change(_) => change_flow::drive_all(ctx),
                 proxy_context::ProxyTimer::Tick => Self::tick(ctx),
             }
@@ -117,7 +118,6 @@
         member_flow::on_tick(ctx);
         quota_flow::deal(ctx);
         quota_flow::attest(ctx);
-        quota_flow::on_tick(ctx);
         duty_flow::on_tick(ctx);
         change_flow::drive_all(ctx);
         Self::end_idle_transactions(ctx);
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -41,7 +41,7 @@
     pub queue_wait: Duration,
     /// Statements that wait for one endpoint at most.
     pub queue_limit: usize,
-    /// Longest wait for a loan of another host's share.
+    /// Longest wait for a token, if half of the route's target is not shorter.
     pub share_wait: Duration,
     /// Time for which an absent host's share is kept for it.
     pub share_kept: Duration,
@@ -72,7 +72,7 @@
             stop_limit: Duration::from_millis(5_500),
             queue_wait: Duration::from_millis(250),
             queue_limit: 64,
-            share_wait: Duration::from_millis(40),
+            share_wait: Duration::from_millis(120),
             share_kept: Duration::from_millis(30_000),
             stop_writes: Duration::from_millis(300),
             attempts_max: 4,
--- a/src/proxy/quota_flow.rs
+++ b/src/proxy/quota_flow.rs
@@ -6,25 +6,31 @@
 
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
 use xxhash_rust::xxh3;
 
 use crate::arena_keys;
-use crate::clock_time;
 use crate::proxy::job_state;
 use crate::proxy::operation_flow;
 use crate::proxy::peer_datagram;
+use crate::proxy::proxy_config;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
+use crate::rendezvous_rank;
 use crate::request_verdict;
 use crate::share_ledger;
 
-/// Peers asked for a loan at a time.
-const LENDERS_ASKED: usize = 3;
-/// Least time between rounds of asking while requests wait.
-const ASK_GAP: Duration = Duration::from_millis(10);
-/// Most requests of one account that wait for a share.
+/// Peers asked for tokens at a time.
+const PEERS_ASKED: usize = 3;
+/// Least time between rounds of asking.
+const ASK_GAP: Duration = Duration::from_millis(1);
+/// Most requests of one account that wait for a token.
 const WAITING_MAX: usize = 64;
+/// Pause between rounds in which all peers were asked.
+const ROUND_PAUSE: Duration = Duration::from_millis(10);
+/// Time for which requests are refused at once after no peer had a token to spare.
+const DRY_FOR: Duration = Duration::from_millis(30);
+/// Burst that makes a host's share useful, in tokens; smaller accounts have fewer home hosts.
+const HOME_BURST: f64 = 2.0;
 /// Time for which a host counts as reachable after it was heard.
 const HEARD_FOR: Duration = Duration::from_millis(2_000);
 /// Time after which hosts that are not heard no longer keep a dealing from opening.
@@ -38,32 +44,56 @@
     let mut hasher = xxh3::Xxh3::new();
     hasher.update(&config.version.to_le_bytes());
     let kept = ctx.tuning.share_kept;
-    let mut hosts = 0_u32;
+    let mut hosts: Vec<String> = Vec::new();
     for (name, member) in &ctx.members {
         if member.gone.is_none_or(|since| ctx.now.since(since) < kept) {
             hasher.update(name.as_bytes());
             hasher.update(&[0]);
-            hosts += 1;
+            hosts.push(name.clone());
         }
     }
     let number = hasher.digest();
-    if number == ctx.dealing.number || hosts == 0 {
+    if number == ctx.dealing.number || hosts.is_empty() {
         return;
     }
     let now = ctx.now;
+    let own = &ctx.identity.host;
     ctx.dealing = proxy_context::DealingState { number, since: now, attested: false };
     for account in ctx.accounts.values_mut() {
-        account.object = config.accounts.get(&account.name).cloned();
-        let part = account.object.as_ref().map_or(share_ledger::SharePart::default(), |object| {
-            let hosts = f64::from(hosts);
-            share_ledger::SharePart { rate: object.rate / hosts, burst: object.burst / hosts }
-        });
+        let object = config.accounts.get(&account.name).cloned();
+        if object != account.object {
+            log::info!("event=account_limit account={} limit={object:?}", account.name);
+        }
+        account.object = object;
+        let part = account
+            .object
+            .as_ref()
+            .map_or(share_ledger::SharePart::default(), |object| share_of(object, &hosts, own));
         account.ledger.deal(now, part);
     }
-    log::info!("event=shares_dealt hosts={hosts} version={} dealing={number:x}", config.version);
+    log::info!(
+        "event=shares_dealt hosts={} version={} dealing={number:x}",
+        hosts.len(),
+        config.version
+    );
     attest(ctx);
 }
 
+/// Returns a host's share of an account: equal parts for its homes, nothing for other hosts.
+fn share_of(
+    object: &proxy_config::AccountObject,
+    hosts: &[String],
+    host: &str,
+) -> share_ledger::SharePart {
+    let homes = ((object.burst / HOME_BURST) as usize).clamp(1, hosts.len());
+    let ranked = rendezvous_rank::rank(&object.name, hosts.iter().map(String::as_str));
+    if !ranked[..homes].contains(&host) {
+        return share_ledger::SharePart::default();
+    }
+    let homes = homes as f64;
+    share_ledger::SharePart { rate: object.rate / homes, burst: object.burst / homes }
+}
+
 /// Opens the shares dealt last once all hosts go by the same dealing.
 pub fn attest(ctx: &mut proxy_context::ProxyContext) {
     if ctx.dealing.attested || ctx.dealing.number == 0 {
@@ -88,72 +118,77 @@
     log::info!("event=shares_open dealing={:x}", ctx.dealing.number);
 }
 
-/// Charges a request to its account's share: it goes on, waits for a loan, or is refused.
+/// Charges a request to its account's share: it goes on, waits for a peer's token, or is refused.
 pub fn charge(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
     let now = ctx.now;
     let Some(account) = ctx.jobs[job].account else { return operation_flow::admitted(ctx, job) };
     let view = &mut ctx.accounts[account];
-    view.ledger.note_demand(now);
     if view.waiting.is_empty() && view.ledger.admit(now) {
         return operation_flow::admitted(ctx, job);
     }
-    if view.waiting.len() >= WAITING_MAX {
+    let dry = now < view.dry_until && view.waiting.len() >= patience(view, ctx.tuning.share_wait);
+    if view.waiting.len() >= WAITING_MAX || dry {
         return operation_flow::refuse(ctx, job, request_verdict::VerdictCause::OverRate);
     }
-    let until = now.after(ctx.tuning.share_wait);
+    let until = now.after(ctx.tuning.share_wait.min(ctx.jobs[job].route.target / 2));
     ctx.accounts[account].waiting.push_back(job);
     ctx.jobs[job].phase = job_state::JobPhase::AwaitShare { until };
     ctx.timers.push(until, proxy_context::ProxyTimer::Job(job));
     ask_peers(ctx, account);
 }
 
-/// Looks after the accounts: lets waiting requests go on, and asks for loans ahead of need.
-pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
-    let accounts: Vec<arena_keys::AccountKey> = ctx.accounts.keys().collect();
-    for account in accounts {
-        if ctx.accounts[account].ledger.idle(ctx.now) {
-            continue;
-        }
-        pump(ctx, account);
-        ask_peers(ctx, account);
-    }
-}
-
-/// Answers a peer that asks for a loan.
+/// Answers a peer that asks for tokens.
 pub fn on_ask(
     ctx: &mut proxy_context::ProxyContext,
     host: &str,
     account: String,
     dealing: u64,
-    want: share_ledger::ShareGrant,
-    asked: u64,
+    count: u32,
 ) {
     let Some(address) = ctx.members.get(host).map(|member| member.record.address.clone()) else {
         return;
     };
     let now = ctx.now;
-    let same = dealing == ctx.dealing.number && ctx.stopping.is_none();
+    let same = dealing == ctx.dealing.number;
     let view = ctx.account_names.get(&account).and_then(|key| ctx.accounts.get_mut(*key));
-    let grant = view
-        .filter(|view| same && view.waiting.is_empty())
-        .and_then(|view| view.ledger.lend(now, host, want));
-    let message = peer_datagram::PeerDatagram::LoanGiven { account, grant, asked };
-    tell(ctx, address, message);
+    let view = view.filter(|view| same && view.waiting.is_empty());
+    let count = view.map_or(0, |view| view.ledger.spend_for_peer(now, count));
+    tell(ctx, address, peer_datagram::PeerDatagram::TokenGiven { account, count });
 }
 
-/// Takes up a peer's loan.
-pub fn on_given(
-    ctx: &mut proxy_context::ProxyContext,
-    account: &str,
-    grant: Option<share_ledger::ShareGrant>,
-    asked: u64,
-) {
+/// Takes up tokens that a peer has spent for requests that wait here.
+pub fn on_given(ctx: &mut proxy_context::ProxyContext, account: &str, count: u32) {
     let Some(account) = ctx.account_names.get(account).copied() else { return };
     let now = ctx.now;
-    if let Some(grant) = grant {
-        let asked = clock_time::ClockTime::from_micros(asked);
-        ctx.accounts[account].ledger.borrow(now, asked, grant);
+    let peers = reachable_peers(ctx).len();
+    let view = &mut ctx.accounts[account];
+    if count > 0 {
+        view.ledger.take_passes(now, count);
+        view.vain = 0;
+    } else {
+        view.vain += 1;
+    }
+    pump(ctx, account);
+    let view = &mut ctx.accounts[account];
+    if view.waiting.is_empty() {
+        return;
     }
+    if view.vain < peers {
+        return ask_peers(ctx, account);
+    }
+    // Some wait on for the next tokens to accrue; the others would wait behind them in vain.
+    view.vain = 0;
+    view.dry_until = now.after(DRY_FOR);
+    let keep = patience(view, ctx.tuning.share_wait).min(view.waiting.len());
+    let hopeless = view.waiting.split_off(keep);
+    ctx.timers.push(now.after(ROUND_PAUSE), proxy_context::ProxyTimer::Share(account));
+    for job in hopeless {
+        operation_flow::refuse(ctx, job, request_verdict::VerdictCause::OverRate);
+    }
+}
+
+/// Lets requests go on whose tokens have accrued meanwhile, and asks peers again for the others.
+pub fn on_timer(ctx: &mut proxy_context::ProxyContext, account: arena_keys::AccountKey) {
     pump(ctx, account);
     if !ctx.accounts[account].waiting.is_empty() {
         ask_peers(ctx, account);
@@ -182,29 +217,49 @@
     }
 }
 
+/// Asks as many peers as tokens are wanted, in turn.
 fn ask_peers(ctx: &mut proxy_context::ProxyContext, account: arena_keys::AccountKey) {
     let now = ctx.now;
-    let view = &mut ctx.accounts[account];
+    let view = &ctx.accounts[account];
     if now.since(view.asked) < ASK_GAP {
         return;
     }
     let waiting = view.waiting.len();
-    let Some(want) = view.ledger.shortage(now, waiting) else { return };
+    let peers = reachable_peers(ctx);
+    if peers.is_empty() {
+        return;
+    }
+    let count = waiting.clamp(1, PEERS_ASKED).min(peers.len());
+    let view = &mut ctx.accounts[account];
     view.asked = now;
+    let first = view.turn;
+    view.turn = (first + count) % peers.len();
     let name = view.name.clone();
-    let own = ctx.identity.host.clone();
-    let reachable = ctx.members.values().filter(|member| {
-        let heard = member.heard.is_some_and(|heard| now.since(heard) < HEARD_FOR);
-        heard && member.gone.is_none() && member.record.host != own
-    });
-    let lenders: Vec<String> =
-        reachable.map(|member| member.record.address.clone()).sample(&mut ctx.rng, LENDERS_ASKED);
-    let want = want.split(lenders.len());
-    let dealing = ctx.dealing.number;
-    for address in lenders {
-        let (host, account) = (own.clone(), name.clone());
-        let asked = now.as_micros();
-        let message = peer_datagram::PeerDatagram::LoanAsk { host, account, dealing, want, asked };
+    let wanted = waiting.div_ceil(count) as u32;
+    for step in 0..count {
+        let address = peers[(first + step) % peers.len()].clone();
+        let message = peer_datagram::PeerDatagram::TokenAsk {
+            host: ctx.identity.host.clone(),
+            account: name.clone(),
+            dealing: ctx.dealing.number,
+            count: wanted,
+        };
         tell(ctx, address, message);
     }
 }
+
+/// Returns how many requests may wait here for tokens that the whole account accrues meanwhile; half
+/// of them are left to other hosts.
+fn patience(view: &proxy_context::AccountView, wait: Duration) -> usize {
+    let rate = view.object.as_ref().map_or(0.0, |object| object.rate);
+    ((rate * wait.as_secs_f64() / 2.0).ceil() as usize).clamp(1, WAITING_MAX)
+}
+
+fn reachable_peers(ctx: &proxy_context::ProxyContext) -> Vec<String> {
+    let own = &ctx.identity.host;
+    let reachable = ctx.members.values().filter(|member| {
+        let heard = member.heard.is_some_and(|heard| ctx.now.since(heard) < HEARD_FOR);
+        heard && member.gone.is_none() && member.record.host != *own
+    });
+    reachable.map(|member| member.record.address.clone()).collect()
+}
--- a/src/share_ledger.rs
+++ b/src/share_ledger.rs
@@ -18,6 +18,8 @@
 pub const LOAN_MARGIN: Duration = Duration::from_millis(50);
 /// Time constant of the demand estimate.
 const DEMAND_WINDOW: Duration = Duration::from_millis(250);
+/// How long tokens that a peer gave up for waiting statements may be used.
+const PASS_TTL: Duration = Duration::from_millis(100);
 /// Demand below this many statements a second counts as none.
 const DEMAND_IDLE: f64 = 0.01;
 /// A time that no clock reaches.
@@ -125,6 +127,9 @@
     refilled: ClockTime,
     demand: f64,
     demand_at: ClockTime,
+    /// Tokens that peers have spent for statements that wait here, and how long they may be used.
+    passes: u32,
+    passes_until: ClockTime,
 }
 
 impl ShareLedger {
@@ -141,6 +146,8 @@
             refilled: now,
             demand: 0.0,
             demand_at: now,
+            passes: 0,
+            passes_until: now,
         }
     }
 
@@ -175,6 +182,10 @@
 
     /// Takes one token, if there is one.
     pub fn admit(&mut self, now: ClockTime) -> bool {
+        if self.passes > 0 && now < self.passes_until {
+            self.passes -= 1;
+            return true;
+        }
         self.refill(now);
         if self.tokens < 1.0 {
             return false;
@@ -183,6 +194,23 @@
         true
     }
 
+    /// Spends up to `wanted` tokens for statements that wait at a peer; returns how many.
+    pub fn spend_for_peer(&mut self, now: ClockTime, wanted: u32) -> u32 {
+        self.refill(now);
+        let count = wanted.min(self.tokens as u32);
+        self.tokens -= f64::from(count);
+        count
+    }
+
+    /// Takes up tokens that a peer has spent for statements that wait here.
+    pub fn take_passes(&mut self, now: ClockTime, count: u32) {
+        if now >= self.passes_until {
+            self.passes = 0;
+        }
+        self.passes += count;
+        self.passes_until = now.after(PASS_TTL);
+    }
+
     /// Counts one arrival towards the demand estimate.
     pub fn note_demand(&mut self, now: ClockTime) {
         self.decay_demand(now);
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,387 @@
+//! Scenarios of the proxy core in virtual time, held against the truth of the fakes.
+
+mod proxy_fakes;
+
+use std::time::Duration;
+
+use proxy_fakes::fake_store;
+use proxy_fakes::{Place, ProxyFleet, read, write};
+use quetzaldeal::endpoint_message;
+use quetzaldeal::proxy::endpoint_command;
+use quetzaldeal::proxy::sample_log;
+use quetzaldeal::proxy::session_request;
+use quetzaldeal::request_verdict;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Names each case and runs it on a settled fleet.
+macro_rules! cases {
+    ($($name:ident: $body:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let run: fn(&mut ProxyFleet) = $body;
+                let mut fleet = settled(4, 1);
+                run(&mut fleet);
+                assert!(fleet.faults.is_empty(), "{:#?}", fleet.faults);
+            }
+        )*
+    };
+}
+
+fn settled(hosts: usize, seed: u64) -> ProxyFleet {
+    let accounts = [("large", 400.0, 400.0), ("small", 20.0, 20.0)];
+    let mut fleet = ProxyFleet::new(hosts, &accounts, seed);
+    fleet.run(Duration::from_millis(1_500));
+    fleet
+}
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn ran(
+    fleet: &mut ProxyFleet,
+    host: usize,
+    caller: u64,
+    request: session_request::SessionRequest,
+) -> bool {
+    let answer = fleet.ask(host, caller, request);
+    let answer = answer.unwrap_or_else(|| panic!("no answer for 3 s at host {host}"));
+    answer.answer.verdict.fate == request_verdict::RequestFate::Ran
+}
+
+/// Time until a write is served again, by asking every 20 ms.
+fn gap(fleet: &mut ProxyFleet, host: usize, caller: u64) -> Duration {
+    let start = fleet.now;
+    for _ in 0..1_500 {
+        if ran(fleet, host, caller, write()) {
+            return Duration::from_micros(fleet.now - start);
+        }
+        fleet.run(millis(20));
+    }
+    panic!("no write was served for 30 s");
+}
+
+cases! {
+    serves_within_two_seconds_of_the_start: |fleet| {
+        for host in 0..4 {
+            assert!(fleet.ready(host), "host {host}");
+            let caller = fleet.open(host, "large", "strict");
+            assert!(ran(fleet, host, caller, write()));
+            assert!(ran(fleet, host, caller, read()));
+        }
+    };
+    a_session_reads_its_own_writes_on_replicas: |fleet| {
+        let caller = fleet.open(1, "large", "own");
+        for _ in 0..20 {
+            assert!(ran(fleet, 1, caller, write()));
+            assert!(ran(fleet, 1, caller, read()));
+            fleet.run(millis(70));
+            assert!(ran(fleet, 1, caller, read()));
+        }
+        assert!(fleet.core(1).context().counts.replica_reads > 0);
+    };
+    a_transaction_commits_on_one_link: |fleet| {
+        let caller = fleet.open(0, "large", "strict");
+        assert!(ran(fleet, 0, caller, session_request::SessionRequest::Begin { read_only: false }));
+        assert!(ran(fleet, 0, caller, write()));
+        assert!(ran(fleet, 0, caller, read()));
+        assert!(ran(fleet, 0, caller, session_request::SessionRequest::Commit));
+        assert_eq!(fleet.databases["db0"].log.len(), 1);
+    };
+    session_values_follow_a_session_to_any_link: |fleet| {
+        let one = fleet.open(0, "large", "aged");
+        let two = fleet.open(0, "large", "aged");
+        let set = |value: &str| session_request::SessionRequest::Set {
+            name: "tone".to_owned(),
+            value: value.to_owned(),
+        };
+        assert!(ran(fleet, 0, one, set("low")));
+        for _ in 0..10 {
+            assert!(ran(fleet, 0, one, read()));
+            assert!(ran(fleet, 0, two, read()));
+        }
+        assert!(ran(fleet, 0, two, set("high")));
+        for _ in 0..10 {
+            assert!(ran(fleet, 0, one, read()));
+            assert!(ran(fleet, 0, two, read()));
+        }
+    };
+    prepared_names_of_two_sessions_do_not_collide: |fleet| {
+        let prepare = |kind| session_request::SessionRequest::Prepare {
+            name: "s1".to_owned(),
+            kind,
+            shape: "shape".to_owned(),
+        };
+        let execute = || session_request::SessionRequest::Execute {
+            name: "s1".to_owned(),
+            arguments: "1a4 data".to_owned(),
+        };
+        let one = fleet.open(0, "large", "strict");
+        let two = fleet.open(0, "large", "strict");
+        assert!(ran(fleet, 0, one, prepare(session_request::StatementKind::Write)));
+        assert!(ran(fleet, 0, two, prepare(session_request::StatementKind::Read)));
+        for _ in 0..5 {
+            assert!(ran(fleet, 0, one, execute()));
+            assert!(ran(fleet, 0, two, execute()));
+        }
+        assert_eq!(fleet.databases["db0"].log.len(), 5);
+    };
+    a_killed_primary_is_replaced_within_the_bound: |fleet| {
+        let caller = fleet.open(2, "large", "strict");
+        assert!(ran(fleet, 2, caller, write()));
+        fleet.crash("db0", false);
+        let gap = gap(fleet, 2, caller);
+        assert!(gap < Duration::from_secs(17), "{gap:?}");
+        assert_ne!(fleet.leader(), "db0");
+    };
+    a_killed_holder_of_the_duty_does_not_stop_a_change: |fleet| {
+        let holder = (0..4)
+            .find(|host| fleet.core(*host).context().duty_token().is_some())
+            .expect("a holder");
+        let host = (holder + 1) % 4;
+        let caller = fleet.open(host, "large", "strict");
+        fleet.kill_host(holder);
+        fleet.crash("db0", true);
+        let gap = gap(fleet, host, caller);
+        assert!(gap < Duration::from_secs(17), "{gap:?}");
+    };
+    a_host_cut_off_stops_using_a_replaced_primary: |fleet| {
+        let caller = fleet.open(3, "large", "strict");
+        assert!(ran(fleet, 3, caller, write()));
+        fleet.cut(Place::Host(3), Place::Store);
+        for peer in 0..3 {
+            fleet.cut(Place::Host(3), Place::Host(peer));
+            fleet.cut(Place::Host(peer), Place::Database("db0".to_owned()));
+        }
+        let other = fleet.open(0, "large", "strict");
+        for _ in 0..1_000 {
+            fleet.ask(3, caller, write());
+            fleet.ask(3, caller, read());
+            fleet.ask(0, other, write());
+            fleet.run(millis(20));
+        }
+        assert_ne!(fleet.leader(), "db0");
+        assert!(ran(fleet, 0, other, write()));
+    };
+    a_draining_primary_is_replaced_and_nothing_acknowledged_is_lost: |fleet| {
+        let caller = fleet.open(0, "large", "strict");
+        for _ in 0..20 {
+            assert!(ran(fleet, 0, caller, write()));
+        }
+        fleet.register("db0", true);
+        let gap = gap(fleet, 0, caller);
+        assert!(gap < Duration::from_secs(5), "{gap:?}");
+        let leader = fleet.leader();
+        assert!(fleet.databases[&leader].log.len() >= 20);
+    };
+    an_evacuated_data_centre_loses_its_primary: |fleet| {
+        let caller = fleet.open(0, "large", "strict");
+        assert!(ran(fleet, 0, caller, write()));
+        fleet.evacuate("centre0", true);
+        fleet.run(millis(3_500));
+        assert_ne!(fleet.leader(), "db0");
+        assert!(ran(fleet, 0, caller, write()));
+    };
+    an_outage_of_the_store_is_served_through: |fleet| {
+        let caller = fleet.open(0, "large", "strict");
+        fleet.store.mood = fake_store::StoreMood::Silent;
+        for _ in 0..40 {
+            assert!(ran(fleet, 0, caller, write()));
+            fleet.run(millis(100));
+        }
+    };
+    a_withdrawn_key_stops_working_on_an_open_session: |fleet| {
+        let caller = fleet.open(0, "small", "aged");
+        assert!(ran(fleet, 0, caller, read()));
+        fleet.reconfigure(|config| config.keys.retain(|_, account| account != "small"));
+        fleet.run(millis(100));
+        let answer = fleet.ask(0, caller, read()).expect("an answer");
+        assert_eq!(answer.answer.verdict.cause, request_verdict::VerdictCause::KeyRejected);
+        let late = fleet.open(1, "small", "aged");
+        assert!(fleet.greeting(1, late).is_some());
+    };
+    history_that_is_gone_is_read_anew: |fleet| {
+        fleet.compact_store();
+        fleet.reconfigure(|config| config.routes.retain(|name, _| name != "aged"));
+        fleet.run(millis(300));
+        let caller = fleet.open(0, "large", "aged");
+        assert!(fleet.greeting(0, caller).is_some());
+    };
+    a_host_that_stops_finishes_what_it_has: |fleet| {
+        let caller = fleet.open(0, "large", "strict");
+        assert!(ran(fleet, 0, caller, session_request::SessionRequest::Begin { read_only: false }));
+        assert!(ran(fleet, 0, caller, write()));
+        fleet.stop_host(0);
+        fleet.run(millis(500));
+        assert!(ran(fleet, 0, caller, session_request::SessionRequest::Commit));
+        fleet.run(millis(5_000));
+        assert!(fleet.stopped(0));
+    };
+    an_old_primary_that_comes_back_is_not_used: |fleet| {
+        let caller = fleet.open(1, "large", "strict");
+        assert!(ran(fleet, 1, caller, write()));
+        fleet.cut(Place::Host(2), Place::Store);
+        fleet.crash("db0", false);
+        gap(fleet, 1, caller);
+        fleet.restart("db0");
+        fleet.heal();
+        for _ in 0..50 {
+            for host in 0..4 {
+                let session = fleet.open(host, "large", "strict");
+                fleet.ask(host, session, write());
+                fleet.ask(host, session, read());
+                fleet.close(host, session);
+            }
+        }
+        assert_ne!(fleet.leader(), "db0");
+    };
+    all_hosts_killed_at_once_serve_again_within_seconds: |fleet| {
+        for host in 0..4 {
+            fleet.kill_host(host);
+        }
+        fleet.run(millis(1_000));
+        for host in 0..4 {
+            fleet.start_host(host);
+        }
+        fleet.run(millis(2_000));
+        let caller = fleet.open(0, "large", "strict");
+        assert!(ran(fleet, 0, caller, write()));
+    };
+}
+
+/// A read that waited for a link is held to what is proved when it is sent, not when it was placed.
+#[test]
+fn a_read_that_waited_needs_fresh_proof_when_it_is_sent() {
+    let mut fleet = settled(4, 3);
+    let callers: Vec<u64> = (0..40).map(|_| fleet.open(3, "large", "aged")).collect();
+    let writer = fleet.open(0, "large", "strict");
+    // Replicas fall far behind and slow down, and the host loses sight of the primary.
+    for id in ["db1", "db2"] {
+        let database = fleet.databases.get_mut(id).expect("a database");
+        database.lag = 60_000_000;
+        database.work = 300_000;
+    }
+    fleet.cut(Place::Host(3), Place::Database("db0".to_owned()));
+    for _ in 0..60 {
+        fleet.ask(0, writer, write());
+        for caller in &callers {
+            fleet.send(3, *caller, read());
+        }
+        fleet.run(millis(50));
+    }
+    assert!(fleet.faults.is_empty(), "{:#?}", fleet.faults);
+}
+
+/// An account that asks for twice its rate, unevenly over the hosts, gets most of it and no more.
+#[test]
+fn an_account_over_its_rate_gets_its_rate() {
+    let mut fleet = settled(7, 5);
+    let mut rng = SmallRng::seed_from_u64(9);
+    let callers: Vec<(usize, u64)> = (0..28)
+        .map(|number| number % 7)
+        .map(|host| (host, fleet.open(host, "small", "aged")))
+        .collect();
+    let start = fleet.now;
+    let span = Duration::from_secs(30);
+    while fleet.now - start < span.as_micros() as u64 {
+        // Two hosts out of seven get half of the requests.
+        let pick = match rng.random::<f64>() < 0.5 {
+            true => rng.random_range(0..callers.len() / 14) * 7 + rng.random_range(0..2),
+            false => rng.random_range(0..callers.len()),
+        };
+        let (host, caller) = callers[pick];
+        fleet.send(host, caller, read());
+        fleet.run(Duration::from_micros((rng.random::<f64>() * 50_000.0) as u64));
+    }
+    let served = fleet.ran.get("small").map_or(0, Vec::len) as f64;
+    let allowed = 20.0 * span.as_secs_f64();
+    assert!(served >= 0.9 * allowed, "{served} of {allowed}");
+    let most = fleet.most_within("small", Duration::from_secs(5));
+    assert!(most as f64 <= 20.0 * 5.0 + 20.0, "{most} in 5 s");
+    assert!(fleet.faults.is_empty(), "{:#?}", fleet.faults);
+}
+
+#[test]
+fn a_sample_requires_what_was_there_before_it() {
+    let mut log = sample_log::SampleLog::default();
+    let at = quetzaldeal::clock_time::ClockTime::from_millis;
+    let point = |position| endpoint_message::LogPoint { term: 1, position };
+    for (asked, position) in [(100, 5), (200, 5), (300, 5), (400, 9)] {
+        log.push(sample_log::LogSample { asked: at(asked), point: point(position) });
+    }
+    assert_eq!(log.required(at(50)), Some(point(5)));
+    assert_eq!(log.required(at(300)), Some(point(5)));
+    assert_eq!(log.required(at(301)), Some(point(9)));
+    assert_eq!(log.required(at(401)), None);
+}
+
+#[test]
+fn an_answer_says_when_to_come_back() {
+    let mut fleet = settled(4, 7);
+    let caller = fleet.open(0, "large", "strict");
+    for id in ["db0", "db1", "db2"] {
+        fleet.crash(id, true);
+    }
+    fleet.run(millis(3_000));
+    let start = fleet.now;
+    let answer = fleet.ask(0, caller, write()).expect("an answer");
+    assert_eq!(answer.answer.verdict.fate, request_verdict::RequestFate::NotRun);
+    assert!(answer.answer.verdict.retry_after.is_some());
+    assert!(answer.at - start < 100_000, "held back for {} us", answer.at - start);
+    assert_eq!(answer.answer.phase, endpoint_command::SessionPhase::Idle);
+}
+
+/// Plays `share` of an account's rate of 30 a second, half of it on two of seven hosts; returns the
+/// part that was refused beyond what one undivided bucket refuses of the same requests.
+fn refused_part(share: f64, seed: u64) -> f64 {
+    let accounts = [("large", 400.0, 400.0), ("small", 30.0, 30.0)];
+    let mut fleet = ProxyFleet::new(7, &accounts, seed);
+    fleet.run(millis(3_000));
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let callers: Vec<(usize, u64)> = (0..70)
+        .map(|number| number % 7)
+        .map(|host| (host, fleet.open(host, "small", "aged")))
+        .collect();
+    let start = fleet.now;
+    let mut asked = 0;
+    let (mut tokens, mut refilled, mut due) = (30.0_f64, start, 0);
+    while fleet.now - start < 30_000_000 {
+        let pick = match rng.random::<f64>() < 0.5 {
+            true => rng.random_range(0..callers.len() / 7) * 7 + rng.random_range(0..2),
+            false => rng.random_range(0..callers.len()),
+        };
+        let (host, caller) = callers[pick];
+        fleet.send(host, caller, read());
+        asked += 1;
+        tokens = (tokens + (fleet.now - refilled) as f64 * 30.0 / 1e6).min(30.0);
+        refilled = fleet.now;
+        if tokens >= 1.0 {
+            tokens -= 1.0;
+        } else {
+            due += 1;
+        }
+        let wait = -rng.random::<f64>().max(1e-9).ln() / (30.0 * share);
+        fleet.run(Duration::from_secs_f64(wait));
+    }
+    fleet.run(millis(1_000));
+    let mut refused = 0;
+    for (host, caller) in callers {
+        while let Some(answer) = fleet.take_answer(host, caller) {
+            refused += usize::from(answer.answer.verdict.fate != request_verdict::RequestFate::Ran);
+        }
+    }
+    assert!(fleet.faults.is_empty(), "{:#?}", fleet.faults);
+    (refused as f64 - f64::from(due)).max(0.0) / f64::from(asked)
+}
+
+/// Fewer than one request in a thousand is refused below 0.9 of a rate, however uneven.
+#[test]
+fn an_account_within_its_rate_is_not_refused() {
+    for share in [0.6, 0.9] {
+        let parts: Vec<f64> = (0..4).map(|seed| refused_part(share, seed)).collect();
+        let mean = parts.iter().sum::<f64>() / parts.len() as f64;
+        assert!(mean < 0.001, "{mean} refused at {share} of the rate: {parts:?}");
+    }
+}
--- /dev/null
+++ b/tests/proxy_fakes/fake_store.rs
@@ -0,0 +1,225 @@
+//! A store with revisions, leases and watches, in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use quetzaldeal::core_message;
+use quetzaldeal::proxy::store_message;
+
+/// How the store treats calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StoreMood {
+    /// It answers.
+    Up,
+    /// It is silent; leases go on running out.
+    Silent,
+    /// It carries out writes without answering them.
+    Mute,
+}
+
+#[derive(Debug, Clone)]
+struct FakeItem {
+    body: store_message::FeedBody,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Debug)]
+struct FakeWatch {
+    host: usize,
+    call: core_message::CallId,
+    after: u64,
+}
+
+/// A store.
+#[derive(Debug)]
+pub(crate) struct FakeStore {
+    /// How it treats calls.
+    pub(crate) mood: StoreMood,
+    /// Hosts that it turns away.
+    pub(crate) denied: BTreeSet<usize>,
+    revision: u64,
+    items: BTreeMap<store_message::FeedSubject, FakeItem>,
+    history: Vec<store_message::FeedItem>,
+    history_from: u64,
+    leases: BTreeMap<u64, (u64, Duration)>,
+    next_lease: u64,
+    watches: Vec<FakeWatch>,
+}
+
+/// An answer for a host's call.
+pub(crate) type StoreAnswer = (usize, core_message::CallId, store_message::StoreReply);
+
+impl Default for FakeStore {
+    fn default() -> Self {
+        Self {
+            mood: StoreMood::Up,
+            denied: BTreeSet::new(),
+            revision: 1,
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            history_from: 0,
+            leases: BTreeMap::new(),
+            next_lease: 100,
+            watches: Vec::new(),
+        }
+    }
+}
+
+impl FakeStore {
+    /// Writes or removes an item on behalf of operators or endpoints.
+    pub(crate) fn put(
+        &mut self,
+        subject: store_message::FeedSubject,
+        body: Option<store_message::FeedBody>,
+    ) -> Vec<StoreAnswer> {
+        self.change(subject, body, 0);
+        self.answer_watches()
+    }
+
+    /// Forgets all changes so far; watches are cut.
+    pub(crate) fn compact(&mut self) -> Vec<StoreAnswer> {
+        self.history_from = self.revision;
+        self.history.clear();
+        let cut = std::mem::take(&mut self.watches);
+        let gone = store_message::StoreReply::HistoryGone;
+        cut.into_iter().map(|watch| (watch.host, watch.call, gone.clone())).collect()
+    }
+
+    /// Ends the leases that have run out at `now` microseconds.
+    pub(crate) fn expire(&mut self, now: u64) -> Vec<StoreAnswer> {
+        let ended: Vec<u64> =
+            self.leases.iter().filter(|(_, (until, _))| *until <= now).map(|(id, _)| *id).collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+        if self.mood == StoreMood::Up { self.answer_watches() } else { Vec::new() }
+    }
+
+    /// Takes up a call; watches may be answered later.
+    pub(crate) fn take(
+        &mut self,
+        now: u64,
+        host: usize,
+        call: core_message::CallId,
+        request: store_message::StoreRequest,
+    ) -> Vec<StoreAnswer> {
+        if self.mood == StoreMood::Silent {
+            return Vec::new();
+        }
+        if self.denied.contains(&host) {
+            return vec![(host, call, store_message::StoreReply::Refused)];
+        }
+        let reply = match request {
+            store_message::StoreRequest::List { .. } => {
+                let items = self.items.iter().map(|(subject, item)| store_message::FeedItem {
+                    subject: subject.clone(),
+                    revision: item.revision,
+                    body: Some(item.body.clone()),
+                });
+                let items = items.collect();
+                store_message::StoreReply::Listed { items, next: None, revision: self.revision }
+            }
+            store_message::StoreRequest::Watch { after, .. } => {
+                self.watches.push(FakeWatch { host, call, after });
+                return self.answer_watches();
+            }
+            store_message::StoreRequest::Lease { ttl } => {
+                self.next_lease += 1;
+                let until = now + ttl.as_micros() as u64;
+                self.leases.insert(self.next_lease, (until, ttl));
+                store_message::StoreReply::Leased { lease: self.next_lease, ttl }
+            }
+            store_message::StoreRequest::Keep { lease } => match self.leases.get_mut(&lease) {
+                Some((until, ttl)) => {
+                    *until = now + ttl.as_micros() as u64;
+                    store_message::StoreReply::Leased { lease, ttl: *ttl }
+                }
+                None => store_message::StoreReply::LeaseGone,
+            },
+            store_message::StoreRequest::EndLease { lease } => {
+                self.end_lease(lease);
+                let mut answers = self.answer_watches();
+                answers.push((host, call, store_message::StoreReply::LeaseGone));
+                return answers;
+            }
+            store_message::StoreRequest::Write { key, value, lease, expect } => {
+                let subject = store_message::FeedSubject::Record(key);
+                let held = self.items.get(&subject).map_or(0, |item| item.revision);
+                if lease != 0 && !self.leases.contains_key(&lease) {
+                    store_message::StoreReply::LeaseGone
+                } else if expect.is_some_and(|expect| expect != held) {
+                    store_message::StoreReply::Conflict
+                } else {
+                    let body = store_message::FeedBody::Record(value);
+                    self.change(subject, Some(body), lease);
+                    let mut answers = self.answer_watches();
+                    if self.mood != StoreMood::Mute {
+                        let revision = self.revision;
+                        let reply = store_message::StoreReply::Written { revision };
+                        answers.push((host, call, reply));
+                    }
+                    return answers;
+                }
+            }
+        };
+        vec![(host, call, reply)]
+    }
+
+    /// Drops the watches of a host that has ended.
+    pub(crate) fn forget_host(&mut self, host: usize) {
+        self.watches.retain(|watch| watch.host != host);
+    }
+
+    fn change(
+        &mut self,
+        subject: store_message::FeedSubject,
+        body: Option<store_message::FeedBody>,
+        lease: u64,
+    ) {
+        self.revision += 1;
+        let revision = self.revision;
+        match &body {
+            Some(body) => {
+                let item = FakeItem { body: body.clone(), revision, lease };
+                self.items.insert(subject.clone(), item);
+            }
+            None => drop(self.items.remove(&subject)),
+        }
+        self.history.push(store_message::FeedItem { subject, revision, body });
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let bound: Vec<store_message::FeedSubject> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(subject, _)| subject.clone())
+            .collect();
+        for subject in bound {
+            self.change(subject, None, 0);
+        }
+    }
+
+    fn answer_watches(&mut self) -> Vec<StoreAnswer> {
+        let mut answers = Vec::new();
+        let (revision, from) = (self.revision, self.history_from);
+        let history = &self.history;
+        self.watches.retain(|watch| {
+            if watch.after < from {
+                answers.push((watch.host, watch.call, store_message::StoreReply::HistoryGone));
+                return false;
+            }
+            let items: Vec<store_message::FeedItem> =
+                history.iter().filter(|item| item.revision > watch.after).cloned().collect();
+            if items.is_empty() {
+                return true;
+            }
+            let reply = store_message::StoreReply::Changed { items, revision };
+            answers.push((watch.host, watch.call, reply));
+            false
+        });
+        answers
+    }
+}
