feat(proxy): hosts rely on a short lease or on the word of most peers; links are not stormed

Cause: a host that was cut off kept its 8 s lease, so a primary in a data centre that was cut off was replaced 6.3 s after the cut. A replica far behind was tried every 150 ms. Ruled out: a long lease alone (it carries store outages but holds up changes); a short one alone (an outage of the store would stop all primaries). Change: a record counts while the host's lease of 1.3 s runs, or while most hosts have said within 0.9 s that they know no newer epoch; a change waits until most know the new epoch and words have lapsed or the cut-off host is unheard by most. Peers pass on records and samples. Hosts without anything to rely on send callers elsewhere. Pauses after rejected links and lagging reads; links are counted for all kept hosts; sessions are turned away once the word of the end has got round. Pulses go between all hosts, which does not carry to large fleets.

--- a/src/proxy/change_flow.rs
+++ b/src/proxy/change_flow.rs
@@ -142,10 +142,11 @@
     let view = &ctx.groups[group];
     let Some(record) = &view.record else { return };
     let stopping = record.phase != change_record::ChangePhase::Serving;
-    if !stopping || view.stopped_epoch >= record.epoch {
+    // A peer may know of a change that this host has not read yet.
+    let epoch = if stopping { record.epoch.max(view.peer_epoch) } else { view.peer_epoch };
+    if epoch < record.epoch + u64::from(!stopping) || view.stopped_epoch >= epoch {
         return;
     }
-    let epoch = record.epoch;
     let primary = ctx.endpoint_names.get(&record.primary).copied();
     let late = ctx.now.since(view.learnt) >= ctx.tuning.stop_writes;
     let failing = primary.is_none_or(|endpoint| ctx.endpoints[endpoint].failing.is_some());
@@ -283,23 +284,77 @@
 }
 
 fn await_hosts(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let fenced = fence(ctx, group);
     let view = &ctx.groups[group];
     let (name, epoch) = (&view.name, view.epoch());
     let own = &ctx.identity.host;
-    let stopped = view.stopped_epoch >= epoch;
-    let all = ctx.members.values().all(|member| {
-        member.gone.is_some()
-            || member.record.host == *own
-            || member.sights.get(name).is_some_and(|sight| sight.stopped_epoch >= epoch)
+    let settled = ctx.kept_hosts().iter().all(|host| {
+        let Some(member) = ctx.members.get(host) else { return false };
+        let said = member.sights.get(name).is_some_and(|sight| sight.stopped_epoch >= epoch);
+        let wordless = || fenced || unheard_by_most(ctx, group, host);
+        said || host == own || (member.gone.is_some() && wordless())
     });
-    if stopped && all {
-        let waited = ctx.now.since(view.change.began).as_millis();
-        log::info!("event=hosts_stopped group={name} epoch={epoch} after_ms={waited}");
+    if ctx.groups[group].stopped_epoch >= epoch && settled {
+        let waited = ctx.now.since(ctx.groups[group].change.began).as_millis();
+        let name = &ctx.groups[group].name;
+        log::info!(
+            "event=hosts_stopped group={name} epoch={epoch} fenced={fenced} after_ms={waited}"
+        );
         fire(ctx, group, "hosts_stopped");
         drive(ctx, group);
     }
 }
 
+/// Whether no host can have the word of most hosts for an epoch before the record's.
+///
+/// That is so once most hosts have known the new epoch for as long as such words last.
+fn fence(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) -> bool {
+    let held = by_most(ctx, |host| knows_epoch(ctx, group, host));
+    let now = ctx.now;
+    let change = &mut ctx.groups[group].change;
+    if !held {
+        change.fenced_since = None;
+        return false;
+    }
+    let since = *change.fenced_since.get_or_insert(now);
+    now.since(since) >= ctx.tuning.quorum_word + ctx.tuning.lease_margin
+}
+
+/// Whether most hosts know the record's epoch and have not heard `target` for as long as words
+/// last: it has nobody's word for an older epoch, and will get none.
+fn unheard_by_most(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    target: &String,
+) -> bool {
+    by_most(ctx, |host| {
+        let unheard = match ctx.members.get(host) {
+            _ if *host == ctx.identity.host => member_flow::silent_hosts(ctx).contains(target),
+            Some(member) => member.silent.contains(target),
+            None => false,
+        };
+        unheard && knows_epoch(ctx, group, host)
+    })
+}
+
+/// Whether something holds for most hosts, in every set of hosts that one of them which was cut off
+/// may still go by.
+fn by_most(ctx: &proxy_context::ProxyContext, holds: impl Fn(&String) -> bool) -> bool {
+    let most = |hosts: &[String]| hosts.iter().filter(|host| holds(host)).count() * 2 > hosts.len();
+    most(&ctx.kept_hosts()) && ctx.past_hosts.iter().all(|(_, hosts)| most(hosts))
+}
+
+fn knows_epoch(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    host: &String,
+) -> bool {
+    let view = &ctx.groups[group];
+    let member = ctx.members.get(host);
+    let sight = member.and_then(|member| member.sights.get(&view.name));
+    *host == ctx.identity.host || sight.is_some_and(|sight| sight.known_epoch >= view.epoch())
+}
+
 fn choose(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
     ask_all(ctx, group);
     let view = &ctx.groups[group];
@@ -532,6 +587,7 @@
     if change.cursor.fire(event) {
         change.since = now;
         change.calling = false;
+        change.fenced_since = None;
     }
 }
 
--- a/src/proxy/duty_flow.rs
+++ b/src/proxy/duty_flow.rs
@@ -11,7 +11,7 @@
 use crate::rendezvous_rank;
 
 /// Time between the turns of hosts that may claim a vacant duty.
-const TURN: Duration = Duration::from_millis(300);
+const TURN: Duration = Duration::from_millis(150);
 /// Pause after a claim that failed.
 const CLAIM_PAUSE: Duration = Duration::from_millis(400);
 
--- a/src/proxy/endpoint_view.rs
+++ b/src/proxy/endpoint_view.rs
@@ -27,10 +27,14 @@
     pub circuit: circuit_breaker::CircuitBreaker,
     /// Links, in any state.
     pub links: Vec<arena_keys::ConnectionKey>,
+    /// Until when no link is opened: the endpoint has too many.
+    pub full_until: clock_time::ClockTime,
     /// Jobs that wait for a link.
     pub queue: Vec<arena_keys::StatementKey>,
     /// The end of its log that it told last.
     pub position: endpoint_message::LogPoint,
+    /// Times in a row that it lacked such points.
+    pub lags: u32,
     /// Until when it is held to lack points that reads ask for.
     pub lagging_until: clock_time::ClockTime,
     /// Last answer.
--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -262,6 +262,7 @@
         revision: 0,
         learnt: ctx.now,
         stopped_epoch: 0,
+        peer_epoch: 0,
         lost_lead: false,
         samples: Default::default(),
         sample_wanted: Default::default(),
@@ -273,6 +274,7 @@
             asked: Default::default(),
             rejected: Vec::new(),
             calling: false,
+            fenced_since: None,
         },
     });
     ctx.group_names.insert(name.to_owned(), group);
@@ -302,8 +304,10 @@
             evacuated,
             circuit: circuit_breaker::CircuitBreaker::default(),
             links: Vec::new(),
+            full_until: Default::default(),
             queue: Vec::new(),
             position: Default::default(),
+            lags: 0,
             lagging_until: Default::default(),
             answered: Default::default(),
             failing: None,
@@ -440,7 +444,10 @@
         record,
         gone: None,
         heard: None,
+        stamp: 0,
+        echoed: None,
         dealing: 0,
+        silent: Default::default(),
         sights: Default::default(),
     };
     ctx.members.insert(host.to_owned(), view);
@@ -504,6 +511,7 @@
         store_message::StoreReply::Written { revision } if ctx.store.lease == Some(lease) => {
             log::info!("event=registered lease={lease} revision={revision}");
             ctx.store.registered = Some(*revision);
+            ctx.store.enrolled = true;
             let renewal = ctx.tuning.host_renewal;
             ctx.store.next_lease = ctx.now.after(renewal);
         }
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -38,6 +38,8 @@
     pub rejected: Vec<arena_keys::EndpointKey>,
     /// Whether a call is under way.
     pub calling: bool,
+    /// Since when most hosts are known to know the record's epoch.
+    pub fenced_since: Option<clock_time::ClockTime>,
 }
 
 /// What this host knows of one group of endpoints.
@@ -55,6 +57,8 @@
     pub learnt: clock_time::ClockTime,
     /// The last epoch in which this host uses no primary any more.
     pub stopped_epoch: u64,
+    /// The newest epoch that peers know of.
+    pub peer_epoch: u64,
     /// Whether an endpoint said that the recorded primary does not lead.
     pub lost_lead: bool,
     /// Proof of how far the log had grown.
--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -22,8 +22,8 @@
 const PREPARED_MAX: usize = 256;
 /// Time after which a link at rest is closed.
 const REST_LIMIT: Duration = Duration::from_secs(40);
-/// Time for which an absent host's links are still counted as taken.
-const LINKS_KEPT: Duration = Duration::from_secs(4);
+/// Pause before the next link to an endpoint that had too many.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// Mean of how many answers an endpoint's latency is taken over.
 const LATENCY_WEIGHT: f64 = 0.1;
 
@@ -55,15 +55,18 @@
 }
 
 /// Returns the links that this host may hold to one endpoint of the group.
+///
+/// A host that vanished may still hold its links, so they count as taken for as long as its share.
 pub fn link_limit(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> usize {
     let name = &ctx.groups[group].name;
     let object = ctx.config.as_ref().and_then(|config| config.groups.get(name));
-    let most = object.map_or(1, |object| object.max_links);
-    let hosts = ctx
-        .members
-        .values()
-        .filter(|member| member.gone.is_none_or(|since| ctx.now.since(since) < LINKS_KEPT));
-    (most / (hosts.count() as u32).max(1)).max(1) as usize
+    let most = object.map_or(1, |object| object.max_links) as usize;
+    (most / ctx.dealing.hosts.len().max(1)).max(1)
+}
+
+/// Whether the endpoint lately had more links than it takes, so that none is opened.
+pub fn is_full(ctx: &proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) -> bool {
+    ctx.now < ctx.endpoints[endpoint].full_until
 }
 
 /// Sends the first command of a job on an idle link, after what restores its session there.
@@ -110,10 +113,13 @@
         let id = ctx.endpoints[endpoint].entry.id.clone();
         let line = format!("event=link_rejected endpoint={id} fault={fault:?}");
         ctx.note(|| line);
-        close(ctx, link, "failed");
-        if !matches!(fault, endpoint_command::EndpointFault::TooManyLinks) {
+        if matches!(fault, endpoint_command::EndpointFault::TooManyLinks) {
+            let pause = ctx.spread(FULL_PAUSE);
+            ctx.endpoints[endpoint].full_until = ctx.now.after(pause);
+        } else {
             note_failure(ctx, endpoint);
         }
+        close(ctx, link, "failed");
         return turn_queue_away(ctx, endpoint);
     }
     note_position(ctx, link, &answer);
@@ -244,7 +250,7 @@
         return;
     }
     let Some(link) = links.iter().copied().find(|link| ctx.links[*link].idle()) else {
-        if ctx.endpoints[endpoint].circuit.may_probe(ctx.now) {
+        if ctx.endpoints[endpoint].circuit.may_probe(ctx.now) && !is_full(ctx, endpoint) {
             make_room(ctx, endpoint);
             open(ctx, endpoint, None);
         }
@@ -412,6 +418,9 @@
 
 /// Opens links for queued jobs whose account has none on the way; links at rest make room.
 fn open_for_queue(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
+    if is_full(ctx, endpoint) {
+        return;
+    }
     let queue = ctx.endpoints[endpoint].queue.clone();
     let mut covered: Vec<Option<arena_keys::AccountKey>> = Vec::new();
     for link in &ctx.endpoints[endpoint].links {
--- a/src/proxy/member_flow.rs
+++ b/src/proxy/member_flow.rs
@@ -1,15 +1,19 @@
 //! Pulses between hosts: who is there, who has stopped using which primary, who cannot reach it.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::clock_time;
 use crate::proxy::change_flow;
-use crate::proxy::member_view;
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_context;
 use crate::proxy::quota_flow;
+use crate::proxy::sample_log;
 
 /// Time for which a primary must have failed before this host says so.
 const FAILING_FOR: Duration = Duration::from_millis(200);
+/// Age of a sample beyond which peers are not told of it.
+const SAMPLE_TOLD: Duration = Duration::from_millis(1_000);
 /// Time for which a host's word counts.
 pub const WORD_LASTS: Duration = Duration::from_millis(1_500);
 
@@ -36,14 +40,12 @@
 /// Sends a pulse to all hosts at once.
 pub fn pulse_all(ctx: &mut proxy_context::ProxyContext) {
     let hello = !ctx.dealing.attested;
-    let pulse = own_pulse(ctx, hello);
     ctx.pulsed = ctx.now;
-    let own = &ctx.identity.host;
-    let others = ctx.members.values();
-    let others = others.filter(|member| member.gone.is_none() && member.record.host != *own);
-    let addresses: Vec<String> = others.map(|member| member.record.address.clone()).collect();
-    for address in addresses {
-        quota_flow::tell(ctx, address, peer_datagram::PeerDatagram::Pulse(pulse.clone()));
+    // A host whose record vanished may be cut off from the store alone.
+    let others: Vec<String> =
+        ctx.kept_hosts().into_iter().filter(|host| *host != ctx.identity.host).collect();
+    for host in others {
+        pulse_one(ctx, &host, hello);
     }
 }
 
@@ -71,37 +73,94 @@
     }
     member.heard = Some(now);
     member.dealing = pulse.dealing;
-    member.sights = pulse.sights.into_iter().map(|sight| (sight.group.clone(), sight)).collect();
-    reply(ctx, &pulse.host, pulse.hello);
+    member.stamp = member.stamp.max(pulse.stamp);
+    let spoken = clock_time::ClockTime::from_micros(pulse.echo);
+    if pulse.echo > 0 && spoken <= now {
+        member.echoed = Some(member.echoed.map_or(spoken, |echoed| echoed.max(spoken)));
+    }
+    let sights: BTreeMap<String, peer_datagram::PrimarySight> =
+        pulse.sights.into_iter().map(|sight| (sight.group.clone(), sight)).collect();
+    member.sights = sights.clone();
+    member.silent = pulse.silent.into_iter().collect();
+    for sight in sights.values() {
+        take_sight(ctx, sight, spoken);
+    }
+    if pulse.hello {
+        pulse_one(ctx, &pulse.host, false);
+    }
     quota_flow::attest(ctx);
     change_flow::drive_all(ctx);
 }
 
-fn reply(ctx: &mut proxy_context::ProxyContext, host: &str, hello: bool) {
-    if !hello {
+/// Takes up a peer's view of a group: a newer epoch, and how far the log had grown.
+///
+/// The peer said it after it had heard what this host said at `spoken`, so its sample is no older
+/// than the sample's age before that.
+fn take_sight(
+    ctx: &mut proxy_context::ProxyContext,
+    sight: &peer_datagram::PrimarySight,
+    spoken: clock_time::ClockTime,
+) {
+    let Some(group) = ctx.group_names.get(&sight.group).copied() else { return };
+    let view = &mut ctx.groups[group];
+    view.peer_epoch = view.peer_epoch.max(sight.known_epoch);
+    if let Some(record) = sight.record.clone().filter(|_| sight.revision > view.revision) {
+        change_flow::on_record(ctx, group, record, sight.revision);
+    }
+    let view = &mut ctx.groups[group];
+    let Some((point, age)) = sight.sample else { return };
+    if spoken == clock_time::ClockTime::default() || sight.known_epoch != view.epoch() {
         return;
     }
-    let pulse = own_pulse(ctx, false);
-    let Some(member): Option<&member_view::MemberView> = ctx.members.get(host) else { return };
-    let address = member.record.address.clone();
-    quota_flow::tell(ctx, address, peer_datagram::PeerDatagram::Pulse(pulse));
+    let asked = spoken.before(Duration::from_micros(age));
+    view.samples.push(sample_log::LogSample { asked, point });
 }
 
-fn own_pulse(ctx: &proxy_context::ProxyContext, hello: bool) -> peer_datagram::HostPulse {
+fn pulse_one(ctx: &mut proxy_context::ProxyContext, host: &str, hello: bool) {
+    // Before the first full reading this host knows no epochs and must not vouch for any.
+    if ctx.store.revision.is_none() {
+        return;
+    }
+    let Some(member) = ctx.members.get(host) else { return };
+    let (address, echo) = (member.record.address.clone(), member.stamp);
     let sights = ctx.groups.values().filter(|group| group.record.is_some()).map(|group| {
+        let sample = group
+            .samples
+            .last()
+            .map(|sample| (sample.point, ctx.now.since(sample.asked).as_micros() as u64));
+        let held = member.sights.get(&group.name).map_or(0, |sight| sight.revision);
         peer_datagram::PrimarySight {
             group: group.name.clone(),
+            known_epoch: group.epoch().max(group.peer_epoch),
+            revision: group.revision,
+            record: group.record.clone().filter(|_| held < group.revision),
             stopped_epoch: group.stopped_epoch,
             failing: own_failing(ctx, &group.name),
+            sample: sample.filter(|(_, age)| *age < SAMPLE_TOLD.as_micros() as u64),
         }
     });
-    peer_datagram::HostPulse {
+    let pulse = peer_datagram::HostPulse {
         host: ctx.identity.host.clone(),
         incarnation: ctx.identity.incarnation,
         dealing: ctx.dealing.number,
         sights: sights.collect(),
+        silent: silent_hosts(ctx),
+        stamp: ctx.now.as_micros(),
+        echo,
         hello,
-    }
+    };
+    quota_flow::tell(ctx, address, peer_datagram::PeerDatagram::Pulse(pulse));
+}
+
+/// Returns the hosts that this host has not heard for as long as words count.
+pub fn silent_hosts(ctx: &proxy_context::ProxyContext) -> Vec<String> {
+    let since = ctx.now.before(ctx.tuning.quorum_word);
+    let unheard = |host: &String| {
+        let member = ctx.members.get(host);
+        *host != ctx.identity.host
+            && member.is_none_or(|member| member.heard.is_none_or(|heard| heard < since))
+    };
+    ctx.kept_hosts().into_iter().filter(unheard).collect()
 }
 
 fn own_failing(ctx: &proxy_context::ProxyContext, group: &str) -> bool {
--- a/src/proxy/member_view.rs
+++ b/src/proxy/member_view.rs
@@ -1,6 +1,6 @@
 //! What this host knows of one host, itself included.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock_time;
 use crate::proxy::change_record;
@@ -15,8 +15,14 @@
     pub gone: Option<clock_time::ClockTime>,
     /// When it was last heard.
     pub heard: Option<clock_time::ClockTime>,
+    /// Its clock in microseconds when it last spoke.
+    pub stamp: u64,
+    /// When this host spoke last of what the other is known to have heard.
+    pub echoed: Option<clock_time::ClockTime>,
     /// The dealing of shares that it goes by.
     pub dealing: u64,
+    /// Hosts that it does not hear.
+    pub silent: BTreeSet<String>,
     /// Its views of groups, by group.
     pub sights: BTreeMap<String, peer_datagram::PrimarySight>,
 }
--- a/src/proxy/operation_flow.rs
+++ b/src/proxy/operation_flow.rs
@@ -14,8 +14,10 @@
 use crate::proxy::session_state;
 use crate::request_verdict;
 
-/// Time for which a replica that lacked a point is left alone.
-const LAG_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which a replica that lacked a point is left alone at first.
+const LAG_PAUSE: Duration = Duration::from_millis(100);
+/// Doublings of that time while the replica goes on lacking points.
+const LAG_DOUBLINGS_MAX: u32 = 4;
 /// When to come back after a refusal for want of a primary.
 const PRIMARY_RETRY: Duration = Duration::from_millis(400);
 /// When to come back after a refusal by a full queue.
@@ -414,6 +416,7 @@
         }
         Ok(signature) => {
             if reads {
+                ctx.endpoints[endpoint].lags = 0;
                 count_read(ctx, job);
             } else {
                 mark(ctx, job, answer.position);
@@ -599,7 +602,7 @@
     state.primary_epoch.is_some()
         && state.primary_epoch == epoch
         && recorded == Some(ctx.endpoints[endpoint].entry.id.as_str())
-        && ctx.store.tenured(ctx.now)
+        && ctx.permitted(state.group)
 }
 
 fn note_fault(
@@ -611,7 +614,11 @@
     let now = ctx.now;
     match fault {
         endpoint_command::EndpointFault::Lagging => {
-            ctx.endpoints[endpoint].lagging_until = now.after(LAG_PAUSE);
+            let doublings = ctx.endpoints[endpoint].lags.min(LAG_DOUBLINGS_MAX);
+            let pause = ctx.spread(LAG_PAUSE * (1 << doublings));
+            let view = &mut ctx.endpoints[endpoint];
+            view.lags += 1;
+            view.lagging_until = now.after(pause);
         }
         endpoint_command::EndpointFault::ReadOnly => {
             let group = ctx.endpoints[endpoint].group;
@@ -624,9 +631,11 @@
     let id = ctx.jobs[job].id.clone();
     let name = ctx.endpoints[endpoint].entry.id.clone();
     let attempts = ctx.jobs[job].attempts;
+    let held = ctx.endpoints[endpoint].position;
+    let needed = placement_policy::read_point(ctx, job);
     ctx.note(|| {
         format!(
-            "event=endpoint_fault request={id} endpoint={name} attempt={attempts} fault={fault:?}"
+            "event=endpoint_fault request={id} endpoint={name} attempt={attempts} fault={fault:?} held={held:?} needed={needed:?}"
         )
     });
 }
@@ -685,12 +694,12 @@
     let view = &ctx.groups[state.group];
     let (group, epoch) = (view.name.clone(), view.epoch());
     let serving = view.serving().is_some();
-    let tenured = ctx.store.tenured(ctx.now);
+    let permitted = ctx.permitted(state.group);
     let retry = verdict.retry_after.map_or(0, |wait| wait.as_millis());
     ctx.note(|| {
         format!(
             "event=request_unserved request={id} account={account} database={database} \
-             group={group} epoch={epoch} serving={serving} tenured={tenured} version={version} \
+             group={group} epoch={epoch} serving={serving} permitted={permitted} version={version} \
              phase={phase:?} attempts={attempts} age_ms={passed} fate={fate:?} cause={cause} \
              retry_ms={retry}"
         )
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -2,15 +2,27 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::endpoint_message;
+use crate::proxy::change_record;
+
 /// One host's view of one group's primary.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrimarySight {
     /// The group.
     pub group: String,
+    /// The newest epoch that this host knows of.
+    pub known_epoch: u64,
+    /// Revision of the group's record that this host holds.
+    pub revision: u64,
+    /// The record, for a receiver that holds an older one.
+    pub record: Option<change_record::ChangeRecord>,
     /// The last epoch in which this host uses no primary any more.
     pub stopped_epoch: u64,
     /// Whether the primary in force does not answer this host.
     pub failing: bool,
+    /// How far the log had grown, and how long before this datagram the primary was asked, in
+    /// microseconds.
+    pub sample: Option<(endpoint_message::LogPoint, u64)>,
 }
 
 /// One host's state, told to all its peers.
@@ -24,6 +36,12 @@
     pub dealing: u64,
     /// Views of all groups.
     pub sights: Vec<PrimarySight>,
+    /// Hosts whose word the sender has not heard for as long as such words last.
+    pub silent: Vec<String>,
+    /// The sender's clock in microseconds.
+    pub stamp: u64,
+    /// The last stamp that the sender has from the receiver, 0 for none.
+    pub echo: u64,
     /// Whether the sender wants an answer at once.
     pub hello: bool,
 }
--- a/src/proxy/placement_policy.rs
+++ b/src/proxy/placement_policy.rs
@@ -25,8 +25,8 @@
 const REPLACE_COST_MS: f64 = 20.0;
 /// Cost of waiting for a busy link, in milliseconds.
 const WAIT_COST_MS: f64 = 40.0;
-/// Cost of leaving the data centre, in milliseconds; covers the way there and back.
-const CENTRE_COST_MS: f64 = 4.0;
+/// Cost of leaving the data centre, in milliseconds; links between data centres are shared and dear.
+const CENTRE_COST_MS: f64 = 12.0;
 /// Cost of using a primary for what a replica can do, in milliseconds.
 const PRIMARY_COST_MS: f64 = 15.0;
 /// Cost of a replica that was last seen behind the point needed, in milliseconds.
@@ -91,7 +91,7 @@
     let primary = ctx.usable_primary(group).filter(|endpoint| {
         let view = &ctx.endpoints[*endpoint];
         let open = view.circuit.closed() || view.circuit.may_probe(ctx.now);
-        open && !ctx.jobs[job].avoided.contains(endpoint)
+        open && !ctx.jobs[job].avoided.contains(endpoint) && has_way(ctx, *endpoint)
     });
     if needs_primary(ctx, job) {
         return primary.ok_or(request_verdict::VerdictCause::NoPrimary);
@@ -124,10 +124,16 @@
     let view = &ctx.endpoints[endpoint];
     let Some(point) = point else { return false };
     view.takes_reads(ctx.now)
+        && has_way(ctx, endpoint)
         && !ctx.jobs[job].avoided.contains(&endpoint)
         && (view.position >= point || ctx.now >= view.lagging_until)
 }
 
+/// Whether a link to the endpoint is open, or may be opened.
+fn has_way(ctx: &proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) -> bool {
+    !ctx.endpoints[endpoint].links.is_empty() || !link_flow::is_full(ctx, endpoint)
+}
+
 fn cost(
     ctx: &proxy_context::ProxyContext,
     job: arena_keys::StatementKey,
@@ -145,10 +151,10 @@
     if !own {
         let room = view.links.len() < link_flow::link_limit(ctx, view.group);
         let resting = links.clone().any(|link| link.idle());
-        cost += match (room, resting) {
-            (true, _) => OPEN_COST_MS,
-            (false, true) => REPLACE_COST_MS,
-            (false, false) => WAIT_COST_MS,
+        cost += match (link_flow::is_full(ctx, endpoint), room, resting) {
+            (false, true, _) => OPEN_COST_MS,
+            (false, false, true) => REPLACE_COST_MS,
+            _ => WAIT_COST_MS,
         };
     }
     if view.entry.data_centre != ctx.identity.data_centre {
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -107,10 +107,14 @@
 pub struct DealingState {
     /// Identifies the hosts and configuration that shares were dealt by.
     pub number: u64,
+    /// The hosts that they were dealt to.
+    pub hosts: Vec<String>,
     /// When they were dealt.
     pub since: clock_time::ClockTime,
     /// Whether all hosts are known to go by the same dealing.
     pub attested: bool,
+    /// Whether any dealing was ever opened.
+    pub opened: bool,
 }
 
 /// The duty of changing primaries as this host sees it.
@@ -165,6 +169,8 @@
     pub appointments: HashMap<core_message::CallId, arena_keys::GroupKey>,
     /// All hosts, by name.
     pub members: BTreeMap<String, member_view::MemberView>,
+    /// Sets of hosts that were in force until lately, with the time at which each was superseded.
+    pub past_hosts: VecDeque<(clock_time::ClockTime, Vec<String>)>,
     /// When the last pulse was sent.
     pub pulsed: clock_time::ClockTime,
     /// The duty of changing primaries.
@@ -197,6 +203,8 @@
     pub stopped: bool,
     /// Whether this host said last that new callers are welcome.
     pub ready: bool,
+    /// When this host could last rely on any record.
+    pub touched: clock_time::ClockTime,
     next_call: core_message::CallId,
 }
 
@@ -233,6 +241,7 @@
             store_calls: HashMap::new(),
             appointments: HashMap::new(),
             members: BTreeMap::new(),
+            past_hosts: VecDeque::new(),
             pulsed: clock_time::ClockTime::default(),
             duty: DutyState::default(),
             dealing: DealingState::default(),
@@ -249,6 +258,7 @@
             stopping: None,
             stopped: false,
             ready: false,
+            touched: now,
             next_call: 1,
         })
     }
@@ -284,9 +294,43 @@
         self.rng.random()
     }
 
+    /// Whether this host may rely on the group's record that it knows: either its own lease runs,
+    /// or most hosts have said lately that they know of no newer record.
+    ///
+    /// A replacement of a primary waits until no host can be in either state.
+    pub fn permitted(&self, group: arena_keys::GroupKey) -> bool {
+        let view = &self.groups[group];
+        if view.peer_epoch > view.epoch() {
+            return false;
+        }
+        self.store.tenured(self.now) || self.quorum(view)
+    }
+
+    /// Whether this host can rely on any record, so that it is of use to callers.
+    pub fn in_touch(&self) -> bool {
+        self.store.tenured(self.now) || self.groups.keys().any(|group| self.permitted(group))
+    }
+
+    fn quorum(&self, view: &group_view::GroupView) -> bool {
+        let kept = self.tuning.share_kept;
+        let since = self.now.before(self.tuning.quorum_word);
+        let (mut all, mut agreeing) = (0, 0);
+        for member in self.members.values() {
+            if member.gone.is_some_and(|gone| self.now.since(gone) >= kept) {
+                continue;
+            }
+            all += 1;
+            let own = member.record.host == self.identity.host;
+            let known = member.sights.get(&view.name).map_or(0, |sight| sight.known_epoch);
+            let heard = member.echoed.is_some_and(|echoed| echoed > since);
+            agreeing += usize::from(own || (heard && known <= view.epoch()));
+        }
+        self.store.enrolled && agreeing * 2 > all
+    }
+
     /// Returns the endpoint that may be used as the group's primary now.
     pub fn usable_primary(&self, group: arena_keys::GroupKey) -> Option<arena_keys::EndpointKey> {
-        if !self.store.tenured(self.now) {
+        if !self.permitted(group) {
             return None;
         }
         let record = self.groups[group].serving()?;
@@ -304,14 +348,13 @@
         own.then_some(*revision)
     }
 
-    /// Returns how many hosts share the endpoints' connections.
-    pub fn host_count(&self) -> u32 {
+    /// Returns the hosts that take part, those included that vanished not long ago.
+    pub fn kept_hosts(&self) -> Vec<String> {
         let kept = self.tuning.share_kept;
-        let present = self
-            .members
-            .values()
-            .filter(|member| member.gone.is_none_or(|since| self.now.since(since) < kept));
-        (present.count() as u32).max(1)
+        let members = self.members.iter();
+        let members = members
+            .filter(|(_, member)| member.gone.is_none_or(|since| self.now.since(since) < kept));
+        members.map(|(name, _)| name.clone()).collect()
     }
 
     /// Writes a line about a request or a belief, within the budget of lines.
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -1,5 +1,7 @@
 //! The proxy core's one dispatcher: events in, actions out.
 
+use std::time::Duration;
+
 use anyhow::Result;
 
 use crate::clock_time;
@@ -18,6 +20,9 @@
 use crate::proxy::session_state;
 use crate::proxy::shutdown_flow;
 
+/// Time without anything to rely on after which a host asks for no more callers.
+const OUT_OF_TOUCH: Duration = Duration::from_millis(300);
+
 /// The proxy core of one host.
 #[derive(Debug)]
 pub struct ProxyCore {
@@ -120,8 +125,19 @@
         quota_flow::attest(ctx);
         duty_flow::on_tick(ctx);
         change_flow::drive_all(ctx);
+        while ctx
+            .past_hosts
+            .front()
+            .is_some_and(|(at, _)| ctx.now.since(*at) >= ctx.tuning.share_kept)
+        {
+            ctx.past_hosts.pop_front();
+        }
+        if ctx.in_touch() {
+            ctx.touched = ctx.now;
+        }
         Self::end_idle_transactions(ctx);
         shutdown_flow::on_tick(ctx);
+        shutdown_flow::shed_callers(ctx);
         Self::tell_readiness(ctx);
     }
 
@@ -151,7 +167,8 @@
 
     fn tell_readiness(ctx: &mut proxy_context::ProxyContext) {
         let configured = ctx.config.is_some() && !ctx.endpoints.is_empty();
-        let ready = configured && ctx.dealing.attested && ctx.stopping.is_none();
+        let useful = ctx.now.since(ctx.touched) < OUT_OF_TOUCH;
+        let ready = configured && useful && ctx.dealing.opened && ctx.stopping.is_none();
         if ready != ctx.ready {
             ctx.ready = ready;
             log::info!("event=readiness ready={ready}");
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -7,8 +7,10 @@
 pub struct ProxyTuning {
     /// Time between looks at everything that time alone changes.
     pub tick: Duration,
-    /// Lease of a host's membership; a host that is cut off uses no primary for longer than this.
+    /// Lease of a host's membership; a host without word of most peers uses no primary for longer.
     pub host_lease: Duration,
+    /// Time for which peers' words let a host use a primary, counted from when it spoke to them.
+    pub quorum_word: Duration,
     /// Time between renewals of a host's lease.
     pub host_renewal: Duration,
     /// Lease of the duty of changing primaries.
@@ -55,14 +57,15 @@
     fn default() -> Self {
         Self {
             tick: Duration::from_millis(100),
-            host_lease: Duration::from_millis(8_000),
-            host_renewal: Duration::from_millis(2_000),
-            duty_lease: Duration::from_millis(2_500),
-            duty_renewal: Duration::from_millis(700),
-            lease_margin: Duration::from_millis(300),
+            host_lease: Duration::from_millis(1_300),
+            quorum_word: Duration::from_millis(900),
+            host_renewal: Duration::from_millis(350),
+            duty_lease: Duration::from_millis(1_500),
+            duty_renewal: Duration::from_millis(400),
+            lease_margin: Duration::from_millis(150),
             watch_wait: Duration::from_millis(10_000),
             store_pause: Duration::from_millis(100),
-            pulse: Duration::from_millis(500),
+            pulse: Duration::from_millis(250),
             ping_after: Duration::from_millis(300),
             silent_after: Duration::from_millis(600),
             open_limit: Duration::from_millis(800),
--- a/src/proxy/quota_flow.rs
+++ b/src/proxy/quota_flow.rs
@@ -43,14 +43,10 @@
     let Some(config) = ctx.config.clone() else { return };
     let mut hasher = xxh3::Xxh3::new();
     hasher.update(&config.version.to_le_bytes());
-    let kept = ctx.tuning.share_kept;
-    let mut hosts: Vec<String> = Vec::new();
-    for (name, member) in &ctx.members {
-        if member.gone.is_none_or(|since| ctx.now.since(since) < kept) {
-            hasher.update(name.as_bytes());
-            hasher.update(&[0]);
-            hosts.push(name.clone());
-        }
+    let hosts = ctx.kept_hosts();
+    for name in &hosts {
+        hasher.update(name.as_bytes());
+        hasher.update(&[0]);
     }
     let number = hasher.digest();
     if number == ctx.dealing.number || hosts.is_empty() {
@@ -58,7 +54,17 @@
     }
     let now = ctx.now;
     let own = &ctx.identity.host;
-    ctx.dealing = proxy_context::DealingState { number, since: now, attested: false };
+    let past = std::mem::take(&mut ctx.dealing.hosts);
+    if !past.is_empty() && past != hosts {
+        ctx.past_hosts.push_back((now, past));
+    }
+    ctx.dealing = proxy_context::DealingState {
+        number,
+        hosts: hosts.clone(),
+        since: now,
+        attested: false,
+        opened: ctx.dealing.opened,
+    };
     for account in ctx.accounts.values_mut() {
         let object = config.accounts.get(&account.name).cloned();
         if object != account.object {
@@ -111,6 +117,7 @@
         return;
     }
     ctx.dealing.attested = true;
+    ctx.dealing.opened = true;
     let opens = ctx.now.after(OPEN_MARGIN);
     for account in ctx.accounts.values_mut() {
         account.ledger.open_at(opens);
--- a/src/proxy/session_flow.rs
+++ b/src/proxy/session_flow.rs
@@ -27,9 +27,11 @@
     key: &str,
 ) {
     let digest = proxy_config::digest_key(key);
-    let refusal = check_access(ctx, &database, &digest)
-        .err()
-        .map(|cause| operation_flow::refusal(ctx, None, cause));
+    let access = match shutdown_flow::turns_away(ctx) {
+        true => Err(request_verdict::VerdictCause::Draining),
+        false => check_access(ctx, &database, &digest),
+    };
+    let refusal = access.err().map(|cause| operation_flow::refusal(ctx, None, cause));
     if let Some(verdict) = &refusal {
         let cause = verdict.message();
         let line =
--- a/src/proxy/shutdown_flow.rs
+++ b/src/proxy/shutdown_flow.rs
@@ -18,9 +18,16 @@
 
 /// Time in which new callers may still arrive.
 const WORD_GETS_ROUND: Duration = Duration::from_millis(2_300);
+/// Time without anything to rely on after which callers are let go: new ones go elsewhere by then.
+const SHED_AFTER: Duration = Duration::from_millis(2_400);
 /// Part of the time to stop that open transactions have, as a divisor.
 const TRANSACTION_PART: u32 = 2;
 
+/// Whether new callers are turned away: the word that they are unwelcome has got round.
+pub fn turns_away(ctx: &proxy_context::ProxyContext) -> bool {
+    ctx.stopping.is_some_and(|since| ctx.now.since(since) >= WORD_GETS_ROUND)
+}
+
 /// Begins to stop.
 pub fn start(ctx: &mut proxy_context::ProxyContext) {
     if ctx.stopping.is_some() {
@@ -39,6 +46,17 @@
     on_tick(ctx);
 }
 
+/// Lets callers at rest go from a host that has nothing to rely on, once new ones are sent elsewhere.
+pub fn shed_callers(ctx: &mut proxy_context::ProxyContext) {
+    if ctx.stopping.is_some() || ctx.config.is_none() || ctx.now.since(ctx.touched) < SHED_AFTER {
+        return;
+    }
+    let sessions: Vec<arena_keys::CallerKey> = ctx.sessions.keys().collect();
+    for session in sessions {
+        let_go(ctx, session);
+    }
+}
+
 /// Lets callers at rest go, and ends the process once nothing is left.
 pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
     let Some(since) = ctx.stopping else { return };
@@ -71,7 +89,7 @@
 
 /// Lets a caller go that has just been answered, if the process is stopping.
 pub fn after_answer(ctx: &mut proxy_context::ProxyContext, session: arena_keys::CallerKey) {
-    if ctx.stopping.is_some_and(|since| ctx.now.since(since) >= WORD_GETS_ROUND) {
+    if turns_away(ctx) {
         let_go(ctx, session);
     }
 }
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -84,6 +84,8 @@
     pub lease: Option<u64>,
     /// Whether the member record was written under the lease, and at which revision.
     pub registered: Option<u64>,
+    /// Whether the member record was ever written by this process.
+    pub enrolled: bool,
     /// Whether a call about the lease or the record is under way.
     pub lease_open: bool,
     /// When the next such call may be sent.
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -156,9 +156,10 @@
             fleet.cut(Place::Host(peer), Place::Database("db0".to_owned()));
         }
         let other = fleet.open(0, "large", "strict");
-        for _ in 0..1_000 {
-            fleet.ask(3, caller, write());
-            fleet.ask(3, caller, read());
+        let start = fleet.now;
+        while fleet.now - start < 15_000_000 {
+            fleet.send(3, caller, write());
+            fleet.send(3, caller, read());
             fleet.ask(0, other, write());
             fleet.run(millis(20));
         }
@@ -219,6 +220,14 @@
         fleet.run(millis(5_000));
         assert!(fleet.stopped(0));
     };
+    a_host_about_to_end_takes_no_session: |fleet| {
+        fleet.stop_host(0);
+        fleet.run(millis(2_350));
+        let caller = fleet.open(0, "large", "strict");
+        let refusal = fleet.greeting(0, caller).expect("a refusal");
+        assert_eq!(refusal.cause, request_verdict::VerdictCause::Draining);
+        assert!(refusal.retry_after.is_some());
+    };
     an_old_primary_that_comes_back_is_not_used: |fleet| {
         let caller = fleet.open(1, "large", "strict");
         assert!(ran(fleet, 1, caller, write()));
