fix(proxy): an appointment under way is kept; the roster of hosts has no lease

A fresh host also counted most hosts by those whose lease ran, which can be itself alone. Ruled out: a late acknowledgement by a host without permission (the log shows Unfinished, then the old primary decided, then LostLead). Change: a record in phase Appointing is only left through its candidate, or once the candidate has been down for 4 s. Scenario an_appointment_under_way_is_not_taken_back, failing first. Hosts are counted by a roster without lease, tidied by the holder of the duty. Tokens accrued since the start come with the first shares; two thirds of the connections are shared out; silence is found after 0.45 s; readiness follows what was heard in the last 0.7 s.

--- a/src/proxy/change_flow.rs
+++ b/src/proxy/change_flow.rs
@@ -378,6 +378,11 @@
     if reports.is_empty() || (!complete && waited < CHOICE_WAIT) {
         return;
     }
+    if let Some(candidate) = appointed(ctx, group)
+        && !(waited >= CONFIRM_LIMIT && ctx.endpoints[candidate].failing.is_some())
+    {
+        return keep_candidate(ctx, group, candidate, &reports);
+    }
     let recorded = view.record.as_ref().map(|record| record.primary.clone()).unwrap_or_default();
     let leader = reports.iter().filter(|(_, report)| report.primary);
     let leader = leader.max_by_key(|(_, report)| report.term).copied();
@@ -427,6 +432,40 @@
     write(ctx, group, record);
 }
 
+/// Returns the endpoint whose appointment may be under way, though its answer or its host was lost.
+fn appointed(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+) -> Option<arena_keys::EndpointKey> {
+    let view = &ctx.groups[group];
+    let record = view.record.as_ref()?;
+    let candidate = *ctx.endpoint_names.get(record.candidate.as_ref()?)?;
+    let open = record.phase == change_record::ChangePhase::Appointing
+        && !view.change.rejected.contains(&candidate);
+    open.then_some(candidate)
+}
+
+/// Goes on with an appointment that may be under way: no other endpoint may be used before it has
+/// taken effect, or its candidate is known not to run.
+fn keep_candidate(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    candidate: arena_keys::EndpointKey,
+    reports: &[(arena_keys::EndpointKey, endpoint_command::EndpointReport)],
+) {
+    let term = ctx.groups[group].term();
+    let newer = reports.iter().filter(|(_, report)| report.primary && report.term > term);
+    if let Some((endpoint, report)) = newer.max_by_key(|(_, report)| report.term) {
+        return decide(ctx, group, *endpoint, report.term);
+    }
+    let runs = reports.iter().any(|(endpoint, _)| *endpoint == candidate);
+    let refused = ctx.endpoints[candidate].refusing.is_some();
+    if runs || refused {
+        // Asking again changes nothing for an endpoint that leads already.
+        fire(ctx, group, "candidate_chosen");
+    }
+}
+
 /// Whether the replicas that were asked surely include one with every acknowledged commit, where
 /// the group asks for copies before an acknowledgement.
 fn enough_copies(
--- a/src/proxy/change_record.rs
+++ b/src/proxy/change_record.rs
@@ -58,5 +58,8 @@
 pub const DUTY_KEY: &str = "duty";
 /// Prefix of members' records.
 pub const MEMBER_PREFIX: &str = "hosts/";
+/// Prefix of the hosts that take part, whether they run or not. These records have no lease, so a
+/// host that starts knows at once how many others there are.
+pub const ROSTER_PREFIX: &str = "roster/";
 /// Prefix of groups' records.
 pub const GROUP_PREFIX: &str = "groups/";
--- a/src/proxy/duty_flow.rs
+++ b/src/proxy/duty_flow.rs
@@ -40,6 +40,27 @@
     }
 }
 
+/// Takes hosts off the roster that have been absent for long.
+pub fn tidy_roster(ctx: &mut proxy_context::ProxyContext) {
+    if ctx.duty_token().is_none() {
+        return;
+    }
+    let kept = ctx.tuning.share_kept;
+    let absent = |host: &String| {
+        let member = ctx.members.get(host);
+        member.is_some_and(|member| member.gone.is_some_and(|gone| ctx.now.since(gone) >= kept))
+    };
+    let gone = ctx.roster.iter().find(|(host, _)| absent(host));
+    let Some((host, revision)) = gone.map(|(host, revision)| (host.clone(), *revision)) else {
+        return;
+    };
+    log::info!("event=host_struck_off host={host}");
+    // One at a time: the next look comes with the next renewal of the duty.
+    let key = format!("{}{host}", change_record::ROSTER_PREFIX);
+    let request = store_message::StoreRequest::Remove { key, expect: revision };
+    ctx.call_store(store_session::StorePurpose::Farewell, request);
+}
+
 /// Takes up the store's answer to the taking of a lease.
 pub fn on_lease(
     ctx: &mut proxy_context::ProxyContext,
@@ -82,6 +103,7 @@
     ctx.duty.open = false;
     match reply {
         store_message::StoreReply::Leased { ttl, .. } => {
+            tidy_roster(ctx);
             let until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
             ctx.duty.until = ctx.duty.until.max(until);
         }
--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -54,6 +54,14 @@
         store_session::StorePurpose::Watch => on_changed(ctx, reply),
         store_session::StorePurpose::HostLease => on_host_lease(ctx, call, &reply),
         store_session::StorePurpose::HostRecord { lease } => on_host_record(ctx, *lease, &reply),
+        store_session::StorePurpose::RosterRecord => {
+            ctx.store.lease_open = false;
+            ctx.store.next_lease = ctx.now.after(ctx.tuning.store_pause);
+            if let store_message::StoreReply::Written { revision } = reply {
+                ctx.roster.insert(ctx.identity.host.clone(), revision);
+                ctx.store.next_lease = ctx.now;
+            }
+        }
         store_session::StorePurpose::HostKeep { lease } => on_host_keep(ctx, call, *lease, &reply),
         store_session::StorePurpose::DutyLease => duty_flow::on_lease(ctx, call, &reply),
         store_session::StorePurpose::DutyRecord => duty_flow::on_record(ctx, &reply),
@@ -397,6 +405,18 @@
         let record = bytes.and_then(|bytes| decode(key, &bytes));
         return take_member(ctx, host, record);
     }
+    if let Some(host) = key.strip_prefix(change_record::ROSTER_PREFIX) {
+        match bytes.and_then(|bytes| decode::<change_record::MemberRecord>(key, &bytes)) {
+            Some(record) => {
+                ctx.roster.insert(host.to_owned(), revision);
+                // A host that does not run is known by its entry alone.
+                let absent = member_view::MemberView::absent(record, ctx.now);
+                ctx.members.entry(host.to_owned()).or_insert(absent);
+            }
+            None => drop(ctx.roster.remove(host)),
+        }
+        return;
+    }
     if let Some(group) = key.strip_prefix(change_record::GROUP_PREFIX) {
         let group = group_key(ctx, group);
         if let Some(record) = bytes.and_then(|bytes| decode(key, &bytes)) {
@@ -440,16 +460,8 @@
         record.incarnation,
         record.address
     );
-    let view = member_view::MemberView {
-        record,
-        gone: None,
-        heard: None,
-        stamp: 0,
-        echoed: None,
-        dealing: 0,
-        silent: Default::default(),
-        sights: Default::default(),
-    };
+    let view =
+        member_view::MemberView { gone: None, ..member_view::MemberView::absent(record, now) };
     ctx.members.insert(host.to_owned(), view);
     // The newcomer learns at once what this host says of itself.
     ctx.pulsed = Default::default();
@@ -463,6 +475,7 @@
             let request = store_message::StoreRequest::Keep { lease };
             ctx.call_store(store_session::StorePurpose::HostKeep { lease }, request);
         }
+        (Some(_), None) if !stopping && !ctx.roster.contains_key(&ctx.identity.host) => enrol(ctx),
         (Some(lease), None) if !stopping => register(ctx, lease),
         (None, _) if !stopping => {
             ctx.store.lease_open = true;
@@ -474,6 +487,19 @@
     }
 }
 
+/// Writes this host's entry in the roster.
+fn enrol(ctx: &mut proxy_context::ProxyContext) {
+    // Without a full reading this host does not know whether its entry is there.
+    if ctx.store.revision.is_none() {
+        return;
+    }
+    let Ok(value) = rmp_serde::to_vec(&ctx.identity) else { return };
+    ctx.store.lease_open = true;
+    let key = format!("{}{}", change_record::ROSTER_PREFIX, ctx.identity.host);
+    let request = store_message::StoreRequest::Write { key, value, lease: 0, expect: None };
+    ctx.call_store(store_session::StorePurpose::RosterRecord, request);
+}
+
 fn register(ctx: &mut proxy_context::ProxyContext, lease: u64) {
     let Ok(value) = rmp_serde::to_vec(&ctx.identity) else { return };
     ctx.store.lease_open = true;
--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -22,6 +22,11 @@
 const PREPARED_MAX: usize = 256;
 /// Time after which a link at rest is closed.
 const REST_LIMIT: Duration = Duration::from_secs(40);
+/// Part of an endpoint's connections that the hosts share out: the rest is for hosts that start
+/// again while the endpoint still holds the connections of their predecessors.
+const LINKS_USED: usize = 2;
+/// See `LINKS_USED`.
+const LINKS_ALL: usize = 3;
 /// Pause before the next link to an endpoint that had too many.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// Mean of how many answers an endpoint's latency is taken over.
@@ -61,7 +66,7 @@
     let name = &ctx.groups[group].name;
     let object = ctx.config.as_ref().and_then(|config| config.groups.get(name));
     let most = object.map_or(1, |object| object.max_links) as usize;
-    (most / ctx.dealing.hosts.len().max(1)).max(1)
+    (most * LINKS_USED / LINKS_ALL / ctx.dealing.hosts.len().max(1)).max(1)
 }
 
 /// Whether the endpoint lately had more links than it takes, so that none is opened.
--- a/src/proxy/member_flow.rs
+++ b/src/proxy/member_flow.rs
@@ -11,7 +11,7 @@
 use crate::proxy::sample_log;
 
 /// Time for which a primary must have failed before this host says so.
-const FAILING_FOR: Duration = Duration::from_millis(200);
+const FAILING_FOR: Duration = Duration::from_millis(50);
 /// Age of a sample beyond which peers are not told of it.
 const SAMPLE_TOLD: Duration = Duration::from_millis(1_000);
 /// Time for which a host's word counts.
--- a/src/proxy/member_view.rs
+++ b/src/proxy/member_view.rs
@@ -26,3 +26,19 @@
     /// Its views of groups, by group.
     pub sights: BTreeMap<String, peer_datagram::PrimarySight>,
 }
+
+impl MemberView {
+    /// A host that is not known to run.
+    pub fn absent(record: change_record::MemberRecord, now: clock_time::ClockTime) -> Self {
+        Self {
+            record,
+            gone: Some(now),
+            heard: None,
+            stamp: 0,
+            echoed: None,
+            dealing: 0,
+            silent: BTreeSet::new(),
+            sights: BTreeMap::new(),
+        }
+    }
+}
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -167,6 +167,9 @@
     pub store_calls: HashMap<core_message::CallId, store_session::StoreCall>,
     /// Appointments under way.
     pub appointments: HashMap<core_message::CallId, arena_keys::GroupKey>,
+    /// Names of the hosts that take part, whether they run or not, and the revisions of their
+    /// entries.
+    pub roster: BTreeMap<String, u64>,
     /// All hosts, by name.
     pub members: BTreeMap<String, member_view::MemberView>,
     /// Sets of hosts that were in force until lately, with the time at which each was superseded.
@@ -203,8 +206,10 @@
     pub stopped: bool,
     /// Whether this host said last that new callers are welcome.
     pub ready: bool,
-    /// When this host could last rely on any record.
+    /// When the store or most hosts were last in reach.
     pub touched: clock_time::ClockTime,
+    /// When the process started.
+    pub started: clock_time::ClockTime,
     next_call: core_message::CallId,
 }
 
@@ -240,6 +245,7 @@
             store: store_session::StoreSession::default(),
             store_calls: HashMap::new(),
             appointments: HashMap::new(),
+            roster: BTreeMap::new(),
             members: BTreeMap::new(),
             past_hosts: VecDeque::new(),
             pulsed: clock_time::ClockTime::default(),
@@ -259,6 +265,7 @@
             stopped: false,
             ready: false,
             touched: now,
+            started: now,
             next_call: 1,
         })
     }
@@ -306,26 +313,28 @@
         self.store.tenured(self.now) || self.quorum(view)
     }
 
-    /// Whether this host can rely on any record, so that it is of use to callers.
-    pub fn in_touch(&self) -> bool {
-        self.store.tenured(self.now) || self.groups.keys().any(|group| self.permitted(group))
+    /// Whether the store or most hosts were heard within `span`: without either, this host will soon
+    /// have nothing to rely on.
+    pub fn in_touch(&self, span: Duration) -> bool {
+        let since = self.now.before(span);
+        let kept = self.kept_hosts();
+        let heard = kept.iter().filter(|host| {
+            let member = self.members.get(*host);
+            let heard = member.and_then(|member| member.heard);
+            **host == self.identity.host || heard.is_some_and(|heard| heard > since)
+        });
+        self.store.answered > since || heard.count() * 2 > kept.len()
     }
 
     fn quorum(&self, view: &group_view::GroupView) -> bool {
-        let kept = self.tuning.share_kept;
         let since = self.now.before(self.tuning.quorum_word);
-        let (mut all, mut agreeing) = (0, 0);
-        for member in self.members.values() {
-            if member.gone.is_some_and(|gone| self.now.since(gone) >= kept) {
-                continue;
-            }
-            all += 1;
-            let own = member.record.host == self.identity.host;
+        let agreeing = self.roster.keys().filter(|host| {
+            let Some(member) = self.members.get(*host) else { return false };
             let known = member.sights.get(&view.name).map_or(0, |sight| sight.known_epoch);
             let heard = member.echoed.is_some_and(|echoed| echoed > since);
-            agreeing += usize::from(own || (heard && known <= view.epoch()));
-        }
-        self.store.enrolled && agreeing * 2 > all
+            **host == self.identity.host || (heard && known <= view.epoch())
+        });
+        self.store.enrolled && agreeing.count() * 2 > self.roster.len()
     }
 
     /// Returns the endpoint that may be used as the group's primary now.
@@ -348,13 +357,9 @@
         own.then_some(*revision)
     }
 
-    /// Returns the hosts that take part, those included that vanished not long ago.
+    /// Returns the hosts that take part, whether they run or not.
     pub fn kept_hosts(&self) -> Vec<String> {
-        let kept = self.tuning.share_kept;
-        let members = self.members.iter();
-        let members = members
-            .filter(|(_, member)| member.gone.is_none_or(|since| self.now.since(since) < kept));
-        members.map(|(name, _)| name.clone()).collect()
+        self.roster.keys().cloned().collect()
     }
 
     /// Writes a line about a request or a belief, within the budget of lines.
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -20,8 +20,10 @@
 use crate::proxy::session_state;
 use crate::proxy::shutdown_flow;
 
-/// Time without anything to rely on after which a host asks for no more callers.
-const OUT_OF_TOUCH: Duration = Duration::from_millis(300);
+/// Time in which the store or most hosts must have been heard; two renewals of the lease fit in.
+const TOUCH_SPAN: Duration = Duration::from_millis(700);
+/// Time out of touch after which a host asks for no more callers.
+const OUT_OF_TOUCH: Duration = Duration::from_millis(100);
 
 /// The proxy core of one host.
 #[derive(Debug)]
@@ -132,7 +134,7 @@
         {
             ctx.past_hosts.pop_front();
         }
-        if ctx.in_touch() {
+        if ctx.in_touch(TOUCH_SPAN) {
             ctx.touched = ctx.now;
         }
         Self::end_idle_transactions(ctx);
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -67,7 +67,7 @@
             store_pause: Duration::from_millis(100),
             pulse: Duration::from_millis(250),
             ping_after: Duration::from_millis(300),
-            silent_after: Duration::from_millis(600),
+            silent_after: Duration::from_millis(450),
             open_limit: Duration::from_millis(800),
             gone_grace: Duration::from_millis(2_500),
             leave_limit: Duration::from_millis(5_500),
--- a/src/proxy/quota_flow.rs
+++ b/src/proxy/quota_flow.rs
@@ -117,10 +117,15 @@
         return;
     }
     ctx.dealing.attested = true;
-    ctx.dealing.opened = true;
     let opens = ctx.now.after(OPEN_MARGIN);
+    // Since its start the process has spent nothing, and its predecessor nothing either.
+    let unspent = (!ctx.dealing.opened).then(|| ctx.now.since(ctx.started));
+    ctx.dealing.opened = true;
     for account in ctx.accounts.values_mut() {
         account.ledger.open_at(opens);
+        if let Some(span) = unspent {
+            account.ledger.credit(span);
+        }
     }
     log::info!("event=shares_open dealing={:x}", ctx.dealing.number);
 }
--- a/src/proxy/store_message.rs
+++ b/src/proxy/store_message.rs
@@ -111,6 +111,13 @@
         /// Revision that the record must have, 0 for absent; `None` for no condition.
         expect: Option<u64>,
     },
+    /// Removes one record of this product.
+    Remove {
+        /// Key below the product's prefix.
+        key: String,
+        /// Revision that the record must have.
+        expect: u64,
+    },
 }
 
 /// The answer to a call.
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -21,6 +21,8 @@
         /// The lease.
         lease: u64,
     },
+    /// This host's entry in the roster.
+    RosterRecord,
     /// Renewal of this host's lease.
     HostKeep {
         /// The lease.
--- a/src/share_ledger.rs
+++ b/src/share_ledger.rs
@@ -130,6 +130,8 @@
     /// Tokens that peers have spent for statements that wait here, and how long they may be used.
     passes: u32,
     passes_until: ClockTime,
+    /// Tokens that come with the opening of the share dealt last.
+    credit: f64,
 }
 
 impl ShareLedger {
@@ -148,6 +150,7 @@
             demand_at: now,
             passes: 0,
             passes_until: now,
+            credit: 0.0,
         }
     }
 
@@ -169,6 +172,12 @@
         }
     }
 
+    /// Counts tokens that the share dealt last would have accrued in `span`; they are there as soon
+    /// as it opens.
+    pub fn credit(&mut self, span: Duration) {
+        self.credit = (self.dealt().rate * span.as_secs_f64()).min(self.dealt().burst);
+    }
+
     /// Returns the home share dealt last, open or not.
     pub fn dealt(&self) -> SharePart {
         self.next_home.map_or(self.home, |(home, _)| home)
@@ -387,6 +396,7 @@
         self.borrowed.retain(|loan| loan.until > at);
         if let Some((home, _)) = self.next_home.take_if(|(_, opens)| *opens <= at) {
             self.home = home;
+            self.tokens += std::mem::take(&mut self.credit);
         }
         self.settle();
     }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -7,6 +7,7 @@
 use proxy_fakes::fake_store;
 use proxy_fakes::{Place, ProxyFleet, read, write};
 use quetzaldeal::endpoint_message;
+use quetzaldeal::proxy::change_record;
 use quetzaldeal::proxy::endpoint_command;
 use quetzaldeal::proxy::sample_log;
 use quetzaldeal::proxy::session_request;
@@ -51,6 +52,17 @@
     answer.answer.verdict.fate == request_verdict::RequestFate::Ran
 }
 
+/// Whether some host knows that a primary is being appointed.
+fn appointing(fleet: &ProxyFleet) -> bool {
+    (0..4).any(|host| {
+        let groups = &fleet.core(host).context().groups;
+        groups.values().any(|group| {
+            let record = group.record.as_ref();
+            record.is_some_and(|record| record.phase == change_record::ChangePhase::Appointing)
+        })
+    })
+}
+
 /// Time until a write is served again, by asking every 20 ms.
 fn gap(fleet: &mut ProxyFleet, host: usize, caller: u64) -> Duration {
     let start = fleet.now;
@@ -220,6 +232,27 @@
         fleet.run(millis(5_000));
         assert!(fleet.stopped(0));
     };
+    an_appointment_under_way_is_not_taken_back: |fleet| {
+        let caller = fleet.open(0, "large", "strict");
+        assert!(ran(fleet, 0, caller, write()));
+        fleet.evacuate("centre0", true);
+        while !appointing(fleet) {
+            fleet.run(millis(1));
+        }
+        fleet.run(millis(10));
+        fleet.evacuate("centre0", false);
+        for host in 0..4 {
+            fleet.kill_host(host);
+            fleet.start_host(host);
+        }
+        for _ in 0..150 {
+            for host in 0..4 {
+                let caller = fleet.open(host, "large", "strict");
+                fleet.send(host, caller, write());
+            }
+            fleet.run(millis(20));
+        }
+    };
     a_host_about_to_end_takes_no_session: |fleet| {
         fleet.stop_host(0);
         fleet.run(millis(2_350));
--- a/tests/proxy_fakes/fake_store.rs
+++ b/tests/proxy_fakes/fake_store.rs
@@ -143,6 +143,13 @@
                 answers.push((host, call, store_message::StoreReply::LeaseGone));
                 return answers;
             }
+            store_message::StoreRequest::Remove { key, .. } => {
+                self.change(store_message::FeedSubject::Record(key), None, 0);
+                let mut answers = self.answer_watches();
+                let reply = store_message::StoreReply::Written { revision: self.revision };
+                answers.push((host, call, reply));
+                return answers;
+            }
             store_message::StoreRequest::Write { key, value, lease, expect } => {
                 let subject = store_message::FeedSubject::Record(key);
                 let held = self.items.get(&subject).map_or(0, |item| item.revision);
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -30,7 +30,7 @@
 /// Time between a host and the store, one way, in microseconds.
 const STORE_US: u64 = 2_000;
 /// Time from a promotion's acceptance to its effect, in microseconds.
-const PROMOTE_US: u64 = 300_000;
+const PROMOTE_US: u64 = 1_000_000;
 /// Time after which a replaced primary that was told nothing notices by itself, in microseconds.
 const NOTICE_US: u64 = 1_000_000;
 
