fix(proxy): an echoed stamp counts only for the process that it came from

Ruled out: relayed samples passed on in a circle (each step only makes them older). Change: an echo names the incarnation. Links slow after a start of most hosts together; counts every 10 s in the log.

--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -27,6 +27,8 @@
 const LINKS_USED: usize = 2;
 /// See `LINKS_USED`.
 const LINKS_ALL: usize = 3;
+/// Time for which endpoints may still hold the connections of hosts that ended without a word.
+const LINKS_LINGER: Duration = Duration::from_millis(3_300);
 /// Pause before the next link to an endpoint that had too many.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// Mean of how many answers an endpoint's latency is taken over.
@@ -66,6 +68,9 @@
     let name = &ctx.groups[group].name;
     let object = ctx.config.as_ref().and_then(|config| config.groups.get(name));
     let most = object.map_or(1, |object| object.max_links) as usize;
+    if ctx.started_together() && ctx.now.since(ctx.started) < LINKS_LINGER {
+        return 1;
+    }
     (most * LINKS_USED / LINKS_ALL / ctx.dealing.hosts.len().max(1)).max(1)
 }
 
--- a/src/proxy/member_flow.rs
+++ b/src/proxy/member_flow.rs
@@ -74,8 +74,9 @@
     member.heard = Some(now);
     member.dealing = pulse.dealing;
     member.stamp = member.stamp.max(pulse.stamp);
-    let spoken = clock_time::ClockTime::from_micros(pulse.echo);
-    if pulse.echo > 0 && spoken <= now {
+    let valid = pulse.echo > 0 && pulse.echo_incarnation == ctx.identity.incarnation;
+    let spoken = valid.then(|| clock_time::ClockTime::from_micros(pulse.echo));
+    if let Some(spoken) = spoken {
         member.echoed = Some(member.echoed.map_or(spoken, |echoed| echoed.max(spoken)));
     }
     let sights: BTreeMap<String, peer_datagram::PrimarySight> =
@@ -99,7 +100,7 @@
 fn take_sight(
     ctx: &mut proxy_context::ProxyContext,
     sight: &peer_datagram::PrimarySight,
-    spoken: clock_time::ClockTime,
+    spoken: Option<clock_time::ClockTime>,
 ) {
     let Some(group) = ctx.group_names.get(&sight.group).copied() else { return };
     let view = &mut ctx.groups[group];
@@ -109,9 +110,7 @@
     }
     let view = &mut ctx.groups[group];
     let Some((point, age)) = sight.sample else { return };
-    if spoken == clock_time::ClockTime::default() || sight.known_epoch != view.epoch() {
-        return;
-    }
+    let Some(spoken) = spoken.filter(|_| sight.known_epoch == view.epoch()) else { return };
     let asked = spoken.before(Duration::from_micros(age));
     view.samples.push(sample_log::LogSample { asked, point });
 }
@@ -123,6 +122,7 @@
     }
     let Some(member) = ctx.members.get(host) else { return };
     let (address, echo) = (member.record.address.clone(), member.stamp);
+    let echo_incarnation = member.record.incarnation;
     let sights = ctx.groups.values().filter(|group| group.record.is_some()).map(|group| {
         let sample = group
             .samples
@@ -147,6 +147,7 @@
         silent: silent_hosts(ctx),
         stamp: ctx.now.as_micros(),
         echo,
+        echo_incarnation,
         hello,
     };
     quota_flow::tell(ctx, address, peer_datagram::PeerDatagram::Pulse(pulse));
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -42,6 +42,8 @@
     pub stamp: u64,
     /// The last stamp that the sender has from the receiver, 0 for none.
     pub echo: u64,
+    /// The receiver's incarnation that the stamp came from; clocks start anew with some.
+    pub echo_incarnation: u64,
     /// Whether the sender wants an answer at once.
     pub hello: bool,
 }
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -47,6 +47,9 @@
 const LINK_EVENTS: [&str; 7] =
     ["opened", "failed", "silent", "discarded", "call_sent", "call_answered", "transaction_begun"];
 
+/// Time between starts of hosts that count as starting together.
+const STARTED_TOGETHER: Duration = Duration::from_secs(3);
+
 /// What a timer is for. Timers are never cancelled; those that have lost their cause do nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProxyTimer {
@@ -208,6 +211,8 @@
     pub ready: bool,
     /// When the store or most hosts were last in reach.
     pub touched: clock_time::ClockTime,
+    /// When counts were last written to the log.
+    pub told: clock_time::ClockTime,
     /// When the process started.
     pub started: clock_time::ClockTime,
     next_call: core_message::CallId,
@@ -265,6 +270,7 @@
             stopped: false,
             ready: false,
             touched: now,
+            told: now,
             started: now,
             next_call: 1,
         })
@@ -362,6 +368,15 @@
         self.roster.keys().cloned().collect()
     }
 
+    /// Whether most hosts started at about the time that this one did: all may have ended at once.
+    pub fn started_together(&self) -> bool {
+        let own = self.identity.incarnation;
+        let near = self.members.values().filter(|member| {
+            member.record.incarnation.abs_diff(own) < STARTED_TOGETHER.as_micros() as u64
+        });
+        near.count() * 2 > self.roster.len()
+    }
+
     /// Writes a line about a request or a belief, within the budget of lines.
     pub fn note(&mut self, line: impl FnOnce() -> String) {
         self.decisions.write(self.now, line);
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -25,6 +25,9 @@
 /// Time out of touch after which a host asks for no more callers.
 const OUT_OF_TOUCH: Duration = Duration::from_millis(100);
 
+/// Time between lines of counts in the log.
+const COUNTS_TOLD: Duration = Duration::from_secs(10);
+
 /// The proxy core of one host.
 #[derive(Debug)]
 pub struct ProxyCore {
@@ -141,6 +144,30 @@
         shutdown_flow::on_tick(ctx);
         shutdown_flow::shed_callers(ctx);
         Self::tell_readiness(ctx);
+        if ctx.now.since(ctx.told) >= COUNTS_TOLD {
+            ctx.told = ctx.now;
+            Self::tell_counts(ctx);
+        }
+    }
+
+    /// Writes what was served and refused so far, so that the log alone shows each account's lot.
+    fn tell_counts(ctx: &proxy_context::ProxyContext) {
+        let refused = &ctx.counts.unserved;
+        let refused: u64 = refused.values().sum();
+        let served: Vec<String> =
+            ctx.counts.served.iter().map(|(name, count)| format!("{name}:{count}")).collect();
+        log::info!(
+            "event=counts sessions={} links={} replica_reads={} primary_reads={} links_opened={} \
+             store_calls={} datagrams={} unserved={refused} served={}",
+            ctx.sessions.len(),
+            ctx.links.len(),
+            ctx.counts.replica_reads,
+            ctx.counts.primary_reads,
+            ctx.counts.links_opened,
+            ctx.counts.store_calls,
+            ctx.counts.datagrams,
+            served.join(",")
+        );
     }
 
     /// Rolls back transactions whose callers have been silent for longer than the configuration
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -243,7 +243,7 @@
         fleet.evacuate("centre0", false);
         for host in 0..4 {
             fleet.kill_host(host);
-            fleet.start_host(host);
+            fleet.start_host(host, Duration::ZERO);
         }
         for _ in 0..150 {
             for host in 0..4 {
@@ -285,7 +285,7 @@
         }
         fleet.run(millis(1_000));
         for host in 0..4 {
-            fleet.start_host(host);
+            fleet.start_host(host, Duration::ZERO);
         }
         fleet.run(millis(2_000));
         let caller = fleet.open(0, "large", "strict");
@@ -316,6 +316,38 @@
     assert!(fleet.faults.is_empty(), "{:#?}", fleet.faults);
 }
 
+/// What peers heard from a host's last process says nothing about the clock of its next one.
+#[test]
+fn a_host_whose_clock_starts_anew_takes_no_proof_from_its_past() {
+    // A pulse has to fall between the start and the moment at which peers learn of it.
+    for seed in 0..40 {
+        restart_with_an_earlier_clock(seed);
+    }
+}
+
+fn restart_with_an_earlier_clock(seed: u64) {
+    let mut fleet = settled(4, seed);
+    fleet.run(millis(8_000 + seed * 7));
+    fleet.kill_host(3);
+    fleet.start_host(3, Duration::from_secs(8));
+    fleet.run(millis(700));
+    let caller = fleet.open(3, "large", "aged");
+    let writer = fleet.open(0, "large", "strict");
+    for id in ["db1", "db2"] {
+        fleet.databases.get_mut(id).expect("a database").lag = 60_000_000;
+    }
+    fleet.cut(Place::Host(3), Place::Database("db0".to_owned()));
+    for peer in 0..3 {
+        fleet.cut(Place::Host(3), Place::Host(peer));
+    }
+    for _ in 0..100 {
+        fleet.ask(0, writer, write());
+        fleet.send(3, caller, read());
+        fleet.run(millis(40));
+    }
+    assert!(fleet.faults.is_empty(), "seed {seed}: {:#?}", fleet.faults);
+}
+
 /// An account that asks for twice its rate, unevenly over the hosts, gets most of it and no more.
 #[test]
 fn an_account_over_its_rate_gets_its_rate() {
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -114,6 +114,8 @@
     ready: bool,
     stopped: bool,
     next_wake: u64,
+    /// What its clock is behind by, in microseconds.
+    behind: u64,
 }
 
 #[derive(Debug)]
@@ -270,13 +272,21 @@
         self.sessions.retain(|(other, _), _| *other != host);
     }
 
-    /// Starts a killed host again; it knows nothing.
-    pub(crate) fn start_host(&mut self, host: usize) {
+    /// Starts a killed host again; it knows nothing, and its clock is behind by a span.
+    pub(crate) fn start_host(&mut self, host: usize, behind: Duration) {
         let life = self.hosts[host].life + 1;
         let seed = self.rng.random();
-        let core = build_core(host, life, self.now, &self.tuning, seed);
-        self.hosts[host] =
-            FakeHost { core, life, alive: true, ready: false, stopped: false, next_wake: u64::MAX };
+        let behind = behind.as_micros() as u64;
+        let core = build_core(host, life, self.now - behind, &self.tuning, seed);
+        self.hosts[host] = FakeHost {
+            core,
+            life,
+            alive: true,
+            ready: false,
+            stopped: false,
+            next_wake: u64::MAX,
+            behind,
+        };
         self.push(self.now, Step::Wake { host, life });
     }
 
@@ -491,6 +501,7 @@
             ready: false,
             stopped: false,
             next_wake: u64::MAX,
+            behind: 0,
         });
         let spread = number as u64 * 30_000;
         self.push(self.now + spread, Step::Wake { host: number, life: 1 });
@@ -509,13 +520,14 @@
         if !self.hosts[host].alive {
             return;
         }
-        let now = clock_time::ClockTime::from_micros(self.now);
+        let behind = self.hosts[host].behind;
+        let now = clock_time::ClockTime::from_micros(self.now - behind);
         let actions = self.hosts[host].core.handle(now, event);
         for action in actions {
             self.perform(host, action);
         }
         let wake = self.hosts[host].core.next_wake();
-        let wake = wake.map_or(u64::MAX, |wake| wake.as_micros().max(self.now));
+        let wake = wake.map_or(u64::MAX, |wake| (wake.as_micros() + behind).max(self.now));
         if wake < self.hosts[host].next_wake || self.hosts[host].next_wake <= self.now {
             self.hosts[host].next_wake = wake;
             let life = self.hosts[host].life;
