fix(proxy): a watch that the store forgot is opened again

Other calls worked again, but the watch was waited for until its 10 s were over, and configurations were learnt 4.6 s late. Ruled out: a broken connection (keep-alive was answered all the while). Change: a watch waits 1.5 s, and may be 0.6 s late; one from before an outage is given up when the store answers again. Two scenarios, failing first.

--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -88,6 +88,9 @@
         ctx.store.lost = failed;
         let revision = ctx.store.revision;
         let event = if failed { "store_lost" } else { "store_regained" };
+        if !failed {
+            drop_watch(ctx);
+        }
         log::warn!(
             "event={event} last_answer_ms={age} revision={revision:?} reply={}",
             reply_name(reply)
@@ -95,6 +98,16 @@
     }
 }
 
+/// Gives up a watch from before an outage: the store may have forgotten it.
+fn drop_watch(ctx: &mut proxy_context::ProxyContext) {
+    let before = ctx.store_calls.len();
+    ctx.store_calls.retain(|_, call| call.purpose != store_session::StorePurpose::Watch);
+    if ctx.store_calls.len() < before {
+        ctx.store.reading_open = false;
+        ctx.store.next_read = ctx.now;
+    }
+}
+
 fn reply_name(reply: &store_message::StoreReply) -> &'static str {
     match reply {
         store_message::StoreReply::Unanswered => "unanswered",
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -19,7 +19,7 @@
     pub duty_renewal: Duration,
     /// Taken off every lease, for the time between a check and what it allows.
     pub lease_margin: Duration,
-    /// Longest wait of a watch on the store.
+    /// Longest wait of a watch on the store; one that the store forgot is noticed after it.
     pub watch_wait: Duration,
     /// Pause before a call to the store that failed is made again; doubled up to eight times it.
     pub store_pause: Duration,
@@ -63,7 +63,7 @@
             duty_lease: Duration::from_millis(1_500),
             duty_renewal: Duration::from_millis(400),
             lease_margin: Duration::from_millis(150),
-            watch_wait: Duration::from_millis(10_000),
+            watch_wait: Duration::from_millis(1_500),
             store_pause: Duration::from_millis(100),
             pulse: Duration::from_millis(250),
             ping_after: Duration::from_millis(300),
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -253,6 +253,29 @@
             fleet.run(millis(20));
         }
     };
+    a_watch_that_the_store_forgot_is_opened_again: |fleet| {
+        fleet.store.forget_watches();
+        fleet.reconfigure(|config| config.keys.clear());
+        // The configuration has to be in force within 3 s.
+        fleet.run(millis(2_500));
+        for host in 0..4 {
+            let caller = fleet.open(host, "large", "aged");
+            let refusal = fleet.greeting(host, caller).expect("a refusal");
+            assert_eq!(refusal.cause, request_verdict::VerdictCause::KeyRejected, "host {host}");
+        }
+    };
+    a_watch_from_before_an_outage_is_opened_again: |fleet| {
+        fleet.store.mood = fake_store::StoreMood::Silent;
+        fleet.store.forget_watches();
+        fleet.run(millis(4_500));
+        fleet.store.mood = fake_store::StoreMood::Up;
+        fleet.reconfigure(|config| config.keys.clear());
+        fleet.run(millis(2_500));
+        for host in 0..4 {
+            let caller = fleet.open(host, "large", "aged");
+            assert!(fleet.greeting(host, caller).is_some(), "host {host}");
+        }
+    };
     a_host_about_to_end_takes_no_session: |fleet| {
         fleet.stop_host(0);
         fleet.run(millis(2_350));
--- a/tests/proxy_fakes/fake_store.rs
+++ b/tests/proxy_fakes/fake_store.rs
@@ -173,6 +173,11 @@
         vec![(host, call, reply)]
     }
 
+    /// Forgets all watches without a word.
+    pub(crate) fn forget_watches(&mut self) {
+        self.watches.clear();
+    }
+
     /// Drops the watches of a host that has ended.
     pub(crate) fn forget_host(&mut self, host: usize) {
         self.watches.retain(|watch| watch.host != host);
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -629,7 +629,7 @@
                     _ => 0,
                 };
                 self.push(self.now + STORE_US, Step::Store { host, life, call, request });
-                let late = self.now + wait + 1_200_000;
+                let late = self.now + if wait > 0 { wait + 600_000 } else { 1_200_000 };
                 let event = proxy_message::ProxyEvent::StoreAnswered {
                     call,
                     reply: store_message::StoreReply::Unanswered,
