--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -169,6 +169,9 @@
     sessions: HashMap<(usize, core_message::CallerId), (String, String)>,
     asked: HashMap<String, AskedRequest>,
     counted: BTreeSet<String>,
+    /// Requests that await answers, oldest first, and whether each writes.
+    sent: HashMap<(usize, core_message::CallerId), VecDeque<(String, bool)>>,
+    /// Writes of open transactions.
     wrote: HashMap<(usize, core_message::CallerId), Vec<String>>,
     acked: Vec<AckedWrite>,
     values: HashMap<(usize, core_message::CallerId), BTreeMap<String, String>>,
@@ -200,6 +203,7 @@
             sessions: HashMap::new(),
             asked: HashMap::new(),
             counted: BTreeSet::new(),
+            sent: HashMap::new(),
             wrote: HashMap::new(),
             acked: Vec::new(),
             values: HashMap::new(),
@@ -441,9 +445,7 @@
                 ..
             }
         );
-        if writes {
-            self.wrote.entry((host, caller)).or_default().push(id.clone());
-        }
+        self.sent.entry((host, caller)).or_default().push_back((id.clone(), writes));
         let event = proxy_message::ProxyEvent::CallerAsked { caller, id: id.clone(), request };
         self.give(host, event);
         id
@@ -848,6 +850,12 @@
         answer: &proxy_message::CallerAnswer,
     ) {
         let session = (host, caller);
+        let Some((id, writes)) = self.sent.get_mut(&session).and_then(VecDeque::pop_front) else {
+            return self.faults.push(format!("an answer to nothing at host {host}"));
+        };
+        if writes {
+            self.wrote.entry(session).or_default().push(id);
+        }
         if answer.phase == endpoint_command::SessionPhase::Open {
             return;
         }
--- /dev/null
+++ b/tests/proxy_properties.rs
@@ -0,0 +1,224 @@
+//! Random histories of faults against several proxy cores, held against the truth of the fakes.
+//!
+//! `PROPERTY_SEED` and `PROPERTY_CASES` choose other and more histories than CI plays.
+
+mod proxy_fakes;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use proxy_fakes::fake_store;
+use proxy_fakes::{Place, ProxyFleet, read, write};
+use quetzaldeal::proxy::session_request;
+
+const HOSTS: usize = 5;
+const CASES_IN_CI: u32 = 24;
+/// Rate and burst of the account that asks for more than its rate.
+const SMALL_RATE: f64 = 30.0;
+
+/// One thing that goes wrong, or right again.
+#[derive(Debug, Clone)]
+enum FaultStep {
+    KillHost { host: usize, back_ms: u64 },
+    StopHost { host: usize },
+    CutHostFromStore { host: usize },
+    CutHostFromPeers { host: usize },
+    CutHostFromDatabase { host: usize, database: usize },
+    Heal,
+    CrashDatabase { database: usize, lapse: bool },
+    RestartDatabase { database: usize },
+    DrainDatabase { database: usize, on: bool },
+    Evacuate { centre: usize, on: bool },
+    Lag { database: usize, millis: u64 },
+    Store { mood: fake_store::StoreMood },
+    Compact,
+    LoseAnswers { part: f64 },
+    Reconfigure,
+    KillAll { back_ms: u64 },
+    Pause { millis: u64 },
+}
+
+fn fault_step() -> impl Strategy<Value = FaultStep> {
+    let host = 0..HOSTS;
+    let database = 0..3_usize;
+    prop_oneof![
+        (host.clone(), 100..1_500_u64)
+            .prop_map(|(host, back_ms)| FaultStep::KillHost { host, back_ms }),
+        host.clone().prop_map(|host| FaultStep::StopHost { host }),
+        host.clone().prop_map(|host| FaultStep::CutHostFromStore { host }),
+        host.clone().prop_map(|host| FaultStep::CutHostFromPeers { host }),
+        (host, database.clone())
+            .prop_map(|(host, database)| FaultStep::CutHostFromDatabase { host, database }),
+        Just(FaultStep::Heal),
+        (database.clone(), any::<bool>())
+            .prop_map(|(database, lapse)| FaultStep::CrashDatabase { database, lapse }),
+        database.clone().prop_map(|database| FaultStep::RestartDatabase { database }),
+        (database.clone(), any::<bool>())
+            .prop_map(|(database, on)| FaultStep::DrainDatabase { database, on }),
+        (0..3_usize, any::<bool>()).prop_map(|(centre, on)| FaultStep::Evacuate { centre, on }),
+        (database, 1..4_000_u64).prop_map(|(database, millis)| FaultStep::Lag { database, millis }),
+        prop_oneof![
+            Just(fake_store::StoreMood::Up),
+            Just(fake_store::StoreMood::Silent),
+            Just(fake_store::StoreMood::Mute)
+        ]
+        .prop_map(|mood| FaultStep::Store { mood }),
+        Just(FaultStep::Compact),
+        (0.0..0.1_f64).prop_map(|part| FaultStep::LoseAnswers { part }),
+        Just(FaultStep::Reconfigure),
+        (100..2_000_u64).prop_map(|back_ms| FaultStep::KillAll { back_ms }),
+        (200..2_500_u64).prop_map(|millis| FaultStep::Pause { millis }),
+    ]
+}
+
+/// A fleet with callers that go on asking whatever happens.
+#[derive(Debug)]
+struct LoadedFleet {
+    fleet: ProxyFleet,
+    callers: Vec<(usize, u64)>,
+    round: u64,
+}
+
+impl LoadedFleet {
+    fn new(seed: u64) -> Self {
+        let accounts = [("large", 1_000.0, 1_000.0), ("small", SMALL_RATE, SMALL_RATE)];
+        let mut fleet = ProxyFleet::new(HOSTS, &accounts, seed);
+        fleet.run(Duration::from_millis(1_500));
+        let mut loaded = Self { fleet, callers: Vec::new(), round: 0 };
+        loaded.open_callers();
+        loaded
+    }
+
+    fn open_callers(&mut self) {
+        for (host, caller) in std::mem::take(&mut self.callers) {
+            self.fleet.close(host, caller);
+        }
+        for host in 0..HOSTS {
+            for database in ["strict", "aged", "own"] {
+                self.callers.push((host, self.fleet.open(host, "large", database)));
+            }
+            self.callers.push((host, self.fleet.open(host, "small", "strict")));
+        }
+    }
+
+    /// Lets time pass under load.
+    fn run(&mut self, millis: u64) {
+        for step in 0..millis / 20 {
+            for (number, (host, caller)) in self.callers.clone().into_iter().enumerate() {
+                let request = match (self.round + number as u64) % 7 {
+                    0 => write(),
+                    1 if number % 4 == 2 => {
+                        session_request::SessionRequest::Begin { read_only: false }
+                    }
+                    3 if number % 4 == 2 => session_request::SessionRequest::Commit,
+                    _ => read(),
+                };
+                self.fleet.send(host, caller, request);
+            }
+            self.round += 1;
+            self.fleet.run(Duration::from_millis(20));
+            if step % 25 == 24 {
+                self.open_callers();
+            }
+        }
+    }
+
+    fn start_again(&mut self, hosts: &[usize], back_ms: u64) {
+        for host in hosts {
+            self.fleet.kill_host(*host);
+        }
+        self.run(back_ms);
+        for host in hosts {
+            self.fleet.start_host(*host, Duration::ZERO);
+        }
+    }
+
+    fn take(&mut self, step: &FaultStep) {
+        match *step {
+            FaultStep::KillHost { host, back_ms } => self.start_again(&[host], back_ms),
+            FaultStep::KillAll { back_ms } => {
+                let all: Vec<usize> = (0..HOSTS).collect();
+                self.start_again(&all, back_ms);
+            }
+            FaultStep::StopHost { host } => {
+                self.fleet.stop_host(host);
+                self.run(6_000);
+                self.start_again(&[host], 20);
+            }
+            FaultStep::CutHostFromStore { host } => self.fleet.cut(Place::Host(host), Place::Store),
+            FaultStep::CutHostFromPeers { host } => {
+                for peer in (0..HOSTS).filter(|peer| *peer != host) {
+                    self.fleet.cut(Place::Host(host), Place::Host(peer));
+                }
+            }
+            FaultStep::CutHostFromDatabase { host, database } => {
+                self.fleet.cut(Place::Host(host), Place::Database(format!("db{database}")));
+            }
+            FaultStep::Heal => self.fleet.heal(),
+            FaultStep::CrashDatabase { database, lapse } => {
+                self.fleet.crash(&format!("db{database}"), lapse);
+            }
+            FaultStep::RestartDatabase { database } => {
+                self.fleet.restart(&format!("db{database}"));
+            }
+            FaultStep::DrainDatabase { database, on } => {
+                self.fleet.register(&format!("db{database}"), on);
+            }
+            FaultStep::Evacuate { centre, on } => {
+                self.fleet.evacuate(&format!("centre{centre}"), on);
+            }
+            FaultStep::Lag { database, millis } => {
+                if let Some(database) = self.fleet.databases.get_mut(&format!("db{database}")) {
+                    database.lag = millis * 1_000;
+                }
+            }
+            FaultStep::Store { mood } => self.fleet.store.mood = mood,
+            FaultStep::Compact => self.fleet.compact_store(),
+            FaultStep::LoseAnswers { part } => self.fleet.lost_answers = part,
+            FaultStep::Reconfigure => {
+                self.fleet
+                    .reconfigure(|config| config.idle_transaction += Duration::from_millis(1));
+            }
+            FaultStep::Pause { millis } => self.run(millis),
+        }
+    }
+}
+
+fn play(seed: u64, steps: &[FaultStep]) -> Result<(), TestCaseError> {
+    let mut loaded = LoadedFleet::new(seed);
+    for step in steps {
+        loaded.take(step);
+        loaded.run(300);
+        prop_assert!(
+            loaded.fleet.faults.is_empty(),
+            "seed {seed}, after {step:?}: {:#?}",
+            loaded.fleet.faults.iter().take(4).collect::<Vec<_>>()
+        );
+    }
+    let window = 5.0;
+    let most = loaded.fleet.most_within("small", Duration::from_secs(5)) as f64;
+    let bound = (SMALL_RATE * window + SMALL_RATE) * 1.1 + 20.0;
+    prop_assert!(most <= bound, "seed {seed}: {most} operations in 5 s, at most {bound} allowed");
+    Ok(())
+}
+
+/// Whatever fails, in whatever order: no stale read, no acknowledgement that is not kept, no
+/// refusal that is not true, nothing twice, no statement in a foreign session, no account over its
+/// rate.
+#[test]
+fn promises_hold_under_random_faults() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let seed = number("PROPERTY_SEED").unwrap_or(1);
+    let cases = number("PROPERTY_CASES").map_or(CASES_IN_CI, |cases| cases as u32);
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let histories = (any::<u64>(), prop::collection::vec(fault_step(), 1..12));
+    let outcome = runner.run(&histories, |(seed, steps)| play(seed, &steps));
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
