--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -777,6 +777,7 @@
         {
             database.log = log;
             database.term = term;
+            database.primary = false;
         }
     }
 
@@ -876,8 +877,16 @@
             match answer.verdict.fate {
                 request_verdict::RequestFate::Ran if answer.signature.is_some() => {
                     if !held(&leader) {
+                        let holders: Vec<String> =
+                            self.databases.keys().filter(|id| held(id)).cloned().collect();
+                        let states: Vec<(bool, u64)> = self
+                            .databases
+                            .values()
+                            .map(|database| (database.primary, database.term))
+                            .collect();
                         self.faults.push(format!(
-                            "{request} acknowledged at {} but the leader {leader} lacks it",
+                            "{request} acknowledged by host {host} at {}, but the leader {leader} \
+                             lacks it; {holders:?} hold it; leads and terms {states:?}",
                             self.now
                         ));
                     }
