--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod leaving_flow;
 pub mod leaving_record;
 pub mod live_feed;
+pub mod log_outlet;
 pub mod metrics_driver;
 pub mod operator_command;
 pub mod peer_driver;
--- /dev/null
+++ b/src/log_outlet.rs
@@ -0,0 +1,76 @@
+//! Log lines on standard output, written by a thread of their own.
+//!
+//! Whoever logs never waits: lines that the thread has not taken yet are kept up to a limit, and
+//! those beyond it are counted and dropped.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+
+/// Lines kept for the thread at most.
+const LINES_MAX: usize = 4_096;
+/// Pause in which lines are gathered before they are written together.
+const GATHER_PAUSE: Duration = Duration::from_millis(20);
+
+/// The writing end of the log.
+#[derive(Debug)]
+pub struct LogOutlet {
+    lines: mpsc::SyncSender<Vec<u8>>,
+    line: Vec<u8>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LogOutlet {
+    /// Starts the thread that writes to standard output.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread cannot start.
+    pub fn start() -> Result<Self> {
+        let (lines, taken) = mpsc::sync_channel(LINES_MAX);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counted = dropped.clone();
+        std::thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_lines(&taken, &counted))
+            .context("cannot start the log's thread")?;
+        Ok(Self { lines, line: Vec::new(), dropped })
+    }
+}
+
+impl Write for LogOutlet {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if self.line.ends_with(b"\n")
+            && self.lines.try_send(std::mem::take(&mut self.line)).is_err()
+        {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_lines(lines: &mpsc::Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    while let Ok(first) = lines.recv() {
+        std::thread::sleep(GATHER_PAUSE);
+        let mut text = first;
+        while let Ok(line) = lines.try_recv() {
+            text.extend_from_slice(&line);
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            text.extend_from_slice(format!("event=lines_dropped count={lost}\n").as_bytes());
+        }
+        let mut output = io::stdout().lock();
+        // There is nowhere else to report that standard output is closed.
+        let _ = output.write_all(&text).and_then(|()| output.flush());
+    }
+}
--- a/src/proxy/operation_flow.rs
+++ b/src/proxy/operation_flow.rs
@@ -682,6 +682,7 @@
     let account = state.account.map(|account| ctx.accounts[account].name.clone());
     let account = account.unwrap_or_default();
     if verdict.fate == request_verdict::RequestFate::Ran {
+        ctx.latencies.record(&account, ctx.now.since(state.arrived));
         *ctx.counts.served.entry(account).or_default() += 1;
         return;
     }
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -12,6 +12,7 @@
 use crate::arena_keys;
 use crate::clock_time;
 use crate::core_message;
+use crate::latency_book;
 use crate::proxy::change_record;
 use crate::proxy::decision_log;
 use crate::proxy::endpoint_view;
@@ -160,6 +161,8 @@
     pub decisions: decision_log::DecisionLog,
     /// Counts since the start.
     pub counts: ProxyCounts,
+    /// Latencies of served requests by account.
+    pub latencies: latency_book::LatencyBook,
     /// The configuration in force.
     pub config: Option<Arc<proxy_config::ProxyConfig>>,
     /// Data centres under evacuation, and since when that is known.
@@ -245,6 +248,7 @@
             timers: timer_queue::TimerQueue::default(),
             decisions: decision_log::DecisionLog::new(now),
             counts: ProxyCounts::default(),
+            latencies: latency_book::LatencyBook::default(),
             config: None,
             evacuations: BTreeMap::new(),
             store: store_session::StoreSession::default(),
--- a/src/proxy/proxy_message.rs
+++ b/src/proxy/proxy_message.rs
@@ -7,6 +7,7 @@
 use crate::endpoint_message;
 use crate::proxy::endpoint_command;
 use crate::proxy::peer_datagram;
+use crate::proxy::proxy_tuning;
 use crate::proxy::session_request;
 use crate::proxy::store_message;
 use crate::request_verdict;
@@ -88,6 +89,11 @@
         /// What it says.
         message: peer_datagram::PeerDatagram,
     },
+    /// The settings have changed.
+    TuningChanged {
+        /// The spans and bounds that hold from now on.
+        tuning: proxy_tuning::ProxyTuning,
+    },
     /// The process was asked to stop.
     StopAsked,
     /// Nothing but time passed.
