--- a/src/proxy/operation_flow.rs
+++ b/src/proxy/operation_flow.rs
@@ -697,10 +697,13 @@
     let serving = view.serving().is_some();
     let permitted = ctx.permitted(state.group);
     let retry = verdict.retry_after.map_or(0, |wait| wait.as_millis());
+    let store_age = ctx.now.since(ctx.store.answered).as_millis();
+    let record_age = ctx.now.since(view.learnt).as_millis();
     ctx.note(|| {
         format!(
             "event=request_unserved request={id} account={account} database={database} \
-             group={group} epoch={epoch} serving={serving} permitted={permitted} version={version} \
+             group={group} epoch={epoch} serving={serving} permitted={permitted} record_age_ms={record_age} \
+             store_age_ms={store_age} version={version} \
              phase={phase:?} attempts={attempts} age_ms={passed} fate={fate:?} cause={cause} \
              retry_ms={retry}"
         )
