--- a/src/proxy/placement_policy.rs
+++ b/src/proxy/placement_policy.rs
@@ -25,8 +25,9 @@
 const REPLACE_COST_MS: f64 = 20.0;
 /// Cost of waiting for a busy link, in milliseconds.
 const WAIT_COST_MS: f64 = 40.0;
-/// Cost of leaving the data centre, in milliseconds; links between data centres are shared and dear.
-const CENTRE_COST_MS: f64 = 12.0;
+/// Cost of leaving the data centre, in milliseconds: two mean reads, for links between data centres
+/// are shared and dear.
+const CENTRE_COST_MS: f64 = 40.0;
 /// Cost of using a primary for what a replica can do, in milliseconds.
 const PRIMARY_COST_MS: f64 = 15.0;
 /// Cost of a replica that was last seen behind the point needed, in milliseconds.
