fix(proxy): a fresh fleet asks for callers once its primaries are on record

Cause: the first process test over real sockets was refused for want of a primary: hosts said that they were ready before the holder of the duty had written the first records. Change: for at most 2 s after its start a host waits for a record of every group that a route names.

--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -25,6 +25,8 @@
 /// Time out of touch after which a host asks for no more callers.
 const OUT_OF_TOUCH: Duration = Duration::from_millis(100);
 
+/// Time after the start for which callers wait until all groups have a primary on record.
+const RECORDS_LIMIT: Duration = Duration::from_secs(2);
 /// Time between lines of counts in the log.
 const COUNTS_TOLD: Duration = Duration::from_secs(10);
 
@@ -195,10 +197,21 @@
         }
     }
 
+    /// Whether the primary of every group that a route names is on record.
+    fn all_led(ctx: &proxy_context::ProxyContext) -> bool {
+        let Some(config) = &ctx.config else { return false };
+        config.routes.values().all(|route| {
+            let group = ctx.group_names.get(&route.group).map(|group| &ctx.groups[*group]);
+            group.is_some_and(|group| group.record.is_some())
+        })
+    }
+
     fn tell_readiness(ctx: &mut proxy_context::ProxyContext) {
         let configured = ctx.config.is_some() && !ctx.endpoints.is_empty();
         let useful = ctx.now.since(ctx.touched) < OUT_OF_TOUCH;
-        let ready = configured && useful && ctx.dealing.opened && ctx.stopping.is_none();
+        // A group that stays without a record must not keep the host from serving the others.
+        let led = ctx.now.since(ctx.started) >= RECORDS_LIMIT || Self::all_led(ctx);
+        let ready = configured && useful && led && ctx.dealing.opened && ctx.stopping.is_none();
         if ready != ctx.ready {
             ctx.ready = ready;
             log::info!("event=readiness ready={ready}");
