--- a/src/bin/quetzaldeal.rs
+++ b/src/bin/quetzaldeal.rs
@@ -3,7 +3,7 @@
 use std::io::Write as _;
 use std::process::ExitCode;
 
-use quetzaldeal::operator_command;
+use quetzaldeal::operator::operator_command;
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
--- a/src/bin/quetzaldeald.rs
+++ b/src/bin/quetzaldeald.rs
@@ -4,8 +4,8 @@
 
 use anyhow::{Context, Result};
 use clap::{Arg, Command, value_parser};
-use quetzaldeal::daemon_settings::DaemonSettings;
-use quetzaldeal::host_daemon;
+use quetzaldeal::daemon::daemon_settings::DaemonSettings;
+use quetzaldeal::daemon::host_daemon;
 use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
 
 fn main() -> Result<()> {
--- a/src/account_state.rs
+++ b/src/core/account_state.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::arena_keys::StatementKey;
-use crate::clock_time::ClockTime;
-use crate::share_ledger::ShareLedger;
-use crate::status_report::AccountCounts;
-use crate::world_object::AccountObject;
+use crate::core::arena_keys::StatementKey;
+use crate::core::clock_time::ClockTime;
+use crate::core::share_ledger::ShareLedger;
+use crate::core::status_report::AccountCounts;
+use crate::world::world_object::AccountObject;
 
 /// How long a round of asking waits for answers before the next may begin.
 const ASK_PATIENCE: Duration = Duration::from_millis(50);
--- a/src/call_purpose.rs
+++ b/src/core/call_purpose.rs
@@ -1,8 +1,8 @@
 //! What the decision core awaits an answer for.
 
-use crate::arena_keys::{AccountKey, ConnectionKey, EndpointKey, GroupKey, StatementKey};
-use crate::clock_time::ClockTime;
-use crate::group_record::GroupRecord;
+use crate::core::arena_keys::{AccountKey, ConnectionKey, EndpointKey, GroupKey, StatementKey};
+use crate::core::clock_time::ClockTime;
+use crate::core::group_record::GroupRecord;
 
 /// The purpose of a call that has not been answered.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/caller_flow.rs
+++ b/src/core/caller_flow.rs
@@ -1,18 +1,18 @@
 //! Callers come, change their settings and go.
 
-use crate::arena_keys::{AccountKey, CallerKey};
-use crate::caller_state::{CallerProof, CallerSettings, CallerState};
-use crate::connection_flow;
-use crate::core_context::CoreContext;
-use crate::core_message::{CallerId, CoreAction};
-use crate::core_tuning;
-use crate::drain_flow;
-use crate::endpoint_message::AnswerBody;
-use crate::key_secret;
-use crate::request_verdict::{RequestVerdict, VerdictCause};
-use crate::session_token::SessionToken;
-use crate::statement_flow;
-use crate::statement_intake;
+use crate::core::arena_keys::{AccountKey, CallerKey};
+use crate::core::caller_state::{CallerProof, CallerSettings, CallerState};
+use crate::core::connection_flow;
+use crate::core::core_context::CoreContext;
+use crate::core::core_message::{CallerId, CoreAction};
+use crate::core::core_tuning;
+use crate::core::drain_flow;
+use crate::core::endpoint_message::AnswerBody;
+use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::session_token::SessionToken;
+use crate::core::statement_flow;
+use crate::core::statement_intake;
+use crate::world::key_secret;
 
 /// The account that callers of open routes without a key run under.
 pub const PUBLIC_ACCOUNT: &str = "public";
--- a/src/caller_state.rs
+++ b/src/core/caller_state.rs
@@ -1,8 +1,8 @@
 //! One caller's open connection to this host.
 
-use crate::arena_keys::{AccountKey, ConnectionKey, GroupKey, StatementKey};
-use crate::core_message::CallerId;
-use crate::session_token::SessionToken;
+use crate::core::arena_keys::{AccountKey, ConnectionKey, GroupKey, StatementKey};
+use crate::core::core_message::CallerId;
+use crate::core::session_token::SessionToken;
 
 /// What proved the caller's right to its account.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/chart_cursor.rs
+++ b/src/core/chart_cursor.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::state_chart;
+use crate::core::state_chart;
 
 /// The current state of one life cycle, moved by events of its chart.
 #[derive(Debug, Clone)]
--- a/src/circuit_breaker.rs
+++ b/src/core/circuit_breaker.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::clock_time::ClockTime;
+use crate::core::clock_time::ClockTime;
 
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(2_000);
--- a/src/config_state.rs
+++ b/src/core/config_state.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::clock_time::ClockTime;
-use crate::config_head::ConfigHead;
-use crate::grant_index::GrantIndex;
-use crate::rendezvous_rank::HomeMap;
-use crate::world_config::WorldConfig;
+use crate::core::clock_time::ClockTime;
+use crate::core::grant_index::GrantIndex;
+use crate::core::rendezvous_rank::HomeMap;
+use crate::world::config_head::ConfigHead;
+use crate::world::world_config::WorldConfig;
 
 /// The configuration in force on this host, and the one being fetched.
 #[derive(Debug, Clone, Default)]
--- a/src/confirm_flow.rs
+++ b/src/core/confirm_flow.rs
@@ -3,17 +3,17 @@
 //! A write is acknowledged once a majority holds it under the term it ran in. A change of primary
 //! fences a majority first, so it either finds the write or has made the confirmation impossible.
 
-use crate::arena_keys::{EndpointKey, GroupKey, StatementKey};
-use crate::clock_time::ClockTime;
-use crate::connection_flow;
-use crate::core_context::CoreContext;
-use crate::core_tuning::CoreTuning;
-use crate::endpoint_message::{AnswerBody, EndpointRequest, LogPoint};
-use crate::group_state::AgeSample;
-use crate::request_verdict::{RequestVerdict, VerdictCause};
-use crate::statement_flow;
-use crate::statement_state::StatementPhase;
-use crate::timer_queue::TimerKind;
+use crate::core::arena_keys::{EndpointKey, GroupKey, StatementKey};
+use crate::core::clock_time::ClockTime;
+use crate::core::connection_flow;
+use crate::core::core_context::CoreContext;
+use crate::core::core_tuning::CoreTuning;
+use crate::core::endpoint_message::{AnswerBody, EndpointRequest, LogPoint};
+use crate::core::group_state::AgeSample;
+use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::statement_flow;
+use crate::core::statement_state::StatementPhase;
+use crate::core::timer_queue::TimerKind;
 
 /// Holds a statement's answer until a majority confirms it.
 pub fn await_majority(
--- a/src/connection_flow.rs
+++ b/src/core/connection_flow.rs
@@ -2,24 +2,24 @@
 
 use std::time::Duration;
 
-use crate::arena_keys::{
+use crate::core::arena_keys::{
     AccountKey, CallerKey, ConnectionKey, EndpointKey, GroupKey, StatementKey,
 };
-use crate::call_purpose::CallPurpose;
-use crate::chart_cursor::ChartCursor;
-use crate::clock_time::ClockTime;
-use crate::confirm_flow;
-use crate::connection_state::{ConnectionRole, ConnectionState};
-use crate::core_context::CoreContext;
-use crate::core_message::{CallId, CoreAction};
-use crate::core_tuning::{self, CoreTuning};
-use crate::endpoint_message::{EndpointOutcome, EndpointRequest, EndpointStatus};
-use crate::endpoint_state::SeenStatus;
-use crate::failover_flow;
-use crate::request_verdict::{RequestVerdict, VerdictCause};
-use crate::statement_flow;
-use crate::statement_state::StatementPhase;
-use crate::timer_queue::TimerKind;
+use crate::core::call_purpose::CallPurpose;
+use crate::core::chart_cursor::ChartCursor;
+use crate::core::clock_time::ClockTime;
+use crate::core::confirm_flow;
+use crate::core::connection_state::{ConnectionRole, ConnectionState};
+use crate::core::core_context::CoreContext;
+use crate::core::core_message::{CallId, CoreAction};
+use crate::core::core_tuning::{self, CoreTuning};
+use crate::core::endpoint_message::{EndpointOutcome, EndpointRequest, EndpointStatus};
+use crate::core::endpoint_state::SeenStatus;
+use crate::core::failover_flow;
+use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::statement_flow;
+use crate::core::statement_state::StatementPhase;
+use crate::core::timer_queue::TimerKind;
 
 /// Runs a statement on the endpoint, now or when a connection is free.
 ///
--- a/src/connection_state.rs
+++ b/src/core/connection_state.rs
@@ -1,10 +1,10 @@
 //! One connection from this host to an endpoint.
 
-use crate::arena_keys::{CallerKey, EndpointKey};
-use crate::chart_cursor::ChartCursor;
-use crate::clock_time::ClockTime;
-use crate::core_message::CallId;
-use crate::endpoint_message::EndpointRequest;
+use crate::core::arena_keys::{CallerKey, EndpointKey};
+use crate::core::chart_cursor::ChartCursor;
+use crate::core::clock_time::ClockTime;
+use crate::core::core_message::CallId;
+use crate::core::endpoint_message::EndpointRequest;
 
 /// What a connection is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/core_context.rs
+++ b/src/core/core_context.rs
@@ -9,31 +9,31 @@
 use rand::{RngExt, SeedableRng};
 use slotmap::SlotMap;
 
-use crate::account_state::AccountState;
-use crate::arena_keys::{
+use crate::core::account_state::AccountState;
+use crate::core::arena_keys::{
     AccountKey, CallerKey, ConnectionKey, EndpointKey, GroupKey, StatementKey,
 };
-use crate::call_purpose::CallPurpose;
-use crate::caller_state::CallerState;
-use crate::clock_time::ClockTime;
-use crate::config_state::ConfigState;
-use crate::connection_state::ConnectionState;
-use crate::core_message::{CallId, CallerId, CoreAction};
-use crate::core_tuning::CoreTuning;
-use crate::endpoint_state::EndpointState;
-use crate::group_state::GroupState;
-use crate::leaving_record::LeavingRecord;
-use crate::live_feed::LiveFeed;
-use crate::peer_table::PeerTable;
-use crate::platform_message::PlatformRequest;
-use crate::retry_budget::RetryBudget;
-use crate::state_chart::StateChart;
-use crate::statement_state::StatementState;
-use crate::status_report::ControlCounts;
-use crate::timer_queue::{TimerKind, TimerQueue};
+use crate::core::call_purpose::CallPurpose;
+use crate::core::caller_state::CallerState;
+use crate::core::clock_time::ClockTime;
+use crate::core::config_state::ConfigState;
+use crate::core::connection_state::ConnectionState;
+use crate::core::core_message::{CallId, CallerId, CoreAction};
+use crate::core::core_tuning::CoreTuning;
+use crate::core::endpoint_state::EndpointState;
+use crate::core::group_state::GroupState;
+use crate::core::leaving_record::LeavingRecord;
+use crate::core::live_feed::LiveFeed;
+use crate::core::peer_table::PeerTable;
+use crate::core::platform_message::PlatformRequest;
+use crate::core::retry_budget::RetryBudget;
+use crate::core::state_chart::StateChart;
+use crate::core::statement_state::StatementState;
+use crate::core::status_report::ControlCounts;
+use crate::core::timer_queue::{TimerKind, TimerQueue};
 
-const FAILOVER_CHART: &str = include_str!("../charts/group_failover.yaml");
-const CONNECTION_CHART: &str = include_str!("../charts/endpoint_connection.yaml");
+const FAILOVER_CHART: &str = include_str!("../../charts/group_failover.yaml");
+const CONNECTION_CHART: &str = include_str!("../../charts/endpoint_connection.yaml");
 const FAILOVER_EVENTS: [&str; 12] = [
     "primary_missing",
     "record_missing",
--- a/src/core_message.rs
+++ b/src/core/core_message.rs
@@ -1,11 +1,11 @@
 //! What goes into the decision core and what comes out of it.
 
-use crate::arena_keys::ConnectionKey;
-use crate::endpoint_message::{AnswerBody, EndpointOutcome, EndpointRequest};
-use crate::peer_message::{PeerReply, PeerRequest};
-use crate::platform_message::{PlatformReply, PlatformRequest};
-use crate::request_verdict::RequestVerdict;
-use crate::status_report::StatusReport;
+use crate::core::arena_keys::ConnectionKey;
+use crate::core::endpoint_message::{AnswerBody, EndpointOutcome, EndpointRequest};
+use crate::core::peer_message::{PeerReply, PeerRequest};
+use crate::core::platform_message::{PlatformReply, PlatformRequest};
+use crate::core::request_verdict::RequestVerdict;
+use crate::core::status_report::StatusReport;
 
 /// The door's number for a caller's connection.
 pub type CallerId = u64;
--- a/src/decision_core.rs
+++ b/src/core/decision_core.rs
@@ -6,28 +6,28 @@
 
 use anyhow::Result;
 
-use crate::call_purpose::CallPurpose;
-use crate::caller_flow::{self, CallerLogin};
-use crate::clock_time::ClockTime;
-use crate::config_flow;
-use crate::confirm_flow;
-use crate::connection_flow;
-use crate::core_context::{CoreCharts, CoreContext, HostIdentity};
-use crate::core_message::{CallId, CoreAction, CoreEvent};
-use crate::core_tuning::CoreTuning;
-use crate::drain_flow;
-use crate::endpoint_message::EndpointOutcome;
-use crate::failover_flow;
-use crate::leaving_flow;
-use crate::peer_flow;
-use crate::peer_message::PeerReply;
-use crate::platform_flow;
-use crate::platform_message::PlatformReply;
-use crate::share_flow;
-use crate::statement_flow;
-use crate::statement_intake;
-use crate::status_report::{GroupStatus, StatusReport};
-use crate::timer_queue::TimerKind;
+use crate::core::call_purpose::CallPurpose;
+use crate::core::caller_flow::{self, CallerLogin};
+use crate::core::clock_time::ClockTime;
+use crate::core::config_flow;
+use crate::core::confirm_flow;
+use crate::core::connection_flow;
+use crate::core::core_context::{CoreCharts, CoreContext, HostIdentity};
+use crate::core::core_message::{CallId, CoreAction, CoreEvent};
+use crate::core::core_tuning::CoreTuning;
+use crate::core::drain_flow;
+use crate::core::endpoint_message::EndpointOutcome;
+use crate::core::failover_flow;
+use crate::core::leaving_flow;
+use crate::core::peer_flow;
+use crate::core::peer_message::PeerReply;
+use crate::core::platform_flow;
+use crate::core::platform_message::PlatformReply;
+use crate::core::share_flow;
+use crate::core::statement_flow;
+use crate::core::statement_intake;
+use crate::core::status_report::{GroupStatus, StatusReport};
+use crate::core::timer_queue::TimerKind;
 
 /// The decision core of one host.
 #[derive(Debug)]
--- a/src/drain_flow.rs
+++ b/src/core/drain_flow.rs
@@ -1,12 +1,12 @@
 //! Graceful leaving: no new work, every accepted statement and transaction finished.
 
-use crate::arena_keys::CallerKey;
-use crate::caller_flow;
-use crate::core_context::CoreContext;
-use crate::core_message::CoreAction;
-use crate::core_tuning::{self, CoreTuning};
-use crate::request_verdict::{RequestVerdict, VerdictCause};
-use crate::timer_queue::TimerKind;
+use crate::core::arena_keys::CallerKey;
+use crate::core::caller_flow;
+use crate::core::core_context::CoreContext;
+use crate::core::core_message::CoreAction;
+use crate::core::core_tuning::{self, CoreTuning};
+use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::timer_queue::TimerKind;
 
 /// Starts the shutdown of this process.
 pub fn start(ctx: &mut CoreContext) {
--- a/src/endpoint_state.rs
+++ b/src/core/endpoint_state.rs
@@ -1,9 +1,9 @@
 //! What this host knows of one endpoint, and its connections to it.
 
-use crate::arena_keys::{ConnectionKey, GroupKey, StatementKey};
-use crate::circuit_breaker::CircuitBreaker;
-use crate::clock_time::ClockTime;
-use crate::endpoint_message::{EndpointStatus, LogPoint};
+use crate::core::arena_keys::{ConnectionKey, GroupKey, StatementKey};
+use crate::core::circuit_breaker::CircuitBreaker;
+use crate::core::clock_time::ClockTime;
+use crate::core::endpoint_message::{EndpointStatus, LogPoint};
 
 /// A status with the time at which it was asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/failover_flow.rs
+++ b/src/core/failover_flow.rs
@@ -9,21 +9,21 @@
 
 use std::time::Duration;
 
-use crate::arena_keys::{EndpointKey, GroupKey};
-use crate::call_purpose::CallPurpose;
-use crate::confirm_flow;
-use crate::connection_flow;
-use crate::core_context::CoreContext;
-use crate::core_message::CoreAction;
-use crate::core_tuning::CoreTuning;
-use crate::endpoint_message::{EndpointRequest, EndpointStatus, LogPoint};
-use crate::group_record::{self, GroupRecord, TermPhase};
-use crate::group_state::{GroupState, SuspectReason};
-use crate::peer_message::PeerRequest;
-use crate::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
-use crate::rendezvous_rank;
-use crate::role_flow;
-use crate::timer_queue::TimerKind;
+use crate::core::arena_keys::{EndpointKey, GroupKey};
+use crate::core::call_purpose::CallPurpose;
+use crate::core::confirm_flow;
+use crate::core::connection_flow;
+use crate::core::core_context::CoreContext;
+use crate::core::core_message::CoreAction;
+use crate::core::core_tuning::CoreTuning;
+use crate::core::endpoint_message::{EndpointRequest, EndpointStatus, LogPoint};
+use crate::core::group_record::{self, GroupRecord, TermPhase};
+use crate::core::group_state::{GroupState, SuspectReason};
+use crate::core::peer_message::PeerRequest;
+use crate::core::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
+use crate::core::rendezvous_rank;
+use crate::core::role_flow;
+use crate::core::timer_queue::TimerKind;
 
 /// Peers asked for their opinion before a primary out of reach is replaced.
 const OPINIONS_ASKED: usize = 2;
--- a/src/grant_index.rs
+++ b/src/core/grant_index.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 
-use crate::world_config::WorldConfig;
-use crate::world_object::{RuleAccess, RuleObject};
+use crate::world::world_config::WorldConfig;
+use crate::world::world_object::{RuleAccess, RuleObject};
 
 /// What one rule lets an account do with a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/group_record.rs
+++ b/src/core/group_record.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::endpoint_message::LogPoint;
+use crate::core::endpoint_message::LogPoint;
 
 /// Whether a term has its primary yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/group_state.rs
+++ b/src/core/group_state.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use crate::arena_keys::{EndpointKey, StatementKey};
-use crate::chart_cursor::ChartCursor;
-use crate::clock_time::ClockTime;
-use crate::endpoint_message::{EndpointStatus, LogPoint};
-use crate::group_record::{GroupRecord, TermPhase};
-use crate::state_chart::StateChart;
+use crate::core::arena_keys::{EndpointKey, StatementKey};
+use crate::core::chart_cursor::ChartCursor;
+use crate::core::clock_time::ClockTime;
+use crate::core::endpoint_message::{EndpointStatus, LogPoint};
+use crate::core::group_record::{GroupRecord, TermPhase};
+use crate::core::state_chart::StateChart;
 
 /// Age samples kept for each group.
 const SAMPLES_MAX: usize = 256;
--- a/src/leaving_flow.rs
+++ b/src/core/leaving_flow.rs
@@ -1,13 +1,13 @@
 //! Follows the platform's list of leaving hosts and endpoints.
 
-use crate::call_purpose::CallPurpose;
-use crate::core_context::CoreContext;
-use crate::core_tuning::CoreTuning;
-use crate::drain_flow;
-use crate::leaving_record::{self, LeavingRecord};
-use crate::platform_flow;
-use crate::platform_message::{ListedHost, PlatformReply, PlatformRequest};
-use crate::timer_queue::TimerKind;
+use crate::core::call_purpose::CallPurpose;
+use crate::core::core_context::CoreContext;
+use crate::core::core_tuning::CoreTuning;
+use crate::core::drain_flow;
+use crate::core::leaving_record::{self, LeavingRecord};
+use crate::core::platform_flow;
+use crate::core::platform_message::{ListedHost, PlatformReply, PlatformRequest};
+use crate::core::timer_queue::TimerKind;
 
 /// Time between two reads of the platform's list, in milliseconds.
 const LIST_INTERVAL_MS: u64 = 1_000;
--- a/src/leaving_record.rs
+++ b/src/core/leaving_record.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::group_record;
+use crate::core::group_record;
 
 /// The hosts and endpoints that are leaving, by name.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
--- a/src/live_feed.rs
+++ b/src/core/live_feed.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::platform_message::StoreEntry;
+use crate::core::platform_message::StoreEntry;
 
 /// The live records by key, with the revision up to which they are complete.
 #[derive(Debug, Clone, Default)]
--- a/src/peer_flow.rs
+++ b/src/core/peer_flow.rs
@@ -2,18 +2,18 @@
 
 use rand::seq::SliceRandom;
 
-use crate::call_purpose::CallPurpose;
-use crate::clock_time::ClockTime;
-use crate::core_context::CoreContext;
-use crate::core_message::{AskId, CoreAction};
-use crate::core_tuning::CoreTuning;
-use crate::drain_flow;
-use crate::failover_flow;
-use crate::peer_message::{self, PeerPulse, PeerReply, PeerRequest};
-use crate::platform_flow;
-use crate::platform_message::StoreEntry;
-use crate::share_flow;
-use crate::timer_queue::TimerKind;
+use crate::core::call_purpose::CallPurpose;
+use crate::core::clock_time::ClockTime;
+use crate::core::core_context::CoreContext;
+use crate::core::core_message::{AskId, CoreAction};
+use crate::core::core_tuning::CoreTuning;
+use crate::core::drain_flow;
+use crate::core::failover_flow;
+use crate::core::peer_message::{self, PeerPulse, PeerReply, PeerRequest};
+use crate::core::platform_flow;
+use crate::core::platform_message::StoreEntry;
+use crate::core::share_flow;
+use crate::core::timer_queue::TimerKind;
 
 /// Hosts of the own data centre that a pulse goes to.
 const NEAR_TARGETS: usize = 1;
--- a/src/peer_message.rs
+++ b/src/core/peer_message.rs
@@ -8,9 +8,9 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use subtle::ConstantTimeEq;
 
-use crate::key_secret;
-use crate::platform_message::StoreEntry;
-use crate::share_ledger::ShareGrant;
+use crate::core::platform_message::StoreEntry;
+use crate::core::share_ledger::ShareGrant;
+use crate::world::key_secret;
 
 /// Version of the messages; a peer of another version is answered with an error.
 pub const PEER_VERSION: u32 = 1;
--- a/src/peer_table.rs
+++ b/src/core/peer_table.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::clock_time::ClockTime;
-use crate::core_tuning;
-use crate::peer_message;
+use crate::core::clock_time::ClockTime;
+use crate::core::core_tuning;
+use crate::core::peer_message;
 
 /// What this host knows of one peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/platform_flow.rs
+++ b/src/core/platform_flow.rs
@@ -1,17 +1,17 @@
 //! Watches the platform's live records, for this host and for others in its data centre.
 
-use crate::call_purpose::CallPurpose;
-use crate::clock_time::ClockTime;
-use crate::config_flow;
-use crate::core_context::CoreContext;
-use crate::core_tuning::{self, CoreTuning};
-use crate::failover_flow;
-use crate::group_record;
-use crate::leaving_flow;
-use crate::peer_flow;
-use crate::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
-use crate::rendezvous_rank;
-use crate::timer_queue::TimerKind;
+use crate::core::call_purpose::CallPurpose;
+use crate::core::clock_time::ClockTime;
+use crate::core::config_flow;
+use crate::core::core_context::CoreContext;
+use crate::core::core_tuning::{self, CoreTuning};
+use crate::core::failover_flow;
+use crate::core::group_record;
+use crate::core::leaving_flow;
+use crate::core::peer_flow;
+use crate::core::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
+use crate::core::rendezvous_rank;
+use crate::core::timer_queue::TimerKind;
 
 /// Pause after a call that the platform did not answer, in milliseconds.
 const OUTAGE_PAUSE_MS: u64 = 500;
--- a/src/rendezvous_rank.rs
+++ b/src/core/rendezvous_rank.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3;
 
-use crate::world_config;
+use crate::world::world_config;
 
 /// The most home hosts that one account has in one data centre.
 pub const HOMES_PER_CENTRE_MAX: usize = 4;
--- a/src/role_flow.rs
+++ b/src/core/role_flow.rs
@@ -1,13 +1,13 @@
 //! Keeps endpoints in their roles, and counts rebuilt copies once they hold what matters.
 
-use crate::arena_keys::{EndpointKey, GroupKey};
-use crate::connection_flow;
-use crate::core_context::CoreContext;
-use crate::core_tuning::CoreTuning;
-use crate::endpoint_message::{EndpointRequest, EndpointStatus};
-use crate::endpoint_state::NewCopy;
-use crate::failover_flow;
-use crate::group_record::GroupRecord;
+use crate::core::arena_keys::{EndpointKey, GroupKey};
+use crate::core::connection_flow;
+use crate::core::core_context::CoreContext;
+use crate::core::core_tuning::CoreTuning;
+use crate::core::endpoint_message::{EndpointRequest, EndpointStatus};
+use crate::core::endpoint_state::NewCopy;
+use crate::core::failover_flow;
+use crate::core::group_record::GroupRecord;
 
 /// Tells an endpoint its role when its status shows that it does not have it.
 pub fn repair_role(
--- a/src/route_choice.rs
+++ b/src/core/route_choice.rs
@@ -2,13 +2,13 @@
 
 use xxhash_rust::xxh3;
 
-use crate::arena_keys::{CallerKey, EndpointKey, GroupKey, StatementKey};
-use crate::core_context::CoreContext;
-use crate::core_tuning::{self, CoreTuning};
-use crate::endpoint_message::LogPoint;
-use crate::failover_flow;
-use crate::request_verdict::{RequestVerdict, VerdictCause};
-use crate::statement_state::StatementState;
+use crate::core::arena_keys::{CallerKey, EndpointKey, GroupKey, StatementKey};
+use crate::core::core_context::CoreContext;
+use crate::core::core_tuning::{self, CoreTuning};
+use crate::core::endpoint_message::LogPoint;
+use crate::core::failover_flow;
+use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::statement_state::StatementState;
 
 /// Where a statement goes, and what the endpoint must prove before it runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/session_token.rs
+++ b/src/core/session_token.rs
@@ -5,8 +5,8 @@
 use anyhow::{Context, Result, bail};
 use subtle::ConstantTimeEq;
 
-use crate::endpoint_message::LogPoint;
-use crate::key_secret;
+use crate::core::endpoint_message::LogPoint;
+use crate::world::key_secret;
 
 const TOKEN_VERSION: &str = "1";
 
--- a/src/share_flow.rs
+++ b/src/core/share_flow.rs
@@ -5,21 +5,21 @@
 
 use rand::seq::SliceRandom;
 
-use crate::arena_keys::{AccountKey, StatementKey};
-use crate::call_purpose::CallPurpose;
-use crate::clock_time::ClockTime;
-use crate::core_context::CoreContext;
-use crate::core_message::CoreAction;
-use crate::core_tuning::{self, CoreTuning};
-use crate::endpoint_message::AnswerBody;
-use crate::peer_message::{PeerReply, PeerRequest};
-use crate::rendezvous_rank;
-use crate::request_verdict::{RequestVerdict, VerdictCause};
-use crate::share_ledger::{ShareGrant, SharePart};
-use crate::statement_flow;
-use crate::statement_state::StatementPhase;
-use crate::timer_queue::TimerKind;
-use crate::world_object::AccountObject;
+use crate::core::arena_keys::{AccountKey, StatementKey};
+use crate::core::call_purpose::CallPurpose;
+use crate::core::clock_time::ClockTime;
+use crate::core::core_context::CoreContext;
+use crate::core::core_message::CoreAction;
+use crate::core::core_tuning::{self, CoreTuning};
+use crate::core::endpoint_message::AnswerBody;
+use crate::core::peer_message::{PeerReply, PeerRequest};
+use crate::core::rendezvous_rank;
+use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::share_ledger::{ShareGrant, SharePart};
+use crate::core::statement_flow;
+use crate::core::statement_state::StatementPhase;
+use crate::core::timer_queue::TimerKind;
+use crate::world::world_object::AccountObject;
 
 /// Peers asked for a loan at a time.
 const LENDERS_ASKED: usize = 3;
--- a/src/share_ledger.rs
+++ b/src/core/share_ledger.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock_time::ClockTime;
+use crate::core::clock_time::ClockTime;
 
 /// How long a loan lasts on the borrower's clock.
 pub const LOAN_TTL: Duration = Duration::from_millis(1_000);
--- a/src/statement_flow.rs
+++ b/src/core/statement_flow.rs
@@ -1,21 +1,21 @@
 //! A statement's way from its first endpoint to its final answer.
 
-use crate::arena_keys::{ConnectionKey, EndpointKey, StatementKey};
-use crate::call_purpose::CallPurpose;
-use crate::caller_state::{CallerState, OpenTransaction};
-use crate::clock_time::ClockTime;
-use crate::confirm_flow;
-use crate::connection_flow;
-use crate::core_context::CoreContext;
-use crate::core_message::CoreAction;
-use crate::core_tuning::{self, CoreTuning};
-use crate::drain_flow;
-use crate::endpoint_message::{
+use crate::core::arena_keys::{ConnectionKey, EndpointKey, StatementKey};
+use crate::core::call_purpose::CallPurpose;
+use crate::core::caller_state::{CallerState, OpenTransaction};
+use crate::core::clock_time::ClockTime;
+use crate::core::confirm_flow;
+use crate::core::connection_flow;
+use crate::core::core_context::CoreContext;
+use crate::core::core_message::CoreAction;
+use crate::core::core_tuning::{self, CoreTuning};
+use crate::core::drain_flow;
+use crate::core::endpoint_message::{
     AnswerBody, EndpointOutcome, EndpointRequest, EndpointStatus, TransactionStep,
 };
-use crate::request_verdict::{RequestFate, RequestVerdict, VerdictCause};
-use crate::route_choice;
-use crate::statement_state::{StatementPhase, StatementState};
+use crate::core::request_verdict::{RequestFate, RequestVerdict, VerdictCause};
+use crate::core::route_choice;
+use crate::core::statement_state::{StatementPhase, StatementState};
 
 /// Most times that a read is sent to an endpoint.
 const READ_ATTEMPTS_MAX: u32 = 3;
--- a/src/statement_intake.rs
+++ b/src/core/statement_intake.rs
@@ -1,23 +1,25 @@
 //! Takes up statements from callers: what they are, whether they are allowed, where they go first.
 
-use crate::arena_keys::{CallerKey, GroupKey, StatementKey};
-use crate::caller_flow;
-use crate::caller_state::OpenTransaction;
-use crate::connection_flow;
-use crate::core_context::CoreContext;
-use crate::core_message::{CallerId, CoreAction};
-use crate::core_tuning::{self, CoreTuning};
-use crate::drain_flow;
-use crate::endpoint_message::{AnswerBody, EndpointStatement, RequestRecord, TransactionStep};
-use crate::grant_index::RuleGrant;
-use crate::request_verdict::{RequestVerdict, VerdictCause};
-use crate::route_choice;
-use crate::share_flow;
-use crate::statement_flow;
-use crate::statement_state::{StatementPhase, StatementState};
-use crate::statement_text::{self, StatementClass};
-use crate::timer_queue::TimerKind;
-use crate::world_object::RuleAccess;
+use crate::core::arena_keys::{CallerKey, GroupKey, StatementKey};
+use crate::core::caller_flow;
+use crate::core::caller_state::OpenTransaction;
+use crate::core::connection_flow;
+use crate::core::core_context::CoreContext;
+use crate::core::core_message::{CallerId, CoreAction};
+use crate::core::core_tuning::{self, CoreTuning};
+use crate::core::drain_flow;
+use crate::core::endpoint_message::{
+    AnswerBody, EndpointStatement, RequestRecord, TransactionStep,
+};
+use crate::core::grant_index::RuleGrant;
+use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::route_choice;
+use crate::core::share_flow;
+use crate::core::statement_flow;
+use crate::core::statement_state::{StatementPhase, StatementState};
+use crate::core::statement_text::{self, StatementClass};
+use crate::core::timer_queue::TimerKind;
+use crate::world::world_object::RuleAccess;
 
 /// Takes up a statement from a caller.
 pub fn arrive(ctx: &mut CoreContext, id: CallerId, text: String) {
--- a/src/statement_state.rs
+++ b/src/core/statement_state.rs
@@ -1,10 +1,10 @@
 //! One statement that has not been answered yet.
 
-use crate::arena_keys::{AccountKey, CallerKey, ConnectionKey, EndpointKey, GroupKey};
-use crate::clock_time::ClockTime;
-use crate::core_message::CallId;
-use crate::endpoint_message::{AnswerBody, EndpointStatement, LogPoint};
-use crate::request_verdict::RequestVerdict;
+use crate::core::arena_keys::{AccountKey, CallerKey, ConnectionKey, EndpointKey, GroupKey};
+use crate::core::clock_time::ClockTime;
+use crate::core::core_message::CallId;
+use crate::core::endpoint_message::{AnswerBody, EndpointStatement, LogPoint};
+use crate::core::request_verdict::RequestVerdict;
 
 /// Where a statement stands.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/timer_queue.rs
+++ b/src/core/timer_queue.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::arena_keys::{ConnectionKey, GroupKey, StatementKey};
-use crate::clock_time::ClockTime;
+use crate::core::arena_keys::{ConnectionKey, GroupKey, StatementKey};
+use crate::core::clock_time::ClockTime;
 
 /// What a timer is for. Timers are never cancelled; those that have lost their cause do nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/caller_desk.rs
+++ b/src/daemon/caller_desk.rs
@@ -8,10 +8,10 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
-use crate::core_message::{CallerId, CoreAction, CoreEvent};
-use crate::duty_ring::RingSender;
-use crate::endpoint_message::AnswerBody;
-use crate::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::core_message::{CallerId, CoreAction, CoreEvent};
+use crate::core::endpoint_message::AnswerBody;
+use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::daemon::duty_ring::RingSender;
 
 /// Wait that a caller is told when the ring to the decision core is full.
 const RING_RETRY: Duration = Duration::from_millis(20);
--- a/src/caller_door.rs
+++ b/src/daemon/caller_door.rs
@@ -26,10 +26,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::caller_desk::{CallerDesk, DeskAnswer};
-use crate::core_message::{CallerId, CoreEvent};
-use crate::request_verdict::{RequestFate, RequestVerdict};
-use crate::statement_service::{CallerContext, StatementService};
+use crate::core::core_message::{CallerId, CoreEvent};
+use crate::core::request_verdict::{RequestFate, RequestVerdict};
+use crate::daemon::caller_desk::{CallerDesk, DeskAnswer};
+use crate::daemon::statement_service::{CallerContext, StatementService};
 
 /// Time for the last answer to leave before a connection is closed.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
--- a/src/core_driver.rs
+++ b/src/daemon/core_driver.rs
@@ -7,12 +7,12 @@
 use rtrb::Consumer;
 use tokio_util::sync::CancellationToken;
 
-use crate::caller_desk::CallerDesk;
-use crate::clock_time::ClockTime;
-use crate::core_message::{AskId, CoreAction, CoreEvent};
-use crate::decision_core::DecisionCore;
-use crate::duty_ring::RingSender;
-use crate::endpoint_message::EndpointOutcome;
+use crate::core::clock_time::ClockTime;
+use crate::core::core_message::{AskId, CoreAction, CoreEvent};
+use crate::core::decision_core::DecisionCore;
+use crate::core::endpoint_message::EndpointOutcome;
+use crate::daemon::caller_desk::CallerDesk;
+use crate::daemon::duty_ring::RingSender;
 
 /// Number of the metrics' own question for the status.
 pub const METRICS_ASK: AskId = 0;
--- a/src/daemon_settings.rs
+++ b/src/daemon/daemon_settings.rs
@@ -6,7 +6,7 @@
 use anyhow::{Context, Result, bail};
 use serde::{Deserialize, Serialize};
 
-use crate::core_tuning::CoreTuning;
+use crate::core::core_tuning::CoreTuning;
 
 /// How the daemon logs in at endpoints.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/endpoint_driver.rs
+++ b/src/daemon/endpoint_driver.rs
@@ -12,12 +12,12 @@
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
 use tokio_util::sync::CancellationToken;
 
-use crate::arena_keys::ConnectionKey;
-use crate::core_message::{CallId, CoreAction, CoreEvent};
-use crate::daemon_settings::EndpointLogin;
-use crate::duty_ring::{RingSender, TaskReceiver};
-use crate::endpoint_message::{EndpointOutcome, EndpointRequest, EndpointStatus};
-use crate::endpoint_sql::{self, SqlError, SqlResult};
+use crate::core::arena_keys::ConnectionKey;
+use crate::core::core_message::{CallId, CoreAction, CoreEvent};
+use crate::core::endpoint_message::{EndpointOutcome, EndpointRequest, EndpointStatus};
+use crate::daemon::daemon_settings::EndpointLogin;
+use crate::daemon::duty_ring::{RingSender, TaskReceiver};
+use crate::daemon::endpoint_sql::{self, SqlError, SqlResult};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
--- a/src/endpoint_sql.rs
+++ b/src/daemon/endpoint_sql.rs
@@ -8,7 +8,7 @@
 //! - `read_guard(term, position)`: fails with `QD001` unless the log has reached the point;
 //! - table `requests (account, id)` with a unique key, replicated with the data.
 
-use crate::endpoint_message::{
+use crate::core::endpoint_message::{
     AnswerBody, EndpointOutcome, EndpointRequest, EndpointStatement, EndpointStatus,
     TransactionStep,
 };
--- a/src/host_daemon.rs
+++ b/src/daemon/host_daemon.rs
@@ -9,21 +9,21 @@
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::caller_desk::CallerDesk;
-use crate::caller_door;
-use crate::clock_time::ClockTime;
-use crate::core_context::HostIdentity;
-use crate::core_driver::{CoreDriver, CoreOutlets};
-use crate::core_message::CoreEvent;
-use crate::daemon_settings::DaemonSettings;
-use crate::decision_core::DecisionCore;
-use crate::duty_ring::{self, RingSender, RingWaker, TaskReceiver};
-use crate::endpoint_driver;
-use crate::latency_book::LatencyBook;
-use crate::metrics_driver;
-use crate::peer_driver;
-use crate::platform_driver;
-use crate::statement_service;
+use crate::core::clock_time::ClockTime;
+use crate::core::core_context::HostIdentity;
+use crate::core::core_message::CoreEvent;
+use crate::core::decision_core::DecisionCore;
+use crate::daemon::caller_desk::CallerDesk;
+use crate::daemon::caller_door;
+use crate::daemon::core_driver::{CoreDriver, CoreOutlets};
+use crate::daemon::daemon_settings::DaemonSettings;
+use crate::daemon::duty_ring::{self, RingSender, RingWaker, TaskReceiver};
+use crate::daemon::endpoint_driver;
+use crate::daemon::latency_book::LatencyBook;
+use crate::daemon::metrics_driver;
+use crate::daemon::peer_driver;
+use crate::daemon::platform_driver;
+use crate::daemon::statement_service;
 
 /// Items that a ring holds.
 const RING_CAPACITY: usize = 4_096;
--- a/src/metrics_driver.rs
+++ b/src/daemon/metrics_driver.rs
@@ -9,11 +9,11 @@
 use cadence::{BufferedUdpMetricSink, Gauged, StatsdClient};
 use tokio_util::sync::CancellationToken;
 
-use crate::core_driver::METRICS_ASK;
-use crate::core_message::{CoreAction, CoreEvent};
-use crate::duty_ring::{RingSender, TaskReceiver};
-use crate::latency_book::LatencyBook;
-use crate::status_report::{AccountCounts, StatusReport};
+use crate::core::core_message::{CoreAction, CoreEvent};
+use crate::core::status_report::{AccountCounts, StatusReport};
+use crate::daemon::core_driver::METRICS_ASK;
+use crate::daemon::duty_ring::{RingSender, TaskReceiver};
+use crate::daemon::latency_book::LatencyBook;
 
 const METRICS_INTERVAL: Duration = Duration::from_secs(60);
 const METRICS_PREFIX: &str = "quetzaldeal";
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,17 @@
+//! Threads, rings and sockets around the decisions.
+
+pub mod caller_desk;
+pub mod caller_door;
+pub mod core_driver;
+pub mod daemon_settings;
+pub mod duty_ring;
+pub mod endpoint_driver;
+pub mod endpoint_sql;
+pub mod host_daemon;
+pub mod http_call;
+pub mod latency_book;
+pub mod log_outlet;
+pub mod metrics_driver;
+pub mod peer_driver;
+pub mod platform_driver;
+pub mod statement_service;
--- a/src/peer_driver.rs
+++ b/src/daemon/peer_driver.rs
@@ -12,12 +12,12 @@
 use volo_http::http::StatusCode;
 use volo_http::server::route::Router;
 
-use crate::core_message::{AskId, CallId, CoreAction, CoreEvent};
-use crate::duty_ring::{RingSender, TaskReceiver};
-use crate::http_call;
-use crate::latency_book::LatencyBook;
-use crate::peer_message::{PeerEnvelope, PeerReply, PeerRequest};
-use crate::status_report::StatusReport;
+use crate::core::core_message::{AskId, CallId, CoreAction, CoreEvent};
+use crate::core::peer_message::{PeerEnvelope, PeerReply, PeerRequest};
+use crate::core::status_report::StatusReport;
+use crate::daemon::duty_ring::{RingSender, TaskReceiver};
+use crate::daemon::http_call;
+use crate::daemon::latency_book::LatencyBook;
 
 /// Path that peers call.
 pub const PEER_PATH: &str = "/v1/peer";
--- a/src/platform_driver.rs
+++ b/src/daemon/platform_driver.rs
@@ -6,10 +6,10 @@
 use anyhow::Result;
 use volo_http::client::Client;
 
-use crate::core_message::{CallId, CoreAction, CoreEvent};
-use crate::duty_ring::{RingSender, TaskReceiver};
-use crate::http_call;
-use crate::platform_message::{PlatformReply, PlatformRequest};
+use crate::core::core_message::{CallId, CoreAction, CoreEvent};
+use crate::core::platform_message::{PlatformReply, PlatformRequest};
+use crate::daemon::duty_ring::{RingSender, TaskReceiver};
+use crate::daemon::http_call;
 
 /// Path of the platform's service.
 pub const PLATFORM_PATH: &str = "/v1/store";
--- a/src/statement_service.rs
+++ b/src/daemon/statement_service.rs
@@ -7,9 +7,9 @@
 use motore::Service;
 use motore::layer::Layer;
 
-use crate::caller_desk::{CallerDesk, DeskAnswer};
-use crate::core_message::{CallerId, CoreEvent};
-use crate::latency_book::LatencyBook;
+use crate::core::core_message::{CallerId, CoreEvent};
+use crate::daemon::caller_desk::{CallerDesk, DeskAnswer};
+use crate::daemon::latency_book::LatencyBook;
 
 /// Who sends a statement.
 #[derive(Debug, Clone)]
--- a/src/config_diff.rs
+++ b/src/operator/config_diff.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use crate::world_config::WorldConfig;
-use crate::world_object::WorldObject;
+use crate::world::world_config::WorldConfig;
+use crate::world::world_object::WorldObject;
 
 /// How an object differs.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/config_store.rs
+++ b/src/operator/config_store.rs
@@ -6,16 +6,16 @@
 use anyhow::{Context, Result, anyhow, bail};
 use volo_http::client::Client;
 
-use crate::config_check;
-use crate::config_diff;
-use crate::config_head::{self, ConfigHead};
-use crate::http_call;
-use crate::key_secret;
-use crate::peer_driver;
-use crate::platform_driver;
-use crate::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
-use crate::status_report::StatusReport;
-use crate::world_config::WorldConfig;
+use crate::core::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
+use crate::core::status_report::StatusReport;
+use crate::daemon::http_call;
+use crate::daemon::peer_driver;
+use crate::daemon::platform_driver;
+use crate::operator::config_diff;
+use crate::world::config_check;
+use crate::world::config_head::{self, ConfigHead};
+use crate::world::key_secret;
+use crate::world::world_config::WorldConfig;
 
 /// How long a command goes on trying when the platform gives no answer.
 const PATIENCE: Duration = Duration::from_secs(15);
--- a/src/operator_command.rs
+++ b/src/operator/operator_command.rs
@@ -7,15 +7,15 @@
 use anyhow::{Context, Result, bail};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-use crate::config_check;
-use crate::config_diff;
-use crate::config_store::{self, ConfigStore, PublishOutcome, PublishedConfig};
-use crate::http_call;
-use crate::key_secret::KeySecret;
-use crate::status_report::StatusReport;
-use crate::world_config::WorldConfig;
-use crate::world_file::WorldFile;
-use crate::world_object::WorldObject;
+use crate::core::status_report::StatusReport;
+use crate::daemon::http_call;
+use crate::operator::config_diff;
+use crate::operator::config_store::{self, ConfigStore, PublishOutcome, PublishedConfig};
+use crate::world::config_check;
+use crate::world::key_secret::KeySecret;
+use crate::world::world_config::WorldConfig;
+use crate::world::world_file::WorldFile;
+use crate::world::world_object::WorldObject;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const WAIT_PAUSE: Duration = Duration::from_millis(100);
--- a/src/proxy/change_flow.rs
+++ b/src/proxy/change_flow.rs
@@ -8,8 +8,8 @@
 
 use std::time::Duration;
 
-use crate::arena_keys;
-use crate::core_message;
+use crate::core::arena_keys;
+use crate::core::core_message;
 use crate::proxy::change_record;
 use crate::proxy::endpoint_command;
 use crate::proxy::group_view;
--- a/src/proxy/decision_log.rs
+++ b/src/proxy/decision_log.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::clock_time;
+use crate::core::clock_time;
 
 /// Lines a second in the long run.
 const LINES_PER_SECOND: f64 = 50.0;
--- a/src/proxy/duty_flow.rs
+++ b/src/proxy/duty_flow.rs
@@ -4,11 +4,11 @@
 
 use std::time::Duration;
 
+use crate::core::rendezvous_rank;
 use crate::proxy::change_record;
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 use crate::proxy::store_session;
-use crate::rendezvous_rank;
 
 /// Time between the turns of hosts that may claim a vacant duty.
 const TURN: Duration = Duration::from_millis(150);
--- a/src/proxy/endpoint_command.rs
+++ b/src/proxy/endpoint_command.rs
@@ -1,6 +1,6 @@
 //! What this host sends to an endpoint on one link, and what comes back.
 
-use crate::endpoint_message;
+use crate::core::endpoint_message;
 use crate::proxy::session_request;
 
 /// What a statement runs.
--- a/src/proxy/endpoint_view.rs
+++ b/src/proxy/endpoint_view.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use crate::arena_keys;
-use crate::circuit_breaker;
-use crate::clock_time;
-use crate::endpoint_message;
+use crate::core::arena_keys;
+use crate::core::circuit_breaker;
+use crate::core::clock_time;
+use crate::core::endpoint_message;
 use crate::proxy::endpoint_command;
 use crate::proxy::proxy_tuning;
 use crate::proxy::store_message;
--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -7,10 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::arena_keys;
-use crate::chart_cursor;
-use crate::circuit_breaker;
-use crate::clock_time;
+use crate::core::arena_keys;
+use crate::core::chart_cursor;
+use crate::core::circuit_breaker;
+use crate::core::clock_time;
+use crate::core::share_ledger;
 use crate::proxy::change_flow;
 use crate::proxy::change_record;
 use crate::proxy::duty_flow;
@@ -24,7 +25,6 @@
 use crate::proxy::quota_flow;
 use crate::proxy::store_message;
 use crate::proxy::store_session;
-use crate::share_ledger;
 
 /// Doublings of the pause between calls to the store that fail.
 const PAUSE_DOUBLINGS_MAX: u32 = 2;
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -1,8 +1,8 @@
 //! What this host knows of one group of endpoints.
 
-use crate::arena_keys;
-use crate::chart_cursor;
-use crate::clock_time;
+use crate::core::arena_keys;
+use crate::core::chart_cursor;
+use crate::core::clock_time;
 use crate::proxy::change_record;
 use crate::proxy::sample_log;
 
--- a/src/proxy/job_state.rs
+++ b/src/proxy/job_state.rs
@@ -1,7 +1,7 @@
 //! One request of a caller that has not been answered yet.
 
-use crate::arena_keys;
-use crate::clock_time;
+use crate::core::arena_keys;
+use crate::core::clock_time;
 use crate::proxy::endpoint_command;
 use crate::proxy::proxy_config;
 use crate::proxy::session_request;
--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
-use crate::arena_keys;
-use crate::chart_cursor;
+use crate::core::arena_keys;
+use crate::core::chart_cursor;
+use crate::core::request_verdict;
 use crate::proxy::change_flow;
 use crate::proxy::endpoint_command;
 use crate::proxy::job_state;
@@ -16,7 +17,6 @@
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
 use crate::proxy::sample_log;
-use crate::request_verdict;
 
 /// Prepared statements kept on one link; more are dropped together with the session values.
 const PREPARED_MAX: usize = 256;
--- a/src/proxy/link_state.rs
+++ b/src/proxy/link_state.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::arena_keys;
-use crate::chart_cursor;
-use crate::clock_time;
+use crate::core::arena_keys;
+use crate::core::chart_cursor;
+use crate::core::clock_time;
 use crate::proxy::endpoint_command;
 
 /// Who waits for the answer to a link's last command.
--- a/src/proxy/member_flow.rs
+++ b/src/proxy/member_flow.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::clock_time;
+use crate::core::clock_time;
 use crate::proxy::change_flow;
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_context;
--- a/src/proxy/member_view.rs
+++ b/src/proxy/member_view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::clock_time;
+use crate::core::clock_time;
 use crate::proxy::change_record;
 use crate::proxy::peer_datagram;
 
--- a/src/proxy/operation_flow.rs
+++ b/src/proxy/operation_flow.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use crate::arena_keys;
-use crate::endpoint_message;
+use crate::core::arena_keys;
+use crate::core::endpoint_message;
+use crate::core::request_verdict;
 use crate::proxy::endpoint_command;
 use crate::proxy::job_state;
 use crate::proxy::link_flow;
@@ -12,7 +13,6 @@
 use crate::proxy::quota_flow;
 use crate::proxy::session_flow;
 use crate::proxy::session_state;
-use crate::request_verdict;
 
 /// Time for which a replica that lacked a point is left alone at first.
 const LAG_PAUSE: Duration = Duration::from_millis(100);
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::endpoint_message;
+use crate::core::endpoint_message;
 use crate::proxy::change_record;
 
 /// One host's view of one group's primary.
--- a/src/proxy/placement_policy.rs
+++ b/src/proxy/placement_policy.rs
@@ -7,12 +7,12 @@
 
 use std::time::Duration;
 
-use crate::arena_keys;
-use crate::endpoint_message;
+use crate::core::arena_keys;
+use crate::core::endpoint_message;
+use crate::core::request_verdict;
 use crate::proxy::job_state;
 use crate::proxy::link_flow;
 use crate::proxy::proxy_context;
-use crate::request_verdict;
 
 /// Taken off a route's age, for the time between placing a read and the sending of it, in
 /// milliseconds.
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -9,10 +9,13 @@
 use rand::{RngExt, SeedableRng};
 use slotmap::SlotMap;
 
-use crate::arena_keys;
-use crate::clock_time;
-use crate::core_message;
-use crate::latency_book;
+use crate::core::arena_keys;
+use crate::core::clock_time;
+use crate::core::core_message;
+use crate::core::share_ledger;
+use crate::core::state_chart;
+use crate::core::timer_queue;
+use crate::daemon::latency_book;
 use crate::proxy::change_record;
 use crate::proxy::decision_log;
 use crate::proxy::endpoint_view;
@@ -26,9 +29,6 @@
 use crate::proxy::session_state;
 use crate::proxy::store_message;
 use crate::proxy::store_session;
-use crate::share_ledger;
-use crate::state_chart;
-use crate::timer_queue;
 
 const CHANGE_CHART: &str = include_str!("../../charts/primary_change.yaml");
 const LINK_CHART: &str = include_str!("../../charts/endpoint_connection.yaml");
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Result;
 
-use crate::clock_time;
+use crate::core::clock_time;
 use crate::proxy::change_flow;
 use crate::proxy::change_record;
 use crate::proxy::duty_flow;
--- a/src/proxy/proxy_message.rs
+++ b/src/proxy/proxy_message.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use crate::arena_keys;
-use crate::core_message;
-use crate::endpoint_message;
+use crate::core::arena_keys;
+use crate::core::core_message;
+use crate::core::endpoint_message;
+use crate::core::request_verdict;
 use crate::proxy::endpoint_command;
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_tuning;
 use crate::proxy::session_request;
 use crate::proxy::store_message;
-use crate::request_verdict;
 
 /// How the platform answered the appointment of a primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/proxy/quota_flow.rs
+++ b/src/proxy/quota_flow.rs
@@ -8,16 +8,16 @@
 
 use xxhash_rust::xxh3;
 
-use crate::arena_keys;
+use crate::core::arena_keys;
+use crate::core::rendezvous_rank;
+use crate::core::request_verdict;
+use crate::core::share_ledger;
 use crate::proxy::job_state;
 use crate::proxy::operation_flow;
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
-use crate::rendezvous_rank;
-use crate::request_verdict;
-use crate::share_ledger;
 
 /// Peers asked for tokens at a time.
 const PEERS_ASKED: usize = 3;
--- a/src/proxy/sample_log.rs
+++ b/src/proxy/sample_log.rs
@@ -7,8 +7,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::clock_time;
-use crate::endpoint_message;
+use crate::core::clock_time;
+use crate::core::endpoint_message;
 
 /// Least time between samples that are kept.
 const SAMPLE_GAP: Duration = Duration::from_millis(20);
--- a/src/proxy/session_flow.rs
+++ b/src/proxy/session_flow.rs
@@ -1,7 +1,8 @@
 //! Sessions of callers: opening, taking requests in order, answering, closing.
 
-use crate::arena_keys;
-use crate::core_message;
+use crate::core::arena_keys;
+use crate::core::core_message;
+use crate::core::request_verdict;
 use crate::proxy::endpoint_command;
 use crate::proxy::job_state;
 use crate::proxy::link_flow;
@@ -12,7 +13,6 @@
 use crate::proxy::session_request;
 use crate::proxy::session_state;
 use crate::proxy::shutdown_flow;
-use crate::request_verdict;
 
 /// Requests that a caller may send ahead of answers.
 const BACKLOG_MAX: usize = 16;
--- a/src/proxy/session_state.rs
+++ b/src/proxy/session_state.rs
@@ -2,10 +2,10 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::arena_keys;
-use crate::clock_time;
-use crate::core_message;
-use crate::endpoint_message;
+use crate::core::arena_keys;
+use crate::core::clock_time;
+use crate::core::core_message;
+use crate::core::endpoint_message;
 use crate::proxy::endpoint_command;
 use crate::proxy::proxy_config;
 use crate::proxy::session_request;
--- a/src/proxy/shutdown_flow.rs
+++ b/src/proxy/shutdown_flow.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::arena_keys;
+use crate::core::arena_keys;
 use crate::proxy::endpoint_command;
 use crate::proxy::link_flow;
 use crate::proxy::proxy_context;
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::arena_keys;
-use crate::clock_time;
+use crate::core::arena_keys;
+use crate::core::clock_time;
 use crate::proxy::change_record;
 use crate::proxy::store_message;
 
--- a/src/config_check.rs
+++ b/src/world/config_check.rs
@@ -4,8 +4,8 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use crate::caller_flow;
-use crate::world_config;
+use crate::core::caller_flow;
+use crate::world::world_config;
 
 /// The longest name that an object may have, in bytes.
 pub const NAME_MAX_BYTES: usize = 64;
--- a/src/config_head.rs
+++ b/src/world/config_head.rs
@@ -10,7 +10,10 @@
 use sha2::{Digest, Sha256};
 use xxhash_rust::xxh3;
 
-use crate::{group_record, key_secret, world_config, world_object};
+use crate::core::group_record;
+use crate::world::key_secret;
+use crate::world::world_config;
+use crate::world::world_object;
 
 /// Platform prefix of the parts.
 pub const PART_PREFIX: &str = "parts/";
--- a/src/key_secret.rs
+++ b/src/world/key_secret.rs
@@ -4,7 +4,7 @@
 use sha2::Sha256;
 use subtle::ConstantTimeEq;
 
-use crate::world_object;
+use crate::world::world_object;
 
 const KEY_BYTES: usize = 24;
 const SALT_BYTES: usize = 16;
--- a/src/world_config.rs
+++ b/src/world/world_config.rs
@@ -4,8 +4,8 @@
 
 use anyhow::{Result, bail};
 
-use crate::world_object;
-use crate::world_object::WorldObject;
+use crate::world::world_object;
+use crate::world::world_object::WorldObject;
 
 /// All objects of one configuration.
 #[derive(Debug, Clone, PartialEq, Default)]
--- a/src/world_file.rs
+++ b/src/world/world_file.rs
@@ -4,8 +4,8 @@
 use serde::Deserialize;
 use serde_yaml_ng::Value;
 
-use crate::world_config::WorldConfig;
-use crate::world_object::WorldObject;
+use crate::world::world_config::WorldConfig;
+use crate::world::world_object::WorldObject;
 
 /// Kind of the document that names the version a file was edited from.
 const BASE_KIND: &str = "base";
--- a/stand-ins/src/bin/quetzaldeal-load.rs
+++ b/stand-ins/src/bin/quetzaldeal-load.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, Result, bail};
 use clap::{Arg, ArgMatches, Command, value_parser};
-use quetzaldeal::http_call;
+use quetzaldeal::daemon::http_call;
 use stand_ins::caller_story;
 use stand_ins::load_plan::LoadPlan;
 use stand_ins::load_run;
--- a/stand-ins/src/capacity_slopes.rs
+++ b/stand-ins/src/capacity_slopes.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use quetzaldeal::latency_book::LatencyBook;
-use quetzaldeal::peer_message::{PeerEnvelope, PeerPulse, PeerReply, PeerRequest};
-use quetzaldeal::share_ledger::{ShareGrant, SharePart};
+use quetzaldeal::core::peer_message::{PeerEnvelope, PeerPulse, PeerReply, PeerRequest};
+use quetzaldeal::core::share_ledger::{ShareGrant, SharePart};
+use quetzaldeal::daemon::latency_book::LatencyBook;
 use serde::{Deserialize, Serialize};
 
 use crate::core_bench::{CoreBench, WorldSize, build_world};
@@ -96,7 +96,7 @@
     let adopt_us_per_object = measure_adoption()?;
     let largest = build_world(sized(2_200, 1_033, 3_000))?;
     let objects = largest.to_objects().len() as f64;
-    let parts = quetzaldeal::config_head::split_world(&largest)?;
+    let parts = quetzaldeal::world::config_head::split_world(&largest)?;
     let part_bytes = parts.iter().map(|(_, bytes)| bytes.len()).max().unwrap_or(0) as f64;
     Ok(CoreSlopes {
         read_us,
--- a/stand-ins/src/core_bench.rs
+++ b/stand-ins/src/core_bench.rs
@@ -4,20 +4,20 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
-use quetzaldeal::clock_time::ClockTime;
-use quetzaldeal::config_head;
-use quetzaldeal::core_context::HostIdentity;
-use quetzaldeal::core_message::{CoreAction, CoreEvent};
-use quetzaldeal::core_tuning::CoreTuning;
-use quetzaldeal::decision_core::DecisionCore;
-use quetzaldeal::endpoint_message::{
+use quetzaldeal::core::clock_time::ClockTime;
+use quetzaldeal::core::core_context::HostIdentity;
+use quetzaldeal::core::core_message::{CoreAction, CoreEvent};
+use quetzaldeal::core::core_tuning::CoreTuning;
+use quetzaldeal::core::decision_core::DecisionCore;
+use quetzaldeal::core::endpoint_message::{
     AnswerBody, EndpointOutcome, EndpointRequest, EndpointStatus, LogPoint,
 };
-use quetzaldeal::group_record::{self, GroupRecord, TermPhase};
-use quetzaldeal::key_secret::KeySecret;
-use quetzaldeal::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
-use quetzaldeal::world_config::WorldConfig;
-use quetzaldeal::world_file::WorldFile;
+use quetzaldeal::core::group_record::{self, GroupRecord, TermPhase};
+use quetzaldeal::core::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
+use quetzaldeal::world::config_head;
+use quetzaldeal::world::key_secret::KeySecret;
+use quetzaldeal::world::world_config::WorldConfig;
+use quetzaldeal::world::world_file::WorldFile;
 
 /// Name of the host that the bench plays.
 const HOST: &str = "host-0";
--- a/stand-ins/src/database_model.rs
+++ b/stand-ins/src/database_model.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 
-use quetzaldeal::endpoint_message::{EndpointStatus, LogPoint};
-use quetzaldeal::endpoint_sql::{self, SqlError, SqlResult};
+use quetzaldeal::core::endpoint_message::{EndpointStatus, LogPoint};
+use quetzaldeal::daemon::endpoint_sql::{self, SqlError, SqlResult};
 use serde::{Deserialize, Serialize};
 
 use crate::sql_engine;
--- a/stand-ins/src/endpoint_program.rs
+++ b/stand-ins/src/endpoint_program.rs
@@ -19,8 +19,8 @@
 use pgwire::error::{ErrorInfo, PgWireError, PgWireResult};
 use pgwire::messages::PgWireBackendMessage;
 use pgwire::tokio::process_socket;
-use quetzaldeal::endpoint_message::LogPoint;
-use quetzaldeal::endpoint_sql::{self, SqlResult};
+use quetzaldeal::core::endpoint_message::LogPoint;
+use quetzaldeal::daemon::endpoint_sql::{self, SqlResult};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore};
 use tokio_postgres::{NoTls, SimpleQueryMessage};
@@ -281,7 +281,7 @@
 }
 
 fn to_hex(bytes: &[u8]) -> String {
-    quetzaldeal::key_secret::to_hex(bytes)
+    quetzaldeal::world::key_secret::to_hex(bytes)
 }
 
 fn from_hex(text: &str) -> Result<Vec<u8>> {
--- a/stand-ins/src/path_cost.rs
+++ b/stand-ins/src/path_cost.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use quetzaldeal::duty_ring::{self, RingWaker, TaskReceiver};
+use quetzaldeal::daemon::duty_ring::{self, RingWaker, TaskReceiver};
 use tokio_postgres::{Client, Config, NoTls};
 
 use crate::caller_story::CallerLogin;
--- a/stand-ins/src/platform_model.rs
+++ b/stand-ins/src/platform_model.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use quetzaldeal::platform_message::{ListedHost, PlatformReply, PlatformRequest, StoreEntry};
+use quetzaldeal::core::platform_message::{ListedHost, PlatformReply, PlatformRequest, StoreEntry};
 
 /// The largest value that the service holds, in bytes.
 pub const VALUE_MAX_BYTES: usize = 1_000_000;
--- a/stand-ins/src/platform_program.rs
+++ b/stand-ins/src/platform_program.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use quetzaldeal::http_call;
-use quetzaldeal::platform_driver::PLATFORM_PATH;
-use quetzaldeal::platform_message::{PlatformReply, PlatformRequest};
+use quetzaldeal::core::platform_message::{PlatformReply, PlatformRequest};
+use quetzaldeal::daemon::http_call;
+use quetzaldeal::daemon::platform_driver::PLATFORM_PATH;
 use tokio::sync::Notify;
 use volo_http::http::StatusCode;
 use volo_http::server::route::Router;
--- a/stand-ins/src/sql_engine.rs
+++ b/stand-ins/src/sql_engine.rs
@@ -1,7 +1,7 @@
 //! Runs the few forms of SQL that the stand-in databases know.
 
-use quetzaldeal::endpoint_message::LogPoint;
-use quetzaldeal::endpoint_sql::{self, SqlError, SqlResult};
+use quetzaldeal::core::endpoint_message::LogPoint;
+use quetzaldeal::daemon::endpoint_sql::{self, SqlError, SqlResult};
 use sqlparser::ast::{self, Expr, SetExpr, Statement};
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
--- a/stand-ins/tests/process_fleet/mod.rs
+++ b/stand-ins/tests/process_fleet/mod.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use quetzaldeal::http_call;
+use quetzaldeal::daemon::http_call;
 use stand_ins::caller_story::CallerLogin;
 use stand_ins::fault_message::{FAULT_PATH, PlatformFaults};
 use tokio_postgres::Client;
--- a/tests/checks.rs
+++ b/tests/checks.rs
@@ -2,12 +2,12 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by a panic")]
 
-use quetzaldeal::config_check;
-use quetzaldeal::config_diff;
-use quetzaldeal::daemon_settings::DaemonSettings;
-use quetzaldeal::state_chart::StateChart;
-use quetzaldeal::world_config::WorldConfig;
-use quetzaldeal::world_file::WorldFile;
+use quetzaldeal::core::state_chart::StateChart;
+use quetzaldeal::daemon::daemon_settings::DaemonSettings;
+use quetzaldeal::operator::config_diff;
+use quetzaldeal::world::config_check;
+use quetzaldeal::world::world_config::WorldConfig;
+use quetzaldeal::world::world_file::WorldFile;
 
 const SOUND: &str = "
 ---\nkind: base\nversion: 4
--- a/tests/fleet_fakes/fleet_truth.rs
+++ b/tests/fleet_fakes/fleet_truth.rs
@@ -3,14 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use quetzaldeal::clock_time::ClockTime;
-use quetzaldeal::core_message::CoreAction;
-use quetzaldeal::decision_core::DecisionCore;
-use quetzaldeal::endpoint_message::{AnswerBody, EndpointRequest, TransactionStep};
-use quetzaldeal::group_record::{self, GroupRecord, TermPhase};
-use quetzaldeal::platform_message::{PlatformReply, PlatformRequest};
-use quetzaldeal::request_verdict::{RequestFate, RequestVerdict, VerdictCause};
-use quetzaldeal::world_config::WorldConfig;
+use quetzaldeal::core::clock_time::ClockTime;
+use quetzaldeal::core::core_message::CoreAction;
+use quetzaldeal::core::decision_core::DecisionCore;
+use quetzaldeal::core::endpoint_message::{AnswerBody, EndpointRequest, TransactionStep};
+use quetzaldeal::core::group_record::{self, GroupRecord, TermPhase};
+use quetzaldeal::core::platform_message::{PlatformReply, PlatformRequest};
+use quetzaldeal::core::request_verdict::{RequestFate, RequestVerdict, VerdictCause};
+use quetzaldeal::world::world_config::WorldConfig;
 use stand_ins::platform_model::PlatformModel;
 use stand_ins::table_store::TableChange;
 
--- a/tests/fleet_fakes/fleet_world.rs
+++ b/tests/fleet_fakes/fleet_world.rs
@@ -1,8 +1,8 @@
 //! Configurations for the fakes.
 
-use quetzaldeal::key_secret::KeySecret;
-use quetzaldeal::world_config::WorldConfig;
-use quetzaldeal::world_file::WorldFile;
+use quetzaldeal::world::key_secret::KeySecret;
+use quetzaldeal::world::world_config::WorldConfig;
+use quetzaldeal::world::world_file::WorldFile;
 
 /// A configuration with the keys that its callers present.
 pub(crate) struct FleetWorld {
--- a/tests/fleet_fakes/mod.rs
+++ b/tests/fleet_fakes/mod.rs
@@ -10,19 +10,19 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use quetzaldeal::arena_keys::ConnectionKey;
-use quetzaldeal::clock_time::ClockTime;
-use quetzaldeal::config_head;
-use quetzaldeal::core_context::HostIdentity;
-use quetzaldeal::core_message::{CallId, CoreAction, CoreEvent};
-use quetzaldeal::core_tuning::CoreTuning;
-use quetzaldeal::decision_core::DecisionCore;
-use quetzaldeal::endpoint_message::{AnswerBody, EndpointRequest};
-use quetzaldeal::endpoint_sql;
-use quetzaldeal::peer_message::PeerRequest;
-use quetzaldeal::platform_message::{PlatformReply, PlatformRequest};
-use quetzaldeal::request_verdict::RequestVerdict;
-use quetzaldeal::world_config::WorldConfig;
+use quetzaldeal::core::arena_keys::ConnectionKey;
+use quetzaldeal::core::clock_time::ClockTime;
+use quetzaldeal::core::core_context::HostIdentity;
+use quetzaldeal::core::core_message::{CallId, CoreAction, CoreEvent};
+use quetzaldeal::core::core_tuning::CoreTuning;
+use quetzaldeal::core::decision_core::DecisionCore;
+use quetzaldeal::core::endpoint_message::{AnswerBody, EndpointRequest};
+use quetzaldeal::core::peer_message::PeerRequest;
+use quetzaldeal::core::platform_message::{PlatformReply, PlatformRequest};
+use quetzaldeal::core::request_verdict::RequestVerdict;
+use quetzaldeal::daemon::endpoint_sql;
+use quetzaldeal::world::config_head;
+use quetzaldeal::world::world_config::WorldConfig;
 use stand_ins::database_model::DatabaseModel;
 use stand_ins::platform_model::PlatformModel;
 
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -8,15 +8,15 @@
 use fleet_fakes::fleet_world;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use quetzaldeal::clock_time::ClockTime;
-use quetzaldeal::config_head;
-use quetzaldeal::endpoint_message::LogPoint;
-use quetzaldeal::peer_message::{PeerEnvelope, PeerPulse};
-use quetzaldeal::platform_message::{PlatformReply, PlatformRequest};
-use quetzaldeal::session_token::SessionToken;
-use quetzaldeal::share_ledger::{ShareGrant, ShareLedger, SharePart};
-use quetzaldeal::statement_text;
-use quetzaldeal::world_file::WorldFile;
+use quetzaldeal::core::clock_time::ClockTime;
+use quetzaldeal::core::endpoint_message::LogPoint;
+use quetzaldeal::core::peer_message::{PeerEnvelope, PeerPulse};
+use quetzaldeal::core::platform_message::{PlatformReply, PlatformRequest};
+use quetzaldeal::core::session_token::SessionToken;
+use quetzaldeal::core::share_ledger::{ShareGrant, ShareLedger, SharePart};
+use quetzaldeal::core::statement_text;
+use quetzaldeal::world::config_head;
+use quetzaldeal::world::world_file::WorldFile;
 
 /// Seed of every property, so that each run gives the same verdict; `PROPERTY_SEED` sets another.
 const SEED: u64 = 20_261_204;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -6,12 +6,12 @@
 
 use proxy_fakes::fake_store;
 use proxy_fakes::{Place, ProxyFleet, read, write};
-use quetzaldeal::endpoint_message;
+use quetzaldeal::core::endpoint_message;
+use quetzaldeal::core::request_verdict;
 use quetzaldeal::proxy::change_record;
 use quetzaldeal::proxy::endpoint_command;
 use quetzaldeal::proxy::sample_log;
 use quetzaldeal::proxy::session_request;
-use quetzaldeal::request_verdict;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -405,7 +405,7 @@
 #[test]
 fn a_sample_requires_what_was_there_before_it() {
     let mut log = sample_log::SampleLog::default();
-    let at = quetzaldeal::clock_time::ClockTime::from_millis;
+    let at = quetzaldeal::core::clock_time::ClockTime::from_millis;
     let point = |position| endpoint_message::LogPoint { term: 1, position };
     for (asked, position) in [(100, 5), (200, 5), (300, 5), (400, 9)] {
         log.push(sample_log::LogSample { asked: at(asked), point: point(position) });
--- a/tests/proxy_fakes/fake_database.rs
+++ b/tests/proxy_fakes/fake_database.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quetzaldeal::endpoint_message;
+use quetzaldeal::core::endpoint_message;
 use quetzaldeal::proxy::endpoint_command;
 
 /// One committed transaction.
--- a/tests/proxy_fakes/fake_store.rs
+++ b/tests/proxy_fakes/fake_store.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use quetzaldeal::core_message;
+use quetzaldeal::core::core_message;
 use quetzaldeal::proxy::store_message;
 
 /// How the store treats calls.
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -10,9 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quetzaldeal::arena_keys;
-use quetzaldeal::clock_time;
-use quetzaldeal::core_message;
+use quetzaldeal::core::arena_keys;
+use quetzaldeal::core::clock_time;
+use quetzaldeal::core::core_message;
+use quetzaldeal::core::request_verdict;
 use quetzaldeal::proxy::change_record;
 use quetzaldeal::proxy::endpoint_command;
 use quetzaldeal::proxy::proxy_config;
@@ -21,7 +22,6 @@
 use quetzaldeal::proxy::proxy_tuning;
 use quetzaldeal::proxy::session_request;
 use quetzaldeal::proxy::store_message;
-use quetzaldeal::request_verdict;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -11,8 +11,8 @@
 use fleet_fakes::FakeFleet;
 use fleet_fakes::fleet_truth;
 use fleet_fakes::fleet_world;
-use quetzaldeal::request_verdict::{RequestFate, RequestVerdict};
-use quetzaldeal::world_file::WorldFile;
+use quetzaldeal::core::request_verdict::{RequestFate, RequestVerdict};
+use quetzaldeal::world::world_file::WorldFile;
 
 /// Seed of all randomness in scenarios.
 const SEED: u64 = 7;
@@ -215,7 +215,7 @@
     for object in WorldFile::parse(&added).unwrap().world.to_objects() {
         world.insert(object).unwrap();
     }
-    let findings = quetzaldeal::config_check::check_world(&world, Some(&fleet.world));
+    let findings = quetzaldeal::world::config_check::check_world(&world, Some(&fleet.world));
     if !findings.is_empty() {
         return findings.iter().map(|finding| format!("{finding}\n")).collect();
     }
@@ -273,7 +273,7 @@
 fn show_answer(
     fleet: &FakeFleet,
     caller: &str,
-    answer: Option<(RequestVerdict, quetzaldeal::endpoint_message::AnswerBody)>,
+    answer: Option<(RequestVerdict, quetzaldeal::core::endpoint_message::AnswerBody)>,
 ) -> String {
     let Some((verdict, body)) = answer else {
         let closed = fleet.callers[caller].closed;
@@ -381,7 +381,7 @@
     let mut text = String::new();
     for object in fleet.world.endpoints.values() {
         let cores = fleet.hosts.values().filter_map(|host| host.core.as_ref());
-        let quota = |core: &quetzaldeal::decision_core::DecisionCore| {
+        let quota = |core: &quetzaldeal::core::decision_core::DecisionCore| {
             let context = core.context();
             context.endpoints[context.endpoint_names[&object.name]].work_quota + 1
         };
