--- a/src/bin/quetzaldeald.rs
+++ b/src/bin/quetzaldeald.rs
@@ -4,14 +4,14 @@
 
 use anyhow::{Context, Result};
 use clap::{Arg, Command, value_parser};
-use quetzaldeal::daemon::daemon_settings::DaemonSettings;
+use quetzaldeal::daemon::daemon_settings;
 use quetzaldeal::daemon::host_daemon;
 use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
 
 fn main() -> Result<()> {
     let matches = command().get_matches();
     let path: &PathBuf = matches.get_one("settings").context("no settings file")?;
-    let settings = DaemonSettings::load(path)?;
+    let settings = daemon_settings::DaemonSettings::load(path)?;
     if matches.get_flag("check") {
         return Ok(());
     }
@@ -40,7 +40,7 @@
         )
 }
 
-fn start_log(settings: &DaemonSettings) -> Result<()> {
+fn start_log(settings: &daemon_settings::DaemonSettings) -> Result<()> {
     let level = settings.log_level.parse().context("log_level")?;
     let config = ConfigBuilder::new()
         .set_target_level(log::LevelFilter::Error)
--- a/src/core/account_state.rs
+++ b/src/core/account_state.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::core::arena_keys::StatementKey;
-use crate::core::clock_time::ClockTime;
-use crate::core::share_ledger::ShareLedger;
-use crate::core::status_report::AccountCounts;
-use crate::world::world_object::AccountObject;
+use crate::core::arena_keys;
+use crate::core::clock_time;
+use crate::core::share_ledger;
+use crate::core::status_report;
+use crate::world::world_object;
 
 /// How long a round of asking waits for answers before the next may begin.
 const ASK_PATIENCE: Duration = Duration::from_millis(50);
@@ -20,15 +20,15 @@
     /// Weight in queues.
     pub weight: u32,
     /// This host's share of the account's rate and burst.
-    pub ledger: ShareLedger,
+    pub ledger: share_ledger::ShareLedger,
     /// The object that the share was dealt by; `None` for an account that is not configured.
-    pub object: Option<AccountObject>,
+    pub object: Option<world_object::AccountObject>,
     /// Hosts that hold home shares.
     pub homes: Vec<String>,
     /// Statements that wait for a share, oldest first.
-    pub waiting: Vec<StatementKey>,
+    pub waiting: Vec<arena_keys::StatementKey>,
     /// When peers were last asked.
-    pub asked: ClockTime,
+    pub asked: clock_time::ClockTime,
     /// Answers to the last round of asking that are outstanding.
     pub asks_open: u32,
     /// Extra time that the account is served for when the configuration cannot be confirmed,
@@ -41,12 +41,12 @@
     /// Hosts that peers have named as holders of what they have lent.
     pub holders: BTreeSet<String>,
     /// Counts since the start.
-    pub counts: AccountCounts,
+    pub counts: status_report::AccountCounts,
 }
 
 impl AccountState {
     /// Whether answers to the last round of asking are still worth waiting for.
-    pub fn asking(&self, now: ClockTime) -> bool {
+    pub fn asking(&self, now: clock_time::ClockTime) -> bool {
         self.asks_open > 0 && now.since(self.asked) < ASK_PATIENCE
     }
 }
--- a/src/core/call_purpose.rs
+++ b/src/core/call_purpose.rs
@@ -1,8 +1,8 @@
 //! What the decision core awaits an answer for.
 
-use crate::core::arena_keys::{AccountKey, ConnectionKey, EndpointKey, GroupKey, StatementKey};
-use crate::core::clock_time::ClockTime;
-use crate::core::group_record::GroupRecord;
+use crate::core::arena_keys;
+use crate::core::clock_time;
+use crate::core::group_record;
 
 /// The purpose of a call that has not been answered.
 #[derive(Debug, Clone, PartialEq)]
@@ -10,44 +10,44 @@
     /// A statement runs on a connection.
     Statement {
         /// The statement.
-        statement: StatementKey,
+        statement: arena_keys::StatementKey,
         /// The connection.
-        connection: ConnectionKey,
+        connection: arena_keys::ConnectionKey,
     },
     /// An idle connection is tested.
     IdleTest {
         /// The connection.
-        connection: ConnectionKey,
+        connection: arena_keys::ConnectionKey,
     },
     /// An endpoint is asked for its status, or told its role.
     Status {
         /// The endpoint.
-        endpoint: EndpointKey,
+        endpoint: arena_keys::EndpointKey,
         /// The status connection.
-        connection: ConnectionKey,
+        connection: arena_keys::ConnectionKey,
         /// When the call was sent.
-        sent: ClockTime,
+        sent: clock_time::ClockTime,
     },
     /// A pulse went to a host.
     Pulse {
         /// Address of the host.
         address: String,
         /// When it was sent.
-        sent: ClockTime,
+        sent: clock_time::ClockTime,
     },
     /// A loan was asked for.
     Share {
         /// The account.
-        account: AccountKey,
+        account: arena_keys::AccountKey,
         /// Address of the peer.
         address: String,
         /// When it was asked for.
-        asked: ClockTime,
+        asked: clock_time::ClockTime,
     },
     /// A peer was asked whether it reaches a primary.
     PrimaryOpinion {
         /// The group.
-        group: GroupKey,
+        group: arena_keys::GroupKey,
         /// Address of the peer.
         address: String,
         /// The term suspected.
@@ -61,7 +61,7 @@
     /// The live records are watched.
     Watch {
         /// When the watch was sent.
-        sent: ClockTime,
+        sent: clock_time::ClockTime,
         /// The watermark it started from.
         after: u64,
     },
@@ -72,13 +72,13 @@
     /// A group's record is to be swapped.
     SwapRecord {
         /// The group.
-        group: GroupKey,
+        group: arena_keys::GroupKey,
         /// The new record.
-        record: GroupRecord,
+        record: group_record::GroupRecord,
     },
     /// A group's record is read after a swap whose answer was lost.
     ReadRecord {
         /// The group.
-        group: GroupKey,
+        group: arena_keys::GroupKey,
     },
 }
--- a/src/core/caller_flow.rs
+++ b/src/core/caller_flow.rs
@@ -1,15 +1,15 @@
 //! Callers come, change their settings and go.
 
-use crate::core::arena_keys::{AccountKey, CallerKey};
-use crate::core::caller_state::{CallerProof, CallerSettings, CallerState};
+use crate::core::arena_keys;
+use crate::core::caller_state;
 use crate::core::connection_flow;
-use crate::core::core_context::CoreContext;
-use crate::core::core_message::{CallerId, CoreAction};
+use crate::core::core_context;
+use crate::core::core_message;
 use crate::core::core_tuning;
 use crate::core::drain_flow;
-use crate::core::endpoint_message::AnswerBody;
-use crate::core::request_verdict::{RequestVerdict, VerdictCause};
-use crate::core::session_token::SessionToken;
+use crate::core::endpoint_message;
+use crate::core::request_verdict;
+use crate::core::session_token;
 use crate::core::statement_flow;
 use crate::core::statement_intake;
 use crate::world::key_secret;
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub struct CallerLogin {
     /// The door's number.
-    pub caller: CallerId,
+    pub caller: core_message::CallerId,
     /// The account named.
     pub account: String,
     /// The key presented.
@@ -33,16 +33,18 @@
 }
 
 /// Lets a caller in or turns it away.
-pub fn open(ctx: &mut CoreContext, login: CallerLogin) {
+pub fn open(ctx: &mut core_context::CoreContext, login: CallerLogin) {
     let caller = login.caller;
     match try_open(ctx, login) {
-        Ok(()) => ctx.actions.push(CoreAction::AdmitCaller { caller }),
-        Err(verdict) => ctx.actions.push(CoreAction::RefuseCaller { caller, verdict }),
+        Ok(()) => ctx.actions.push(core_message::CoreAction::AdmitCaller { caller }),
+        Err(verdict) => {
+            ctx.actions.push(core_message::CoreAction::RefuseCaller { caller, verdict })
+        }
     }
 }
 
 /// Forgets a caller; what it left running is cut from its connection, which is closed.
-pub fn close(ctx: &mut CoreContext, caller: CallerId) {
+pub fn close(ctx: &mut core_context::CoreContext, caller: core_message::CallerId) {
     let Some(key) = ctx.caller_ids.remove(&caller) else { return };
     if let Some(statement) = ctx.callers[key].statement.take() {
         statement_flow::abandon(ctx, statement);
@@ -55,10 +57,15 @@
 }
 
 /// Returns why the caller may not act for its account any more, if so.
-pub fn check_proof(ctx: &CoreContext, caller: CallerKey) -> Result<(), RequestVerdict> {
+pub fn check_proof(
+    ctx: &core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+) -> Result<(), request_verdict::RequestVerdict> {
     let state = &ctx.callers[caller];
-    let rejected = || RequestVerdict::not_run(VerdictCause::KeyRejected, None);
-    if let CallerProof::Key { name, hash } = &state.proof {
+    let rejected = || {
+        request_verdict::RequestVerdict::not_run(request_verdict::VerdictCause::KeyRejected, None)
+    };
+    if let caller_state::CallerProof::Key { name, hash } = &state.proof {
         let key = ctx.config.world.keys.get(name).ok_or_else(rejected)?;
         if key.account != state.account_name || key.hash != *hash {
             return Err(rejected());
@@ -67,24 +74,27 @@
     let account = ctx.config.world.accounts.get(&state.account_name).ok_or_else(rejected)?;
     if !ctx.config_fresh(account.cut_off_grace_ms) {
         let wait = Some(core_tuning::FAILOVER_RETRY);
-        return Err(RequestVerdict::not_run(VerdictCause::ConfigStale, wait));
+        return Err(request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::ConfigStale,
+            wait,
+        ));
     }
     Ok(())
 }
 
 /// Ends the connections of callers whose keys no longer stand.
-pub fn sweep(ctx: &mut CoreContext) {
-    let keys: Vec<CallerKey> = ctx.callers.keys().collect();
+pub fn sweep(ctx: &mut core_context::CoreContext) {
+    let keys: Vec<arena_keys::CallerKey> = ctx.callers.keys().collect();
     for key in keys {
         let Err(verdict) = check_proof(ctx, key) else { continue };
-        if verdict.cause != VerdictCause::KeyRejected {
+        if verdict.cause != request_verdict::VerdictCause::KeyRejected {
             continue;
         }
         let caller = ctx.callers[key].id;
         if let Some(statement) = ctx.callers[key].statement {
-            statement_flow::cut_short(ctx, statement, VerdictCause::KeyRejected);
+            statement_flow::cut_short(ctx, statement, request_verdict::VerdictCause::KeyRejected);
         }
-        ctx.actions.push(CoreAction::CloseCaller { caller, verdict });
+        ctx.actions.push(core_message::CoreAction::CloseCaller { caller, verdict });
         close(ctx, caller);
     }
 }
@@ -95,11 +105,11 @@
 ///
 /// Names the setting and the value that is not accepted.
 pub fn set_option(
-    ctx: &mut CoreContext,
-    caller: CallerKey,
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
     name: &str,
     value: &str,
-) -> Result<(), RequestVerdict> {
+) -> Result<(), request_verdict::RequestVerdict> {
     if name == "session" {
         return merge_session(ctx, caller, value);
     }
@@ -122,10 +132,10 @@
 ///
 /// Names a setting that is unknown.
 pub fn show_option(
-    ctx: &CoreContext,
-    caller: CallerKey,
+    ctx: &core_context::CoreContext,
+    caller: arena_keys::CallerKey,
     name: &str,
-) -> Result<AnswerBody, RequestVerdict> {
+) -> Result<endpoint_message::AnswerBody, request_verdict::RequestVerdict> {
     let state = &ctx.callers[caller];
     let settings = &state.settings;
     let millis = |value: Option<u64>| value.map(|value| value.to_string()).unwrap_or_default();
@@ -139,7 +149,7 @@
         "version" => ctx.config.version().to_string(),
         _ => return Err(invalid(format!("setting quetzaldeal.{name} is unknown"))),
     };
-    Ok(AnswerBody {
+    Ok(endpoint_message::AnswerBody {
         columns: vec![format!("quetzaldeal.{name}")],
         rows: vec![vec![Some(value)]],
         affected: 1,
@@ -147,27 +157,33 @@
     })
 }
 
-fn try_open(ctx: &mut CoreContext, login: CallerLogin) -> Result<(), RequestVerdict> {
+fn try_open(
+    ctx: &mut core_context::CoreContext,
+    login: CallerLogin,
+) -> Result<(), request_verdict::RequestVerdict> {
     let retry = Some(core_tuning::FAILOVER_RETRY);
     if ctx.config.head.is_none() {
-        return Err(RequestVerdict::not_run(VerdictCause::ConfigMissing, retry));
+        return Err(request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::ConfigMissing,
+            retry,
+        ));
     }
     if !ctx.takes_work() {
-        return Err(RequestVerdict::not_run(
-            VerdictCause::Draining,
+        return Err(request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::Draining,
             Some(core_tuning::SHORT_RETRY),
         ));
     }
     let (account_name, proof) = prove(ctx, &login)?;
     let account = account_key(ctx, &account_name)?;
-    let state = CallerState {
+    let state = caller_state::CallerState {
         id: login.caller,
         account_name,
         account,
         proof,
         service: login.service,
-        session: SessionToken::default(),
-        settings: CallerSettings::default(),
+        session: session_token::SessionToken::default(),
+        settings: caller_state::CallerSettings::default(),
         statement: None,
         transaction: None,
         transaction_lost: false,
@@ -188,29 +204,38 @@
     }
 }
 
-fn prove(ctx: &CoreContext, login: &CallerLogin) -> Result<(String, CallerProof), RequestVerdict> {
+fn prove(
+    ctx: &core_context::CoreContext,
+    login: &CallerLogin,
+) -> Result<(String, caller_state::CallerProof), request_verdict::RequestVerdict> {
     let world = &ctx.config.world;
     let mut keys = world.keys.values().filter(|key| key.account == login.account);
     if let Some(key) = keys.find(|key| key_secret::matches(key, &login.key)) {
-        let proof = CallerProof::Key { name: key.name.clone(), hash: key.hash.clone() };
+        let proof =
+            caller_state::CallerProof::Key { name: key.name.clone(), hash: key.hash.clone() };
         return Ok((login.account.clone(), proof));
     }
     if ctx.config.grants.open_to_all(&login.service) && login.key.is_empty() {
-        return Ok((PUBLIC_ACCOUNT.to_owned(), CallerProof::OpenRoute));
+        return Ok((PUBLIC_ACCOUNT.to_owned(), caller_state::CallerProof::OpenRoute));
     }
-    Err(RequestVerdict::not_run(VerdictCause::KeyRejected, None))
+    Err(request_verdict::RequestVerdict::not_run(request_verdict::VerdictCause::KeyRejected, None))
 }
 
-fn account_key(ctx: &CoreContext, name: &str) -> Result<AccountKey, RequestVerdict> {
-    let rejected = || RequestVerdict::not_run(VerdictCause::KeyRejected, None);
+fn account_key(
+    ctx: &core_context::CoreContext,
+    name: &str,
+) -> Result<arena_keys::AccountKey, request_verdict::RequestVerdict> {
+    let rejected = || {
+        request_verdict::RequestVerdict::not_run(request_verdict::VerdictCause::KeyRejected, None)
+    };
     ctx.account_names.get(name).copied().ok_or_else(rejected)
 }
 
 fn apply_settings(
-    ctx: &mut CoreContext,
-    caller: CallerKey,
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
     settings: &[(String, String)],
-) -> Result<(), RequestVerdict> {
+) -> Result<(), request_verdict::RequestVerdict> {
     for (name, value) in settings {
         set_option(ctx, caller, name, value)?;
     }
@@ -218,21 +243,24 @@
 }
 
 fn merge_session(
-    ctx: &mut CoreContext,
-    caller: CallerKey,
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
     value: &str,
-) -> Result<(), RequestVerdict> {
+) -> Result<(), request_verdict::RequestVerdict> {
     let account = ctx.callers[caller].account_name.clone();
-    match SessionToken::open(ctx.config.token_secret(), &account, value) {
+    match session_token::SessionToken::open(ctx.config.token_secret(), &account, value) {
         Ok(token) => {
             ctx.callers[caller].session.merge(&token);
             Ok(())
         }
-        Err(_) => Err(RequestVerdict::not_run(VerdictCause::TokenInvalid, None)),
+        Err(_) => Err(request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::TokenInvalid,
+            None,
+        )),
     }
 }
 
-fn parse_millis(name: &str, value: &str) -> Result<Option<u64>, RequestVerdict> {
+fn parse_millis(name: &str, value: &str) -> Result<Option<u64>, request_verdict::RequestVerdict> {
     if value.is_empty() {
         return Ok(None);
     }
@@ -241,6 +269,9 @@
     value.parse().map(Some).map_err(|_| malformed())
 }
 
-fn invalid(detail: String) -> RequestVerdict {
-    RequestVerdict::not_run(VerdictCause::StatementInvalid { detail }, None)
+fn invalid(detail: String) -> request_verdict::RequestVerdict {
+    request_verdict::RequestVerdict::not_run(
+        request_verdict::VerdictCause::StatementInvalid { detail },
+        None,
+    )
 }
--- a/src/core/caller_state.rs
+++ b/src/core/caller_state.rs
@@ -1,8 +1,8 @@
 //! One caller's open connection to this host.
 
-use crate::core::arena_keys::{AccountKey, ConnectionKey, GroupKey, StatementKey};
-use crate::core::core_message::CallerId;
-use crate::core::session_token::SessionToken;
+use crate::core::arena_keys;
+use crate::core::core_message;
+use crate::core::session_token;
 
 /// What proved the caller's right to its account.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,9 +37,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OpenTransaction {
     /// The group it runs in.
-    pub group: GroupKey,
+    pub group: arena_keys::GroupKey,
     /// The connection that belongs to it.
-    pub connection: ConnectionKey,
+    pub connection: arena_keys::ConnectionKey,
     /// Whether the database has refused one of its statements; it can only be rolled back then.
     pub failed: bool,
 }
@@ -48,21 +48,21 @@
 #[derive(Debug, Clone)]
 pub struct CallerState {
     /// The door's number.
-    pub id: CallerId,
+    pub id: core_message::CallerId,
     /// The account's name.
     pub account_name: String,
     /// The account.
-    pub account: AccountKey,
+    pub account: arena_keys::AccountKey,
     /// What proved its right.
     pub proof: CallerProof,
     /// The service named at login.
     pub service: String,
     /// Points that its reads must see.
-    pub session: SessionToken,
+    pub session: session_token::SessionToken,
     /// Its settings.
     pub settings: CallerSettings,
     /// The statement under way.
-    pub statement: Option<StatementKey>,
+    pub statement: Option<arena_keys::StatementKey>,
     /// Its open transaction.
     pub transaction: Option<OpenTransaction>,
     /// Whether its transaction was rolled back unasked; the caller has yet to end it.
--- a/src/core/circuit_breaker.rs
+++ b/src/core/circuit_breaker.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::core::clock_time::ClockTime;
+use crate::core::clock_time;
 
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(2_000);
@@ -14,7 +14,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct CircuitBreaker {
     failures: u32,
-    retry_at: ClockTime,
+    retry_at: clock_time::ClockTime,
 }
 
 impl CircuitBreaker {
@@ -24,7 +24,7 @@
     }
 
     /// Whether the status probe may try the endpoint again.
-    pub fn may_probe(&self, now: ClockTime) -> bool {
+    pub fn may_probe(&self, now: clock_time::ClockTime) -> bool {
         now >= self.retry_at
     }
 
@@ -34,7 +34,7 @@
     }
 
     /// Notes a failure; `jitter` between 0 and 1 spreads the hosts' next probes.
-    pub fn fail(&mut self, now: ClockTime, jitter: f64) {
+    pub fn fail(&mut self, now: clock_time::ClockTime, jitter: f64) {
         let doublings = self.failures.min(PAUSE_DOUBLINGS_MAX);
         let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
         self.failures = self.failures.saturating_add(1);
--- a/src/core/config_flow.rs
+++ b/src/core/config_flow.rs
@@ -7,31 +7,31 @@
 use anyhow::Result;
 use rand::seq::IndexedRandom;
 
-use crate::core::account_state::AccountState;
-use crate::core::arena_keys::{EndpointKey, GroupKey};
-use crate::core::call_purpose::CallPurpose;
+use crate::core::account_state;
+use crate::core::arena_keys;
+use crate::core::call_purpose;
 use crate::core::caller_flow;
-use crate::core::circuit_breaker::CircuitBreaker;
-use crate::core::clock_time::ClockTime;
+use crate::core::circuit_breaker;
+use crate::core::clock_time;
 use crate::core::connection_flow;
-use crate::core::core_context::CoreContext;
-use crate::core::core_message::CoreAction;
-use crate::core::endpoint_state::EndpointState;
+use crate::core::core_context;
+use crate::core::core_message;
+use crate::core::endpoint_state;
 use crate::core::failover_flow;
-use crate::core::grant_index::GrantIndex;
+use crate::core::grant_index;
 use crate::core::group_record;
-use crate::core::group_state::GroupState;
+use crate::core::group_state;
 use crate::core::leaving_flow;
-use crate::core::peer_message::PeerRequest;
-use crate::core::peer_table::PeerState;
-use crate::core::platform_message::{PlatformReply, PlatformRequest};
-use crate::core::rendezvous_rank::HomeMap;
+use crate::core::peer_message;
+use crate::core::peer_table;
+use crate::core::platform_message;
+use crate::core::rendezvous_rank;
 use crate::core::share_flow;
-use crate::core::share_ledger::ShareLedger;
-use crate::core::timer_queue::TimerKind;
-use crate::world::config_head::{self, ConfigHead};
-use crate::world::world_config::WorldConfig;
-use crate::world::world_object::WorldObject;
+use crate::core::share_ledger;
+use crate::core::timer_queue;
+use crate::world::config_head;
+use crate::world::world_config;
+use crate::world::world_object;
 
 /// Connections of an endpoint that are left for its operators and its replicas.
 const CONNECTIONS_RESERVED: u32 = 2;
@@ -42,12 +42,12 @@
 
 /// Looks at a live record that changed; a newer head starts the fetching of its parts. `from` is
 /// the address of the peer that told of it, if it was not the platform.
-pub fn on_live_entry(ctx: &mut CoreContext, key: &str, from: Option<&str>) {
+pub fn on_live_entry(ctx: &mut core_context::CoreContext, key: &str, from: Option<&str>) {
     if key != config_head::head_key() {
         return;
     }
     let Some(entry) = ctx.feed.entry(key) else { return };
-    match ConfigHead::decode(&entry.value) {
+    match config_head::ConfigHead::decode(&entry.value) {
         Ok(head) if head.version > ctx.config.known_version() => {
             ctx.config.pending = Some(head);
             ctx.config.pending_confirmed = None;
@@ -62,7 +62,7 @@
 }
 
 /// Takes up a part of the configuration; `None` when the one asked did not have it.
-pub fn on_part(ctx: &mut CoreContext, hash: &str, bytes: Option<Vec<u8>>) {
+pub fn on_part(ctx: &mut core_context::CoreContext, hash: &str, bytes: Option<Vec<u8>>) {
     let wanted = ctx.config.missing_parts().iter().any(|missing| missing == hash);
     match bytes {
         Some(bytes) if wanted && config_head::part_hash(&bytes) == hash => {
@@ -75,9 +75,13 @@
 }
 
 /// Takes up the platform's answer to the reading of a part.
-pub fn on_part_reply(ctx: &mut CoreContext, hash: &str, reply: Option<PlatformReply>) {
+pub fn on_part_reply(
+    ctx: &mut core_context::CoreContext,
+    hash: &str,
+    reply: Option<platform_message::PlatformReply>,
+) {
     let bytes = match reply {
-        Some(PlatformReply::Value(Some(entry))) => Some(entry.value),
+        Some(platform_message::PlatformReply::Value(Some(entry))) => Some(entry.value),
         _ => None,
     };
     on_part(ctx, hash, bytes);
@@ -85,7 +89,7 @@
 
 /// Asks for each missing part: the platform, when this host watches it, or else the peer that told
 /// of the head. After some time without success any peer and the platform are asked.
-pub fn fetch_missing(ctx: &mut CoreContext) {
+pub fn fetch_missing(ctx: &mut core_context::CoreContext) {
     let missing = ctx.config.missing_parts();
     if missing.is_empty() {
         return;
@@ -95,22 +99,22 @@
     let platform = late || told_by.is_none();
     let peer = if late || told_by.is_none() { random_peer(ctx) } else { told_by };
     for hash in missing {
-        let purpose = CallPurpose::Part { hash: hash.clone() };
+        let purpose = call_purpose::CallPurpose::Part { hash: hash.clone() };
         if platform {
             let key = config_head::part_key(&hash);
-            ctx.call_platform(purpose.clone(), PlatformRequest::Get { key });
+            ctx.call_platform(purpose.clone(), platform_message::PlatformRequest::Get { key });
         }
         if let Some(address) = peer.clone() {
             let call = ctx.open_call(purpose);
-            let request = PeerRequest::Part { hash };
+            let request = peer_message::PeerRequest::Part { hash };
             ctx.control.peer_calls += 1;
-            ctx.actions.push(CoreAction::CallPeer { call, address, request });
+            ctx.actions.push(core_message::CoreAction::CallPeer { call, address, request });
         }
     }
-    ctx.wake_after(PARTS_RETRY, TimerKind::Parts);
+    ctx.wake_after(PARTS_RETRY, timer_queue::TimerKind::Parts);
 }
 
-fn random_peer(ctx: &mut CoreContext) -> Option<String> {
+fn random_peer(ctx: &mut core_context::CoreContext) -> Option<String> {
     let usable = ctx.peers.peers.values().filter(|peer| peer.heard.is_some());
     let mut addresses: Vec<String> = usable.map(|peer| peer.address.clone()).collect();
     if addresses.is_empty() {
@@ -119,7 +123,7 @@
     addresses.choose(&mut ctx.rng).cloned()
 }
 
-fn adopt_complete(ctx: &mut CoreContext) {
+fn adopt_complete(ctx: &mut core_context::CoreContext) {
     if ctx.config.pending.is_none() || !ctx.config.missing_parts().is_empty() {
         return;
     }
@@ -131,13 +135,15 @@
 }
 
 /// Changes the objects in force by the parts that differ; the others are not read again.
-fn change_world(ctx: &mut CoreContext, head: &ConfigHead) -> Result<()> {
+fn change_world(ctx: &mut core_context::CoreContext, head: &config_head::ConfigHead) -> Result<()> {
     let old = ctx.config.head.as_ref().map(|head| head.parts.as_slice()).unwrap_or_default();
     let old: BTreeSet<&String> = old.iter().collect();
     let new: BTreeSet<&String> = head.parts.iter().collect();
     let decode = |hash: &&String| config_head::decode_part(&ctx.config.parts[*hash]);
-    let removed: Vec<Vec<WorldObject>> = old.difference(&new).map(decode).collect::<Result<_>>()?;
-    let added: Vec<Vec<WorldObject>> = new.difference(&old).map(decode).collect::<Result<_>>()?;
+    let removed: Vec<Vec<world_object::WorldObject>> =
+        old.difference(&new).map(decode).collect::<Result<_>>()?;
+    let added: Vec<Vec<world_object::WorldObject>> =
+        new.difference(&old).map(decode).collect::<Result<_>>()?;
     let world = Arc::make_mut(&mut ctx.config.world);
     for object in removed.iter().flatten() {
         world.remove(object);
@@ -149,7 +155,7 @@
 }
 
 /// Brings a configuration into force.
-fn adopt(ctx: &mut CoreContext, head: ConfigHead) {
+fn adopt(ctx: &mut core_context::CoreContext, head: config_head::ConfigHead) {
     log::info!("configuration {} is in force", head.version);
     let kept: BTreeSet<&String> = head.parts.iter().collect();
     ctx.config.parts.retain(|hash, _| kept.contains(hash));
@@ -161,7 +167,7 @@
         ctx.peers.note_platform(at);
     }
     let world = ctx.config.world.clone();
-    ctx.config.grants = GrantIndex::new(&world);
+    ctx.config.grants = grant_index::GrantIndex::new(&world);
     adopt_peers(ctx, &world);
     adopt_endpoints(ctx, &world);
     adopt_groups(ctx, &world);
@@ -170,24 +176,25 @@
     caller_flow::sweep(ctx);
 }
 
-fn adopt_peers(ctx: &mut CoreContext, world: &WorldConfig) {
+fn adopt_peers(ctx: &mut core_context::CoreContext, world: &world_config::WorldConfig) {
     let own = ctx.identity.name.clone();
     ctx.peers.peers.retain(|name, _| world.hosts.contains_key(name));
     for host in world.hosts.values().filter(|host| host.name != own) {
-        let peer = ctx.peers.peers.entry(host.name.clone()).or_insert_with(|| PeerState {
-            address: host.address.clone(),
-            data_centre: host.data_centre.clone(),
-            incarnation: 0,
-            heard: None,
-            failed: None,
-            leaving: false,
-        });
+        let peer =
+            ctx.peers.peers.entry(host.name.clone()).or_insert_with(|| peer_table::PeerState {
+                address: host.address.clone(),
+                data_centre: host.data_centre.clone(),
+                incarnation: 0,
+                heard: None,
+                failed: None,
+                leaving: false,
+            });
         peer.address = host.address.clone();
         peer.data_centre = host.data_centre.clone();
     }
 }
 
-fn adopt_endpoints(ctx: &mut CoreContext, world: &WorldConfig) {
+fn adopt_endpoints(ctx: &mut core_context::CoreContext, world: &world_config::WorldConfig) {
     // Hosts out of service keep their connections for status, so all are counted.
     let hosts = (world.hosts.len() as u32).max(1);
     for object in world.endpoints.values() {
@@ -203,14 +210,15 @@
             drop_connections(ctx, key);
         }
     }
-    let configured = |endpoint: &EndpointState| world.endpoints.contains_key(&endpoint.name);
+    let configured =
+        |endpoint: &endpoint_state::EndpointState| world.endpoints.contains_key(&endpoint.name);
     for endpoint in ctx.endpoints.values_mut().filter(|endpoint| !configured(endpoint)) {
         endpoint.group = None;
     }
 }
 
-fn new_endpoint(ctx: &mut CoreContext, name: &str) -> EndpointKey {
-    let key = ctx.endpoints.insert(EndpointState {
+fn new_endpoint(ctx: &mut core_context::CoreContext, name: &str) -> arena_keys::EndpointKey {
+    let key = ctx.endpoints.insert(endpoint_state::EndpointState {
         name: name.to_owned(),
         address: String::new(),
         data_centre: String::new(),
@@ -221,17 +229,17 @@
         status_connection: None,
         seen: None,
         refusing_since: None,
-        probed: ClockTime::default(),
-        repaired: ClockTime::default(),
+        probed: clock_time::ClockTime::default(),
+        repaired: clock_time::ClockTime::default(),
         queue: Vec::new(),
-        circuit: CircuitBreaker::default(),
+        circuit: circuit_breaker::CircuitBreaker::default(),
         new_copy: None,
     });
     ctx.endpoint_names.insert(name.to_owned(), key);
     key
 }
 
-fn drop_connections(ctx: &mut CoreContext, endpoint: EndpointKey) {
+fn drop_connections(ctx: &mut core_context::CoreContext, endpoint: arena_keys::EndpointKey) {
     let state = &ctx.endpoints[endpoint];
     let idle = state.work.iter().copied().filter(|key| ctx.connections[*key].idle());
     let doomed: Vec<_> = idle.chain(state.status_connection).collect();
@@ -240,12 +248,12 @@
     }
 }
 
-fn adopt_groups(ctx: &mut CoreContext, world: &WorldConfig) {
+fn adopt_groups(ctx: &mut core_context::CoreContext, world: &world_config::WorldConfig) {
     for object in world.groups.values() {
         let known = ctx.group_names.get(&object.name).copied();
         let key = known.unwrap_or_else(|| new_group(ctx, &object.name));
         let members = object.endpoints.iter().filter_map(|name| ctx.endpoint_names.get(name));
-        let members: Vec<EndpointKey> = members.copied().collect();
+        let members: Vec<arena_keys::EndpointKey> = members.copied().collect();
         for member in &members {
             ctx.endpoints[*member].group = Some(key);
         }
@@ -261,28 +269,28 @@
     }
 }
 
-fn new_group(ctx: &mut CoreContext, name: &str) -> GroupKey {
+fn new_group(ctx: &mut core_context::CoreContext, name: &str) -> arena_keys::GroupKey {
     let chart = ctx.charts.failover.clone();
-    let key = ctx.groups.insert(GroupState::new(name.to_owned(), chart, ctx.now));
+    let key = ctx.groups.insert(group_state::GroupState::new(name.to_owned(), chart, ctx.now));
     ctx.group_names.insert(name.to_owned(), key);
-    ctx.timers.push(ctx.now, TimerKind::Group(key));
+    ctx.timers.push(ctx.now, timer_queue::TimerKind::Group(key));
     key
 }
 
-fn adopt_accounts(ctx: &mut CoreContext, world: &WorldConfig) {
-    let hosts = HomeMap::new(world);
+fn adopt_accounts(ctx: &mut core_context::CoreContext, world: &world_config::WorldConfig) {
+    let hosts = rendezvous_rank::HomeMap::new(world);
     let same_hosts = ctx.config.home_map == hosts;
     for object in world.accounts.values() {
         let known = ctx.account_names.get(&object.name).copied();
         let key = known.unwrap_or_else(|| {
-            let key = ctx.accounts.insert(AccountState {
+            let key = ctx.accounts.insert(account_state::AccountState {
                 name: object.name.clone(),
                 weight: object.weight,
-                ledger: ShareLedger::new(ctx.now),
+                ledger: share_ledger::ShareLedger::new(ctx.now),
                 object: None,
                 homes: Vec::new(),
                 waiting: Vec::new(),
-                asked: ClockTime::default(),
+                asked: clock_time::ClockTime::default(),
                 asks_open: 0,
                 grace_ms: 0,
                 hold_ms: 0,
--- a/src/core/config_state.rs
+++ b/src/core/config_state.rs
@@ -3,35 +3,35 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::core::clock_time::ClockTime;
-use crate::core::grant_index::GrantIndex;
-use crate::core::rendezvous_rank::HomeMap;
-use crate::world::config_head::ConfigHead;
-use crate::world::world_config::WorldConfig;
+use crate::core::clock_time;
+use crate::core::grant_index;
+use crate::core::rendezvous_rank;
+use crate::world::config_head;
+use crate::world::world_config;
 
 /// The configuration in force on this host, and the one being fetched.
 #[derive(Debug, Clone, Default)]
 pub struct ConfigState {
     /// The head in force.
-    pub head: Option<ConfigHead>,
+    pub head: Option<config_head::ConfigHead>,
     /// The objects in force.
-    pub world: Arc<WorldConfig>,
+    pub world: Arc<world_config::WorldConfig>,
     /// A newer head whose parts are not all here.
-    pub pending: Option<ConfigHead>,
+    pub pending: Option<config_head::ConfigHead>,
     /// When the platform last confirmed the pending head as the newest.
-    pub pending_confirmed: Option<ClockTime>,
+    pub pending_confirmed: Option<clock_time::ClockTime>,
     /// When the pending head was learnt.
-    pub pending_since: ClockTime,
+    pub pending_since: clock_time::ClockTime,
     /// Address of the peer that told of the pending head; it has or is getting the parts.
     pub pending_from: Option<String>,
     /// Parts by hash.
     pub parts: BTreeMap<String, Vec<u8>>,
     /// What the rules in force let each account do.
-    pub grants: GrantIndex,
+    pub grants: grant_index::GrantIndex,
     /// The hosts that shares were last dealt to.
-    pub home_map: HomeMap,
+    pub home_map: rendezvous_rank::HomeMap,
     /// When the configuration came into force here.
-    pub adopted: ClockTime,
+    pub adopted: clock_time::ClockTime,
     /// Whether a majority of data centres was heard under this configuration since.
     pub attested: bool,
 }
--- a/src/core/confirm_flow.rs
+++ b/src/core/confirm_flow.rs
@@ -3,29 +3,30 @@
 //! A write is acknowledged once a majority holds it under the term it ran in. A change of primary
 //! fences a majority first, so it either finds the write or has made the confirmation impossible.
 
-use crate::core::arena_keys::{EndpointKey, GroupKey, StatementKey};
-use crate::core::clock_time::ClockTime;
+use crate::core::arena_keys;
+use crate::core::clock_time;
 use crate::core::connection_flow;
-use crate::core::core_context::CoreContext;
-use crate::core::core_tuning::CoreTuning;
-use crate::core::endpoint_message::{AnswerBody, EndpointRequest, LogPoint};
-use crate::core::group_state::AgeSample;
-use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::core_context;
+use crate::core::core_tuning;
+use crate::core::endpoint_message;
+use crate::core::group_state;
+use crate::core::request_verdict;
 use crate::core::statement_flow;
-use crate::core::statement_state::StatementPhase;
-use crate::core::timer_queue::TimerKind;
+use crate::core::statement_state;
+use crate::core::timer_queue;
 
 /// Holds a statement's answer until a majority confirms it.
 pub fn await_majority(
-    ctx: &mut CoreContext,
-    statement: StatementKey,
-    point: LogPoint,
-    since: ClockTime,
-    body: AnswerBody,
-    verdict: RequestVerdict,
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    point: endpoint_message::LogPoint,
+    since: clock_time::ClockTime,
+    body: endpoint_message::AnswerBody,
+    verdict: request_verdict::RequestVerdict,
 ) {
     let group = ctx.statements[statement].group;
-    ctx.statements[statement].phase = StatementPhase::Confirming { point, since, body, verdict };
+    ctx.statements[statement].phase =
+        statement_state::StatementPhase::Confirming { point, since, body, verdict };
     ctx.groups[group].waiters.push(statement);
     evaluate(ctx, group);
     if !ctx.groups[group].waiters.is_empty() {
@@ -34,7 +35,7 @@
 }
 
 /// Answers every waiting statement of the group that is confirmed by now.
-pub fn evaluate(ctx: &mut CoreContext, group: GroupKey) {
+pub fn evaluate(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     for statement in ctx.groups[group].waiters.clone() {
         if ctx.statements.contains_key(statement) {
             evaluate_one(ctx, group, statement);
@@ -44,7 +45,7 @@
 }
 
 /// Probes the copies again while statements wait.
-pub fn on_timer(ctx: &mut CoreContext, group: GroupKey) {
+pub fn on_timer(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let Some(state) = ctx.groups.get_mut(group) else { return };
     state.confirm_armed = false;
     if !state.waiters.is_empty() {
@@ -54,48 +55,64 @@
 }
 
 /// Ends the waits that a new term has made hopeless.
-pub fn on_new_term(ctx: &mut CoreContext, group: GroupKey) {
+pub fn on_new_term(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let term = ctx.groups[group].term();
     for statement in ctx.groups[group].waiters.clone() {
         let Some(state) = ctx.statements.get(statement) else { continue };
-        let StatementPhase::Confirming { point, .. } = state.phase else { continue };
+        let statement_state::StatementPhase::Confirming { point, .. } = state.phase else {
+            continue;
+        };
         if point.term >= term {
             continue;
         }
         if state.read {
             ctx.groups[group].waiters.retain(|waiter| *waiter != statement);
-            statement_flow::retry(ctx, statement, VerdictCause::PrimaryReplaced);
+            statement_flow::retry(ctx, statement, request_verdict::VerdictCause::PrimaryReplaced);
         } else {
-            statement_flow::cut_short(ctx, statement, VerdictCause::PrimaryReplaced);
+            statement_flow::cut_short(
+                ctx,
+                statement,
+                request_verdict::VerdictCause::PrimaryReplaced,
+            );
         }
     }
 }
 
 /// Returns the greatest point that a majority holds under the present term, with the time since
 /// which the term is proved.
-pub fn majority_sample(ctx: &CoreContext, group: GroupKey) -> Option<AgeSample> {
+pub fn majority_sample(
+    ctx: &core_context::CoreContext,
+    group: arena_keys::GroupKey,
+) -> Option<group_state::AgeSample> {
     let state = &ctx.groups[group];
     let record = state.serving()?;
     let primary = *ctx.endpoint_names.get(&record.primary)?;
     let seen = ctx.endpoints[primary].seen.as_ref()?;
     let leads = seen.status.primary && seen.status.adopted_term == record.term;
-    let proved = supporters(ctx, group, seen.asked, LogPoint::default());
+    let proved = supporters(ctx, group, seen.asked, endpoint_message::LogPoint::default());
     if !leads || !counts(ctx, group, primary) || proved + 1 < state.majority() {
         return None;
     }
-    Some(AgeSample { point: seen.status.log_point(), at: seen.asked })
+    Some(group_state::AgeSample { point: seen.status.log_point(), at: seen.asked })
 }
 
-fn evaluate_one(ctx: &mut CoreContext, group: GroupKey, statement: StatementKey) {
+fn evaluate_one(
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    statement: arena_keys::StatementKey,
+) {
     let state = &ctx.statements[statement];
-    let StatementPhase::Confirming { point, since, body, verdict } = &state.phase else { return };
+    let statement_state::StatementPhase::Confirming { point, since, body, verdict } = &state.phase
+    else {
+        return;
+    };
     let current = ctx.groups[group].serving().is_some_and(|record| record.term == point.term);
     if !current {
         return;
     }
     let (point, since) = (*point, *since);
-    let needed = if state.read { LogPoint::default() } else { point };
-    let asked = if state.read { since } else { ClockTime::default() };
+    let needed = if state.read { endpoint_message::LogPoint::default() } else { point };
+    let asked = if state.read { since } else { clock_time::ClockTime::default() };
     if supporters(ctx, group, asked, needed) + 1 < ctx.groups[group].majority() {
         return;
     }
@@ -107,14 +124,19 @@
 
 /// Counts the replicas that are in the present term, as of a probe sent at `asked` or later, and
 /// hold `point`.
-fn supporters(ctx: &CoreContext, group: GroupKey, asked: ClockTime, point: LogPoint) -> usize {
+fn supporters(
+    ctx: &core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    asked: clock_time::ClockTime,
+    point: endpoint_message::LogPoint,
+) -> usize {
     let state = &ctx.groups[group];
     let Some(record) = state.serving() else { return 0 };
-    let supports = |endpoint: &&EndpointKey| {
+    let supports = |endpoint: &&arena_keys::EndpointKey| {
         let replica = &ctx.endpoints[**endpoint];
         let Some(status) = replica.status_since(asked) else { return false };
         let in_term = status.adopted_term == record.term;
-        let holds = point == LogPoint::default()
+        let holds = point == endpoint_message::LogPoint::default()
             || (status.log_term == point.term && status.position >= point.position);
         replica.name != record.primary && counts(ctx, group, **endpoint) && in_term && holds
     };
@@ -122,7 +144,11 @@
 }
 
 /// Whether the endpoint's copy is one that the group's record counts.
-fn counts(ctx: &CoreContext, group: GroupKey, endpoint: EndpointKey) -> bool {
+fn counts(
+    ctx: &core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    endpoint: arena_keys::EndpointKey,
+) -> bool {
     let state = &ctx.endpoints[endpoint];
     let Some(record) = &ctx.groups[group].record else { return false };
     let copy = state.seen.as_ref().map(|seen| seen.status.copy);
@@ -132,8 +158,8 @@
 /// Asks the replicas for a status that may confirm the waiting statements.
 ///
 /// Writes alone are asked for with a wait at the replica, so that one question carries them.
-fn probe_copies(ctx: &mut CoreContext, group: GroupKey) {
-    let gap = CoreTuning::millis(ctx.tuning.confirm_gap_ms);
+fn probe_copies(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
+    let gap = core_tuning::CoreTuning::millis(ctx.tuning.confirm_gap_ms);
     let primary = ctx.groups[group].serving().map(|record| record.primary.clone());
     let request = confirm_request(ctx, group);
     for endpoint in ctx.groups[group].members.clone() {
@@ -145,28 +171,33 @@
     }
 }
 
-fn confirm_request(ctx: &CoreContext, group: GroupKey) -> EndpointRequest {
+fn confirm_request(
+    ctx: &core_context::CoreContext,
+    group: arena_keys::GroupKey,
+) -> endpoint_message::EndpointRequest {
     let waiters = ctx.groups[group].waiters.iter();
     let states: Vec<_> = waiters.filter_map(|waiter| ctx.statements.get(*waiter)).collect();
     if states.iter().any(|state| state.read) {
-        return EndpointRequest::Status;
+        return endpoint_message::EndpointRequest::Status;
     }
     let points = states.iter().filter_map(|state| match state.phase {
-        StatementPhase::Confirming { point, .. } => Some(point),
+        statement_state::StatementPhase::Confirming { point, .. } => Some(point),
         _ => None,
     });
     match points.min() {
-        Some(point) => EndpointRequest::Await { point, wait_ms: ctx.tuning.confirm_wait_ms },
-        None => EndpointRequest::Status,
+        Some(point) => {
+            endpoint_message::EndpointRequest::Await { point, wait_ms: ctx.tuning.confirm_wait_ms }
+        }
+        None => endpoint_message::EndpointRequest::Status,
     }
 }
 
-fn arm_timer(ctx: &mut CoreContext, group: GroupKey) {
-    let gap = CoreTuning::millis(ctx.tuning.confirm_gap_ms);
+fn arm_timer(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
+    let gap = core_tuning::CoreTuning::millis(ctx.tuning.confirm_gap_ms);
     let state = &mut ctx.groups[group];
     if state.waiters.is_empty() || state.confirm_armed {
         return;
     }
     state.confirm_armed = true;
-    ctx.wake_after(gap, TimerKind::Confirm(group));
+    ctx.wake_after(gap, timer_queue::TimerKind::Confirm(group));
 }
--- a/src/core/connection_flow.rs
+++ b/src/core/connection_flow.rs
@@ -2,24 +2,22 @@
 
 use std::time::Duration;
 
-use crate::core::arena_keys::{
-    AccountKey, CallerKey, ConnectionKey, EndpointKey, GroupKey, StatementKey,
-};
-use crate::core::call_purpose::CallPurpose;
-use crate::core::chart_cursor::ChartCursor;
-use crate::core::clock_time::ClockTime;
+use crate::core::arena_keys;
+use crate::core::call_purpose;
+use crate::core::chart_cursor;
+use crate::core::clock_time;
 use crate::core::confirm_flow;
-use crate::core::connection_state::{ConnectionRole, ConnectionState};
-use crate::core::core_context::CoreContext;
-use crate::core::core_message::{CallId, CoreAction};
-use crate::core::core_tuning::{self, CoreTuning};
-use crate::core::endpoint_message::{EndpointOutcome, EndpointRequest, EndpointStatus};
-use crate::core::endpoint_state::SeenStatus;
+use crate::core::connection_state;
+use crate::core::core_context;
+use crate::core::core_message;
+use crate::core::core_tuning;
+use crate::core::endpoint_message;
+use crate::core::endpoint_state;
 use crate::core::failover_flow;
-use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::request_verdict;
 use crate::core::statement_flow;
-use crate::core::statement_state::StatementPhase;
-use crate::core::timer_queue::TimerKind;
+use crate::core::statement_state;
+use crate::core::timer_queue;
 
 /// Runs a statement on the endpoint, now or when a connection is free.
 ///
@@ -27,10 +25,10 @@
 ///
 /// A refusal when too many statements wait for the endpoint.
 pub fn acquire(
-    ctx: &mut CoreContext,
-    endpoint: EndpointKey,
-    statement: StatementKey,
-) -> Result<(), RequestVerdict> {
+    ctx: &mut core_context::CoreContext,
+    endpoint: arena_keys::EndpointKey,
+    statement: arena_keys::StatementKey,
+) -> Result<(), request_verdict::RequestVerdict> {
     let idle = idle_connection(ctx, endpoint);
     if let Some(connection) = idle {
         statement_flow::dispatch(ctx, statement, connection);
@@ -39,37 +37,40 @@
     let state = &ctx.endpoints[endpoint];
     if state.queue.len() >= ctx.tuning.queue_limit {
         let wait = Some(core_tuning::SHORT_RETRY);
-        return Err(RequestVerdict::not_run(VerdictCause::QueueFull, wait));
+        return Err(request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::QueueFull,
+            wait,
+        ));
     }
     if state.work.len() < state.work_quota {
-        open(ctx, endpoint, ConnectionRole::Work);
+        open(ctx, endpoint, connection_state::ConnectionRole::Work);
     }
-    let until = ctx.now.after(CoreTuning::millis(ctx.tuning.queue_wait_ms));
+    let until = ctx.now.after(core_tuning::CoreTuning::millis(ctx.tuning.queue_wait_ms));
     ctx.endpoints[endpoint].queue.push(statement);
-    ctx.statements[statement].phase = StatementPhase::Queued { endpoint, until };
-    ctx.timers.push(until, TimerKind::Statement(statement));
+    ctx.statements[statement].phase = statement_state::StatementPhase::Queued { endpoint, until };
+    ctx.timers.push(until, timer_queue::TimerKind::Statement(statement));
     Ok(())
 }
 
 /// Sends a request on a connection and notes the call.
 pub fn send(
-    ctx: &mut CoreContext,
-    connection: ConnectionKey,
-    purpose: CallPurpose,
-    request: EndpointRequest,
-) -> CallId {
+    ctx: &mut core_context::CoreContext,
+    connection: arena_keys::ConnectionKey,
+    purpose: call_purpose::CallPurpose,
+    request: endpoint_message::EndpointRequest,
+) -> core_message::CallId {
     let call = ctx.open_call(purpose);
     let now = ctx.now;
     let state = &mut ctx.connections[connection];
     state.cursor.fire("call_sent");
     state.call = Some(call);
     state.since = now;
-    ctx.actions.push(CoreAction::CallEndpoint { call, connection, request });
+    ctx.actions.push(core_message::CoreAction::CallEndpoint { call, connection, request });
     call
 }
 
 /// Returns a work connection to the endpoint after a statement has ended.
-pub fn release(ctx: &mut CoreContext, connection: ConnectionKey) {
+pub fn release(ctx: &mut core_context::CoreContext, connection: arena_keys::ConnectionKey) {
     let Some(state) = ctx.connections.get_mut(connection) else { return };
     state.cursor.fire("call_answered");
     state.call = None;
@@ -80,22 +81,30 @@
     if over_quota {
         return discard(ctx, connection, "discarded");
     }
-    arm_idle_test(ctx, connection, CoreTuning::millis(ctx.tuning.idle_test_ms));
+    arm_idle_test(ctx, connection, core_tuning::CoreTuning::millis(ctx.tuning.idle_test_ms));
     serve_queue(ctx, endpoint);
 }
 
 /// Keeps a connection for the caller's transaction.
-pub fn pin(ctx: &mut CoreContext, connection: ConnectionKey, caller: CallerKey) {
+pub fn pin(
+    ctx: &mut core_context::CoreContext,
+    connection: arena_keys::ConnectionKey,
+    caller: arena_keys::CallerKey,
+) {
     let Some(state) = ctx.connections.get_mut(connection) else { return };
     state.cursor.fire("transaction_begun");
     state.call = None;
     state.pinned = Some(caller);
     state.since = ctx.now;
-    arm_idle_test(ctx, connection, CoreTuning::millis(ctx.tuning.idle_transaction_ms));
+    arm_idle_test(ctx, connection, core_tuning::CoreTuning::millis(ctx.tuning.idle_transaction_ms));
 }
 
 /// Closes a connection; it is never used again, and its late answers are dropped.
-pub fn discard(ctx: &mut CoreContext, connection: ConnectionKey, event: &str) {
+pub fn discard(
+    ctx: &mut core_context::CoreContext,
+    connection: arena_keys::ConnectionKey,
+    event: &str,
+) {
     let Some(mut state) = ctx.connections.remove(connection) else { return };
     state.cursor.fire(event);
     if let Some(call) = state.call {
@@ -106,15 +115,15 @@
     if endpoint.status_connection == Some(connection) {
         endpoint.status_connection = None;
     }
-    ctx.actions.push(CoreAction::CloseConnection { connection });
+    ctx.actions.push(core_message::CoreAction::CloseConnection { connection });
     let waiting = !ctx.endpoints[state.endpoint].queue.is_empty();
-    if waiting && state.role == ConnectionRole::Work {
+    if waiting && state.role == connection_state::ConnectionRole::Work {
         refill(ctx, state.endpoint);
     }
 }
 
 /// Notes that an endpoint failed; a circuit that opens turns its queue away.
-pub fn note_failure(ctx: &mut CoreContext, endpoint: EndpointKey) {
+pub fn note_failure(ctx: &mut core_context::CoreContext, endpoint: arena_keys::EndpointKey) {
     let jitter = ctx.jitter();
     let now = ctx.now;
     let state = &mut ctx.endpoints[endpoint];
@@ -123,13 +132,18 @@
         return;
     }
     for statement in std::mem::take(&mut state.queue) {
-        ctx.statements[statement].phase = StatementPhase::AwaitShare { until: now };
-        statement_flow::retry(ctx, statement, VerdictCause::NoEndpoint);
+        ctx.statements[statement].phase =
+            statement_state::StatementPhase::AwaitShare { until: now };
+        statement_flow::retry(ctx, statement, request_verdict::VerdictCause::NoEndpoint);
     }
 }
 
 /// Takes up news of a connection that was being opened.
-pub fn on_opened(ctx: &mut CoreContext, connection: ConnectionKey, opened: bool) {
+pub fn on_opened(
+    ctx: &mut core_context::CoreContext,
+    connection: arena_keys::ConnectionKey,
+    opened: bool,
+) {
     let now = ctx.now;
     let Some(state) = ctx.connections.get_mut(connection) else { return };
     let endpoint = state.endpoint;
@@ -141,24 +155,28 @@
     state.cursor.fire("opened");
     state.since = now;
     match state.role {
-        ConnectionRole::Status => flush_backlog(ctx, connection),
-        ConnectionRole::Work => {
-            arm_idle_test(ctx, connection, CoreTuning::millis(ctx.tuning.idle_test_ms));
+        connection_state::ConnectionRole::Status => flush_backlog(ctx, connection),
+        connection_state::ConnectionRole::Work => {
+            arm_idle_test(
+                ctx,
+                connection,
+                core_tuning::CoreTuning::millis(ctx.tuning.idle_test_ms),
+            );
             serve_queue(ctx, endpoint);
         }
     }
 }
 
 /// Takes up news of a connection that ended by itself.
-pub fn on_ended(ctx: &mut CoreContext, connection: ConnectionKey) {
+pub fn on_ended(ctx: &mut core_context::CoreContext, connection: arena_keys::ConnectionKey) {
     let Some(state) = ctx.connections.get(connection) else { return };
     let (endpoint, role) = (state.endpoint, state.role);
     let purpose = state.call.and_then(|call| ctx.calls.remove(&call));
-    if let Some(CallPurpose::Statement { statement, .. }) = purpose {
-        return statement_flow::on_outcome(ctx, statement, EndpointOutcome::Lost);
+    if let Some(call_purpose::CallPurpose::Statement { statement, .. }) = purpose {
+        return statement_flow::on_outcome(ctx, statement, endpoint_message::EndpointOutcome::Lost);
     }
     lose_pinned(ctx, connection);
-    if role == ConnectionRole::Status {
+    if role == connection_state::ConnectionRole::Status {
         let now = ctx.now;
         ctx.endpoints[endpoint].refusing_since.get_or_insert(now);
         note_failure(ctx, endpoint);
@@ -166,11 +184,15 @@
 }
 
 /// Sends a request on the endpoint's status connection, opening it if need be.
-pub fn command(ctx: &mut CoreContext, endpoint: EndpointKey, request: EndpointRequest) {
+pub fn command(
+    ctx: &mut core_context::CoreContext,
+    endpoint: arena_keys::EndpointKey,
+    request: endpoint_message::EndpointRequest,
+) {
     let connection = match ctx.endpoints[endpoint].status_connection {
         Some(connection) => connection,
         None if !ctx.endpoints[endpoint].circuit.may_probe(ctx.now) => return,
-        None => open(ctx, endpoint, ConnectionRole::Status),
+        None => open(ctx, endpoint, connection_state::ConnectionRole::Status),
     };
     if ctx.connections[connection].idle() {
         return send_command(ctx, connection, request);
@@ -182,36 +204,36 @@
 }
 
 /// Probes all endpoints of a group.
-pub fn probe_group(ctx: &mut CoreContext, group: GroupKey) {
+pub fn probe_group(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     for endpoint in ctx.groups[group].members.clone() {
-        command(ctx, endpoint, EndpointRequest::Status);
+        command(ctx, endpoint, endpoint_message::EndpointRequest::Status);
     }
 }
 
 /// Probes the endpoints of a group whose status is not known from other answers: often those that
 /// statements run on, seldom those at rest.
-pub fn probe_due(ctx: &mut CoreContext, group: GroupKey) {
+pub fn probe_due(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     for endpoint in ctx.groups[group].members.clone() {
         let state = &ctx.endpoints[endpoint];
         let busy = state.work.iter().any(|connection| !ctx.connections[*connection].idle());
         let interval =
             if busy { ctx.tuning.probe_interval_ms } else { ctx.tuning.rest_interval_ms };
-        let asked = state.seen.as_ref().map_or(ClockTime::default(), |seen| seen.asked);
-        if ctx.now.since(asked) >= CoreTuning::millis(interval) {
-            command(ctx, endpoint, EndpointRequest::Status);
+        let asked = state.seen.as_ref().map_or(clock_time::ClockTime::default(), |seen| seen.asked);
+        if ctx.now.since(asked) >= core_tuning::CoreTuning::millis(interval) {
+            command(ctx, endpoint, endpoint_message::EndpointRequest::Status);
         }
     }
 }
 
 /// Takes up the outcome of a probe or command on a status connection.
 pub fn on_status_outcome(
-    ctx: &mut CoreContext,
-    endpoint: EndpointKey,
-    connection: ConnectionKey,
-    sent: ClockTime,
-    outcome: EndpointOutcome,
+    ctx: &mut core_context::CoreContext,
+    endpoint: arena_keys::EndpointKey,
+    connection: arena_keys::ConnectionKey,
+    sent: clock_time::ClockTime,
+    outcome: endpoint_message::EndpointOutcome,
 ) {
-    let EndpointOutcome::Status(status) = outcome else {
+    let endpoint_message::EndpointOutcome::Status(status) = outcome else {
         discard(ctx, connection, "failed");
         return note_failure(ctx, endpoint);
     };
@@ -227,17 +249,17 @@
 
 /// Takes up an endpoint's status as of a call sent at `sent`.
 pub fn note_status(
-    ctx: &mut CoreContext,
-    endpoint: EndpointKey,
-    sent: ClockTime,
-    status: EndpointStatus,
+    ctx: &mut core_context::CoreContext,
+    endpoint: arena_keys::EndpointKey,
+    sent: clock_time::ClockTime,
+    status: endpoint_message::EndpointStatus,
 ) {
     let state = &mut ctx.endpoints[endpoint];
     state.circuit.succeed();
     state.refusing_since = None;
     let newer = state.seen.as_ref().is_none_or(|seen| seen.asked <= sent);
     if newer {
-        state.seen = Some(SeenStatus { status, asked: sent });
+        state.seen = Some(endpoint_state::SeenStatus { status, asked: sent });
     }
     if let Some(group) = ctx.endpoints[endpoint].group {
         failover_flow::on_status(ctx, group, endpoint);
@@ -246,33 +268,41 @@
 }
 
 /// Takes up the outcome of a test of an idle connection.
-pub fn on_test_outcome(ctx: &mut CoreContext, connection: ConnectionKey, outcome: EndpointOutcome) {
+pub fn on_test_outcome(
+    ctx: &mut core_context::CoreContext,
+    connection: arena_keys::ConnectionKey,
+    outcome: endpoint_message::EndpointOutcome,
+) {
     match outcome {
-        EndpointOutcome::Status(_) => release(ctx, connection),
+        endpoint_message::EndpointOutcome::Status(_) => release(ctx, connection),
         _ => discard(ctx, connection, "failed"),
     }
 }
 
 /// Acts on a connection that may be silent, or idle for long.
-pub fn on_timer(ctx: &mut CoreContext, connection: ConnectionKey) {
+pub fn on_timer(ctx: &mut core_context::CoreContext, connection: arena_keys::ConnectionKey) {
     let Some(state) = ctx.connections.get_mut(connection) else { return };
     state.test_armed = false;
     let passed = ctx.now.since(state.since);
-    let silent_after = CoreTuning::millis(ctx.tuning.probe_timeout_ms);
-    let idle_limit = CoreTuning::millis(ctx.tuning.idle_test_ms);
-    let pinned_limit = CoreTuning::millis(ctx.tuning.idle_transaction_ms);
+    let silent_after = core_tuning::CoreTuning::millis(ctx.tuning.probe_timeout_ms);
+    let idle_limit = core_tuning::CoreTuning::millis(ctx.tuning.idle_test_ms);
+    let pinned_limit = core_tuning::CoreTuning::millis(ctx.tuning.idle_transaction_ms);
     let (endpoint, role, call) = (state.endpoint, state.role, state.call);
     let cursor = state.cursor.clone();
-    let testing =
-        call.is_some_and(|call| matches!(ctx.calls.get(&call), Some(CallPurpose::IdleTest { .. })));
+    let testing = call.is_some_and(|call| {
+        matches!(ctx.calls.get(&call), Some(call_purpose::CallPurpose::IdleTest { .. }))
+    });
     match cursor.state() {
         "opening" if passed >= silent_after => {
             discard(ctx, connection, "silent");
             note_failure(ctx, endpoint);
         }
-        "busy" if passed >= silent_after && (role == ConnectionRole::Status || testing) => {
+        "busy"
+            if passed >= silent_after
+                && (role == connection_state::ConnectionRole::Status || testing) =>
+        {
             discard(ctx, connection, "silent");
-            if role == ConnectionRole::Status {
+            if role == connection_state::ConnectionRole::Status {
                 note_failure(ctx, endpoint);
             }
         }
@@ -280,23 +310,23 @@
             arm_idle_test(ctx, connection, pinned_limit - passed);
         }
         "pinned" => lose_pinned(ctx, connection),
-        "busy" if role == ConnectionRole::Work && !testing => {
+        "busy" if role == connection_state::ConnectionRole::Work && !testing => {
             arm_idle_test(ctx, connection, idle_limit);
         }
-        "idle" if passed < idle_limit && role == ConnectionRole::Work => {
+        "idle" if passed < idle_limit && role == connection_state::ConnectionRole::Work => {
             arm_idle_test(ctx, connection, idle_limit - passed);
         }
-        "idle" if role == ConnectionRole::Work => {
-            let purpose = CallPurpose::IdleTest { connection };
-            send(ctx, connection, purpose, EndpointRequest::Status);
-            ctx.wake_after(silent_after, TimerKind::Connection(connection));
+        "idle" if role == connection_state::ConnectionRole::Work => {
+            let purpose = call_purpose::CallPurpose::IdleTest { connection };
+            send(ctx, connection, purpose, endpoint_message::EndpointRequest::Status);
+            ctx.wake_after(silent_after, timer_queue::TimerKind::Connection(connection));
         }
         _ => {}
     }
 }
 
 /// Rolls back the transaction that a connection is kept for, and closes the connection.
-fn lose_pinned(ctx: &mut CoreContext, connection: ConnectionKey) {
+fn lose_pinned(ctx: &mut core_context::CoreContext, connection: arena_keys::ConnectionKey) {
     let caller = ctx.connections[connection].pinned;
     if let Some(caller) = caller.and_then(|caller| ctx.callers.get_mut(caller)) {
         caller.lose_transaction();
@@ -305,11 +335,15 @@
 }
 
 /// Opens a connection to the endpoint.
-fn open(ctx: &mut CoreContext, endpoint: EndpointKey, role: ConnectionRole) -> ConnectionKey {
-    let connection = ctx.connections.insert(ConnectionState {
+fn open(
+    ctx: &mut core_context::CoreContext,
+    endpoint: arena_keys::EndpointKey,
+    role: connection_state::ConnectionRole,
+) -> arena_keys::ConnectionKey {
+    let connection = ctx.connections.insert(connection_state::ConnectionState {
         endpoint,
         role,
-        cursor: ChartCursor::new(ctx.charts.connection.clone()),
+        cursor: chart_cursor::ChartCursor::new(ctx.charts.connection.clone()),
         call: None,
         pinned: None,
         since: ctx.now,
@@ -318,23 +352,26 @@
     });
     let state = &mut ctx.endpoints[endpoint];
     match role {
-        ConnectionRole::Status => state.status_connection = Some(connection),
-        ConnectionRole::Work => state.work.push(connection),
+        connection_state::ConnectionRole::Status => state.status_connection = Some(connection),
+        connection_state::ConnectionRole::Work => state.work.push(connection),
     }
     let address = state.address.clone();
-    ctx.actions.push(CoreAction::OpenConnection { connection, address });
-    let limit = CoreTuning::millis(ctx.tuning.probe_timeout_ms);
-    ctx.wake_after(limit, TimerKind::Connection(connection));
+    ctx.actions.push(core_message::CoreAction::OpenConnection { connection, address });
+    let limit = core_tuning::CoreTuning::millis(ctx.tuning.probe_timeout_ms);
+    ctx.wake_after(limit, timer_queue::TimerKind::Connection(connection));
     connection
 }
 
-fn idle_connection(ctx: &CoreContext, endpoint: EndpointKey) -> Option<ConnectionKey> {
+fn idle_connection(
+    ctx: &core_context::CoreContext,
+    endpoint: arena_keys::EndpointKey,
+) -> Option<arena_keys::ConnectionKey> {
     let work = &ctx.endpoints[endpoint].work;
     work.iter().copied().find(|connection| ctx.connections[*connection].idle())
 }
 
 /// Hands free connections to waiting statements, and opens more within the quota.
-fn serve_queue(ctx: &mut CoreContext, endpoint: EndpointKey) {
+fn serve_queue(ctx: &mut core_context::CoreContext, endpoint: arena_keys::EndpointKey) {
     while !ctx.endpoints[endpoint].queue.is_empty() {
         let Some(connection) = idle_connection(ctx, endpoint) else { return };
         let Some(statement) = take_fairest(ctx, endpoint) else { return };
@@ -342,22 +379,25 @@
     }
 }
 
-fn refill(ctx: &mut CoreContext, endpoint: EndpointKey) {
+fn refill(ctx: &mut core_context::CoreContext, endpoint: arena_keys::EndpointKey) {
     let state = &ctx.endpoints[endpoint];
     if state.work.len() < state.work_quota && state.circuit.closed() {
-        open(ctx, endpoint, ConnectionRole::Work);
+        open(ctx, endpoint, connection_state::ConnectionRole::Work);
     }
 }
 
 /// Removes the oldest waiting statement of the account that uses the endpoint least for its
 /// weight.
-fn take_fairest(ctx: &mut CoreContext, endpoint: EndpointKey) -> Option<StatementKey> {
-    let running = |account: AccountKey| {
+fn take_fairest(
+    ctx: &mut core_context::CoreContext,
+    endpoint: arena_keys::EndpointKey,
+) -> Option<arena_keys::StatementKey> {
+    let running = |account: arena_keys::AccountKey| {
         let work = &ctx.endpoints[endpoint].work;
         let calls = work.iter().filter_map(|connection| ctx.connections[*connection].call);
         let purposes = calls.filter_map(|call| ctx.calls.get(&call));
         let same = purposes.filter(|purpose| match purpose {
-            CallPurpose::Statement { statement, .. } => {
+            call_purpose::CallPurpose::Statement { statement, .. } => {
                 ctx.statements.get(*statement).is_some_and(|state| state.account == account)
             }
             _ => false,
@@ -365,7 +405,7 @@
         same.count()
     };
     let queue = &ctx.endpoints[endpoint].queue;
-    let use_of = |statement: StatementKey| {
+    let use_of = |statement: arena_keys::StatementKey| {
         let account = ctx.statements[statement].account;
         let waiting = queue.iter().filter(|other| ctx.statements[**other].account == account);
         let weight = u64::from(ctx.accounts[account].weight.max(1));
@@ -375,7 +415,7 @@
     Some(ctx.endpoints[endpoint].queue.remove(position))
 }
 
-fn flush_backlog(ctx: &mut CoreContext, connection: ConnectionKey) {
+fn flush_backlog(ctx: &mut core_context::CoreContext, connection: arena_keys::ConnectionKey) {
     let Some(state) = ctx.connections.get_mut(connection) else { return };
     if state.backlog.is_empty() || !state.idle() {
         return;
@@ -384,21 +424,29 @@
     send_command(ctx, connection, request);
 }
 
-fn send_command(ctx: &mut CoreContext, connection: ConnectionKey, request: EndpointRequest) {
+fn send_command(
+    ctx: &mut core_context::CoreContext,
+    connection: arena_keys::ConnectionKey,
+    request: endpoint_message::EndpointRequest,
+) {
     let endpoint = ctx.connections[connection].endpoint;
     ctx.control.probes += 1;
     ctx.endpoints[endpoint].probed = ctx.now;
-    let purpose = CallPurpose::Status { endpoint, connection, sent: ctx.now };
+    let purpose = call_purpose::CallPurpose::Status { endpoint, connection, sent: ctx.now };
     send(ctx, connection, purpose, request);
-    let limit = CoreTuning::millis(ctx.tuning.probe_timeout_ms);
-    ctx.wake_after(limit, TimerKind::Connection(connection));
+    let limit = core_tuning::CoreTuning::millis(ctx.tuning.probe_timeout_ms);
+    ctx.wake_after(limit, timer_queue::TimerKind::Connection(connection));
 }
 
-fn arm_idle_test(ctx: &mut CoreContext, connection: ConnectionKey, span: Duration) {
+fn arm_idle_test(
+    ctx: &mut core_context::CoreContext,
+    connection: arena_keys::ConnectionKey,
+    span: Duration,
+) {
     let state = &mut ctx.connections[connection];
     if state.test_armed {
         return;
     }
     state.test_armed = true;
-    ctx.wake_after(span, TimerKind::Connection(connection));
+    ctx.wake_after(span, timer_queue::TimerKind::Connection(connection));
 }
--- a/src/core/connection_state.rs
+++ b/src/core/connection_state.rs
@@ -1,10 +1,10 @@
 //! One connection from this host to an endpoint.
 
-use crate::core::arena_keys::{CallerKey, EndpointKey};
-use crate::core::chart_cursor::ChartCursor;
-use crate::core::clock_time::ClockTime;
-use crate::core::core_message::CallId;
-use crate::core::endpoint_message::EndpointRequest;
+use crate::core::arena_keys;
+use crate::core::chart_cursor;
+use crate::core::clock_time;
+use crate::core::core_message;
+use crate::core::endpoint_message;
 
 /// What a connection is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,21 +19,21 @@
 #[derive(Debug, Clone)]
 pub struct ConnectionState {
     /// The endpoint.
-    pub endpoint: EndpointKey,
+    pub endpoint: arena_keys::EndpointKey,
     /// What it is used for.
     pub role: ConnectionRole,
     /// Position in the chart of connections.
-    pub cursor: ChartCursor,
+    pub cursor: chart_cursor::ChartCursor,
     /// The call under way.
-    pub call: Option<CallId>,
+    pub call: Option<core_message::CallId>,
     /// The caller whose transaction the connection belongs to.
-    pub pinned: Option<CallerKey>,
+    pub pinned: Option<arena_keys::CallerKey>,
     /// When the state last changed.
-    pub since: ClockTime,
+    pub since: clock_time::ClockTime,
     /// Whether a timer that looks for idleness is set.
     pub test_armed: bool,
     /// Requests that wait until the connection is idle; status connections only.
-    pub backlog: Vec<EndpointRequest>,
+    pub backlog: Vec<endpoint_message::EndpointRequest>,
 }
 
 impl ConnectionState {
--- a/src/core/core_context.rs
+++ b/src/core/core_context.rs
@@ -9,28 +9,26 @@
 use rand::{RngExt, SeedableRng};
 use slotmap::SlotMap;
 
-use crate::core::account_state::AccountState;
-use crate::core::arena_keys::{
-    AccountKey, CallerKey, ConnectionKey, EndpointKey, GroupKey, StatementKey,
-};
-use crate::core::call_purpose::CallPurpose;
-use crate::core::caller_state::CallerState;
-use crate::core::clock_time::ClockTime;
-use crate::core::config_state::ConfigState;
-use crate::core::connection_state::ConnectionState;
-use crate::core::core_message::{CallId, CallerId, CoreAction};
-use crate::core::core_tuning::CoreTuning;
-use crate::core::endpoint_state::EndpointState;
-use crate::core::group_state::GroupState;
-use crate::core::leaving_record::LeavingRecord;
-use crate::core::live_feed::LiveFeed;
-use crate::core::peer_table::PeerTable;
-use crate::core::platform_message::PlatformRequest;
-use crate::core::retry_budget::RetryBudget;
-use crate::core::state_chart::StateChart;
-use crate::core::statement_state::StatementState;
-use crate::core::status_report::ControlCounts;
-use crate::core::timer_queue::{TimerKind, TimerQueue};
+use crate::core::account_state;
+use crate::core::arena_keys;
+use crate::core::call_purpose;
+use crate::core::caller_state;
+use crate::core::clock_time;
+use crate::core::config_state;
+use crate::core::connection_state;
+use crate::core::core_message;
+use crate::core::core_tuning;
+use crate::core::endpoint_state;
+use crate::core::group_state;
+use crate::core::leaving_record;
+use crate::core::live_feed;
+use crate::core::peer_table;
+use crate::core::platform_message;
+use crate::core::retry_budget;
+use crate::core::state_chart;
+use crate::core::statement_state;
+use crate::core::status_report;
+use crate::core::timer_queue;
 
 const FAILOVER_CHART: &str = include_str!("../../charts/group_failover.yaml");
 const CONNECTION_CHART: &str = include_str!("../../charts/endpoint_connection.yaml");
@@ -68,9 +66,9 @@
 #[derive(Debug, Clone)]
 pub struct CoreCharts {
     /// Changes of primary.
-    pub failover: Arc<StateChart>,
+    pub failover: Arc<state_chart::StateChart>,
     /// Connections to endpoints.
-    pub connection: Arc<StateChart>,
+    pub connection: Arc<state_chart::StateChart>,
 }
 
 impl CoreCharts {
@@ -80,9 +78,9 @@
     ///
     /// Names the chart and what is wrong with it.
     pub fn load() -> Result<Self> {
-        let failover = StateChart::parse(FAILOVER_CHART)?;
+        let failover = state_chart::StateChart::parse(FAILOVER_CHART)?;
         failover.require_events(&FAILOVER_EVENTS)?;
-        let connection = StateChart::parse(CONNECTION_CHART)?;
+        let connection = state_chart::StateChart::parse(CONNECTION_CHART)?;
         connection.require_events(&CONNECTION_EVENTS)?;
         Ok(Self { failover: Arc::new(failover), connection: Arc::new(connection) })
     }
@@ -94,76 +92,76 @@
     /// Who this host is.
     pub identity: HostIdentity,
     /// Spans and bounds.
-    pub tuning: CoreTuning,
+    pub tuning: core_tuning::CoreTuning,
     /// State charts.
     pub charts: CoreCharts,
     /// The time of the event being handled.
-    pub now: ClockTime,
+    pub now: clock_time::ClockTime,
     /// Source of all randomness.
     pub rng: SmallRng,
     /// Actions of the event being handled.
-    pub actions: Vec<CoreAction>,
+    pub actions: Vec<core_message::CoreAction>,
     /// Timers.
-    pub timers: TimerQueue,
+    pub timers: timer_queue::TimerQueue,
     /// Calls that await answers.
-    pub calls: HashMap<CallId, CallPurpose>,
+    pub calls: HashMap<core_message::CallId, call_purpose::CallPurpose>,
     /// Live records of the platform.
-    pub feed: LiveFeed,
+    pub feed: live_feed::LiveFeed,
     /// The configuration.
-    pub config: ConfigState,
+    pub config: config_state::ConfigState,
     /// Evidence of peers.
-    pub peers: PeerTable,
+    pub peers: peer_table::PeerTable,
     /// Client accounts.
-    pub accounts: SlotMap<AccountKey, AccountState>,
+    pub accounts: SlotMap<arena_keys::AccountKey, account_state::AccountState>,
     /// Client accounts by name.
-    pub account_names: HashMap<String, AccountKey>,
+    pub account_names: HashMap<String, arena_keys::AccountKey>,
     /// Accounts with statements lately.
-    pub active_accounts: BTreeSet<AccountKey>,
+    pub active_accounts: BTreeSet<arena_keys::AccountKey>,
     /// Whether the timer of the shares is set.
     pub shares_armed: bool,
     /// Groups.
-    pub groups: SlotMap<GroupKey, GroupState>,
+    pub groups: SlotMap<arena_keys::GroupKey, group_state::GroupState>,
     /// Groups by name.
-    pub group_names: HashMap<String, GroupKey>,
+    pub group_names: HashMap<String, arena_keys::GroupKey>,
     /// Endpoints.
-    pub endpoints: SlotMap<EndpointKey, EndpointState>,
+    pub endpoints: SlotMap<arena_keys::EndpointKey, endpoint_state::EndpointState>,
     /// Endpoints by name.
-    pub endpoint_names: HashMap<String, EndpointKey>,
+    pub endpoint_names: HashMap<String, arena_keys::EndpointKey>,
     /// Connections to endpoints.
-    pub connections: SlotMap<ConnectionKey, ConnectionState>,
+    pub connections: SlotMap<arena_keys::ConnectionKey, connection_state::ConnectionState>,
     /// Callers.
-    pub callers: SlotMap<CallerKey, CallerState>,
+    pub callers: SlotMap<arena_keys::CallerKey, caller_state::CallerState>,
     /// Callers by the door's number.
-    pub caller_ids: HashMap<CallerId, CallerKey>,
+    pub caller_ids: HashMap<core_message::CallerId, arena_keys::CallerKey>,
     /// Statements not answered yet.
-    pub statements: SlotMap<StatementKey, StatementState>,
+    pub statements: SlotMap<arena_keys::StatementKey, statement_state::StatementState>,
     /// Whether the process was asked to stop, and when.
-    pub drain_since: Option<ClockTime>,
+    pub drain_since: Option<clock_time::ClockTime>,
     /// Whether the end of the shutdown was announced.
     pub stopped: bool,
     /// Whether a later process runs under this host's name.
     pub superseded: bool,
     /// Hosts and endpoints that the platform says are leaving.
-    pub leaving: LeavingRecord,
+    pub leaving: leaving_record::LeavingRecord,
     /// When that was last learnt.
-    pub leaving_since: ClockTime,
+    pub leaving_since: clock_time::ClockTime,
     /// What retries may still cost.
-    pub retries: RetryBudget,
+    pub retries: retry_budget::RetryBudget,
     /// Whether a watch on the platform is open.
     pub watching: bool,
     /// Cost of control.
-    pub control: ControlCounts,
-    next_call: CallId,
+    pub control: status_report::ControlCounts,
+    next_call: core_message::CallId,
 }
 
 impl CoreContext {
     /// Builds the state of a host that knows nothing yet.
     pub fn new(
         identity: HostIdentity,
-        tuning: CoreTuning,
+        tuning: core_tuning::CoreTuning,
         charts: CoreCharts,
         seed: u64,
-        now: ClockTime,
+        now: clock_time::ClockTime,
     ) -> Self {
         Self {
             identity,
@@ -172,11 +170,11 @@
             now,
             rng: SmallRng::seed_from_u64(seed),
             actions: Vec::new(),
-            timers: TimerQueue::default(),
+            timers: timer_queue::TimerQueue::default(),
             calls: HashMap::new(),
-            feed: LiveFeed::default(),
-            config: ConfigState::default(),
-            peers: PeerTable::default(),
+            feed: live_feed::LiveFeed::default(),
+            config: config_state::ConfigState::default(),
+            peers: peer_table::PeerTable::default(),
             accounts: SlotMap::with_key(),
             account_names: HashMap::new(),
             active_accounts: BTreeSet::new(),
@@ -192,17 +190,17 @@
             drain_since: None,
             stopped: false,
             superseded: false,
-            leaving: LeavingRecord::default(),
+            leaving: leaving_record::LeavingRecord::default(),
             leaving_since: now,
-            retries: RetryBudget::default(),
+            retries: retry_budget::RetryBudget::default(),
             watching: false,
-            control: ControlCounts::default(),
+            control: status_report::ControlCounts::default(),
             next_call: 1,
         }
     }
 
     /// Registers a call that an answer is awaited for.
-    pub fn open_call(&mut self, purpose: CallPurpose) -> CallId {
+    pub fn open_call(&mut self, purpose: call_purpose::CallPurpose) -> core_message::CallId {
         let call = self.next_call;
         self.next_call += 1;
         self.calls.insert(call, purpose);
@@ -210,14 +208,18 @@
     }
 
     /// Calls the platform.
-    pub fn call_platform(&mut self, purpose: CallPurpose, request: PlatformRequest) {
+    pub fn call_platform(
+        &mut self,
+        purpose: call_purpose::CallPurpose,
+        request: platform_message::PlatformRequest,
+    ) {
         self.control.platform_calls += 1;
         let call = self.open_call(purpose);
-        self.actions.push(CoreAction::CallPlatform { call, request });
+        self.actions.push(core_message::CoreAction::CallPlatform { call, request });
     }
 
     /// Sets a timer.
-    pub fn wake_after(&mut self, span: Duration, kind: TimerKind) {
+    pub fn wake_after(&mut self, span: Duration, kind: timer_queue::TimerKind) {
         self.timers.push(self.now.after(span), kind);
     }
 
@@ -246,7 +248,8 @@
     /// Whether the evidence that the configuration is current is younger than the limit plus
     /// `grace_ms`.
     pub fn config_fresh(&self, grace_ms: u64) -> bool {
-        let limit = CoreTuning::millis(self.tuning.fresh_for_ms.saturating_add(grace_ms));
+        let limit =
+            core_tuning::CoreTuning::millis(self.tuning.fresh_for_ms.saturating_add(grace_ms));
         let since = self.now.before(limit);
         if self.peers.platform.is_some_and(|at| at >= since) {
             return true;
@@ -258,16 +261,16 @@
     ///
     /// Only then does silence of the platform mean that it is out: a data centre that still
     /// reached it would have told of a newer configuration.
-    pub fn all_heard(&self, since: ClockTime) -> bool {
+    pub fn all_heard(&self, since: clock_time::ClockTime) -> bool {
         let own = &self.identity.data_centre;
         let in_service = self.config.world.centres.values().filter(|centre| centre.in_service);
         let mut others = in_service.filter(|centre| centre.name != *own);
-        let heard = |at: &ClockTime| *at >= since;
+        let heard = |at: &clock_time::ClockTime| *at >= since;
         others.all(|centre| self.peers.centres.get(&centre.name).is_some_and(heard))
     }
 
     /// Whether more than half of the data centres were heard at `since` or later.
-    pub fn majority_heard(&self, since: ClockTime) -> bool {
+    pub fn majority_heard(&self, since: clock_time::ClockTime) -> bool {
         let centres = &self.config.world.centres;
         let others = self.peers.centres_since(
             since,
--- a/src/core/core_message.rs
+++ b/src/core/core_message.rs
@@ -1,11 +1,11 @@
 //! What goes into the decision core and what comes out of it.
 
-use crate::core::arena_keys::ConnectionKey;
-use crate::core::endpoint_message::{AnswerBody, EndpointOutcome, EndpointRequest};
-use crate::core::peer_message::{PeerReply, PeerRequest};
-use crate::core::platform_message::{PlatformReply, PlatformRequest};
-use crate::core::request_verdict::RequestVerdict;
-use crate::core::status_report::StatusReport;
+use crate::core::arena_keys;
+use crate::core::endpoint_message;
+use crate::core::peer_message;
+use crate::core::platform_message;
+use crate::core::request_verdict;
+use crate::core::status_report;
 
 /// The door's number for a caller's connection.
 pub type CallerId = u64;
@@ -45,42 +45,42 @@
     /// A connection to an endpoint was opened, or could not be.
     ConnectionOpened {
         /// The connection.
-        connection: ConnectionKey,
+        connection: arena_keys::ConnectionKey,
         /// Whether it is open.
         opened: bool,
     },
     /// A connection to an endpoint ended by itself.
     ConnectionEnded {
         /// The connection.
-        connection: ConnectionKey,
+        connection: arena_keys::ConnectionKey,
     },
     /// An endpoint answered a call.
     EndpointAnswered {
         /// The call.
         call: CallId,
         /// The outcome.
-        outcome: EndpointOutcome,
+        outcome: endpoint_message::EndpointOutcome,
     },
     /// A peer asks.
     PeerAsked {
         /// The driver's number for the question.
         ask: AskId,
         /// The question.
-        request: PeerRequest,
+        request: peer_message::PeerRequest,
     },
     /// A peer answered a call, or could not be reached.
     PeerAnswered {
         /// The call.
         call: CallId,
         /// The answer; `None` when there is none.
-        reply: Option<PeerReply>,
+        reply: Option<peer_message::PeerReply>,
     },
     /// The platform answered a call, or could not be reached.
     PlatformAnswered {
         /// The call.
         call: CallId,
         /// The reply; `None` when it is lost, with the call's effect unknown.
-        reply: Option<PlatformReply>,
+        reply: Option<platform_message::PlatformReply>,
     },
     /// An operator asks for the host's status.
     StatusAsked {
@@ -106,16 +106,16 @@
         /// The door's number.
         caller: CallerId,
         /// Why.
-        verdict: RequestVerdict,
+        verdict: request_verdict::RequestVerdict,
     },
     /// Answers a caller's statement.
     AnswerCaller {
         /// The door's number.
         caller: CallerId,
         /// The final verdict.
-        verdict: RequestVerdict,
+        verdict: request_verdict::RequestVerdict,
         /// The answer, for statements that ran.
-        body: AnswerBody,
+        body: endpoint_message::AnswerBody,
         /// Whether the caller is inside a transaction now.
         in_transaction: bool,
     },
@@ -124,28 +124,28 @@
         /// The door's number.
         caller: CallerId,
         /// Why.
-        verdict: RequestVerdict,
+        verdict: request_verdict::RequestVerdict,
     },
     /// Opens a connection to an endpoint.
     OpenConnection {
         /// The connection's key.
-        connection: ConnectionKey,
+        connection: arena_keys::ConnectionKey,
         /// Address of the endpoint.
         address: String,
     },
     /// Closes a connection; answers to its calls no longer matter.
     CloseConnection {
         /// The connection.
-        connection: ConnectionKey,
+        connection: arena_keys::ConnectionKey,
     },
     /// Sends a request on a connection.
     CallEndpoint {
         /// The call.
         call: CallId,
         /// The connection.
-        connection: ConnectionKey,
+        connection: arena_keys::ConnectionKey,
         /// The request.
-        request: EndpointRequest,
+        request: endpoint_message::EndpointRequest,
     },
     /// Asks a peer.
     CallPeer {
@@ -154,28 +154,28 @@
         /// Address of the peer.
         address: String,
         /// The question.
-        request: PeerRequest,
+        request: peer_message::PeerRequest,
     },
     /// Answers a peer's question.
     AnswerPeer {
         /// The driver's number for the question.
         ask: AskId,
         /// The answer.
-        reply: PeerReply,
+        reply: peer_message::PeerReply,
     },
     /// Calls the platform.
     CallPlatform {
         /// The call.
         call: CallId,
         /// The request.
-        request: PlatformRequest,
+        request: platform_message::PlatformRequest,
     },
     /// Answers an operator's question for the status.
     AnswerStatus {
         /// The driver's number for the question.
         ask: AskId,
         /// The status.
-        report: Box<StatusReport>,
+        report: Box<status_report::StatusReport>,
     },
     /// All accepted work is finished; the process may stop.
     Stop,
--- a/src/core/drain_flow.rs
+++ b/src/core/drain_flow.rs
@@ -1,35 +1,35 @@
 //! Graceful leaving: no new work, every accepted statement and transaction finished.
 
-use crate::core::arena_keys::CallerKey;
+use crate::core::arena_keys;
 use crate::core::caller_flow;
-use crate::core::core_context::CoreContext;
-use crate::core::core_message::CoreAction;
-use crate::core::core_tuning::{self, CoreTuning};
-use crate::core::request_verdict::{RequestVerdict, VerdictCause};
-use crate::core::timer_queue::TimerKind;
+use crate::core::core_context;
+use crate::core::core_message;
+use crate::core::core_tuning;
+use crate::core::request_verdict;
+use crate::core::timer_queue;
 
 /// Starts the shutdown of this process.
-pub fn start(ctx: &mut CoreContext) {
+pub fn start(ctx: &mut core_context::CoreContext) {
     if ctx.drain_since.is_some() {
         return;
     }
     log::info!("leaving: {} callers, {} statements", ctx.callers.len(), ctx.statements.len());
     ctx.drain_since = Some(ctx.now);
-    let limit = CoreTuning::millis(ctx.tuning.drain_timeout_ms);
-    ctx.wake_after(limit, TimerKind::Drain);
+    let limit = core_tuning::CoreTuning::millis(ctx.tuning.drain_timeout_ms);
+    ctx.wake_after(limit, timer_queue::TimerKind::Drain);
     close_idle(ctx);
     check_finished(ctx);
 }
 
 /// Acts on a configuration that may have taken this host out of service.
-pub fn after_config(ctx: &mut CoreContext) {
+pub fn after_config(ctx: &mut core_context::CoreContext) {
     if !ctx.takes_work() {
         close_idle(ctx);
     }
 }
 
 /// Ends the connection of a caller that was just answered, when this host is leaving.
-pub fn after_answer(ctx: &mut CoreContext, caller: CallerKey) {
+pub fn after_answer(ctx: &mut core_context::CoreContext, caller: arena_keys::CallerKey) {
     if ctx.takes_work() {
         return;
     }
@@ -38,37 +38,38 @@
 }
 
 /// Ends the shutdown when it has taken too long.
-pub fn on_timer(ctx: &mut CoreContext) {
+pub fn on_timer(ctx: &mut core_context::CoreContext) {
     if ctx.drain_since.is_some() && !ctx.stopped {
         log::warn!("leaving with {} statements unfinished", ctx.statements.len());
         ctx.stopped = true;
-        ctx.actions.push(CoreAction::Stop);
+        ctx.actions.push(core_message::CoreAction::Stop);
     }
 }
 
 /// Announces the end of the shutdown once no caller is left.
-pub fn check_finished(ctx: &mut CoreContext) {
+pub fn check_finished(ctx: &mut core_context::CoreContext) {
     if ctx.drain_since.is_some() && !ctx.stopped && ctx.callers.is_empty() {
         ctx.stopped = true;
-        ctx.actions.push(CoreAction::Stop);
+        ctx.actions.push(core_message::CoreAction::Stop);
     }
 }
 
-fn close_idle(ctx: &mut CoreContext) {
-    let callers: Vec<CallerKey> = ctx.callers.keys().collect();
+fn close_idle(ctx: &mut core_context::CoreContext) {
+    let callers: Vec<arena_keys::CallerKey> = ctx.callers.keys().collect();
     for caller in callers {
         close_if_idle(ctx, caller);
     }
 }
 
-fn close_if_idle(ctx: &mut CoreContext, caller: CallerKey) {
+fn close_if_idle(ctx: &mut core_context::CoreContext, caller: arena_keys::CallerKey) {
     let Some(state) = ctx.callers.get(caller) else { return };
     if state.statement.is_some() || state.transaction.is_some() {
         return;
     }
     let id = state.id;
     let wait = Some(core_tuning::SHORT_RETRY);
-    let verdict = RequestVerdict::not_run(VerdictCause::Draining, wait);
-    ctx.actions.push(CoreAction::CloseCaller { caller: id, verdict });
+    let verdict =
+        request_verdict::RequestVerdict::not_run(request_verdict::VerdictCause::Draining, wait);
+    ctx.actions.push(core_message::CoreAction::CloseCaller { caller: id, verdict });
     caller_flow::close(ctx, id);
 }
--- a/src/core/endpoint_state.rs
+++ b/src/core/endpoint_state.rs
@@ -1,17 +1,17 @@
 //! What this host knows of one endpoint, and its connections to it.
 
-use crate::core::arena_keys::{ConnectionKey, GroupKey, StatementKey};
-use crate::core::circuit_breaker::CircuitBreaker;
-use crate::core::clock_time::ClockTime;
-use crate::core::endpoint_message::{EndpointStatus, LogPoint};
+use crate::core::arena_keys;
+use crate::core::circuit_breaker;
+use crate::core::clock_time;
+use crate::core::endpoint_message;
 
 /// A status with the time at which it was asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SeenStatus {
     /// The status.
-    pub status: EndpointStatus,
+    pub status: endpoint_message::EndpointStatus,
     /// When it was asked for; it was true at some time after.
-    pub asked: ClockTime,
+    pub asked: clock_time::ClockTime,
 }
 
 /// A copy that is not in the group's record yet.
@@ -20,9 +20,9 @@
     /// Identity of the copy.
     pub copy: u64,
     /// When it was first seen.
-    pub since: ClockTime,
+    pub since: clock_time::ClockTime,
     /// The point that it must reach before it counts: the primary's end of log after `since`.
-    pub target: Option<LogPoint>,
+    pub target: Option<endpoint_message::LogPoint>,
 }
 
 /// What this host knows of one endpoint.
@@ -35,34 +35,37 @@
     /// Data centre.
     pub data_centre: String,
     /// The group it is a copy of.
-    pub group: Option<GroupKey>,
+    pub group: Option<arena_keys::GroupKey>,
     /// Whether it takes new work.
     pub in_service: bool,
     /// Most work connections of this host.
     pub work_quota: usize,
     /// Work connections, open or opening.
-    pub work: Vec<ConnectionKey>,
+    pub work: Vec<arena_keys::ConnectionKey>,
     /// The status connection.
-    pub status_connection: Option<ConnectionKey>,
+    pub status_connection: Option<arena_keys::ConnectionKey>,
     /// The latest status.
     pub seen: Option<SeenStatus>,
     /// Since when the endpoint has turned connections away or ended them.
-    pub refusing_since: Option<ClockTime>,
+    pub refusing_since: Option<clock_time::ClockTime>,
     /// When the last probe was sent.
-    pub probed: ClockTime,
+    pub probed: clock_time::ClockTime,
     /// When it was last told its role.
-    pub repaired: ClockTime,
+    pub repaired: clock_time::ClockTime,
     /// Statements that wait for a connection, oldest first.
-    pub queue: Vec<StatementKey>,
+    pub queue: Vec<arena_keys::StatementKey>,
     /// Keeps work away while the endpoint fails.
-    pub circuit: CircuitBreaker,
+    pub circuit: circuit_breaker::CircuitBreaker,
     /// A rebuilt copy that waits to be counted.
     pub new_copy: Option<NewCopy>,
 }
 
 impl EndpointState {
     /// Returns the latest status, if it was asked for at `since` or later.
-    pub fn status_since(&self, since: ClockTime) -> Option<&EndpointStatus> {
+    pub fn status_since(
+        &self,
+        since: clock_time::ClockTime,
+    ) -> Option<&endpoint_message::EndpointStatus> {
         self.seen.as_ref().filter(|seen| seen.asked >= since).map(|seen| &seen.status)
     }
 }
--- a/src/core/failover_flow.rs
+++ b/src/core/failover_flow.rs
@@ -9,21 +9,21 @@
 
 use std::time::Duration;
 
-use crate::core::arena_keys::{EndpointKey, GroupKey};
-use crate::core::call_purpose::CallPurpose;
+use crate::core::arena_keys;
+use crate::core::call_purpose;
 use crate::core::confirm_flow;
 use crate::core::connection_flow;
-use crate::core::core_context::CoreContext;
-use crate::core::core_message::CoreAction;
-use crate::core::core_tuning::CoreTuning;
-use crate::core::endpoint_message::{EndpointRequest, EndpointStatus, LogPoint};
-use crate::core::group_record::{self, GroupRecord, TermPhase};
-use crate::core::group_state::{GroupState, SuspectReason};
-use crate::core::peer_message::PeerRequest;
-use crate::core::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
+use crate::core::core_context;
+use crate::core::core_message;
+use crate::core::core_tuning;
+use crate::core::endpoint_message;
+use crate::core::group_record;
+use crate::core::group_state;
+use crate::core::peer_message;
+use crate::core::platform_message;
 use crate::core::rendezvous_rank;
 use crate::core::role_flow;
-use crate::core::timer_queue::TimerKind;
+use crate::core::timer_queue;
 
 /// Peers asked for their opinion before a primary out of reach is replaced.
 const OPINIONS_ASKED: usize = 2;
@@ -41,7 +41,7 @@
 const VOUCH_AGE_MS: u64 = 1_300;
 
 /// Looks after one group: probes its endpoints, and drives a change of primary.
-pub fn on_timer(ctx: &mut CoreContext, group: GroupKey) {
+pub fn on_timer(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     if !ctx.groups.contains_key(group) {
         return;
     }
@@ -52,15 +52,19 @@
     }
     step(ctx, group);
     let settled = ctx.groups[group].cursor.state() == "watching";
-    let interval = CoreTuning::millis(ctx.tuning.probe_interval_ms);
+    let interval = core_tuning::CoreTuning::millis(ctx.tuning.probe_interval_ms);
     let span = if settled { interval } else { interval / 4 };
     let span = ctx.spread(span);
-    ctx.wake_after(span, TimerKind::Group(group));
+    ctx.wake_after(span, timer_queue::TimerKind::Group(group));
 }
 
 /// Takes up the group's record as the platform holds it.
-pub fn on_record(ctx: &mut CoreContext, group: GroupKey, entry: &StoreEntry) {
-    let Ok(record) = rmp_serde::from_slice::<GroupRecord>(&entry.value) else {
+pub fn on_record(
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    entry: &platform_message::StoreEntry,
+) {
+    let Ok(record) = rmp_serde::from_slice::<group_record::GroupRecord>(&entry.value) else {
         log::error!("group {}: the platform's record is malformed", ctx.groups[group].name);
         return;
     };
@@ -76,7 +80,7 @@
     state.record = Some(record);
     if term_changed {
         state.record_at = now;
-        state.replica_progress = (LogPoint::default(), now);
+        state.replica_progress = (endpoint_message::LogPoint::default(), now);
     }
     if new_term {
         state.fire("record_moved", now);
@@ -86,7 +90,11 @@
 }
 
 /// Takes up a new status of one of the group's endpoints.
-pub fn on_status(ctx: &mut CoreContext, group: GroupKey, endpoint: EndpointKey) {
+pub fn on_status(
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    endpoint: arena_keys::EndpointKey,
+) {
     let Some(seen) = ctx.endpoints[endpoint].seen.clone() else { return };
     if ctx.groups[group].cursor.state() == "fencing" {
         note_fenced(ctx, group, endpoint, &seen.status);
@@ -101,22 +109,30 @@
 }
 
 /// Whether this host saw the primary of `term` or later serve lately.
-pub fn vouches(ctx: &CoreContext, group: &str, term: u64) -> bool {
+pub fn vouches(ctx: &core_context::CoreContext, group: &str, term: u64) -> bool {
     let Some(group) = ctx.group_names.get(group).map(|key| &ctx.groups[*key]) else { return false };
     let Some(record) = group.serving().filter(|record| record.term >= term) else { return false };
     let Some(endpoint) = ctx.endpoint_names.get(&record.primary) else { return false };
-    let since = ctx.now.before(CoreTuning::millis(VOUCH_AGE_MS));
+    let since = ctx.now.before(core_tuning::CoreTuning::millis(VOUCH_AGE_MS));
     let endpoint = &ctx.endpoints[*endpoint];
     let status = endpoint.status_since(since).filter(|_| endpoint.refusing_since.is_none());
     status.is_some_and(|status| status.primary && status.adopted_term == record.term)
 }
 
 /// Takes up a peer's opinion of a primary.
-pub fn on_opinion(ctx: &mut CoreContext, group: GroupKey, term: u64, serving: bool) {
+pub fn on_opinion(
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    term: u64,
+    serving: bool,
+) {
     let now = ctx.now;
     let state = &mut ctx.groups[group];
     state.opinions_open = state.opinions_open.saturating_sub(1);
-    if serving && state.term() == term && state.reason == Some(SuspectReason::Unreachable) {
+    if serving
+        && state.term() == term
+        && state.reason == Some(group_state::SuspectReason::Unreachable)
+    {
         return state.fire("peers_see_primary", now);
     }
     step(ctx, group);
@@ -124,41 +140,53 @@
 
 /// Takes up the platform's answer to a swap of the group's record.
 pub fn on_swap(
-    ctx: &mut CoreContext,
-    group: GroupKey,
-    record: GroupRecord,
-    reply: Option<PlatformReply>,
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    record: group_record::GroupRecord,
+    reply: Option<platform_message::PlatformReply>,
 ) {
     ctx.groups[group].readmitting = false;
     match reply {
-        Some(PlatformReply::Swapped { revision }) => won(ctx, group, record, revision),
-        Some(PlatformReply::Conflict(Some(entry))) => on_conflict(ctx, group, entry),
+        Some(platform_message::PlatformReply::Swapped { revision }) => {
+            won(ctx, group, record, revision)
+        }
+        Some(platform_message::PlatformReply::Conflict(Some(entry))) => {
+            on_conflict(ctx, group, entry)
+        }
         Some(_) => lose(ctx, group),
         None => {
             let key = group_record::record_key(&ctx.groups[group].name);
-            let purpose = CallPurpose::ReadRecord { group };
-            ctx.call_platform(purpose, PlatformRequest::Get { key });
+            let purpose = call_purpose::CallPurpose::ReadRecord { group };
+            ctx.call_platform(purpose, platform_message::PlatformRequest::Get { key });
         }
     }
 }
 
 /// Takes up the record as read after a swap whose answer was lost.
-pub fn on_reread(ctx: &mut CoreContext, group: GroupKey, reply: Option<PlatformReply>) {
+pub fn on_reread(
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    reply: Option<platform_message::PlatformReply>,
+) {
     match reply {
-        Some(PlatformReply::Value(Some(entry))) => on_conflict(ctx, group, entry),
+        Some(platform_message::PlatformReply::Value(Some(entry))) => on_conflict(ctx, group, entry),
         Some(_) => lose(ctx, group),
         // Nothing is known; the election times out, and the feed tells what became of it.
         None => {}
     }
 }
 
-fn on_conflict(ctx: &mut CoreContext, group: GroupKey, entry: StoreEntry) {
+fn on_conflict(
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    entry: platform_message::StoreEntry,
+) {
     let own = proposer(ctx);
-    let record = rmp_serde::from_slice::<GroupRecord>(&entry.value).ok();
+    let record = rmp_serde::from_slice::<group_record::GroupRecord>(&entry.value).ok();
     let state = ctx.groups[group].cursor.state().to_owned();
     if let Some(record) = record.filter(|record| record.proposer == own) {
-        let claimed = state == "claiming" && record.phase == TermPhase::Electing;
-        let decided = state == "deciding" && record.phase == TermPhase::Serving;
+        let claimed = state == "claiming" && record.phase == group_record::TermPhase::Electing;
+        let decided = state == "deciding" && record.phase == group_record::TermPhase::Serving;
         if (claimed || decided) && entry.revision > ctx.groups[group].revision {
             return won(ctx, group, record, entry.revision);
         }
@@ -170,26 +198,31 @@
     on_record(ctx, group, &entry);
 }
 
-fn lose(ctx: &mut CoreContext, group: GroupKey) {
+fn lose(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let now = ctx.now;
     if matches!(ctx.groups[group].cursor.state(), "claiming" | "deciding") {
         ctx.groups[group].fire("claim_lost", now);
     }
 }
 
-fn won(ctx: &mut CoreContext, group: GroupKey, record: GroupRecord, revision: u64) {
+fn won(
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    record: group_record::GroupRecord,
+    revision: u64,
+) {
     let Ok(value) = rmp_serde::to_vec(&record) else { return };
     let key = group_record::record_key(&ctx.groups[group].name);
-    let entry = StoreEntry { key, revision, value };
+    let entry = platform_message::StoreEntry { key, revision, value };
     ctx.feed.take(entry.clone());
     let now = ctx.now;
     match ctx.groups[group].cursor.state() {
-        "claiming" if record.phase == TermPhase::Electing => {
+        "claiming" if record.phase == group_record::TermPhase::Electing => {
             ctx.groups[group].fire("claim_won", now);
             install(ctx, group, record, revision);
             fence_all(ctx, group);
         }
-        "deciding" if record.phase == TermPhase::Serving => {
+        "deciding" if record.phase == group_record::TermPhase::Serving => {
             ctx.groups[group].fire("decision_won", now);
             log::info!(
                 "group {}: term {} has primary {}",
@@ -205,18 +238,23 @@
 }
 
 /// Takes up this host's own change of the record.
-fn install(ctx: &mut CoreContext, group: GroupKey, record: GroupRecord, revision: u64) {
+fn install(
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    record: group_record::GroupRecord,
+    revision: u64,
+) {
     let now = ctx.now;
     let state = &mut ctx.groups[group];
     state.revision = revision;
     state.record = Some(record);
     state.record_at = now;
-    state.replica_progress = (LogPoint::default(), now);
+    state.replica_progress = (endpoint_message::LogPoint::default(), now);
     confirm_flow::on_new_term(ctx, group);
 }
 
 /// Moves a change of primary on as far as it can go now.
-fn step(ctx: &mut CoreContext, group: GroupKey) {
+fn step(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     match ctx.groups[group].cursor.state() {
         "watching" => watch(ctx, group),
         "suspecting" => suspect(ctx, group),
@@ -227,11 +265,11 @@
     }
 }
 
-fn watch(ctx: &mut CoreContext, group: GroupKey) {
+fn watch(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let Some(reason) = find_reason(ctx, group) else { return };
     let now = ctx.now;
     let event = match reason {
-        SuspectReason::NoRecord => "record_missing",
+        group_state::SuspectReason::NoRecord => "record_missing",
         _ => "primary_missing",
     };
     let state = &mut ctx.groups[group];
@@ -240,61 +278,65 @@
 }
 
 /// Returns why the group needs a change of primary, if it does.
-fn find_reason(ctx: &CoreContext, group: GroupKey) -> Option<SuspectReason> {
+fn find_reason(
+    ctx: &core_context::CoreContext,
+    group: arena_keys::GroupKey,
+) -> Option<group_state::SuspectReason> {
     let state = &ctx.groups[group];
     if state.members.is_empty() || !ctx.takes_part() {
         return None;
     }
     let Some(record) = &state.record else {
-        return ctx.peers.platform.map(|_| SuspectReason::NoRecord);
+        return ctx.peers.platform.map(|_| group_state::SuspectReason::NoRecord);
     };
     let age = ctx.now.since(state.record_at);
-    if record.phase == TermPhase::Electing {
-        let limit = CoreTuning::millis(ctx.tuning.election_timeout_ms);
-        return (age >= limit).then_some(SuspectReason::Unfinished);
+    if record.phase == group_record::TermPhase::Electing {
+        let limit = core_tuning::CoreTuning::millis(ctx.tuning.election_timeout_ms);
+        return (age >= limit).then_some(group_state::SuspectReason::Unfinished);
     }
-    let limit = CoreTuning::millis(ctx.tuning.suspect_after_ms);
+    let limit = core_tuning::CoreTuning::millis(ctx.tuning.suspect_after_ms);
     let primary = *ctx.endpoint_names.get(&record.primary)?;
     let status = ctx.endpoints[primary].status_since(ctx.now.before(limit));
     let serves = status.is_some_and(|status| status.primary && status.adopted_term == record.term);
     if !serves {
-        return (age >= limit).then_some(SuspectReason::Unreachable);
+        return (age >= limit).then_some(group_state::SuspectReason::Unreachable);
     }
     if refuses(ctx, primary) {
-        return Some(SuspectReason::Unreachable);
+        return Some(group_state::SuspectReason::Unreachable);
     }
     if ctx.now.since(state.replica_progress.1) >= limit * 2 && has_live_replica(ctx, group) {
-        return Some(SuspectReason::Isolated);
+        return Some(group_state::SuspectReason::Isolated);
     }
     let leaving = !ctx.endpoints[primary].in_service && successor_ready(ctx, group, primary);
     // Open transactions get some time to end: a fence ends them.
     let settled = age >= LEAVE_GRACE && leave_grace_over(ctx);
-    (leaving && settled).then_some(SuspectReason::Leaving)
+    (leaving && settled).then_some(group_state::SuspectReason::Leaving)
 }
 
 /// Whether the endpoint has turned connections away for some time; that tells more than silence.
-fn refuses(ctx: &CoreContext, endpoint: EndpointKey) -> bool {
+fn refuses(ctx: &core_context::CoreContext, endpoint: arena_keys::EndpointKey) -> bool {
     let since = ctx.endpoints[endpoint].refusing_since;
     since.is_some_and(|since| ctx.now.since(since) >= REFUSED_FOR)
 }
 
 /// Whether endpoints that the configuration takes out of service get no new work any more, even
 /// as primaries. Their replicas can then catch up for the change of primary.
-pub fn leave_grace_over(ctx: &CoreContext) -> bool {
+pub fn leave_grace_over(ctx: &core_context::CoreContext) -> bool {
     ctx.now.since(ctx.config.adopted.max(ctx.leaving_since)) >= LEAVE_GRACE
 }
 
-fn suspect(ctx: &mut CoreContext, group: GroupKey) {
+fn suspect(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let now = ctx.now;
     let reason = find_reason(ctx, group);
     let Some(reason) = reason else { return ctx.groups[group].fire("primary_seen", now) };
     let state = &mut ctx.groups[group];
     state.reason = Some(reason);
-    let mut turn = CoreTuning::millis(ctx.tuning.claim_turn_ms) * claim_rank(ctx, group);
-    if reason == SuspectReason::Unreachable {
+    let mut turn =
+        core_tuning::CoreTuning::millis(ctx.tuning.claim_turn_ms) * claim_rank(ctx, group);
+    if reason == group_state::SuspectReason::Unreachable {
         ask_opinions(ctx, group);
         if ctx.groups[group].opinions_open > 0 {
-            turn += CoreTuning::millis(OPINION_WAIT_MS);
+            turn += core_tuning::CoreTuning::millis(OPINION_WAIT_MS);
         }
     }
     if now.since(ctx.groups[group].since) >= turn {
@@ -302,13 +344,13 @@
     }
 }
 
-fn claim(ctx: &mut CoreContext, group: GroupKey) {
+fn claim(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let proposer = proposer(ctx);
     let state = &ctx.groups[group];
     let old = state.record.clone();
-    let record = GroupRecord {
+    let record = group_record::GroupRecord {
         term: state.term() + 1,
-        phase: TermPhase::Electing,
+        phase: group_record::TermPhase::Electing,
         primary: old.as_ref().map(|old| old.primary.clone()).unwrap_or_default(),
         proposer,
         start: old.as_ref().map(|old| old.start).unwrap_or_default(),
@@ -321,18 +363,18 @@
     swap(ctx, group, record);
 }
 
-fn fence_all(ctx: &mut CoreContext, group: GroupKey) {
+fn fence_all(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let term = ctx.groups[group].term();
     for endpoint in ctx.groups[group].members.clone() {
-        connection_flow::command(ctx, endpoint, EndpointRequest::Fence { term });
+        connection_flow::command(ctx, endpoint, endpoint_message::EndpointRequest::Fence { term });
     }
 }
 
 fn note_fenced(
-    ctx: &mut CoreContext,
-    group: GroupKey,
-    endpoint: EndpointKey,
-    status: &EndpointStatus,
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    endpoint: arena_keys::EndpointKey,
+    status: &endpoint_message::EndpointStatus,
 ) {
     let name = ctx.endpoints[endpoint].name.clone();
     let state = &mut ctx.groups[group];
@@ -343,7 +385,7 @@
     }
 }
 
-fn fence(ctx: &mut CoreContext, group: GroupKey) {
+fn fence(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let now = ctx.now;
     let state = &mut ctx.groups[group];
     if state.fenced.len() < state.majority() {
@@ -352,22 +394,22 @@
     }
     let first = state.record.as_ref().is_some_and(|record| record.copies.is_empty());
     let majority_at = *state.majority_at.get_or_insert(now);
-    let unhurried = first || state.reason == Some(SuspectReason::Leaving);
+    let unhurried = first || state.reason == Some(group_state::SuspectReason::Leaving);
     let grace = if unhurried { FIRST_GRACE_MS } else { FENCE_GRACE_MS };
     let complete = state.fenced.len() == state.members.len();
-    if complete || now.since(majority_at) >= CoreTuning::millis(grace) {
+    if complete || now.since(majority_at) >= core_tuning::CoreTuning::millis(grace) {
         return decide(ctx, group);
     }
     fence_all(ctx, group);
 }
 
 /// Writes the chosen primary to the record.
-fn decide(ctx: &mut CoreContext, group: GroupKey) {
+fn decide(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let now = ctx.now;
     let Some(chosen) = choose_primary(ctx, group) else { return time_out(ctx, group) };
     let state = &ctx.groups[group];
     let Some(mut record) = state.record.clone() else { return };
-    record.phase = TermPhase::Serving;
+    record.phase = group_record::TermPhase::Serving;
     record.primary = ctx.endpoints[chosen].name.clone();
     record.start = state.fenced[&chosen].log_point();
     for (endpoint, status) in &state.fenced {
@@ -382,9 +424,13 @@
 /// An acknowledged write is on a majority of all copies, so it is on all of the best
 /// `majority - missing` fenced ones, and on all that are level with the best. Among these, one in
 /// service is preferred, then the most advanced.
-fn choose_primary(ctx: &CoreContext, group: GroupKey) -> Option<EndpointKey> {
+fn choose_primary(
+    ctx: &core_context::CoreContext,
+    group: arena_keys::GroupKey,
+) -> Option<arena_keys::EndpointKey> {
     let state = &ctx.groups[group];
-    let mut ranked: Vec<(&EndpointKey, &EndpointStatus)> = state.fenced.iter().collect();
+    let mut ranked: Vec<(&arena_keys::EndpointKey, &endpoint_message::EndpointStatus)> =
+        state.fenced.iter().collect();
     ranked.sort_by_key(|(endpoint, status)| {
         (std::cmp::Reverse(status.log_point()), &ctx.endpoints[**endpoint].name)
     });
@@ -397,21 +443,21 @@
     serving.or(safe.first()).map(|(endpoint, _)| **endpoint)
 }
 
-fn time_out(ctx: &mut CoreContext, group: GroupKey) {
+fn time_out(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let now = ctx.now;
-    let limit = CoreTuning::millis(ctx.tuning.election_timeout_ms);
+    let limit = core_tuning::CoreTuning::millis(ctx.tuning.election_timeout_ms);
     if now.since(ctx.groups[group].since) >= limit {
         ctx.groups[group].fire("timed_out", now);
     }
 }
 
 /// Notes when the replicas last advanced, or had nothing to advance to.
-fn note_progress(ctx: &mut CoreContext, group: GroupKey) {
+fn note_progress(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     let now = ctx.now;
     let Some(record) = ctx.groups[group].serving() else { return };
     let Some(primary) = ctx.endpoint_names.get(&record.primary).copied() else { return };
     let primary_point = ctx.endpoints[primary].seen.as_ref().map(|seen| seen.status.log_point());
-    let best = |state: &GroupState| {
+    let best = |state: &group_state::GroupState| {
         let others = state.members.iter().filter(|member| **member != primary);
         let seen = others.filter_map(|member| ctx.endpoints[*member].seen.as_ref());
         seen.map(|seen| seen.status.log_point()).max().unwrap_or_default()
@@ -425,10 +471,10 @@
     }
 }
 
-fn has_live_replica(ctx: &CoreContext, group: GroupKey) -> bool {
+fn has_live_replica(ctx: &core_context::CoreContext, group: arena_keys::GroupKey) -> bool {
     let state = &ctx.groups[group];
-    let since = ctx.now.before(CoreTuning::millis(ctx.tuning.suspect_after_ms));
-    let live = |endpoint: &&EndpointKey| {
+    let since = ctx.now.before(core_tuning::CoreTuning::millis(ctx.tuning.suspect_after_ms));
+    let live = |endpoint: &&arena_keys::EndpointKey| {
         ctx.endpoints[**endpoint].status_since(since).is_some_and(|status| !status.primary)
     };
     state.members.iter().filter(live).count() + 1 >= state.majority()
@@ -436,10 +482,14 @@
 
 /// Whether a replica in service holds all that the leaving primary holds, among a majority in
 /// reach.
-fn successor_ready(ctx: &CoreContext, group: GroupKey, primary: EndpointKey) -> bool {
-    let since = ctx.now.before(CoreTuning::millis(ctx.tuning.suspect_after_ms));
+fn successor_ready(
+    ctx: &core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    primary: arena_keys::EndpointKey,
+) -> bool {
+    let since = ctx.now.before(core_tuning::CoreTuning::millis(ctx.tuning.suspect_after_ms));
     let state = &ctx.groups[group];
-    let live = |endpoint: &EndpointKey| ctx.endpoints[*endpoint].status_since(since);
+    let live = |endpoint: &arena_keys::EndpointKey| ctx.endpoints[*endpoint].status_since(since);
     let Some(leader) = live(&primary) else { return false };
     let point = leader.log_point();
     let reachable = state.members.iter().filter(|endpoint| live(endpoint).is_some()).count();
@@ -451,16 +501,23 @@
 }
 
 /// Swaps the group's record for a new one.
-pub fn swap(ctx: &mut CoreContext, group: GroupKey, record: GroupRecord) {
+pub fn swap(
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    record: group_record::GroupRecord,
+) {
     let Ok(value) = rmp_serde::to_vec(&record) else { return };
     let state = &ctx.groups[group];
     let key = group_record::record_key(&state.name);
     let expected = state.revision;
-    let purpose = CallPurpose::SwapRecord { group, record };
-    ctx.call_platform(purpose, PlatformRequest::CompareSwap { key, expected, value });
+    let purpose = call_purpose::CallPurpose::SwapRecord { group, record };
+    ctx.call_platform(
+        purpose,
+        platform_message::PlatformRequest::CompareSwap { key, expected, value },
+    );
 }
 
-fn ask_opinions(ctx: &mut CoreContext, group: GroupKey) {
+fn ask_opinions(ctx: &mut core_context::CoreContext, group: arena_keys::GroupKey) {
     if std::mem::replace(&mut ctx.groups[group].asked_peers, true) {
         return;
     }
@@ -476,16 +533,17 @@
     peers.truncate(OPINIONS_ASKED);
     ctx.groups[group].opinions_open = peers.len() as u32;
     for (_, address) in peers {
-        let purpose = CallPurpose::PrimaryOpinion { group, address: address.clone(), term };
+        let purpose =
+            call_purpose::CallPurpose::PrimaryOpinion { group, address: address.clone(), term };
         let call = ctx.open_call(purpose);
-        let request = PeerRequest::Primary { group: name.clone(), term };
+        let request = peer_message::PeerRequest::Primary { group: name.clone(), term };
         ctx.control.peer_calls += 1;
-        ctx.actions.push(CoreAction::CallPeer { call, address, request });
+        ctx.actions.push(core_message::CoreAction::CallPeer { call, address, request });
     }
 }
 
 /// Returns this host's turn among the hosts that may claim the group's next term.
-pub fn claim_rank(ctx: &CoreContext, group: GroupKey) -> u32 {
+pub fn claim_rank(ctx: &core_context::CoreContext, group: arena_keys::GroupKey) -> u32 {
     let state = &ctx.groups[group];
     let subject = format!("{}/{}", state.name, state.term());
     let hosts = ctx
@@ -499,6 +557,6 @@
     turn as u32
 }
 
-fn proposer(ctx: &CoreContext) -> String {
+fn proposer(ctx: &core_context::CoreContext) -> String {
     format!("{}#{}", ctx.identity.name, ctx.identity.incarnation)
 }
--- a/src/core/grant_index.rs
+++ b/src/core/grant_index.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 
-use crate::world::world_config::WorldConfig;
-use crate::world::world_object::{RuleAccess, RuleObject};
+use crate::world::world_config;
+use crate::world::world_object;
 
 /// What one rule lets an account do with a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -11,7 +11,7 @@
     /// The rule's name.
     pub rule: String,
     /// What it allows.
-    pub access: RuleAccess,
+    pub access: world_object::RuleAccess,
     /// The greatest stated age of data, in milliseconds.
     pub max_age_ms: u64,
 }
@@ -31,7 +31,7 @@
 
 impl GrantIndex {
     /// Indexes the rules of a configuration.
-    pub fn new(world: &WorldConfig) -> Self {
+    pub fn new(world: &world_config::WorldConfig) -> Self {
         let mut index = Self::default();
         for rule in world.rules.values() {
             index.insert(rule);
@@ -50,7 +50,7 @@
         self.services.get(service).is_some_and(|grants| grants.open.is_some())
     }
 
-    fn insert(&mut self, rule: &RuleObject) {
+    fn insert(&mut self, rule: &world_object::RuleObject) {
         let grant =
             RuleGrant { rule: rule.name.clone(), access: rule.access, max_age_ms: rule.max_age_ms };
         let grants = self.services.entry(rule.service.clone()).or_default();
--- a/src/core/group_record.rs
+++ b/src/core/group_record.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::endpoint_message::LogPoint;
+use crate::core::endpoint_message;
 
 /// Whether a term has its primary yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,7 +27,7 @@
     /// The host that claimed the term, with its incarnation.
     pub proposer: String,
     /// The end of the chosen primary's log when it was chosen.
-    pub start: LogPoint,
+    pub start: endpoint_message::LogPoint,
     /// Identity of the copy that each endpoint holds; only these count towards a majority.
     pub copies: BTreeMap<String, u64>,
 }
--- a/src/core/group_state.rs
+++ b/src/core/group_state.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use crate::core::arena_keys::{EndpointKey, StatementKey};
-use crate::core::chart_cursor::ChartCursor;
-use crate::core::clock_time::ClockTime;
-use crate::core::endpoint_message::{EndpointStatus, LogPoint};
-use crate::core::group_record::{GroupRecord, TermPhase};
-use crate::core::state_chart::StateChart;
+use crate::core::arena_keys;
+use crate::core::chart_cursor;
+use crate::core::clock_time;
+use crate::core::endpoint_message;
+use crate::core::group_record;
+use crate::core::state_chart;
 
 /// Age samples kept for each group.
 const SAMPLES_MAX: usize = 256;
@@ -17,9 +17,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AgeSample {
     /// The primary's end of log at some time after `at`.
-    pub point: LogPoint,
+    pub point: endpoint_message::LogPoint,
     /// When it was asked for.
-    pub at: ClockTime,
+    pub at: clock_time::ClockTime,
 }
 
 /// Why a change of primary is being considered.
@@ -43,42 +43,46 @@
     /// Name.
     pub name: String,
     /// Its endpoints.
-    pub members: Vec<EndpointKey>,
+    pub members: Vec<arena_keys::EndpointKey>,
     /// The platform's record.
-    pub record: Option<GroupRecord>,
+    pub record: Option<group_record::GroupRecord>,
     /// The record's revision, 0 for none.
     pub revision: u64,
     /// When this host learnt of the record.
-    pub record_at: ClockTime,
+    pub record_at: clock_time::ClockTime,
     /// Statements that wait for confirmation.
-    pub waiters: Vec<StatementKey>,
+    pub waiters: Vec<arena_keys::StatementKey>,
     /// Whether the timer that confirms waiting statements is set.
     pub confirm_armed: bool,
     /// Points with times, oldest first.
     pub samples: VecDeque<AgeSample>,
     /// Position in the chart of changes of primary.
-    pub cursor: ChartCursor,
+    pub cursor: chart_cursor::ChartCursor,
     /// Why a change is considered.
     pub reason: Option<SuspectReason>,
     /// When the cursor's state was entered.
-    pub since: ClockTime,
+    pub since: clock_time::ClockTime,
     /// Whether peers were asked in this suspicion.
     pub asked_peers: bool,
     /// Peers that have not given their opinion yet.
     pub opinions_open: u32,
     /// Copies fenced in this election.
-    pub fenced: BTreeMap<EndpointKey, EndpointStatus>,
+    pub fenced: BTreeMap<arena_keys::EndpointKey, endpoint_message::EndpointStatus>,
     /// When a majority was fenced.
-    pub majority_at: Option<ClockTime>,
+    pub majority_at: Option<clock_time::ClockTime>,
     /// The most advanced replica position seen, and when it last moved or met the primary's.
-    pub replica_progress: (LogPoint, ClockTime),
+    pub replica_progress: (endpoint_message::LogPoint, clock_time::ClockTime),
     /// Whether a swap of the record is under way outside an election.
     pub readmitting: bool,
 }
 
 impl GroupState {
     /// A group that nothing is known of yet.
-    pub fn new(name: String, chart: Arc<StateChart>, now: ClockTime) -> Self {
+    pub fn new(
+        name: String,
+        chart: Arc<state_chart::StateChart>,
+        now: clock_time::ClockTime,
+    ) -> Self {
         Self {
             name,
             members: Vec::new(),
@@ -88,21 +92,21 @@
             waiters: Vec::new(),
             confirm_armed: false,
             samples: VecDeque::new(),
-            cursor: ChartCursor::new(chart),
+            cursor: chart_cursor::ChartCursor::new(chart),
             reason: None,
             since: now,
             asked_peers: false,
             opinions_open: 0,
             fenced: BTreeMap::new(),
             majority_at: None,
-            replica_progress: (LogPoint::default(), now),
+            replica_progress: (endpoint_message::LogPoint::default(), now),
             readmitting: false,
         }
     }
 
     /// Returns the record of the term in which a primary serves.
-    pub fn serving(&self) -> Option<&GroupRecord> {
-        self.record.as_ref().filter(|record| record.phase == TermPhase::Serving)
+    pub fn serving(&self) -> Option<&group_record::GroupRecord> {
+        self.record.as_ref().filter(|record| record.phase == group_record::TermPhase::Serving)
     }
 
     /// Returns the term of the record, 0 for none.
@@ -127,12 +131,12 @@
     }
 
     /// Returns the least demanding point that proves data no older than `since`.
-    pub fn sample_since(&self, since: ClockTime) -> Option<LogPoint> {
+    pub fn sample_since(&self, since: clock_time::ClockTime) -> Option<endpoint_message::LogPoint> {
         self.samples.iter().find(|sample| sample.at >= since).map(|sample| sample.point)
     }
 
     /// Moves the failover chart and notes when.
-    pub fn fire(&mut self, event: &str, now: ClockTime) {
+    pub fn fire(&mut self, event: &str, now: clock_time::ClockTime) {
         if !self.cursor.fire(event) {
             log::debug!("group {}: {event} ignored in {}", self.name, self.cursor.state());
             return;
--- a/src/core/live_feed.rs
+++ b/src/core/live_feed.rs
@@ -6,12 +6,12 @@
 
 use std::collections::BTreeMap;
 
-use crate::core::platform_message::StoreEntry;
+use crate::core::platform_message;
 
 /// The live records by key, with the revision up to which they are complete.
 #[derive(Debug, Clone, Default)]
 pub struct LiveFeed {
-    entries: BTreeMap<String, StoreEntry>,
+    entries: BTreeMap<String, platform_message::StoreEntry>,
     watermark: u64,
 }
 
@@ -22,7 +22,7 @@
     }
 
     /// Returns the entry of a key.
-    pub fn entry(&self, key: &str) -> Option<&StoreEntry> {
+    pub fn entry(&self, key: &str) -> Option<&platform_message::StoreEntry> {
         self.entries.get(key)
     }
 
@@ -32,8 +32,8 @@
     }
 
     /// Returns all entries changed after `watermark`.
-    pub fn entries_after(&self, watermark: u64) -> Vec<StoreEntry> {
-        let newer = |entry: &&StoreEntry| entry.revision > watermark;
+    pub fn entries_after(&self, watermark: u64) -> Vec<platform_message::StoreEntry> {
+        let newer = |entry: &&platform_message::StoreEntry| entry.revision > watermark;
         self.entries.values().filter(newer).cloned().collect()
     }
 
@@ -41,7 +41,12 @@
     /// changed.
     ///
     /// Entries are kept even when the range leaves a gap; the watermark then stays.
-    pub fn merge(&mut self, after: u64, upto: u64, entries: Vec<StoreEntry>) -> Vec<String> {
+    pub fn merge(
+        &mut self,
+        after: u64,
+        upto: u64,
+        entries: Vec<platform_message::StoreEntry>,
+    ) -> Vec<String> {
         let mut changed = Vec::new();
         for entry in entries {
             if self.take(entry.clone()) {
@@ -55,7 +60,7 @@
     }
 
     /// Takes up one entry, without a claim on others; returns whether it was news.
-    pub fn take(&mut self, entry: StoreEntry) -> bool {
+    pub fn take(&mut self, entry: platform_message::StoreEntry) -> bool {
         if entry.revision <= self.revision(&entry.key) {
             return false;
         }
--- a/src/core/peer_flow.rs
+++ b/src/core/peer_flow.rs
@@ -2,18 +2,18 @@
 
 use rand::seq::SliceRandom;
 
-use crate::core::call_purpose::CallPurpose;
-use crate::core::clock_time::ClockTime;
-use crate::core::core_context::CoreContext;
-use crate::core::core_message::{AskId, CoreAction};
-use crate::core::core_tuning::CoreTuning;
+use crate::core::call_purpose;
+use crate::core::clock_time;
+use crate::core::core_context;
+use crate::core::core_message;
+use crate::core::core_tuning;
 use crate::core::drain_flow;
 use crate::core::failover_flow;
-use crate::core::peer_message::{self, PeerPulse, PeerReply, PeerRequest};
+use crate::core::peer_message;
 use crate::core::platform_flow;
-use crate::core::platform_message::StoreEntry;
+use crate::core::platform_message;
 use crate::core::share_flow;
-use crate::core::timer_queue::TimerKind;
+use crate::core::timer_queue;
 
 /// Hosts of the own data centre that a pulse goes to.
 const NEAR_TARGETS: usize = 1;
@@ -21,49 +21,58 @@
 const FAR_TARGETS: usize = 2;
 
 /// Exchanges pulses with a few hosts.
-pub fn on_timer(ctx: &mut CoreContext) {
+pub fn on_timer(ctx: &mut core_context::CoreContext) {
     spread(ctx);
     share_flow::open_shares(ctx);
-    let interval = ctx.spread(CoreTuning::millis(ctx.tuning.pulse_interval_ms));
-    ctx.wake_after(interval, TimerKind::Pulse);
+    let interval = ctx.spread(core_tuning::CoreTuning::millis(ctx.tuning.pulse_interval_ms));
+    ctx.wake_after(interval, timer_queue::TimerKind::Pulse);
 }
 
 /// Exchanges pulses with a few hosts now, because there is news.
-pub fn spread(ctx: &mut CoreContext) {
+pub fn spread(ctx: &mut core_context::CoreContext) {
     for address in pick_targets(ctx) {
         send_pulse(ctx, address);
     }
 }
 
-fn send_pulse(ctx: &mut CoreContext, address: String) {
+fn send_pulse(ctx: &mut core_context::CoreContext, address: String) {
     let pulse = make_pulse(ctx, Vec::new());
-    let purpose = CallPurpose::Pulse { address: address.clone(), sent: ctx.now };
+    let purpose = call_purpose::CallPurpose::Pulse { address: address.clone(), sent: ctx.now };
     let call = ctx.open_call(purpose);
-    let request = PeerRequest::Pulse(pulse);
+    let request = peer_message::PeerRequest::Pulse(pulse);
     ctx.control.peer_calls += 1;
-    ctx.actions.push(CoreAction::CallPeer { call, address, request });
+    ctx.actions.push(core_message::CoreAction::CallPeer { call, address, request });
 }
 
 /// Answers a peer's question.
-pub fn on_asked(ctx: &mut CoreContext, ask: AskId, request: PeerRequest) {
+pub fn on_asked(
+    ctx: &mut core_context::CoreContext,
+    ask: core_message::AskId,
+    request: peer_message::PeerRequest,
+) {
     ctx.control.peer_answers += 1;
     let reply = match request {
-        PeerRequest::Pulse(pulse) => answer_pulse(ctx, &pulse),
-        PeerRequest::Share { host, account, version, want } => {
+        peer_message::PeerRequest::Pulse(pulse) => answer_pulse(ctx, &pulse),
+        peer_message::PeerRequest::Share { host, account, version, want } => {
             share_flow::on_ask(ctx, &host, &account, version, want)
         }
-        PeerRequest::Primary { group, term } => {
-            PeerReply::Primary { serving: failover_flow::vouches(ctx, &group, term) }
+        peer_message::PeerRequest::Primary { group, term } => {
+            peer_message::PeerReply::Primary { serving: failover_flow::vouches(ctx, &group, term) }
         }
-        PeerRequest::Part { hash } => {
-            PeerReply::Part { bytes: ctx.config.parts.get(&hash).cloned() }
+        peer_message::PeerRequest::Part { hash } => {
+            peer_message::PeerReply::Part { bytes: ctx.config.parts.get(&hash).cloned() }
         }
     };
-    ctx.actions.push(CoreAction::AnswerPeer { ask, reply });
+    ctx.actions.push(core_message::CoreAction::AnswerPeer { ask, reply });
 }
 
 /// Takes up a peer's pulse that answers one sent at `sent`.
-pub fn on_pulse(ctx: &mut CoreContext, address: &str, sent: ClockTime, mut pulse: PeerPulse) {
+pub fn on_pulse(
+    ctx: &mut core_context::CoreContext,
+    address: &str,
+    sent: clock_time::ClockTime,
+    mut pulse: peer_message::PeerPulse,
+) {
     if !ctx.peers.note_heard(&pulse.host, pulse.incarnation, sent) {
         log::warn!("peer {} at {address} is an earlier process of that name", pulse.host);
         return;
@@ -78,7 +87,7 @@
         return;
     }
     if let Some(age_ms) = pulse.platform_age_ms {
-        platform_flow::note_confirmed(ctx, sent.before(CoreTuning::millis(age_ms)));
+        platform_flow::note_confirmed(ctx, sent.before(core_tuning::CoreTuning::millis(age_ms)));
     }
     if pulse.version == ctx.config.version() {
         note_evidence(ctx, sent, &pulse);
@@ -87,7 +96,7 @@
 }
 
 /// Stops taking work when a later process runs under this host's name.
-pub fn on_superseded(ctx: &mut CoreContext, incarnation: u64) {
+pub fn on_superseded(ctx: &mut core_context::CoreContext, incarnation: u64) {
     if incarnation > ctx.identity.incarnation && !ctx.superseded {
         log::error!("a later process runs under the name {}; leaving", ctx.identity.name);
         ctx.superseded = true;
@@ -95,10 +104,13 @@
     }
 }
 
-fn answer_pulse(ctx: &mut CoreContext, pulse: &PeerPulse) -> PeerReply {
+fn answer_pulse(
+    ctx: &mut core_context::CoreContext,
+    pulse: &peer_message::PeerPulse,
+) -> peer_message::PeerReply {
     if let Some(peer) = ctx.peers.peers.get_mut(&pulse.host) {
         if pulse.incarnation < peer.incarnation {
-            return PeerReply::Superseded { incarnation: peer.incarnation };
+            return peer_message::PeerReply::Superseded { incarnation: peer.incarnation };
         }
         peer.incarnation = pulse.incarnation;
         peer.leaving = pulse.leaving;
@@ -107,11 +119,11 @@
         pull(ctx, &pulse.host);
     }
     let entries = ctx.feed.entries_after(pulse.watermark);
-    PeerReply::Pulse(make_pulse(ctx, entries))
+    peer_message::PeerReply::Pulse(make_pulse(ctx, entries))
 }
 
 /// Asks a peer that has news for them, without waiting for the next exchange.
-fn pull(ctx: &mut CoreContext, host: &str) {
+fn pull(ctx: &mut core_context::CoreContext, host: &str) {
     let address = ctx.peers.peers.get(host).map(|peer| peer.address.clone());
     if let Some(address) = address {
         send_pulse(ctx, address);
@@ -119,7 +131,11 @@
 }
 
 /// Notes what the peer knew, as of the time that the question was sent.
-fn note_evidence(ctx: &mut CoreContext, sent: ClockTime, pulse: &PeerPulse) {
+fn note_evidence(
+    ctx: &mut core_context::CoreContext,
+    sent: clock_time::ClockTime,
+    pulse: &peer_message::PeerPulse,
+) {
     let centre = ctx.config.world.hosts.get(&pulse.host).map(|host| host.data_centre.clone());
     if let Some(centre) = centre {
         ctx.peers.note_centre(&centre, sent);
@@ -127,15 +143,18 @@
     let world = ctx.config.world.clone();
     for (centre, age) in world.centres.keys().zip(&pulse.ages) {
         if *age != peer_message::AGE_UNKNOWN && *centre != ctx.identity.data_centre {
-            let age = CoreTuning::millis(u64::from(*age) * peer_message::AGE_UNIT_MS);
+            let age = core_tuning::CoreTuning::millis(u64::from(*age) * peer_message::AGE_UNIT_MS);
             ctx.peers.note_centre(centre, sent.before(age));
         }
     }
 }
 
-fn make_pulse(ctx: &CoreContext, entries: Vec<StoreEntry>) -> PeerPulse {
-    let age = |at: ClockTime| ctx.now.since(at).as_millis() as u64 + 1;
-    PeerPulse {
+fn make_pulse(
+    ctx: &core_context::CoreContext,
+    entries: Vec<platform_message::StoreEntry>,
+) -> peer_message::PeerPulse {
+    let age = |at: clock_time::ClockTime| ctx.now.since(at).as_millis() as u64 + 1;
+    peer_message::PeerPulse {
         host: ctx.identity.name.clone(),
         incarnation: ctx.identity.incarnation,
         version: ctx.config.version(),
@@ -148,7 +167,7 @@
 }
 
 /// Picks hosts of the own data centre, and one host in each of some others.
-fn pick_targets(ctx: &mut CoreContext) -> Vec<String> {
+fn pick_targets(ctx: &mut core_context::CoreContext) -> Vec<String> {
     if ctx.peers.peers.is_empty() {
         return ctx.identity.seeds.clone();
     }
--- a/src/core/peer_message.rs
+++ b/src/core/peer_message.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use subtle::ConstantTimeEq;
 
-use crate::core::platform_message::StoreEntry;
-use crate::core::share_ledger::ShareGrant;
+use crate::core::platform_message;
+use crate::core::share_ledger;
 use crate::world::key_secret;
 
 /// Version of the messages; a peer of another version is answered with an error.
@@ -41,7 +41,7 @@
     /// Whether the host is leaving.
     pub leaving: bool,
     /// Live records above the watermark of the host that asked.
-    pub entries: Vec<StoreEntry>,
+    pub entries: Vec<platform_message::StoreEntry>,
 }
 
 const PULSE_FIELDS: usize = 8;
@@ -114,7 +114,7 @@
         /// The configuration in force at the asker; loans pass only within one version.
         version: u64,
         /// What the asker lacks.
-        want: ShareGrant,
+        want: share_ledger::ShareGrant,
     },
     /// Asks whether the peer can reach a group's primary.
     Primary {
@@ -143,7 +143,7 @@
     /// The loan granted, if any.
     Share {
         /// The loan.
-        grant: Option<ShareGrant>,
+        grant: Option<share_ledger::ShareGrant>,
         /// Hosts that hold most of what the peer has lent; they may lend it on.
         holders: Vec<String>,
     },
--- a/src/core/peer_table.rs
+++ b/src/core/peer_table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::core::clock_time::ClockTime;
+use crate::core::clock_time;
 use crate::core::core_tuning;
 use crate::core::peer_message;
 
@@ -16,9 +16,9 @@
     /// The greatest incarnation heard.
     pub incarnation: u64,
     /// When a call that the peer answered was sent.
-    pub heard: Option<ClockTime>,
+    pub heard: Option<clock_time::ClockTime>,
     /// When a call that it did not answer was noticed, unless it has answered since.
-    pub failed: Option<ClockTime>,
+    pub failed: Option<clock_time::ClockTime>,
     /// Whether it said that it is leaving.
     pub leaving: bool,
 }
@@ -29,9 +29,9 @@
     /// Peers by name, this host left out.
     pub peers: BTreeMap<String, PeerState>,
     /// When each data centre was last known to have a host with this host's configuration.
-    pub centres: BTreeMap<String, ClockTime>,
+    pub centres: BTreeMap<String, clock_time::ClockTime>,
     /// When the platform last confirmed the configuration in force.
-    pub platform: Option<ClockTime>,
+    pub platform: Option<clock_time::ClockTime>,
 }
 
 impl PeerTable {
@@ -39,7 +39,12 @@
     ///
     /// Returns false, and notes nothing, when the peer is an earlier incarnation than one heard
     /// before.
-    pub fn note_heard(&mut self, host: &str, incarnation: u64, sent: ClockTime) -> bool {
+    pub fn note_heard(
+        &mut self,
+        host: &str,
+        incarnation: u64,
+        sent: clock_time::ClockTime,
+    ) -> bool {
         let Some(peer) = self.peers.get_mut(host) else { return true };
         if incarnation < peer.incarnation {
             return false;
@@ -51,7 +56,7 @@
     }
 
     /// Notes that the peer at an address did not answer.
-    pub fn note_failed(&mut self, address: &str, now: ClockTime) {
+    pub fn note_failed(&mut self, address: &str, now: clock_time::ClockTime) {
         let found = self.peers.values_mut().find(|peer| peer.address == address);
         if let Some(peer) = found {
             peer.failed = Some(now);
@@ -59,18 +64,22 @@
     }
 
     /// Notes that a host in `centre` had this host's configuration at `at`.
-    pub fn note_centre(&mut self, centre: &str, at: ClockTime) {
+    pub fn note_centre(&mut self, centre: &str, at: clock_time::ClockTime) {
         let seen = self.centres.entry(centre.to_owned()).or_insert(at);
         *seen = at.max(*seen);
     }
 
     /// Notes that the platform confirmed the configuration in force at `at`.
-    pub fn note_platform(&mut self, at: ClockTime) {
+    pub fn note_platform(&mut self, at: clock_time::ClockTime) {
         self.platform = self.platform.max(Some(at));
     }
 
     /// Returns the ages of the data centres named, as they travel to peers.
-    pub fn ages<'a>(&self, now: ClockTime, named: impl Iterator<Item = &'a String>) -> Vec<u16> {
+    pub fn ages<'a>(
+        &self,
+        now: clock_time::ClockTime,
+        named: impl Iterator<Item = &'a String>,
+    ) -> Vec<u16> {
         let age = |centre: &String| {
             let Some(at) = self.centres.get(centre) else { return peer_message::AGE_UNKNOWN };
             let units = now.since(*at).as_millis() as u64 / peer_message::AGE_UNIT_MS + 1;
@@ -82,7 +91,7 @@
     /// Counts the data centres, out of those named, heard at `since` or later.
     pub fn centres_since<'a>(
         &self,
-        since: ClockTime,
+        since: clock_time::ClockTime,
         named: impl Iterator<Item = &'a String>,
     ) -> usize {
         named.filter(|centre| self.centres.get(*centre).is_some_and(|at| *at >= since)).count()
@@ -91,7 +100,7 @@
     /// Whether the peer is worth a call: it is not leaving, and has not failed to answer lately.
     ///
     /// A host talks to few others at a time, so not having heard of one says nothing.
-    pub fn usable(&self, host: &str, now: ClockTime) -> bool {
+    pub fn usable(&self, host: &str, now: clock_time::ClockTime) -> bool {
         let failed_since = now.before(core_tuning::PEER_SHUNNED_FOR);
         self.peers.get(host).is_some_and(|peer| {
             !peer.leaving && peer.failed.is_none_or(|failed| failed < failed_since)
--- a/src/core/platform_flow.rs
+++ b/src/core/platform_flow.rs
@@ -1,17 +1,17 @@
 //! Watches the platform's live records, for this host and for others in its data centre.
 
-use crate::core::call_purpose::CallPurpose;
-use crate::core::clock_time::ClockTime;
+use crate::core::call_purpose;
+use crate::core::clock_time;
 use crate::core::config_flow;
-use crate::core::core_context::CoreContext;
-use crate::core::core_tuning::{self, CoreTuning};
+use crate::core::core_context;
+use crate::core::core_tuning;
 use crate::core::failover_flow;
 use crate::core::group_record;
 use crate::core::leaving_flow;
 use crate::core::peer_flow;
-use crate::core::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
+use crate::core::platform_message;
 use crate::core::rendezvous_rank;
-use crate::core::timer_queue::TimerKind;
+use crate::core::timer_queue;
 
 /// Pause after a call that the platform did not answer, in milliseconds.
 const OUTAGE_PAUSE_MS: u64 = 500;
@@ -19,23 +19,28 @@
 const LOOK_PAUSE_MS: u64 = 200;
 
 /// Starts a watch when it is this host's task.
-pub fn on_timer(ctx: &mut CoreContext) {
+pub fn on_timer(ctx: &mut core_context::CoreContext) {
     if ctx.watching {
         return;
     }
     if should_watch(ctx) {
         return watch(ctx);
     }
-    let pause = ctx.spread(CoreTuning::millis(LOOK_PAUSE_MS));
-    ctx.wake_after(pause, TimerKind::Platform);
+    let pause = ctx.spread(core_tuning::CoreTuning::millis(LOOK_PAUSE_MS));
+    ctx.wake_after(pause, timer_queue::TimerKind::Platform);
 }
 
 /// Takes up the platform's answer to a watch.
-pub fn on_watch(ctx: &mut CoreContext, sent: ClockTime, after: u64, reply: Option<PlatformReply>) {
+pub fn on_watch(
+    ctx: &mut core_context::CoreContext,
+    sent: clock_time::ClockTime,
+    after: u64,
+    reply: Option<platform_message::PlatformReply>,
+) {
     ctx.watching = false;
-    let Some(PlatformReply::Changed { revision, entries }) = reply else {
-        let pause = ctx.spread(CoreTuning::millis(OUTAGE_PAUSE_MS));
-        return ctx.wake_after(pause, TimerKind::Platform);
+    let Some(platform_message::PlatformReply::Changed { revision, entries }) = reply else {
+        let pause = ctx.spread(core_tuning::CoreTuning::millis(OUTAGE_PAUSE_MS));
+        return ctx.wake_after(pause, timer_queue::TimerKind::Platform);
     };
     let current = revision >= ctx.feed.watermark();
     merge(ctx, after, revision, entries, None);
@@ -43,17 +48,21 @@
         note_confirmed(ctx, sent);
     }
     let first = ctx.config.head.is_none() && ctx.config.pending.is_none();
-    let pause = if first { CoreTuning::millis(LOOK_PAUSE_MS) } else { CoreTuning::millis(1) };
-    ctx.wake_after(pause, TimerKind::Platform);
+    let pause = if first {
+        core_tuning::CoreTuning::millis(LOOK_PAUSE_MS)
+    } else {
+        core_tuning::CoreTuning::millis(1)
+    };
+    ctx.wake_after(pause, timer_queue::TimerKind::Platform);
 }
 
 /// Takes up live records that are complete from `after` to `upto`, from the platform or from the
 /// peer at the address `from`.
 pub fn merge(
-    ctx: &mut CoreContext,
+    ctx: &mut core_context::CoreContext,
     after: u64,
     upto: u64,
-    entries: Vec<StoreEntry>,
+    entries: Vec<platform_message::StoreEntry>,
     from: Option<&str>,
 ) {
     let changed = ctx.feed.merge(after, upto, entries);
@@ -68,7 +77,7 @@
 }
 
 /// Notes that the newest head known here was the platform's at `at`.
-pub fn note_confirmed(ctx: &mut CoreContext, at: ClockTime) {
+pub fn note_confirmed(ctx: &mut core_context::CoreContext, at: clock_time::ClockTime) {
     if ctx.config.pending.is_some() {
         ctx.config.pending_confirmed = ctx.config.pending_confirmed.max(Some(at));
     } else if ctx.config.head.is_some() {
@@ -76,7 +85,7 @@
     }
 }
 
-fn on_group_entry(ctx: &mut CoreContext, key: &str) {
+fn on_group_entry(ctx: &mut core_context::CoreContext, key: &str) {
     let Some(name) = key.strip_prefix(&group_record::record_key("")) else { return };
     let Some(group) = ctx.group_names.get(name).copied() else { return };
     let Some(entry) = ctx.feed.entry(key).cloned() else { return };
@@ -84,7 +93,7 @@
 }
 
 /// Whether this host is one of the few of its data centre that watch, or hears of nobody's watch.
-pub fn should_watch(ctx: &CoreContext) -> bool {
+pub fn should_watch(ctx: &core_context::CoreContext) -> bool {
     let lately = ctx.now.before(core_tuning::SELF_WATCH_AGE);
     if ctx.peers.platform.is_none_or(|at| at < lately) {
         return true;
@@ -98,11 +107,11 @@
     ranked.iter().take(core_tuning::WATCHERS_PER_CENTRE).any(|host| *host == own)
 }
 
-fn watch(ctx: &mut CoreContext) {
+fn watch(ctx: &mut core_context::CoreContext) {
     ctx.watching = true;
     let after = ctx.feed.watermark();
-    let purpose = CallPurpose::Watch { sent: ctx.now, after };
+    let purpose = call_purpose::CallPurpose::Watch { sent: ctx.now, after };
     let prefix = group_record::LIVE_PREFIX.to_owned();
     let wait_ms = ctx.tuning.watch_wait_ms;
-    ctx.call_platform(purpose, PlatformRequest::Watch { prefix, after, wait_ms });
+    ctx.call_platform(purpose, platform_message::PlatformRequest::Watch { prefix, after, wait_ms });
 }
--- a/src/core/role_flow.rs
+++ b/src/core/role_flow.rs
@@ -1,20 +1,20 @@
 //! Keeps endpoints in their roles, and counts rebuilt copies once they hold what matters.
 
-use crate::core::arena_keys::{EndpointKey, GroupKey};
+use crate::core::arena_keys;
 use crate::core::connection_flow;
-use crate::core::core_context::CoreContext;
-use crate::core::core_tuning::CoreTuning;
-use crate::core::endpoint_message::{EndpointRequest, EndpointStatus};
-use crate::core::endpoint_state::NewCopy;
+use crate::core::core_context;
+use crate::core::core_tuning;
+use crate::core::endpoint_message;
+use crate::core::endpoint_state;
 use crate::core::failover_flow;
-use crate::core::group_record::GroupRecord;
+use crate::core::group_record;
 
 /// Tells an endpoint its role when its status shows that it does not have it.
 pub fn repair_role(
-    ctx: &mut CoreContext,
-    group: GroupKey,
-    endpoint: EndpointKey,
-    status: &EndpointStatus,
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    endpoint: arena_keys::EndpointKey,
+    status: &endpoint_message::EndpointStatus,
 ) {
     let Some(record) = ctx.groups[group].serving().cloned() else { return };
     if status.adopted_term > record.term {
@@ -25,7 +25,10 @@
         let counted = record.copies.get(name) == Some(&status.copy);
         let leads = status.primary && status.adopted_term == record.term;
         if counted && !leads {
-            let request = EndpointRequest::Promote { term: record.term, least: record.start };
+            let request = endpoint_message::EndpointRequest::Promote {
+                term: record.term,
+                least: record.start,
+            };
             tell_role(ctx, endpoint, request);
         }
         return;
@@ -34,15 +37,19 @@
     let address = ctx.endpoints[*primary].address.clone();
     let follows = status.adopted_term == record.term && status.following.as_ref() == Some(&address);
     if !follows {
-        let request = EndpointRequest::Follow { term: record.term, address };
+        let request = endpoint_message::EndpointRequest::Follow { term: record.term, address };
         tell_role(ctx, endpoint, request);
     }
 }
 
 /// Tells an endpoint its role, at most once a probe: one that does not take it up must not be
 /// told over and over.
-fn tell_role(ctx: &mut CoreContext, endpoint: EndpointKey, request: EndpointRequest) {
-    let gap = CoreTuning::millis(ctx.tuning.probe_interval_ms / 2);
+fn tell_role(
+    ctx: &mut core_context::CoreContext,
+    endpoint: arena_keys::EndpointKey,
+    request: endpoint_message::EndpointRequest,
+) {
+    let gap = core_tuning::CoreTuning::millis(ctx.tuning.probe_interval_ms / 2);
     let now = ctx.now;
     let state = &mut ctx.endpoints[endpoint];
     if now.since(state.repaired) < gap {
@@ -54,10 +61,10 @@
 
 /// Follows copies that were rebuilt, until they hold what counts and enter the record.
 pub fn note_copy(
-    ctx: &mut CoreContext,
-    group: GroupKey,
-    endpoint: EndpointKey,
-    status: &EndpointStatus,
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    endpoint: arena_keys::EndpointKey,
+    status: &endpoint_message::EndpointStatus,
 ) {
     let now = ctx.now;
     let Some(record) = ctx.groups[group].serving().cloned() else { return };
@@ -68,15 +75,17 @@
     }
     let known = ctx.endpoints[endpoint].new_copy.as_ref().map(|copy| copy.copy);
     if known != Some(status.copy) {
-        let new_copy = NewCopy { copy: status.copy, since: now, target: None };
+        let new_copy = endpoint_state::NewCopy { copy: status.copy, since: now, target: None };
         ctx.endpoints[endpoint].new_copy = Some(new_copy);
     }
     let Some(mut new_copy) = ctx.endpoints[endpoint].new_copy.clone() else { return };
     let primary = ctx.endpoint_names.get(&record.primary).map(|key| &ctx.endpoints[*key]);
     let primary = primary.and_then(|primary| primary.status_since(new_copy.since));
-    let leads = |status: &&EndpointStatus| status.primary && status.adopted_term == record.term;
+    let leads = |status: &&endpoint_message::EndpointStatus| {
+        status.primary && status.adopted_term == record.term
+    };
     if new_copy.target.is_none() {
-        new_copy.target = primary.filter(leads).map(EndpointStatus::log_point);
+        new_copy.target = primary.filter(leads).map(endpoint_message::EndpointStatus::log_point);
         ctx.endpoints[endpoint].new_copy = Some(new_copy.clone());
     }
     let caught_up = new_copy.target.is_some_and(|target| {
@@ -84,16 +93,17 @@
             && status.log_term == record.term
             && status.reached(target)
     });
-    let turn = CoreTuning::millis(ctx.tuning.claim_turn_ms) * failover_flow::claim_rank(ctx, group);
+    let turn = core_tuning::CoreTuning::millis(ctx.tuning.claim_turn_ms)
+        * failover_flow::claim_rank(ctx, group);
     if caught_up && now.since(new_copy.since) >= turn && !ctx.groups[group].readmitting {
         readmit(ctx, group, record, name, status.copy);
     }
 }
 
 fn readmit(
-    ctx: &mut CoreContext,
-    group: GroupKey,
-    mut record: GroupRecord,
+    ctx: &mut core_context::CoreContext,
+    group: arena_keys::GroupKey,
+    mut record: group_record::GroupRecord,
     endpoint: String,
     copy: u64,
 ) {
--- a/src/core/route_choice.rs
+++ b/src/core/route_choice.rs
@@ -2,21 +2,21 @@
 
 use xxhash_rust::xxh3;
 
-use crate::core::arena_keys::{CallerKey, EndpointKey, GroupKey, StatementKey};
-use crate::core::core_context::CoreContext;
-use crate::core::core_tuning::{self, CoreTuning};
-use crate::core::endpoint_message::LogPoint;
+use crate::core::arena_keys;
+use crate::core::core_context;
+use crate::core::core_tuning;
+use crate::core::endpoint_message;
 use crate::core::failover_flow;
-use crate::core::request_verdict::{RequestVerdict, VerdictCause};
-use crate::core::statement_state::StatementState;
+use crate::core::request_verdict;
+use crate::core::statement_state;
 
 /// Where a statement goes, and what the endpoint must prove before it runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RouteChoice {
     /// The endpoint.
-    pub endpoint: EndpointKey,
+    pub endpoint: arena_keys::EndpointKey,
     /// For reads of a session, the point that the endpoint must have reached.
-    pub read_point: Option<LogPoint>,
+    pub read_point: Option<endpoint_message::LogPoint>,
     /// For writes, the term that must be in force.
     pub write_term: Option<u64>,
 }
@@ -26,7 +26,10 @@
 /// # Errors
 ///
 /// Names the setting that is missing or matches no group.
-pub fn pick_group(ctx: &CoreContext, caller: CallerKey) -> Result<GroupKey, RequestVerdict> {
+pub fn pick_group(
+    ctx: &core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+) -> Result<arena_keys::GroupKey, request_verdict::RequestVerdict> {
     let state = &ctx.callers[caller];
     let Some(service) = ctx.config.world.services.get(&state.service) else {
         return Err(invalid(format!("service {} is unknown", state.service)));
@@ -46,7 +49,9 @@
             return Err(invalid(detail.to_owned()));
         }
     };
-    let missing = || RequestVerdict::not_run(VerdictCause::NoEndpoint, None);
+    let missing = || {
+        request_verdict::RequestVerdict::not_run(request_verdict::VerdictCause::NoEndpoint, None)
+    };
     ctx.group_names.get(name).copied().ok_or_else(missing)
 }
 
@@ -55,7 +60,10 @@
 /// # Errors
 ///
 /// A refusal with the time to come back, when no endpoint can take the statement now.
-pub fn choose(ctx: &CoreContext, statement: StatementKey) -> Result<RouteChoice, RequestVerdict> {
+pub fn choose(
+    ctx: &core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+) -> Result<RouteChoice, request_verdict::RequestVerdict> {
     let state = &ctx.statements[statement];
     if !state.read {
         return choose_primary(ctx, state, None);
@@ -74,11 +82,14 @@
 }
 
 /// Returns the point that proves a read, if any: the session's, or one of the stated age.
-fn read_point(ctx: &CoreContext, state: &StatementState) -> Option<LogPoint> {
+fn read_point(
+    ctx: &core_context::CoreContext,
+    state: &statement_state::StatementState,
+) -> Option<endpoint_message::LogPoint> {
     let group = &ctx.groups[state.group];
     let session = ctx.callers[state.caller].session.point(&group.name);
     let aged = state.max_age_ms.and_then(|age| {
-        let since = ctx.now.before(CoreTuning::millis(age));
+        let since = ctx.now.before(core_tuning::CoreTuning::millis(age));
         group.sample_since(since)
     });
     match (session, aged) {
@@ -91,12 +102,14 @@
 }
 
 fn choose_primary(
-    ctx: &CoreContext,
-    state: &StatementState,
-    read_point: Option<LogPoint>,
-) -> Result<RouteChoice, RequestVerdict> {
+    ctx: &core_context::CoreContext,
+    state: &statement_state::StatementState,
+    read_point: Option<endpoint_message::LogPoint>,
+) -> Result<RouteChoice, request_verdict::RequestVerdict> {
     let retry = Some(core_tuning::FAILOVER_RETRY);
-    let no_primary = || RequestVerdict::not_run(VerdictCause::NoPrimary, retry);
+    let no_primary = || {
+        request_verdict::RequestVerdict::not_run(request_verdict::VerdictCause::NoPrimary, retry)
+    };
     let group = &ctx.groups[state.group];
     let record = group.serving().ok_or_else(no_primary)?;
     let endpoint = *ctx.endpoint_names.get(&record.primary).ok_or_else(no_primary)?;
@@ -115,8 +128,12 @@
 }
 
 /// Returns the least loaded replica in service whose last status had reached `point`.
-fn best_replica(ctx: &CoreContext, state: &StatementState, point: LogPoint) -> Option<EndpointKey> {
-    let caught_up = |endpoint: &EndpointKey| {
+fn best_replica(
+    ctx: &core_context::CoreContext,
+    state: &statement_state::StatementState,
+    point: endpoint_message::LogPoint,
+) -> Option<arena_keys::EndpointKey> {
+    let caught_up = |endpoint: &arena_keys::EndpointKey| {
         let seen = ctx.endpoints[*endpoint].seen.as_ref();
         seen.is_some_and(|seen| seen.status.reached(point))
     };
@@ -125,9 +142,9 @@
 
 /// Returns a replica that may have caught up since its last status, for want of a primary.
 fn lagging_replica(
-    ctx: &CoreContext,
-    state: &StatementState,
-    point: LogPoint,
+    ctx: &core_context::CoreContext,
+    state: &statement_state::StatementState,
+    point: endpoint_message::LogPoint,
 ) -> Option<RouteChoice> {
     let endpoint = replicas(ctx, state).min_by_key(|endpoint| cost(ctx, *endpoint))?;
     if state.primary_only {
@@ -137,9 +154,9 @@
 }
 
 fn replicas<'a>(
-    ctx: &'a CoreContext,
-    state: &StatementState,
-) -> impl Iterator<Item = EndpointKey> + use<'a> {
+    ctx: &'a core_context::CoreContext,
+    state: &statement_state::StatementState,
+) -> impl Iterator<Item = arena_keys::EndpointKey> + use<'a> {
     let group = &ctx.groups[state.group];
     let primary = group.record.as_ref().map(|record| record.primary.as_str());
     group.members.iter().copied().filter(move |endpoint| {
@@ -150,12 +167,18 @@
 }
 
 /// Orders endpoints: fewest waiting statements first, then the host's own data centre.
-fn cost(ctx: &CoreContext, endpoint: EndpointKey) -> (usize, bool, usize) {
+fn cost(
+    ctx: &core_context::CoreContext,
+    endpoint: arena_keys::EndpointKey,
+) -> (usize, bool, usize) {
     let state = &ctx.endpoints[endpoint];
     let away = state.data_centre != ctx.identity.data_centre;
     (state.queue.len(), away, state.work.len())
 }
 
-fn invalid(detail: String) -> RequestVerdict {
-    RequestVerdict::not_run(VerdictCause::StatementInvalid { detail }, None)
+fn invalid(detail: String) -> request_verdict::RequestVerdict {
+    request_verdict::RequestVerdict::not_run(
+        request_verdict::VerdictCause::StatementInvalid { detail },
+        None,
+    )
 }
--- a/src/core/session_token.rs
+++ b/src/core/session_token.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context, Result, bail};
 use subtle::ConstantTimeEq;
 
-use crate::core::endpoint_message::LogPoint;
+use crate::core::endpoint_message;
 use crate::world::key_secret;
 
 const TOKEN_VERSION: &str = "1";
@@ -15,17 +15,17 @@
 /// Text form: `1~group:term:position~…~mac`. Points only ever advance.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct SessionToken {
-    points: BTreeMap<String, LogPoint>,
+    points: BTreeMap<String, endpoint_message::LogPoint>,
 }
 
 impl SessionToken {
     /// Returns the point that reads from `group` must see, if the session used it.
-    pub fn point(&self, group: &str) -> Option<LogPoint> {
+    pub fn point(&self, group: &str) -> Option<endpoint_message::LogPoint> {
         self.points.get(group).copied()
     }
 
     /// Advances the session's point in `group`; an earlier point changes nothing.
-    pub fn advance(&mut self, group: &str, point: LogPoint) {
+    pub fn advance(&mut self, group: &str, point: endpoint_message::LogPoint) {
         let current = self.points.entry(group.to_owned()).or_default();
         *current = point.max(*current);
     }
@@ -70,12 +70,12 @@
         Ok(token)
     }
 
-    fn parse_point(field: &str) -> Result<(&str, LogPoint)> {
+    fn parse_point(field: &str) -> Result<(&str, endpoint_message::LogPoint)> {
         let mut parts = field.rsplitn(3, ':');
         let position = parts.next().context("no position")?.parse().context("bad position")?;
         let term = parts.next().context("no term")?.parse().context("bad term")?;
         let group = parts.next().context("no group")?;
-        Ok((group, LogPoint { term, position }))
+        Ok((group, endpoint_message::LogPoint { term, position }))
     }
 
     fn mac(secret: &[u8], account: &str, body: &str) -> String {
--- a/src/core/share_flow.rs
+++ b/src/core/share_flow.rs
@@ -5,21 +5,21 @@
 
 use rand::seq::SliceRandom;
 
-use crate::core::arena_keys::{AccountKey, StatementKey};
-use crate::core::call_purpose::CallPurpose;
-use crate::core::clock_time::ClockTime;
-use crate::core::core_context::CoreContext;
-use crate::core::core_message::CoreAction;
-use crate::core::core_tuning::{self, CoreTuning};
-use crate::core::endpoint_message::AnswerBody;
-use crate::core::peer_message::{PeerReply, PeerRequest};
+use crate::core::arena_keys;
+use crate::core::call_purpose;
+use crate::core::clock_time;
+use crate::core::core_context;
+use crate::core::core_message;
+use crate::core::core_tuning;
+use crate::core::endpoint_message;
+use crate::core::peer_message;
 use crate::core::rendezvous_rank;
-use crate::core::request_verdict::{RequestVerdict, VerdictCause};
-use crate::core::share_ledger::{ShareGrant, SharePart};
+use crate::core::request_verdict;
+use crate::core::share_ledger;
 use crate::core::statement_flow;
-use crate::core::statement_state::StatementPhase;
-use crate::core::timer_queue::TimerKind;
-use crate::world::world_object::AccountObject;
+use crate::core::statement_state;
+use crate::core::timer_queue;
+use crate::world::world_object;
 
 /// Peers asked for a loan at a time.
 const LENDERS_ASKED: usize = 3;
@@ -37,9 +37,9 @@
 /// A share that does not differ is left alone, with all that was lent out of it. `same_hosts` says
 /// that shares were last dealt to the same hosts.
 pub fn deal(
-    ctx: &mut CoreContext,
-    account: AccountKey,
-    object: &AccountObject,
+    ctx: &mut core_context::CoreContext,
+    account: arena_keys::AccountKey,
+    object: &world_object::AccountObject,
     hosts: &rendezvous_rank::HomeMap,
     same_hosts: bool,
 ) {
@@ -49,8 +49,8 @@
     let homes = hosts.homes(&object.name, object.burst);
     let count = homes.len().max(1) as f64;
     let part = match homes.contains(&ctx.identity.name) {
-        true => SharePart { rate: object.rate / count, burst: object.burst / count },
-        false => SharePart::default(),
+        true => share_ledger::SharePart { rate: object.rate / count, burst: object.burst / count },
+        false => share_ledger::SharePart::default(),
     };
     let now = ctx.now;
     let state = &mut ctx.accounts[account];
@@ -65,18 +65,18 @@
 }
 
 /// Takes away this host's share of an account that is no longer configured.
-pub fn withdraw(ctx: &mut CoreContext, account: AccountKey) {
+pub fn withdraw(ctx: &mut core_context::CoreContext, account: arena_keys::AccountKey) {
     let now = ctx.now;
     let state = &mut ctx.accounts[account];
     state.homes.clear();
     state.object = None;
-    state.ledger.deal(now, SharePart::default());
+    state.ledger.deal(now, share_ledger::SharePart::default());
     state.ledger.open_at(now);
 }
 
 /// Opens the shares dealt under the configuration in force once no host can serve under an older
 /// one: a majority of data centres was heard under it, and evidence of any older one has aged.
-pub fn open_shares(ctx: &mut CoreContext) {
+pub fn open_shares(ctx: &mut core_context::CoreContext) {
     if ctx.config.attested || ctx.config.head.is_none() {
         return;
     }
@@ -85,15 +85,16 @@
     }
     ctx.config.attested = true;
     let now = ctx.now;
-    let hold = CoreTuning::millis(ctx.tuning.fresh_for_ms) + core_tuning::SHARE_HOLD_MARGIN;
+    let hold =
+        core_tuning::CoreTuning::millis(ctx.tuning.fresh_for_ms) + core_tuning::SHARE_HOLD_MARGIN;
     for account in ctx.accounts.values_mut() {
-        let opens = now.after(hold + CoreTuning::millis(account.hold_ms));
+        let opens = now.after(hold + core_tuning::CoreTuning::millis(account.hold_ms));
         account.ledger.open_at(opens);
     }
 }
 
 /// Charges a statement to its account's share: it goes on, waits for a share, or is refused.
-pub fn charge(ctx: &mut CoreContext, statement: StatementKey) {
+pub fn charge(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     let now = ctx.now;
     let account = ctx.statements[statement].account;
     note_active(ctx, account);
@@ -102,22 +103,22 @@
     if state.waiting.is_empty() && state.ledger.admit(now) {
         return admit(ctx, statement);
     }
-    let until = now.after(CoreTuning::millis(ctx.tuning.share_wait_ms));
+    let until = now.after(core_tuning::CoreTuning::millis(ctx.tuning.share_wait_ms));
     let full = state.waiting.len() >= WAITING_MAX;
-    ctx.statements[statement].phase = StatementPhase::AwaitShare { until };
+    ctx.statements[statement].phase = statement_state::StatementPhase::AwaitShare { until };
     if full {
         return refuse(ctx, statement);
     }
     ctx.accounts[account].waiting.push(statement);
-    ctx.timers.push(until, TimerKind::Statement(statement));
+    ctx.timers.push(until, timer_queue::TimerKind::Statement(statement));
     ask_peers(ctx, account);
     refuse_hopeless(ctx, account);
 }
 
 /// Looks after the accounts in use: lets waiting statements go on and asks for shares ahead of
 /// need.
-pub fn on_timer(ctx: &mut CoreContext) {
-    let accounts: Vec<AccountKey> = ctx.active_accounts.iter().copied().collect();
+pub fn on_timer(ctx: &mut core_context::CoreContext) {
+    let accounts: Vec<arena_keys::AccountKey> = ctx.active_accounts.iter().copied().collect();
     for account in accounts {
         pump(ctx, account);
         ask_peers(ctx, account);
@@ -130,45 +131,51 @@
     }
     ctx.shares_armed = !ctx.active_accounts.is_empty();
     if ctx.shares_armed {
-        ctx.wake_after(CoreTuning::millis(LOOK_INTERVAL_MS), TimerKind::Shares);
+        ctx.wake_after(
+            core_tuning::CoreTuning::millis(LOOK_INTERVAL_MS),
+            timer_queue::TimerKind::Shares,
+        );
     }
 }
 
-fn note_active(ctx: &mut CoreContext, account: AccountKey) {
+fn note_active(ctx: &mut core_context::CoreContext, account: arena_keys::AccountKey) {
     ctx.active_accounts.insert(account);
     if !ctx.shares_armed {
         ctx.shares_armed = true;
-        ctx.wake_after(CoreTuning::millis(LOOK_INTERVAL_MS), TimerKind::Shares);
+        ctx.wake_after(
+            core_tuning::CoreTuning::millis(LOOK_INTERVAL_MS),
+            timer_queue::TimerKind::Shares,
+        );
     }
 }
 
 /// Answers a peer that asks for a loan.
 pub fn on_ask(
-    ctx: &mut CoreContext,
+    ctx: &mut core_context::CoreContext,
     host: &str,
     account: &str,
     version: u64,
-    want: ShareGrant,
-) -> PeerReply {
+    want: share_ledger::ShareGrant,
+) -> peer_message::PeerReply {
     let now = ctx.now;
     let same = version == ctx.config.version() && ctx.config.pending.is_none();
     let state = ctx.account_names.get(account).and_then(|key| ctx.accounts.get_mut(*key));
     let Some(state) = state.filter(|_| same) else {
-        return PeerReply::Share { grant: None, holders: Vec::new() };
+        return peer_message::PeerReply::Share { grant: None, holders: Vec::new() };
     };
     let free = state.waiting.is_empty();
     let grant = if free { state.ledger.lend(now, host, want) } else { None };
     let mut holders = state.ledger.holders(LENDERS_ASKED);
     holders.retain(|holder| holder != host);
-    PeerReply::Share { grant, holders }
+    peer_message::PeerReply::Share { grant, holders }
 }
 
 /// Takes up a peer's answer to the asking for a loan.
 pub fn on_answer(
-    ctx: &mut CoreContext,
-    account: AccountKey,
-    asked: ClockTime,
-    grant: Option<ShareGrant>,
+    ctx: &mut core_context::CoreContext,
+    account: arena_keys::AccountKey,
+    asked: clock_time::ClockTime,
+    grant: Option<share_ledger::ShareGrant>,
     holders: Vec<String>,
 ) {
     let now = ctx.now;
@@ -189,7 +196,7 @@
     refuse_hopeless(ctx, account);
 }
 
-fn pump(ctx: &mut CoreContext, account: AccountKey) {
+fn pump(ctx: &mut core_context::CoreContext, account: arena_keys::AccountKey) {
     let now = ctx.now;
     loop {
         let state = &mut ctx.accounts[account];
@@ -201,24 +208,27 @@
     }
 }
 
-fn admit(ctx: &mut CoreContext, statement: StatementKey) {
+fn admit(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     let Some(state) = ctx.statements.get_mut(statement) else { return };
     ctx.accounts[state.account].counts.admitted += 1;
     statement_flow::proceed(ctx, statement);
 }
 
-fn refuse(ctx: &mut CoreContext, statement: StatementKey) {
+fn refuse(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     let now = ctx.now;
     let account = ctx.statements[statement].account;
     let wait = ctx.accounts[account].ledger.wait_for_token(now);
-    let verdict = RequestVerdict::not_run(VerdictCause::OverRate, Some(wait));
-    statement_flow::finish(ctx, statement, verdict, AnswerBody::default());
+    let verdict = request_verdict::RequestVerdict::not_run(
+        request_verdict::VerdictCause::OverRate,
+        Some(wait),
+    );
+    statement_flow::finish(ctx, statement, verdict, endpoint_message::AnswerBody::default());
 }
 
 /// Refuses waiting statements at once when neither a peer nor the passing time can help them.
-fn refuse_hopeless(ctx: &mut CoreContext, account: AccountKey) {
+fn refuse_hopeless(ctx: &mut core_context::CoreContext, account: arena_keys::AccountKey) {
     let now = ctx.now;
-    let limit = CoreTuning::millis(ctx.tuning.share_wait_ms);
+    let limit = core_tuning::CoreTuning::millis(ctx.tuning.share_wait_ms);
     let rounds_max = rounds_to_ask_all(ctx, account);
     let state = &mut ctx.accounts[account];
     if state.asking(now) || state.waiting.is_empty() || state.rounds < rounds_max {
@@ -236,9 +246,9 @@
 ///
 /// While statements wait, one round follows the other until all lenders may have been asked; after
 /// that, and while nothing comes of it, rounds are made ever less often.
-fn ask_peers(ctx: &mut CoreContext, account: AccountKey) {
+fn ask_peers(ctx: &mut core_context::CoreContext, account: arena_keys::AccountKey) {
     let now = ctx.now;
-    let gap = CoreTuning::millis(ctx.tuning.share_ask_gap_ms);
+    let gap = core_tuning::CoreTuning::millis(ctx.tuning.share_ask_gap_ms);
     let rounds_max = rounds_to_ask_all(ctx, account);
     let state = &mut ctx.accounts[account];
     if now.since(state.asked) >= VAIN_FORGOTTEN {
@@ -261,18 +271,22 @@
     state.rounds += 1;
     state.asks_open = lenders.len() as u32;
     for address in lenders {
-        let purpose = CallPurpose::Share { account, address: address.clone(), asked: now };
+        let purpose =
+            call_purpose::CallPurpose::Share { account, address: address.clone(), asked: now };
         let call = ctx.open_call(purpose);
         let (host, account) = (host.clone(), name.clone());
-        let request = PeerRequest::Share { host, account, version, want };
+        let request = peer_message::PeerRequest::Share { host, account, version, want };
         ctx.control.peer_calls += 1;
         ctx.control.share_asks += 1;
-        ctx.actions.push(CoreAction::CallPeer { call, address, request });
+        ctx.actions.push(core_message::CoreAction::CallPeer { call, address, request });
     }
 }
 
 /// Picks the holders that peers have named, and homes at random beside them.
-fn pick_lenders(ctx: &mut CoreContext, account: AccountKey) -> Vec<String> {
+fn pick_lenders(
+    ctx: &mut core_context::CoreContext,
+    account: arena_keys::AccountKey,
+) -> Vec<String> {
     let mut homes: Vec<String> =
         lenders(ctx, account).filter_map(|host| usable_address(ctx, host)).collect();
     homes.shuffle(&mut ctx.rng);
@@ -287,17 +301,20 @@
 }
 
 /// Returns the rounds of asking in which every lender has surely had its turn.
-fn rounds_to_ask_all(ctx: &CoreContext, account: AccountKey) -> u32 {
+fn rounds_to_ask_all(ctx: &core_context::CoreContext, account: arena_keys::AccountKey) -> u32 {
     lenders(ctx, account).count().div_ceil(LENDERS_ASKED) as u32
 }
 
 /// Returns the account's homes that may lend.
-fn lenders(ctx: &CoreContext, account: AccountKey) -> impl Iterator<Item = &String> {
+fn lenders(
+    ctx: &core_context::CoreContext,
+    account: arena_keys::AccountKey,
+) -> impl Iterator<Item = &String> {
     let homes = ctx.accounts[account].homes.iter().filter(|_| ctx.tuning.share_loans);
     homes.filter(|host| ctx.peers.usable(host, ctx.now))
 }
 
-fn usable_address(ctx: &CoreContext, host: &str) -> Option<String> {
+fn usable_address(ctx: &core_context::CoreContext, host: &str) -> Option<String> {
     let peer = ctx.peers.peers.get(host)?;
     ctx.peers.usable(host, ctx.now).then(|| peer.address.clone())
 }
--- a/src/core/share_ledger.rs
+++ b/src/core/share_ledger.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::clock_time::ClockTime;
+use crate::core::clock_time;
 
 /// How long a loan lasts on the borrower's clock.
 pub const LOAN_TTL: Duration = Duration::from_millis(1_000);
@@ -23,7 +23,7 @@
 /// Demand below this many statements a second counts as none.
 const DEMAND_IDLE: f64 = 0.01;
 /// A time that no clock reaches.
-const NEVER: ClockTime = ClockTime::from_micros(u64::MAX);
+const NEVER: clock_time::ClockTime = clock_time::ClockTime::from_micros(u64::MAX);
 /// Part of an unused share that one loan may take.
 const LOAN_PART: f64 = 0.5;
 /// Loans below this many tokens or tokens a second are not worth a message.
@@ -92,7 +92,7 @@
 struct TakenLoan {
     number: u64,
     part: SharePart,
-    until: ClockTime,
+    until: clock_time::ClockTime,
 }
 
 /// What a loan to a peer was taken out of.
@@ -110,33 +110,33 @@
     peer: String,
     source: LoanSource,
     part: SharePart,
-    until: ClockTime,
+    until: clock_time::ClockTime,
 }
 
 /// One host's share of one account.
 #[derive(Debug, Clone)]
 pub struct ShareLedger {
     home: SharePart,
-    next_home: Option<(SharePart, ClockTime)>,
+    next_home: Option<(SharePart, clock_time::ClockTime)>,
     lent: Vec<GivenLoan>,
     borrowed: Vec<TakenLoan>,
     next_loan: u64,
     /// The part that may be used now; follows from the fields above.
     usable: SharePart,
     tokens: f64,
-    refilled: ClockTime,
+    refilled: clock_time::ClockTime,
     demand: f64,
-    demand_at: ClockTime,
+    demand_at: clock_time::ClockTime,
     /// Tokens that peers have spent for statements that wait here, and how long they may be used.
     passes: u32,
-    passes_until: ClockTime,
+    passes_until: clock_time::ClockTime,
     /// Tokens that come with the opening of the share dealt last.
     credit: f64,
 }
 
 impl ShareLedger {
     /// An empty share; nothing is admitted until a home share opens or a loan arrives.
-    pub fn new(now: ClockTime) -> Self {
+    pub fn new(now: clock_time::ClockTime) -> Self {
         Self {
             home: SharePart::default(),
             next_home: None,
@@ -158,7 +158,7 @@
     ///
     /// Until it opens the lesser of the old and new share holds, so that hosts which have not heard
     /// of the change can't be admitting what this one already counts as its own.
-    pub fn deal(&mut self, now: ClockTime, home: SharePart) {
+    pub fn deal(&mut self, now: clock_time::ClockTime, home: SharePart) {
         self.refill(now);
         self.home = self.home.least(home);
         self.next_home = Some((home, NEVER));
@@ -166,7 +166,7 @@
     }
 
     /// Sets the time at which a share that was dealt opens, unless it is set already.
-    pub fn open_at(&mut self, opens: ClockTime) {
+    pub fn open_at(&mut self, opens: clock_time::ClockTime) {
         if let Some((_, at)) = self.next_home.as_mut().filter(|(_, at)| *at == NEVER) {
             *at = opens;
         }
@@ -184,13 +184,13 @@
     }
 
     /// Whether there is hardly any demand.
-    pub fn idle(&mut self, now: ClockTime) -> bool {
+    pub fn idle(&mut self, now: clock_time::ClockTime) -> bool {
         self.decay_demand(now);
         self.demand < DEMAND_IDLE
     }
 
     /// Takes one token, if there is one.
-    pub fn admit(&mut self, now: ClockTime) -> bool {
+    pub fn admit(&mut self, now: clock_time::ClockTime) -> bool {
         if self.passes > 0 && now < self.passes_until {
             self.passes -= 1;
             return true;
@@ -204,7 +204,7 @@
     }
 
     /// Spends up to `wanted` tokens for statements that wait at a peer; returns how many.
-    pub fn spend_for_peer(&mut self, now: ClockTime, wanted: u32) -> u32 {
+    pub fn spend_for_peer(&mut self, now: clock_time::ClockTime, wanted: u32) -> u32 {
         self.refill(now);
         let count = wanted.min(self.tokens as u32);
         self.tokens -= f64::from(count);
@@ -212,7 +212,7 @@
     }
 
     /// Takes up tokens that a peer has spent for statements that wait here.
-    pub fn take_passes(&mut self, now: ClockTime, count: u32) {
+    pub fn take_passes(&mut self, now: clock_time::ClockTime, count: u32) {
         if now >= self.passes_until {
             self.passes = 0;
         }
@@ -221,13 +221,13 @@
     }
 
     /// Counts one arrival towards the demand estimate.
-    pub fn note_demand(&mut self, now: ClockTime) {
+    pub fn note_demand(&mut self, now: clock_time::ClockTime) {
         self.decay_demand(now);
         self.demand += 1.0 / DEMAND_WINDOW.as_secs_f64();
     }
 
     /// Returns the tokens held.
-    pub fn tokens(&mut self, now: ClockTime) -> f64 {
+    pub fn tokens(&mut self, now: clock_time::ClockTime) -> f64 {
         self.refill(now);
         self.tokens
     }
@@ -238,7 +238,7 @@
     }
 
     /// Returns what to ask peers for, given `waiting` statements without a token.
-    pub fn shortage(&mut self, now: ClockTime, waiting: usize) -> Option<ShareGrant> {
+    pub fn shortage(&mut self, now: clock_time::ClockTime, waiting: usize) -> Option<ShareGrant> {
         self.refill(now);
         self.decay_demand(now);
         let horizon = now.after(RENEW_AHEAD);
@@ -261,7 +261,12 @@
     /// Lends part of what this host does not use; `None` when there is nothing to lend.
     ///
     /// A part that was borrowed itself is lent on for no longer than it was borrowed.
-    pub fn lend(&mut self, now: ClockTime, peer: &str, want: ShareGrant) -> Option<ShareGrant> {
+    pub fn lend(
+        &mut self,
+        now: clock_time::ClockTime,
+        peer: &str,
+        want: ShareGrant,
+    ) -> Option<ShareGrant> {
         self.refill(now);
         self.decay_demand(now);
         let own = SharePart {
@@ -301,7 +306,12 @@
     }
 
     /// Takes up a loan that was asked for at `asked`; a loan that has lapsed is dropped.
-    pub fn borrow(&mut self, now: ClockTime, asked: ClockTime, grant: ShareGrant) {
+    pub fn borrow(
+        &mut self,
+        now: clock_time::ClockTime,
+        asked: clock_time::ClockTime,
+        grant: ShareGrant,
+    ) {
         let ttl = Duration::from_millis(grant.ttl_ms).min(LOAN_TTL);
         let until = asked.after(ttl);
         if until <= now {
@@ -316,7 +326,7 @@
     }
 
     /// Returns the time after which one token will be there at the present rate.
-    pub fn wait_for_token(&mut self, now: ClockTime) -> Duration {
+    pub fn wait_for_token(&mut self, now: clock_time::ClockTime) -> Duration {
         self.refill(now);
         let rate = self.current().rate.max(LOAN_LEAST);
         Duration::from_secs_f64(((1.0 - self.tokens) / rate).clamp(0.001, 60.0))
@@ -327,7 +337,12 @@
     ///
     /// Returns the part and how long the borrower may use it: no longer than the first of the
     /// sources lasts.
-    fn give(&mut self, now: ClockTime, peer: &str, wanted: SharePart) -> (SharePart, Duration) {
+    fn give(
+        &mut self,
+        now: clock_time::ClockTime,
+        peer: &str,
+        wanted: SharePart,
+    ) -> (SharePart, Duration) {
         let mut sources =
             vec![(now.after(LOAN_TTL + LOAN_MARGIN), LoanSource::Home, self.free_home())];
         let lasting = self.borrowed.iter().filter(|loan| loan.until > now.after(ONWARD_LEAST));
@@ -370,7 +385,7 @@
     }
 
     /// Accrues tokens up to `now`, stopping at each loan's end and at the opening of a share.
-    fn refill(&mut self, now: ClockTime) {
+    fn refill(&mut self, now: clock_time::ClockTime) {
         while let Some(change) = self.next_change().filter(|change| *change <= now) {
             self.accrue(change);
             self.apply_changes(change);
@@ -378,20 +393,20 @@
         self.accrue(now);
     }
 
-    fn next_change(&self) -> Option<ClockTime> {
+    fn next_change(&self) -> Option<clock_time::ClockTime> {
         let given = self.lent.iter().map(|loan| loan.until);
         let taken = self.borrowed.iter().map(|loan| loan.until);
         given.chain(taken).chain(self.next_home.iter().map(|(_, opens)| *opens)).min()
     }
 
-    fn accrue(&mut self, at: ClockTime) {
+    fn accrue(&mut self, at: clock_time::ClockTime) {
         let current = self.current();
         let passed = at.since(self.refilled).as_secs_f64();
         self.tokens = (self.tokens + current.rate * passed).min(current.burst);
         self.refilled = self.refilled.max(at);
     }
 
-    fn apply_changes(&mut self, at: ClockTime) {
+    fn apply_changes(&mut self, at: clock_time::ClockTime) {
         self.lent.retain(|loan| loan.until > at);
         self.borrowed.retain(|loan| loan.until > at);
         if let Some((home, _)) = self.next_home.take_if(|(_, opens)| *opens <= at) {
@@ -408,7 +423,7 @@
         self.tokens = self.tokens.min(self.usable.burst).max(0.0);
     }
 
-    fn decay_demand(&mut self, now: ClockTime) {
+    fn decay_demand(&mut self, now: clock_time::ClockTime) {
         let passed = now.since(self.demand_at).as_secs_f64();
         self.demand *= (-passed / DEMAND_WINDOW.as_secs_f64()).exp();
         self.demand_at = self.demand_at.max(now);
