--- a/src/core/statement_flow.rs
+++ b/src/core/statement_flow.rs
@@ -1,141 +1,201 @@
 //! A statement's way from its first endpoint to its final answer.
 
-use crate::core::arena_keys::{ConnectionKey, EndpointKey, StatementKey};
-use crate::core::call_purpose::CallPurpose;
-use crate::core::caller_state::{CallerState, OpenTransaction};
-use crate::core::clock_time::ClockTime;
+use crate::core::arena_keys;
+use crate::core::call_purpose;
+use crate::core::caller_state;
+use crate::core::clock_time;
 use crate::core::confirm_flow;
 use crate::core::connection_flow;
-use crate::core::core_context::CoreContext;
-use crate::core::core_message::CoreAction;
-use crate::core::core_tuning::{self, CoreTuning};
+use crate::core::core_context;
+use crate::core::core_message;
+use crate::core::core_tuning;
 use crate::core::drain_flow;
-use crate::core::endpoint_message::{
-    AnswerBody, EndpointOutcome, EndpointRequest, EndpointStatus, TransactionStep,
-};
-use crate::core::request_verdict::{RequestFate, RequestVerdict, VerdictCause};
+use crate::core::endpoint_message;
+use crate::core::request_verdict;
 use crate::core::route_choice;
-use crate::core::statement_state::{StatementPhase, StatementState};
+use crate::core::statement_state;
 
 /// Most times that a read is sent to an endpoint.
 const READ_ATTEMPTS_MAX: u32 = 3;
 
 /// Moves a statement on that was granted its account's share.
-pub fn proceed(ctx: &mut CoreContext, statement: StatementKey) {
+pub fn proceed(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     if let Err(verdict) = route(ctx, statement) {
-        finish(ctx, statement, verdict, AnswerBody::default());
+        finish(ctx, statement, verdict, endpoint_message::AnswerBody::default());
     }
 }
 
 /// Sends a statement on an idle connection.
-pub fn dispatch(ctx: &mut CoreContext, statement: StatementKey, connection: ConnectionKey) {
-    let request = EndpointRequest::Run(ctx.statements[statement].request.clone());
-    let purpose = CallPurpose::Statement { statement, connection };
+pub fn dispatch(
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    connection: arena_keys::ConnectionKey,
+) {
+    let request = endpoint_message::EndpointRequest::Run(ctx.statements[statement].request.clone());
+    let purpose = call_purpose::CallPurpose::Statement { statement, connection };
     let call = connection_flow::send(ctx, connection, purpose, request);
     let state = &mut ctx.statements[statement];
     state.attempts += 1;
-    state.phase = StatementPhase::Running { connection, call };
+    state.phase = statement_state::StatementPhase::Running { connection, call };
 }
 
 /// Takes up an endpoint's outcome for a statement.
-pub fn on_outcome(ctx: &mut CoreContext, statement: StatementKey, outcome: EndpointOutcome) {
+pub fn on_outcome(
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    outcome: endpoint_message::EndpointOutcome,
+) {
     let Some(state) = ctx.statements.get(statement) else { return };
-    let StatementPhase::Running { connection, .. } = state.phase else { return };
+    let statement_state::StatementPhase::Running { connection, .. } = state.phase else { return };
     let endpoint = ctx.connections.get(connection).map(|connection| connection.endpoint);
     match outcome {
-        EndpointOutcome::Ran { body, status } => {
-            on_ran(ctx, statement, connection, body, status, RequestVerdict::ran());
+        endpoint_message::EndpointOutcome::Ran { body, status } => {
+            on_ran(
+                ctx,
+                statement,
+                connection,
+                body,
+                status,
+                request_verdict::RequestVerdict::ran(),
+            );
         }
-        EndpointOutcome::Duplicate { status } => {
-            let verdict =
-                RequestVerdict { cause: VerdictCause::CompletedEarlier, ..RequestVerdict::ran() };
-            on_ran(ctx, statement, connection, AnswerBody::default(), status, verdict);
+        endpoint_message::EndpointOutcome::Duplicate { status } => {
+            let verdict = request_verdict::RequestVerdict {
+                cause: request_verdict::VerdictCause::CompletedEarlier,
+                ..request_verdict::RequestVerdict::ran()
+            };
+            on_ran(
+                ctx,
+                statement,
+                connection,
+                endpoint_message::AnswerBody::default(),
+                status,
+                verdict,
+            );
         }
-        EndpointOutcome::Refused { sqlstate, message } => {
+        endpoint_message::EndpointOutcome::Refused { sqlstate, message } => {
             on_refused(ctx, statement, connection, sqlstate, message);
         }
-        EndpointOutcome::Behind => {
+        endpoint_message::EndpointOutcome::Behind => {
             end_use(ctx, statement, connection, false);
             ctx.statements[statement].primary_only = true;
             // A replica that lags is no failure: the primary answers, outside the budget.
             proceed(ctx, statement);
         }
-        EndpointOutcome::WrongTerm => {
+        endpoint_message::EndpointOutcome::WrongTerm => {
             end_use(ctx, statement, connection, false);
             connection_flow::probe_group(ctx, ctx.statements[statement].group);
-            retry(ctx, statement, VerdictCause::NoPrimary);
+            retry(ctx, statement, request_verdict::VerdictCause::NoPrimary);
         }
-        EndpointOutcome::Unsent => {
+        endpoint_message::EndpointOutcome::Unsent => {
             connection_flow::discard(ctx, connection, "failed");
             if let Some(endpoint) = endpoint {
                 connection_flow::note_failure(ctx, endpoint);
             }
-            retry(ctx, statement, VerdictCause::ConnectionLost);
+            retry(ctx, statement, request_verdict::VerdictCause::ConnectionLost);
+        }
+        endpoint_message::EndpointOutcome::Lost | endpoint_message::EndpointOutcome::Status(_) => {
+            on_lost(ctx, statement, connection)
         }
-        EndpointOutcome::Lost | EndpointOutcome::Status(_) => on_lost(ctx, statement, connection),
     }
 }
 
 /// Acts on a statement whose time limits may have passed.
-pub fn on_timer(ctx: &mut CoreContext, statement: StatementKey) {
+pub fn on_timer(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     let Some(state) = ctx.statements.get(statement) else { return };
     let deadline = state.deadline;
     match state.phase.clone() {
-        StatementPhase::AwaitShare { until } if ctx.now >= until.min(deadline) => {
+        statement_state::StatementPhase::AwaitShare { until } if ctx.now >= until.min(deadline) => {
             let wait = ctx.accounts[state.account].ledger.wait_for_token(ctx.now);
-            give_up(ctx, statement, RequestVerdict::not_run(VerdictCause::OverRate, Some(wait)));
+            give_up(
+                ctx,
+                statement,
+                request_verdict::RequestVerdict::not_run(
+                    request_verdict::VerdictCause::OverRate,
+                    Some(wait),
+                ),
+            );
         }
-        StatementPhase::Queued { until, .. } if ctx.now >= until.min(deadline) => {
-            let wait = Some(CoreTuning::millis(ctx.tuning.queue_wait_ms / 2));
-            give_up(ctx, statement, RequestVerdict::not_run(VerdictCause::QueueFull, wait));
+        statement_state::StatementPhase::Queued { until, .. } if ctx.now >= until.min(deadline) => {
+            let wait = Some(core_tuning::CoreTuning::millis(ctx.tuning.queue_wait_ms / 2));
+            give_up(
+                ctx,
+                statement,
+                request_verdict::RequestVerdict::not_run(
+                    request_verdict::VerdictCause::QueueFull,
+                    wait,
+                ),
+            );
         }
-        StatementPhase::Running { .. } | StatementPhase::Confirming { .. }
+        statement_state::StatementPhase::Running { .. }
+        | statement_state::StatementPhase::Confirming { .. }
             if ctx.now >= deadline =>
         {
-            give_up(ctx, statement, RequestVerdict::may_have_run(VerdictCause::DeadlinePassed));
+            give_up(
+                ctx,
+                statement,
+                request_verdict::RequestVerdict::may_have_run(
+                    request_verdict::VerdictCause::DeadlinePassed,
+                ),
+            );
         }
         _ => {}
     }
 }
 
 /// Ends a statement for `cause`, with the verdict that its phase calls for.
-pub fn cut_short(ctx: &mut CoreContext, statement: StatementKey, cause: VerdictCause) {
+pub fn cut_short(
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    cause: request_verdict::VerdictCause,
+) {
     let Some(state) = ctx.statements.get(statement) else { return };
     let verdict = match state.phase {
-        StatementPhase::AwaitShare { .. } | StatementPhase::Queued { .. } => {
-            RequestVerdict::not_run(cause, None)
+        statement_state::StatementPhase::AwaitShare { .. }
+        | statement_state::StatementPhase::Queued { .. } => {
+            request_verdict::RequestVerdict::not_run(cause, None)
         }
-        StatementPhase::Running { .. } | StatementPhase::Confirming { .. } => {
-            RequestVerdict::may_have_run(cause)
+        statement_state::StatementPhase::Running { .. }
+        | statement_state::StatementPhase::Confirming { .. } => {
+            request_verdict::RequestVerdict::may_have_run(cause)
         }
     };
     give_up(ctx, statement, verdict);
 }
 
 /// Drops a statement whose caller has gone.
-pub fn abandon(ctx: &mut CoreContext, statement: StatementKey) {
+pub fn abandon(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     release_resources(ctx, statement);
     ctx.statements.remove(statement);
 }
 
 /// Retries a read elsewhere, or answers that the statement was not run.
-pub fn retry(ctx: &mut CoreContext, statement: StatementKey, cause: VerdictCause) {
+pub fn retry(
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    cause: request_verdict::VerdictCause,
+) {
     let Some(state) = ctx.statements.get(statement) else { return };
-    let single = state.request.step == TransactionStep::Single;
+    let single = state.request.step == endpoint_message::TransactionStep::Single;
     let again = state.attempts < READ_ATTEMPTS_MAX && single && state.read;
     if again && ctx.retries.spend() {
         return proceed(ctx, statement);
     }
     let wait = Some(core_tuning::FAILOVER_RETRY);
-    finish(ctx, statement, RequestVerdict::not_run(cause, wait), AnswerBody::default());
+    finish(
+        ctx,
+        statement,
+        request_verdict::RequestVerdict::not_run(cause, wait),
+        endpoint_message::AnswerBody::default(),
+    );
 }
 
 /// Gives a statement its final answer.
 pub fn finish(
-    ctx: &mut CoreContext,
-    statement: StatementKey,
-    verdict: RequestVerdict,
-    body: AnswerBody,
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    verdict: request_verdict::RequestVerdict,
+    body: endpoint_message::AnswerBody,
 ) {
     release_resources(ctx, statement);
     let Some(state) = ctx.statements.remove(statement) else { return };
@@ -145,23 +205,38 @@
         keep_request_id(caller, &state, &verdict);
         let in_transaction = caller.in_transaction();
         let caller = caller.id;
-        ctx.actions.push(CoreAction::AnswerCaller { caller, verdict, body, in_transaction });
+        ctx.actions.push(core_message::CoreAction::AnswerCaller {
+            caller,
+            verdict,
+            body,
+            in_transaction,
+        });
         drain_flow::after_answer(ctx, state.caller);
     }
 }
 
 /// Gives a caller the identifier back that it set for a write which was not run.
-fn keep_request_id(caller: &mut CallerState, state: &StatementState, verdict: &RequestVerdict) {
-    if verdict.fate != RequestFate::NotRun || caller.settings.request_id.is_some() {
+fn keep_request_id(
+    caller: &mut caller_state::CallerState,
+    state: &statement_state::StatementState,
+    verdict: &request_verdict::RequestVerdict,
+) {
+    if verdict.fate != request_verdict::RequestFate::NotRun || caller.settings.request_id.is_some()
+    {
         return;
     }
     caller.settings.request_id = state.request.record.as_ref().map(|record| record.id.clone());
 }
 
-fn route(ctx: &mut CoreContext, statement: StatementKey) -> Result<(), RequestVerdict> {
+fn route(
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+) -> Result<(), request_verdict::RequestVerdict> {
     let state = &ctx.statements[statement];
     let step = state.request.step;
-    if step != TransactionStep::Single && step != TransactionStep::Begin {
+    if step != endpoint_message::TransactionStep::Single
+        && step != endpoint_message::TransactionStep::Begin
+    {
         return route_within(ctx, statement);
     }
     let choice = route_choice::choose(ctx, statement)?;
@@ -171,9 +246,15 @@
     connection_flow::acquire(ctx, choice.endpoint, statement)
 }
 
-fn route_within(ctx: &mut CoreContext, statement: StatementKey) -> Result<(), RequestVerdict> {
+fn route_within(
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+) -> Result<(), request_verdict::RequestVerdict> {
     let caller = ctx.statements[statement].caller;
-    let lost = RequestVerdict::not_run(VerdictCause::ConnectionLost, None);
+    let lost = request_verdict::RequestVerdict::not_run(
+        request_verdict::VerdictCause::ConnectionLost,
+        None,
+    );
     let Some(transaction) = ctx.callers[caller].transaction else { return Err(lost) };
     let pinned = ctx.connections.get(transaction.connection);
     if pinned.is_none_or(|connection| connection.cursor.state() != "pinned") {
@@ -185,12 +266,12 @@
 }
 
 fn on_ran(
-    ctx: &mut CoreContext,
-    statement: StatementKey,
-    connection: ConnectionKey,
-    body: AnswerBody,
-    status: EndpointStatus,
-    verdict: RequestVerdict,
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    connection: arena_keys::ConnectionKey,
+    body: endpoint_message::AnswerBody,
+    status: endpoint_message::EndpointStatus,
+    verdict: request_verdict::RequestVerdict,
 ) {
     let endpoint = ctx.connections[connection].endpoint;
     let asked = ctx.connections[connection].since;
@@ -199,14 +280,19 @@
     let Some(state) = ctx.statements.get(statement) else { return };
     let group = state.group;
     if state.commit_refused {
-        let verdict = RequestVerdict::not_run(VerdictCause::TransactionLost, None);
-        return finish(ctx, statement, verdict, AnswerBody::default());
+        let verdict = request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::TransactionLost,
+            None,
+        );
+        return finish(ctx, statement, verdict, endpoint_message::AnswerBody::default());
     }
     match state.request.step {
-        TransactionStep::Begin | TransactionStep::Within | TransactionStep::Rollback => {
+        endpoint_message::TransactionStep::Begin
+        | endpoint_message::TransactionStep::Within
+        | endpoint_message::TransactionStep::Rollback => {
             return finish(ctx, statement, verdict, body);
         }
-        TransactionStep::Commit | TransactionStep::Single => {}
+        endpoint_message::TransactionStep::Commit | endpoint_message::TransactionStep::Single => {}
     }
     if state.read && state.request.read_point.is_some() {
         count_read(ctx, statement, endpoint);
@@ -225,32 +311,34 @@
 
 /// Uses the status that came with an answer in place of a probe, now and then.
 fn note_status(
-    ctx: &mut CoreContext,
-    endpoint: EndpointKey,
-    asked: ClockTime,
-    status: &EndpointStatus,
+    ctx: &mut core_context::CoreContext,
+    endpoint: arena_keys::EndpointKey,
+    asked: clock_time::ClockTime,
+    status: &endpoint_message::EndpointStatus,
 ) {
     let seen = ctx.endpoints[endpoint].seen.as_ref();
-    let gap = CoreTuning::millis(ctx.tuning.probe_interval_ms / 2);
+    let gap = core_tuning::CoreTuning::millis(ctx.tuning.probe_interval_ms / 2);
     if seen.is_none_or(|seen| asked.since(seen.asked) >= gap) {
         connection_flow::note_status(ctx, endpoint, asked, status.clone());
     }
 }
 
 /// Answers a statement that ran on an endpoint which is not the primary any more.
-fn unconfirmed(ctx: &mut CoreContext, statement: StatementKey) {
+fn unconfirmed(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     connection_flow::probe_group(ctx, ctx.statements[statement].group);
     if ctx.statements[statement].read {
-        return retry(ctx, statement, VerdictCause::PrimaryReplaced);
+        return retry(ctx, statement, request_verdict::VerdictCause::PrimaryReplaced);
     }
-    let verdict = RequestVerdict::may_have_run(VerdictCause::PrimaryReplaced);
-    finish(ctx, statement, verdict, AnswerBody::default());
+    let verdict = request_verdict::RequestVerdict::may_have_run(
+        request_verdict::VerdictCause::PrimaryReplaced,
+    );
+    finish(ctx, statement, verdict, endpoint_message::AnswerBody::default());
 }
 
 fn on_refused(
-    ctx: &mut CoreContext,
-    statement: StatementKey,
-    connection: ConnectionKey,
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    connection: arena_keys::ConnectionKey,
     sqlstate: String,
     message: String,
 ) {
@@ -259,47 +347,66 @@
     if let Some(transaction) = &mut ctx.callers[caller].transaction {
         transaction.failed = true;
     }
-    let cause = VerdictCause::DatabaseError { sqlstate, message };
-    finish(ctx, statement, RequestVerdict::not_run(cause, None), AnswerBody::default());
+    let cause = request_verdict::VerdictCause::DatabaseError { sqlstate, message };
+    finish(
+        ctx,
+        statement,
+        request_verdict::RequestVerdict::not_run(cause, None),
+        endpoint_message::AnswerBody::default(),
+    );
 }
 
-fn on_lost(ctx: &mut CoreContext, statement: StatementKey, connection: ConnectionKey) {
+fn on_lost(
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    connection: arena_keys::ConnectionKey,
+) {
     let endpoint = ctx.connections.get(connection).map(|state| state.endpoint);
     connection_flow::discard(ctx, connection, "failed");
     if let Some(endpoint) = endpoint {
         connection_flow::note_failure(ctx, endpoint);
     }
     let state = &ctx.statements[statement];
-    if state.read && state.request.step == TransactionStep::Single {
-        return retry(ctx, statement, VerdictCause::ConnectionLost);
+    if state.read && state.request.step == endpoint_message::TransactionStep::Single {
+        return retry(ctx, statement, request_verdict::VerdictCause::ConnectionLost);
     }
     let verdict = match state.request.step {
         // The transaction's connection is gone, and with it all that was not committed.
-        TransactionStep::Begin | TransactionStep::Within | TransactionStep::Rollback => {
-            RequestVerdict::not_run(VerdictCause::ConnectionLost, None)
-        }
-        _ => RequestVerdict::may_have_run(VerdictCause::ConnectionLost),
+        endpoint_message::TransactionStep::Begin
+        | endpoint_message::TransactionStep::Within
+        | endpoint_message::TransactionStep::Rollback => request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::ConnectionLost,
+            None,
+        ),
+        _ => request_verdict::RequestVerdict::may_have_run(
+            request_verdict::VerdictCause::ConnectionLost,
+        ),
     };
     leave_transaction(ctx, statement);
-    finish(ctx, statement, verdict, AnswerBody::default());
+    finish(ctx, statement, verdict, endpoint_message::AnswerBody::default());
 }
 
 /// Gives the connection back, or keeps it for the transaction that it belongs to.
-fn end_use(ctx: &mut CoreContext, statement: StatementKey, connection: ConnectionKey, ran: bool) {
+fn end_use(
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    connection: arena_keys::ConnectionKey,
+    ran: bool,
+) {
     let state = &ctx.statements[statement];
     let (step, caller, group) = (state.request.step, state.caller, state.group);
     match step {
-        TransactionStep::Begin if ran => {
+        endpoint_message::TransactionStep::Begin if ran => {
             connection_flow::pin(ctx, connection, caller);
-            let transaction = OpenTransaction { group, connection, failed: false };
+            let transaction = caller_state::OpenTransaction { group, connection, failed: false };
             ctx.callers[caller].transaction = Some(transaction);
         }
-        TransactionStep::Within => connection_flow::pin(ctx, connection, caller),
-        TransactionStep::Commit | TransactionStep::Rollback => {
+        endpoint_message::TransactionStep::Within => connection_flow::pin(ctx, connection, caller),
+        endpoint_message::TransactionStep::Commit | endpoint_message::TransactionStep::Rollback => {
             ctx.callers[caller].transaction = None;
             connection_flow::release(ctx, connection);
         }
-        TransactionStep::Begin | TransactionStep::Single => {
+        endpoint_message::TransactionStep::Begin | endpoint_message::TransactionStep::Single => {
             connection_flow::release(ctx, connection);
         }
     }
@@ -307,9 +414,12 @@
 
 /// Takes the caller out of the transaction whose connection is gone. A statement that was to end
 /// the transaction has ended it, one way or the other.
-fn leave_transaction(ctx: &mut CoreContext, statement: StatementKey) {
+fn leave_transaction(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     let state = &ctx.statements[statement];
-    let ends = matches!(state.request.step, TransactionStep::Commit | TransactionStep::Rollback);
+    let ends = matches!(
+        state.request.step,
+        endpoint_message::TransactionStep::Commit | endpoint_message::TransactionStep::Rollback
+    );
     let caller = &mut ctx.callers[state.caller];
     if ends {
         caller.transaction = None;
@@ -318,47 +428,63 @@
     }
 }
 
-fn give_up(ctx: &mut CoreContext, statement: StatementKey, verdict: RequestVerdict) {
-    if matches!(ctx.statements[statement].phase, StatementPhase::Running { .. }) {
+fn give_up(
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    verdict: request_verdict::RequestVerdict,
+) {
+    if matches!(ctx.statements[statement].phase, statement_state::StatementPhase::Running { .. }) {
         leave_transaction(ctx, statement);
     }
-    finish(ctx, statement, verdict, AnswerBody::default());
+    finish(ctx, statement, verdict, endpoint_message::AnswerBody::default());
 }
 
 /// Takes a statement out of whatever it waits in; a connection that it runs on is closed.
-fn release_resources(ctx: &mut CoreContext, statement: StatementKey) {
+fn release_resources(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     let Some(state) = ctx.statements.get(statement) else { return };
     match state.phase {
-        StatementPhase::AwaitShare { .. } => {
+        statement_state::StatementPhase::AwaitShare { .. } => {
             ctx.accounts[state.account].waiting.retain(|waiting| *waiting != statement);
         }
-        StatementPhase::Queued { endpoint, .. } => {
+        statement_state::StatementPhase::Queued { endpoint, .. } => {
             ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != statement);
         }
-        StatementPhase::Running { connection, call } => {
+        statement_state::StatementPhase::Running { connection, call } => {
             if ctx.calls.contains_key(&call) {
                 connection_flow::discard(ctx, connection, "discarded");
             }
         }
-        StatementPhase::Confirming { .. } => {
+        statement_state::StatementPhase::Confirming { .. } => {
             let group = &mut ctx.groups[state.group];
             group.waiters.retain(|waiting| *waiting != statement);
         }
     }
 }
 
-fn count(ctx: &mut CoreContext, state: &StatementState, verdict: &RequestVerdict) {
+fn count(
+    ctx: &mut core_context::CoreContext,
+    state: &statement_state::StatementState,
+    verdict: &request_verdict::RequestVerdict,
+) {
     let counts = &mut ctx.accounts[state.account].counts;
     match verdict.fate {
-        RequestFate::Ran if !state.read => counts.writes += 1,
-        RequestFate::Ran => {}
-        RequestFate::MayHaveRun => counts.may_have_run += 1,
-        RequestFate::NotRun if verdict.cause == VerdictCause::OverRate => counts.over_rate += 1,
-        RequestFate::NotRun => counts.not_run += 1,
+        request_verdict::RequestFate::Ran if !state.read => counts.writes += 1,
+        request_verdict::RequestFate::Ran => {}
+        request_verdict::RequestFate::MayHaveRun => counts.may_have_run += 1,
+        request_verdict::RequestFate::NotRun
+            if verdict.cause == request_verdict::VerdictCause::OverRate =>
+        {
+            counts.over_rate += 1
+        }
+        request_verdict::RequestFate::NotRun => counts.not_run += 1,
     }
 }
 
-fn count_read(ctx: &mut CoreContext, statement: StatementKey, endpoint: EndpointKey) {
+fn count_read(
+    ctx: &mut core_context::CoreContext,
+    statement: arena_keys::StatementKey,
+    endpoint: arena_keys::EndpointKey,
+) {
     let state = &ctx.statements[statement];
     let name = &ctx.endpoints[endpoint].name;
     let primary = ctx.groups[state.group].serving().is_some_and(|record| record.primary == *name);
--- a/src/core/statement_intake.rs
+++ b/src/core/statement_intake.rs
@@ -1,33 +1,31 @@
 //! Takes up statements from callers: what they are, whether they are allowed, where they go first.
 
-use crate::core::arena_keys::{CallerKey, GroupKey, StatementKey};
+use crate::core::arena_keys;
 use crate::core::caller_flow;
-use crate::core::caller_state::OpenTransaction;
+use crate::core::caller_state;
 use crate::core::connection_flow;
-use crate::core::core_context::CoreContext;
-use crate::core::core_message::{CallerId, CoreAction};
-use crate::core::core_tuning::{self, CoreTuning};
+use crate::core::core_context;
+use crate::core::core_message;
+use crate::core::core_tuning;
 use crate::core::drain_flow;
-use crate::core::endpoint_message::{
-    AnswerBody, EndpointStatement, RequestRecord, TransactionStep,
-};
-use crate::core::grant_index::RuleGrant;
-use crate::core::request_verdict::{RequestVerdict, VerdictCause};
+use crate::core::endpoint_message;
+use crate::core::grant_index;
+use crate::core::request_verdict;
 use crate::core::route_choice;
 use crate::core::share_flow;
 use crate::core::statement_flow;
-use crate::core::statement_state::{StatementPhase, StatementState};
-use crate::core::statement_text::{self, StatementClass};
-use crate::core::timer_queue::TimerKind;
-use crate::world::world_object::RuleAccess;
+use crate::core::statement_state;
+use crate::core::statement_text;
+use crate::core::timer_queue;
+use crate::world::world_object;
 
 /// Takes up a statement from a caller.
-pub fn arrive(ctx: &mut CoreContext, id: CallerId, text: String) {
+pub fn arrive(ctx: &mut core_context::CoreContext, id: core_message::CallerId, text: String) {
     let Some(caller) = ctx.caller_ids.get(&id).copied() else { return refuse_unknown(ctx, id) };
     if ctx.callers[caller].statement.is_some() {
         let detail = "the last statement is not answered yet".to_owned();
-        let cause = VerdictCause::StatementInvalid { detail };
-        return refuse(ctx, caller, RequestVerdict::not_run(cause, None));
+        let cause = request_verdict::VerdictCause::StatementInvalid { detail };
+        return refuse(ctx, caller, request_verdict::RequestVerdict::not_run(cause, None));
     }
     if let Err(verdict) = begin(ctx, caller, text) {
         refuse(ctx, caller, verdict);
@@ -35,11 +33,17 @@
 }
 
 /// Answers a statement that was under way when its caller's connection was ended here.
-fn refuse_unknown(ctx: &mut CoreContext, caller: CallerId) {
+fn refuse_unknown(ctx: &mut core_context::CoreContext, caller: core_message::CallerId) {
     let wait = Some(core_tuning::SHORT_RETRY);
-    let verdict = RequestVerdict::not_run(VerdictCause::CallerEnded, wait);
-    let body = AnswerBody::default();
-    ctx.actions.push(CoreAction::AnswerCaller { caller, verdict, body, in_transaction: false });
+    let verdict =
+        request_verdict::RequestVerdict::not_run(request_verdict::VerdictCause::CallerEnded, wait);
+    let body = endpoint_message::AnswerBody::default();
+    ctx.actions.push(core_message::CoreAction::AnswerCaller {
+        caller,
+        verdict,
+        body,
+        in_transaction: false,
+    });
 }
 
 /// Returns what the rules let the caller do with its service.
@@ -47,16 +51,26 @@
 /// # Errors
 ///
 /// Names the account and service when that is nothing.
-pub fn find_grant(ctx: &CoreContext, caller: CallerKey) -> Result<&RuleGrant, RequestVerdict> {
+pub fn find_grant(
+    ctx: &core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+) -> Result<&grant_index::RuleGrant, request_verdict::RequestVerdict> {
     let state = &ctx.callers[caller];
     ctx.config.grants.find(&state.service, &state.account_name).ok_or_else(|| {
         let detail =
             format!("account {} may not use service {}", state.account_name, state.service);
-        RequestVerdict::not_run(VerdictCause::RuleDenied { detail }, None)
+        request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::RuleDenied { detail },
+            None,
+        )
     })
 }
 
-fn begin(ctx: &mut CoreContext, caller: CallerKey, text: String) -> Result<(), RequestVerdict> {
+fn begin(
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+    text: String,
+) -> Result<(), request_verdict::RequestVerdict> {
     if text.len() > ctx.tuning.statement_max_bytes {
         let detail = format!(
             "the statement has {} bytes; at most {} are accepted",
@@ -67,19 +81,19 @@
     }
     let class = statement_text::classify(&text);
     match class {
-        StatementClass::Forbidden { detail } => Err(invalid(detail)),
-        StatementClass::InertSet => answer_now(ctx, caller, tagged("SET")),
-        StatementClass::SetOption { name, value } => {
+        statement_text::StatementClass::Forbidden { detail } => Err(invalid(detail)),
+        statement_text::StatementClass::InertSet => answer_now(ctx, caller, tagged("SET")),
+        statement_text::StatementClass::SetOption { name, value } => {
             caller_flow::set_option(ctx, caller, &name, &value)?;
             answer_now(ctx, caller, tagged("SET"))
         }
-        StatementClass::ShowOption { name } => {
+        statement_text::StatementClass::ShowOption { name } => {
             let body = caller_flow::show_option(ctx, caller, &name)?;
             answer_now(ctx, caller, body)
         }
         _ if ctx.callers[caller].transaction_lost => end_lost(ctx, caller, &class),
         _ if ctx.callers[caller].transaction.is_some() => begin_within(ctx, caller, text, class),
-        StatementClass::Commit | StatementClass::Rollback => {
+        statement_text::StatementClass::Commit | statement_text::StatementClass::Rollback => {
             answer_now(ctx, caller, tagged(step_tag(&class)))
         }
         _ => begin_outside(ctx, caller, text, class),
@@ -88,36 +102,45 @@
 
 /// Answers a caller whose transaction was rolled back unasked, until it ends the transaction.
 fn end_lost(
-    ctx: &mut CoreContext,
-    caller: CallerKey,
-    class: &StatementClass,
-) -> Result<(), RequestVerdict> {
-    let ends = matches!(class, StatementClass::Commit | StatementClass::Rollback);
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+    class: &statement_text::StatementClass,
+) -> Result<(), request_verdict::RequestVerdict> {
+    let ends = matches!(
+        class,
+        statement_text::StatementClass::Commit | statement_text::StatementClass::Rollback
+    );
     ctx.callers[caller].transaction_lost = !ends;
-    if *class == StatementClass::Rollback {
+    if *class == statement_text::StatementClass::Rollback {
         return answer_now(ctx, caller, tagged(step_tag(class)));
     }
-    Err(RequestVerdict::not_run(VerdictCause::TransactionLost, None))
+    Err(request_verdict::RequestVerdict::not_run(
+        request_verdict::VerdictCause::TransactionLost,
+        None,
+    ))
 }
 
 /// Starts a statement of its own, or one that begins a transaction.
 fn begin_outside(
-    ctx: &mut CoreContext,
-    caller: CallerKey,
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
     text: String,
-    class: StatementClass,
-) -> Result<(), RequestVerdict> {
+    class: statement_text::StatementClass,
+) -> Result<(), request_verdict::RequestVerdict> {
     caller_flow::check_proof(ctx, caller)?;
     if !ctx.takes_work() {
         let wait = Some(core_tuning::SHORT_RETRY);
-        return Err(RequestVerdict::not_run(VerdictCause::Draining, wait));
+        return Err(request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::Draining,
+            wait,
+        ));
     }
-    let read = class == StatementClass::Read;
+    let read = class == statement_text::StatementClass::Read;
     check_access(ctx, caller, read)?;
     let group = route_choice::pick_group(ctx, caller)?;
     let step = match class {
-        StatementClass::Begin => TransactionStep::Begin,
-        _ => TransactionStep::Single,
+        statement_text::StatementClass::Begin => endpoint_message::TransactionStep::Begin,
+        _ => endpoint_message::TransactionStep::Single,
     };
     let state = new_statement(ctx, caller, group, text, step, read);
     let statement = register(ctx, caller, state);
@@ -127,33 +150,37 @@
 
 /// Starts a statement inside the caller's transaction.
 fn begin_within(
-    ctx: &mut CoreContext,
-    caller: CallerKey,
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
     text: String,
-    class: StatementClass,
-) -> Result<(), RequestVerdict> {
+    class: statement_text::StatementClass,
+) -> Result<(), request_verdict::RequestVerdict> {
     let Some(transaction) = ctx.callers[caller].transaction else {
         return Err(invalid("no transaction is open".to_owned()));
     };
-    if class == StatementClass::Begin {
+    if class == statement_text::StatementClass::Begin {
         return Err(invalid("a transaction is open already".to_owned()));
     }
     caller_flow::check_proof(ctx, caller).inspect_err(|_| {
         end_transaction(ctx, caller, transaction);
     })?;
     // The database would roll back, and say so in a tag that drivers do not look at.
-    let commit_refused = class == StatementClass::Commit && transaction.failed;
+    let commit_refused = class == statement_text::StatementClass::Commit && transaction.failed;
     let step = match class {
-        StatementClass::Commit if !commit_refused => TransactionStep::Commit,
-        StatementClass::Commit | StatementClass::Rollback => TransactionStep::Rollback,
-        _ => TransactionStep::Within,
+        statement_text::StatementClass::Commit if !commit_refused => {
+            endpoint_message::TransactionStep::Commit
+        }
+        statement_text::StatementClass::Commit | statement_text::StatementClass::Rollback => {
+            endpoint_message::TransactionStep::Rollback
+        }
+        _ => endpoint_message::TransactionStep::Within,
     };
     let text = if commit_refused { "ROLLBACK".to_owned() } else { text };
-    let read = class == StatementClass::Read;
+    let read = class == statement_text::StatementClass::Read;
     let mut state = new_statement(ctx, caller, transaction.group, text, step, read);
     state.commit_refused = commit_refused;
     let statement = register(ctx, caller, state);
-    if step == TransactionStep::Within {
+    if step == endpoint_message::TransactionStep::Within {
         share_flow::charge(ctx, statement);
     } else {
         // The end of a transaction gives its connection back, and is never held up.
@@ -163,57 +190,73 @@
 }
 
 fn new_statement(
-    ctx: &mut CoreContext,
-    caller: CallerKey,
-    group: GroupKey,
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+    group: arena_keys::GroupKey,
     text: String,
-    step: TransactionStep,
+    step: endpoint_message::TransactionStep,
     read: bool,
-) -> StatementState {
+) -> statement_state::StatementState {
     let now = ctx.now;
     let default_timeout = ctx.tuning.statement_timeout_ms;
     let state = &mut ctx.callers[caller];
-    let writes = !read && matches!(step, TransactionStep::Single | TransactionStep::Within);
+    let writes = !read
+        && matches!(
+            step,
+            endpoint_message::TransactionStep::Single | endpoint_message::TransactionStep::Within
+        );
     let id = if writes { state.settings.request_id.take() } else { None };
     let account = state.account_name.clone();
-    let record = id.map(|id| RequestRecord { account, id });
+    let record = id.map(|id| endpoint_message::RequestRecord { account, id });
     let timeout = state.settings.timeout_ms.unwrap_or(default_timeout);
-    StatementState {
+    statement_state::StatementState {
         caller,
         account: state.account,
         group,
-        request: EndpointStatement {
+        request: endpoint_message::EndpointStatement {
             text,
             step,
             write_term: None,
             read_point: None,
-            read_only: read && step == TransactionStep::Single,
+            read_only: read && step == endpoint_message::TransactionStep::Single,
             record,
         },
         read,
         max_age_ms: state.settings.max_age_ms,
-        deadline: now.after(CoreTuning::millis(timeout)),
+        deadline: now.after(core_tuning::CoreTuning::millis(timeout)),
         attempts: 0,
         primary_only: false,
         commit_refused: false,
-        phase: StatementPhase::AwaitShare { until: now },
+        phase: statement_state::StatementPhase::AwaitShare { until: now },
     }
 }
 
-fn register(ctx: &mut CoreContext, caller: CallerKey, state: StatementState) -> StatementKey {
+fn register(
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+    state: statement_state::StatementState,
+) -> arena_keys::StatementKey {
     let deadline = state.deadline;
     let statement = ctx.statements.insert(state);
     ctx.retries.earn();
     ctx.callers[caller].statement = Some(statement);
-    ctx.timers.push(deadline, TimerKind::Statement(statement));
+    ctx.timers.push(deadline, timer_queue::TimerKind::Statement(statement));
     statement
 }
 
-fn check_access(ctx: &CoreContext, caller: CallerKey, read: bool) -> Result<(), RequestVerdict> {
+fn check_access(
+    ctx: &core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+    read: bool,
+) -> Result<(), request_verdict::RequestVerdict> {
     let grant = find_grant(ctx, caller)?;
-    let denied =
-        |detail: String| Err(RequestVerdict::not_run(VerdictCause::RuleDenied { detail }, None));
-    if !read && grant.access == RuleAccess::Read {
+    let denied = |detail: String| {
+        Err(request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::RuleDenied { detail },
+            None,
+        ))
+    };
+    if !read && grant.access == world_object::RuleAccess::Read {
         return denied(format!("rule {} allows reads only", grant.rule));
     }
     match ctx.callers[caller].settings.max_age_ms {
@@ -225,44 +268,65 @@
     }
 }
 
-fn end_transaction(ctx: &mut CoreContext, caller: CallerKey, transaction: OpenTransaction) {
+fn end_transaction(
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+    transaction: caller_state::OpenTransaction,
+) {
     ctx.callers[caller].lose_transaction();
     connection_flow::discard(ctx, transaction.connection, "discarded");
 }
 
-fn refuse(ctx: &mut CoreContext, caller: CallerKey, verdict: RequestVerdict) {
+fn refuse(
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+    verdict: request_verdict::RequestVerdict,
+) {
     let state = &ctx.callers[caller];
     let (id, account) = (state.id, state.account);
     let in_transaction = state.in_transaction();
     ctx.accounts[account].counts.not_run += 1;
-    let body = AnswerBody::default();
-    ctx.actions.push(CoreAction::AnswerCaller { caller: id, verdict, body, in_transaction });
+    let body = endpoint_message::AnswerBody::default();
+    ctx.actions.push(core_message::CoreAction::AnswerCaller {
+        caller: id,
+        verdict,
+        body,
+        in_transaction,
+    });
     drain_flow::after_answer(ctx, caller);
 }
 
 fn answer_now(
-    ctx: &mut CoreContext,
-    caller: CallerKey,
-    body: AnswerBody,
-) -> Result<(), RequestVerdict> {
+    ctx: &mut core_context::CoreContext,
+    caller: arena_keys::CallerKey,
+    body: endpoint_message::AnswerBody,
+) -> Result<(), request_verdict::RequestVerdict> {
     let state = &ctx.callers[caller];
     let (caller, in_transaction) = (state.id, state.in_transaction());
-    let verdict = RequestVerdict::ran();
-    ctx.actions.push(CoreAction::AnswerCaller { caller, verdict, body, in_transaction });
+    let verdict = request_verdict::RequestVerdict::ran();
+    ctx.actions.push(core_message::CoreAction::AnswerCaller {
+        caller,
+        verdict,
+        body,
+        in_transaction,
+    });
     Ok(())
 }
 
-fn tagged(tag: &str) -> AnswerBody {
-    AnswerBody { tag: tag.to_owned(), ..AnswerBody::default() }
+fn tagged(tag: &str) -> endpoint_message::AnswerBody {
+    endpoint_message::AnswerBody { tag: tag.to_owned(), ..endpoint_message::AnswerBody::default() }
 }
 
-fn step_tag(class: &StatementClass) -> &'static str {
+fn step_tag(class: &statement_text::StatementClass) -> &'static str {
     match class {
-        StatementClass::Commit => "COMMIT",
+        statement_text::StatementClass::Commit => "COMMIT",
         _ => "ROLLBACK",
     }
 }
 
-fn invalid(detail: String) -> RequestVerdict {
-    RequestVerdict::not_run(VerdictCause::StatementInvalid { detail }, None)
+fn invalid(detail: String) -> request_verdict::RequestVerdict {
+    request_verdict::RequestVerdict::not_run(
+        request_verdict::VerdictCause::StatementInvalid { detail },
+        None,
+    )
 }
--- a/src/core/statement_state.rs
+++ b/src/core/statement_state.rs
@@ -1,10 +1,10 @@
 //! One statement that has not been answered yet.
 
-use crate::core::arena_keys::{AccountKey, CallerKey, ConnectionKey, EndpointKey, GroupKey};
-use crate::core::clock_time::ClockTime;
-use crate::core::core_message::CallId;
-use crate::core::endpoint_message::{AnswerBody, EndpointStatement, LogPoint};
-use crate::core::request_verdict::RequestVerdict;
+use crate::core::arena_keys;
+use crate::core::clock_time;
+use crate::core::core_message;
+use crate::core::endpoint_message;
+use crate::core::request_verdict;
 
 /// Where a statement stands.
 #[derive(Debug, Clone, PartialEq)]
@@ -12,32 +12,32 @@
     /// It waits for a share of its account's rate.
     AwaitShare {
         /// When the wait ends.
-        until: ClockTime,
+        until: clock_time::ClockTime,
     },
     /// It waits for a connection to an endpoint.
     Queued {
         /// The endpoint.
-        endpoint: EndpointKey,
+        endpoint: arena_keys::EndpointKey,
         /// When the wait ends.
-        until: ClockTime,
+        until: clock_time::ClockTime,
     },
     /// It runs on a connection.
     Running {
         /// The connection.
-        connection: ConnectionKey,
+        connection: arena_keys::ConnectionKey,
         /// The call.
-        call: CallId,
+        call: core_message::CallId,
     },
     /// It ran; its answer waits for a majority to confirm the term, and for writes the position.
     Confirming {
         /// The point that a majority must hold.
-        point: LogPoint,
+        point: endpoint_message::LogPoint,
         /// When it ran; confirmation must be younger for reads.
-        since: ClockTime,
+        since: clock_time::ClockTime,
         /// The answer.
-        body: AnswerBody,
+        body: endpoint_message::AnswerBody,
         /// The verdict that goes with it.
-        verdict: RequestVerdict,
+        verdict: request_verdict::RequestVerdict,
     },
 }
 
@@ -45,19 +45,19 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct StatementState {
     /// The caller.
-    pub caller: CallerKey,
+    pub caller: arena_keys::CallerKey,
     /// The account.
-    pub account: AccountKey,
+    pub account: arena_keys::AccountKey,
     /// The group it goes to.
-    pub group: GroupKey,
+    pub group: arena_keys::GroupKey,
     /// What goes to the endpoint.
-    pub request: EndpointStatement,
+    pub request: endpoint_message::EndpointStatement,
     /// Whether it only reads.
     pub read: bool,
     /// Greatest age of data accepted, in milliseconds.
     pub max_age_ms: Option<u64>,
     /// When it is given up.
-    pub deadline: ClockTime,
+    pub deadline: clock_time::ClockTime,
     /// Times that it was sent to an endpoint.
     pub attempts: u32,
     /// Whether it must go to the primary.
--- a/src/core/timer_queue.rs
+++ b/src/core/timer_queue.rs
@@ -2,20 +2,20 @@
 
 use std::collections::BTreeMap;
 
-use crate::core::arena_keys::{ConnectionKey, GroupKey, StatementKey};
-use crate::core::clock_time::ClockTime;
+use crate::core::arena_keys;
+use crate::core::clock_time;
 
 /// What a timer is for. Timers are never cancelled; those that have lost their cause do nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TimerKind {
     /// A statement may have reached one of its time limits.
-    Statement(StatementKey),
+    Statement(arena_keys::StatementKey),
     /// A connection may be silent or idle for too long.
-    Connection(ConnectionKey),
+    Connection(arena_keys::ConnectionKey),
     /// A group's endpoints are due for probes, and its primary for a look.
-    Group(GroupKey),
+    Group(arena_keys::GroupKey),
     /// Confirmations of a group's writes are due for another probe.
-    Confirm(GroupKey),
+    Confirm(arena_keys::GroupKey),
     /// An exchange with peers is due.
     Pulse,
     /// A call to the platform is due.
@@ -33,7 +33,7 @@
 /// Timers in the order of their times.
 #[derive(Debug)]
 pub struct TimerQueue<K = TimerKind> {
-    timers: BTreeMap<(ClockTime, u64), K>,
+    timers: BTreeMap<(clock_time::ClockTime, u64), K>,
     next_number: u64,
 }
 
@@ -45,13 +45,13 @@
 
 impl<K> TimerQueue<K> {
     /// Adds a timer.
-    pub fn push(&mut self, at: ClockTime, kind: K) {
+    pub fn push(&mut self, at: clock_time::ClockTime, kind: K) {
         self.timers.insert((at, self.next_number), kind);
         self.next_number += 1;
     }
 
     /// Removes and returns a timer whose time has come.
-    pub fn pop_due(&mut self, now: ClockTime) -> Option<K> {
+    pub fn pop_due(&mut self, now: clock_time::ClockTime) -> Option<K> {
         let entry = self.timers.first_entry()?;
         if entry.key().0 > now {
             return None;
@@ -60,7 +60,7 @@
     }
 
     /// Returns the time of the first timer.
-    pub fn first_time(&self) -> Option<ClockTime> {
+    pub fn first_time(&self) -> Option<clock_time::ClockTime> {
         self.timers.first_key_value().map(|((at, _), _)| *at)
     }
 }
--- a/src/daemon/caller_door.rs
+++ b/src/daemon/caller_door.rs
@@ -26,10 +26,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::core::core_message::{CallerId, CoreEvent};
-use crate::core::request_verdict::{RequestFate, RequestVerdict};
-use crate::daemon::caller_desk::{CallerDesk, DeskAnswer};
-use crate::daemon::statement_service::{CallerContext, StatementService};
+use crate::core::core_message;
+use crate::core::request_verdict;
+use crate::daemon::caller_desk;
+use crate::daemon::statement_service;
 
 /// Time for the last answer to leave before a connection is closed.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
@@ -45,8 +45,8 @@
 /// Fails when the address cannot be bound.
 pub async fn serve(
     address: &str,
-    desk: Arc<CallerDesk>,
-    service: StatementService,
+    desk: Arc<caller_desk::CallerDesk>,
+    service: statement_service::StatementService,
     stop: CancellationToken,
 ) -> Result<()> {
     let listener = TcpListener::bind(address)
@@ -71,7 +71,7 @@
 }
 
 /// Waits until the open connections have sent their last answers and closed.
-async fn await_last_answers(desk: &CallerDesk) {
+async fn await_last_answers(desk: &caller_desk::CallerDesk) {
     let started = tokio::time::Instant::now();
     while desk.open_count() > 0 && started.elapsed() < CLOSE_TIME_MAX {
         tokio::time::sleep(FLUSH_TIME / 5).await;
@@ -80,8 +80,8 @@
 
 async fn serve_caller(
     socket: TcpStream,
-    desk: Arc<CallerDesk>,
-    service: StatementService,
+    desk: Arc<caller_desk::CallerDesk>,
+    service: statement_service::StatementService,
     close: CancellationToken,
 ) {
     // Answers are small; waiting to fill packets only delays them.
@@ -132,30 +132,30 @@
 /// Handles the messages of one caller's connection.
 #[derive(Debug)]
 struct CallerHandler {
-    caller: CallerId,
-    desk: Arc<CallerDesk>,
-    service: StatementService,
+    caller: core_message::CallerId,
+    desk: Arc<caller_desk::CallerDesk>,
+    service: statement_service::StatementService,
     account: OnceLock<String>,
     parser: Arc<NoopQueryParser>,
 }
 
 impl CallerHandler {
-    async fn run(&self, text: &str) -> DeskAnswer {
+    async fn run(&self, text: &str) -> caller_desk::DeskAnswer {
         let account = self.account.get().cloned().unwrap_or_default();
-        let mut context = CallerContext { caller: self.caller, account };
+        let mut context = statement_service::CallerContext { caller: self.caller, account };
         match self.service.call(&mut context, text.to_owned()).await {
             Ok(answer) => answer,
             Err(never) => match never {},
         }
     }
 
-    fn login(&self, client: &impl ClientInfo, key: &str) -> CoreEvent {
+    fn login(&self, client: &impl ClientInfo, key: &str) -> core_message::CoreEvent {
         let metadata = client.metadata();
         let field = |name: &str| metadata.get(name).cloned().unwrap_or_default();
         let account = field(METADATA_USER);
         // The account is set once; a second login on a connection is a protocol error before.
         drop(self.account.set(account.clone()));
-        CoreEvent::CallerOpened {
+        core_message::CoreEvent::CallerOpened {
             caller: self.caller,
             account,
             key: key.to_owned(),
@@ -190,7 +190,7 @@
                 let key = message.into_password()?.password;
                 let event = self.login(client, &key);
                 let answer = self.desk.ask(self.caller, event).await;
-                if answer.verdict.fate != RequestFate::Ran {
+                if answer.verdict.fate != request_verdict::RequestFate::Ran {
                     return Err(verdict_error(&answer.verdict, "FATAL"));
                 }
                 auth::finish_authentication(client, &DefaultServerParameterProvider::default())
@@ -267,9 +267,9 @@
     assignments.collect()
 }
 
-fn respond(answer: DeskAnswer) -> PgWireResult<Response> {
-    let DeskAnswer { verdict, body, in_transaction } = answer;
-    if verdict.fate != RequestFate::Ran || verdict.sqlstate() != "00000" {
+fn respond(answer: caller_desk::DeskAnswer) -> PgWireResult<Response> {
+    let caller_desk::DeskAnswer { verdict, body, in_transaction } = answer;
+    if verdict.fate != request_verdict::RequestFate::Ran || verdict.sqlstate() != "00000" {
         return Err(verdict_error(&verdict, "ERROR"));
     }
     match body.tag.as_str() {
@@ -303,7 +303,7 @@
     Ok(Response::Query(QueryResponse::new(fields, stream::iter(rows))))
 }
 
-fn verdict_error(verdict: &RequestVerdict, severity: &str) -> PgWireError {
+fn verdict_error(verdict: &request_verdict::RequestVerdict, severity: &str) -> PgWireError {
     let mut info =
         ErrorInfo::new(severity.to_owned(), verdict.sqlstate().to_owned(), verdict.message());
     info.detail = Some(verdict.detail());
--- a/src/daemon/core_driver.rs
+++ b/src/daemon/core_driver.rs
@@ -7,15 +7,15 @@
 use rtrb::Consumer;
 use tokio_util::sync::CancellationToken;
 
-use crate::core::clock_time::ClockTime;
-use crate::core::core_message::{AskId, CoreAction, CoreEvent};
-use crate::core::decision_core::DecisionCore;
-use crate::core::endpoint_message::EndpointOutcome;
-use crate::daemon::caller_desk::CallerDesk;
-use crate::daemon::duty_ring::RingSender;
+use crate::core::clock_time;
+use crate::core::core_message;
+use crate::core::decision_core;
+use crate::core::endpoint_message;
+use crate::daemon::caller_desk;
+use crate::daemon::duty_ring;
 
 /// Number of the metrics' own question for the status.
-pub const METRICS_ASK: AskId = 0;
+pub const METRICS_ASK: core_message::AskId = 0;
 /// Longest sleep of the thread.
 const SLEEP_MAX: Duration = Duration::from_millis(50);
 /// Events taken from one ring before the next is looked at.
@@ -25,25 +25,25 @@
 #[derive(Debug)]
 pub struct CoreOutlets {
     /// Answers to callers go straight to their desk.
-    pub desk: Arc<CallerDesk>,
+    pub desk: Arc<caller_desk::CallerDesk>,
     /// To the endpoints' thread.
-    pub endpoints: RingSender<CoreAction>,
+    pub endpoints: duty_ring::RingSender<core_message::CoreAction>,
     /// To the peers' thread.
-    pub peers: RingSender<CoreAction>,
+    pub peers: duty_ring::RingSender<core_message::CoreAction>,
     /// To the platform's thread.
-    pub platform: RingSender<CoreAction>,
+    pub platform: duty_ring::RingSender<core_message::CoreAction>,
     /// To the metrics' thread.
-    pub metrics: RingSender<CoreAction>,
+    pub metrics: duty_ring::RingSender<core_message::CoreAction>,
 }
 
 /// The decisions' thread.
 pub struct CoreDriver {
-    core: DecisionCore,
+    core: decision_core::DecisionCore,
     started: Instant,
-    inlets: Vec<Consumer<CoreEvent>>,
+    inlets: Vec<Consumer<core_message::CoreEvent>>,
     outlets: CoreOutlets,
     /// Events that the driver made itself, for actions that found a ring full.
-    own: VecDeque<CoreEvent>,
+    own: VecDeque<core_message::CoreEvent>,
     stop: CancellationToken,
 }
 
@@ -56,9 +56,9 @@
 impl CoreDriver {
     /// Builds the driver of a core whose clock started at `started`.
     pub fn new(
-        core: DecisionCore,
+        core: decision_core::DecisionCore,
         started: Instant,
-        inlets: Vec<Consumer<CoreEvent>>,
+        inlets: Vec<Consumer<core_message::CoreEvent>>,
         outlets: CoreOutlets,
         stop: CancellationToken,
     ) -> Self {
@@ -89,7 +89,7 @@
         }
         if self.core.next_wake().is_some_and(|at| at <= self.now()) {
             busy = true;
-            self.handle(CoreEvent::Woken);
+            self.handle(core_message::CoreEvent::Woken);
         }
         busy
     }
@@ -100,51 +100,54 @@
         std::thread::park_timeout(wake.min(SLEEP_MAX));
     }
 
-    fn now(&self) -> ClockTime {
-        ClockTime::from_micros(self.started.elapsed().as_micros() as u64)
+    fn now(&self) -> clock_time::ClockTime {
+        clock_time::ClockTime::from_micros(self.started.elapsed().as_micros() as u64)
     }
 
-    fn handle(&mut self, event: CoreEvent) {
+    fn handle(&mut self, event: core_message::CoreEvent) {
         let now = self.now();
         for action in self.core.handle(now, event) {
             self.carry_out(action);
         }
     }
 
-    fn carry_out(&mut self, action: CoreAction) {
+    fn carry_out(&mut self, action: core_message::CoreAction) {
         match action {
-            CoreAction::AdmitCaller { .. }
-            | CoreAction::RefuseCaller { .. }
-            | CoreAction::AnswerCaller { .. }
-            | CoreAction::CloseCaller { .. } => self.outlets.desk.act(action),
-            CoreAction::OpenConnection { .. } | CoreAction::CloseConnection { .. } => {
+            core_message::CoreAction::AdmitCaller { .. }
+            | core_message::CoreAction::RefuseCaller { .. }
+            | core_message::CoreAction::AnswerCaller { .. }
+            | core_message::CoreAction::CloseCaller { .. } => self.outlets.desk.act(action),
+            core_message::CoreAction::OpenConnection { .. }
+            | core_message::CoreAction::CloseConnection { .. } => {
                 self.outlets.endpoints.send_blocking(action);
             }
-            CoreAction::CallEndpoint { call, .. } => {
+            core_message::CoreAction::CallEndpoint { call, .. } => {
                 if self.outlets.endpoints.try_send(action).is_err() {
-                    let outcome = EndpointOutcome::Unsent;
-                    self.own.push_back(CoreEvent::EndpointAnswered { call, outcome });
+                    let outcome = endpoint_message::EndpointOutcome::Unsent;
+                    self.own.push_back(core_message::CoreEvent::EndpointAnswered { call, outcome });
                 }
             }
-            CoreAction::CallPeer { call, .. } => {
+            core_message::CoreAction::CallPeer { call, .. } => {
                 if self.outlets.peers.try_send(action).is_err() {
-                    self.own.push_back(CoreEvent::PeerAnswered { call, reply: None });
+                    self.own.push_back(core_message::CoreEvent::PeerAnswered { call, reply: None });
                 }
             }
-            CoreAction::CallPlatform { call, .. } => {
+            core_message::CoreAction::CallPlatform { call, .. } => {
                 if self.outlets.platform.try_send(action).is_err() {
-                    self.own.push_back(CoreEvent::PlatformAnswered { call, reply: None });
+                    self.own
+                        .push_back(core_message::CoreEvent::PlatformAnswered { call, reply: None });
                 }
             }
-            CoreAction::AnswerStatus { ask: METRICS_ASK, .. } => {
+            core_message::CoreAction::AnswerStatus { ask: METRICS_ASK, .. } => {
                 // Metrics that come too fast for their thread are dropped.
                 drop(self.outlets.metrics.try_send(action));
             }
-            CoreAction::AnswerPeer { .. } | CoreAction::AnswerStatus { .. } => {
+            core_message::CoreAction::AnswerPeer { .. }
+            | core_message::CoreAction::AnswerStatus { .. } => {
                 // A peer or operator that gets no answer asks again.
                 drop(self.outlets.peers.try_send(action));
             }
-            CoreAction::Stop => self.stop.cancel(),
+            core_message::CoreAction::Stop => self.stop.cancel(),
         }
     }
 }
--- a/src/daemon/daemon_settings.rs
+++ b/src/daemon/daemon_settings.rs
@@ -6,7 +6,7 @@
 use anyhow::{Context, Result, bail};
 use serde::{Deserialize, Serialize};
 
-use crate::core::core_tuning::CoreTuning;
+use crate::core::core_tuning;
 
 /// How the daemon logs in at endpoints.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,7 +51,7 @@
     pub metrics: Option<String>,
     /// Spans and bounds; each has a default.
     #[serde(default)]
-    pub tuning: CoreTuning,
+    pub tuning: core_tuning::CoreTuning,
 }
 
 fn default_log_level() -> String {
--- a/src/daemon/endpoint_driver.rs
+++ b/src/daemon/endpoint_driver.rs
@@ -12,12 +12,12 @@
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
 use tokio_util::sync::CancellationToken;
 
-use crate::core::arena_keys::ConnectionKey;
-use crate::core::core_message::{CallId, CoreAction, CoreEvent};
-use crate::core::endpoint_message::{EndpointOutcome, EndpointRequest, EndpointStatus};
-use crate::daemon::daemon_settings::EndpointLogin;
-use crate::daemon::duty_ring::{RingSender, TaskReceiver};
-use crate::daemon::endpoint_sql::{self, SqlError, SqlResult};
+use crate::core::arena_keys;
+use crate::core::core_message;
+use crate::core::endpoint_message;
+use crate::daemon::daemon_settings;
+use crate::daemon::duty_ring;
+use crate::daemon::endpoint_sql;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
@@ -30,37 +30,37 @@
     close: CancellationToken,
 }
 
-type ConnectionTable = Rc<RefCell<HashMap<ConnectionKey, OpenConnection>>>;
+type ConnectionTable = Rc<RefCell<HashMap<arena_keys::ConnectionKey, OpenConnection>>>;
 
 /// What the tasks of the endpoints' thread share.
 #[derive(Debug, Clone)]
 struct DriverContext {
-    login: EndpointLogin,
-    events: Rc<RingSender<CoreEvent>>,
+    login: daemon_settings::EndpointLogin,
+    events: Rc<duty_ring::RingSender<core_message::CoreEvent>>,
     connections: ConnectionTable,
     stop: CancellationToken,
 }
 
 /// Carries out actions until the core is gone. Runs in a local task set.
 pub async fn drive(
-    login: EndpointLogin,
-    events: RingSender<CoreEvent>,
-    mut actions: TaskReceiver<CoreAction>,
+    login: daemon_settings::EndpointLogin,
+    events: duty_ring::RingSender<core_message::CoreEvent>,
+    mut actions: duty_ring::TaskReceiver<core_message::CoreAction>,
     stop: CancellationToken,
 ) {
     let context =
         DriverContext { login, events: Rc::new(events), connections: Rc::default(), stop };
     while let Some(action) = actions.receive().await {
         match action {
-            CoreAction::OpenConnection { connection, address } => {
+            core_message::CoreAction::OpenConnection { connection, address } => {
                 tokio::task::spawn_local(open(context.clone(), connection, address));
             }
-            CoreAction::CloseConnection { connection } => {
+            core_message::CoreAction::CloseConnection { connection } => {
                 if let Some(open) = context.connections.borrow_mut().remove(&connection) {
                     open.close.cancel();
                 }
             }
-            CoreAction::CallEndpoint { call, connection, request } => {
+            core_message::CoreAction::CallEndpoint { call, connection, request } => {
                 let open = context.connections.borrow().get(&connection).cloned();
                 tokio::task::spawn_local(answer(context.clone(), open, call, request));
             }
@@ -70,7 +70,7 @@
 }
 
 /// Opens a connection and stays with it until it ends.
-async fn open(context: DriverContext, connection: ConnectionKey, address: String) {
+async fn open(context: DriverContext, connection: arena_keys::ConnectionKey, address: String) {
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(&context.login, &address)).await;
     let (client, driver) = match connected {
         Ok(Ok(connected)) => connected,
@@ -78,13 +78,13 @@
             log::debug!("cannot connect to endpoint {address}: {error:#}");
             return context
                 .events
-                .send(CoreEvent::ConnectionOpened { connection, opened: false })
+                .send(core_message::CoreEvent::ConnectionOpened { connection, opened: false })
                 .await;
         }
         Err(_) => {
             return context
                 .events
-                .send(CoreEvent::ConnectionOpened { connection, opened: false })
+                .send(core_message::CoreEvent::ConnectionOpened { connection, opened: false })
                 .await;
         }
     };
@@ -92,7 +92,10 @@
     let close = context.stop.child_token();
     let open = OpenConnection { client: client.clone(), close: close.clone() };
     context.connections.borrow_mut().insert(connection, open);
-    context.events.send(CoreEvent::ConnectionOpened { connection, opened: true }).await;
+    context
+        .events
+        .send(core_message::CoreEvent::ConnectionOpened { connection, opened: true })
+        .await;
     tokio::select! {
         ended = driver => {
             if let Err(error) = ended {
@@ -104,11 +107,11 @@
     // The call under way is answered before the end of the connection is told.
     drop(client.lock().await);
     context.connections.borrow_mut().remove(&connection);
-    context.events.send(CoreEvent::ConnectionEnded { connection }).await;
+    context.events.send(core_message::CoreEvent::ConnectionEnded { connection }).await;
 }
 
 async fn connect(
-    login: &EndpointLogin,
+    login: &daemon_settings::EndpointLogin,
     address: &str,
 ) -> Result<(Client, impl Future<Output = Result<(), tokio_postgres::Error>> + use<>)> {
     let address: SocketAddr = address.parse().context("no IP and port")?;
@@ -129,51 +132,54 @@
 async fn answer(
     context: DriverContext,
     open: Option<OpenConnection>,
-    call: CallId,
-    request: EndpointRequest,
+    call: core_message::CallId,
+    request: endpoint_message::EndpointRequest,
 ) {
     let outcome = match open {
         Some(open) => perform(&open, &request).await,
-        None => EndpointOutcome::Unsent,
+        None => endpoint_message::EndpointOutcome::Unsent,
     };
-    context.events.send(CoreEvent::EndpointAnswered { call, outcome }).await;
+    context.events.send(core_message::CoreEvent::EndpointAnswered { call, outcome }).await;
 }
 
-async fn perform(open: &OpenConnection, request: &EndpointRequest) -> EndpointOutcome {
+async fn perform(
+    open: &OpenConnection,
+    request: &endpoint_message::EndpointRequest,
+) -> endpoint_message::EndpointOutcome {
     let client = open.client.lock().await;
     if client.is_closed() {
-        return EndpointOutcome::Unsent;
+        return endpoint_message::EndpointOutcome::Unsent;
     }
     let batch = endpoint_sql::batch(request);
     if !endpoint_sql::wants_status(request) {
         return match client.simple_query(&batch).await {
             Ok(messages) => endpoint_sql::outcome(request, Ok(collect(messages)), None),
-            Err(_) => EndpointOutcome::Lost,
+            Err(_) => endpoint_message::EndpointOutcome::Lost,
         };
     }
     let status_batch = endpoint_sql::status_batch();
     // Both batches go out at once; the status is read after the statement has ended.
     let (results, status) =
         tokio::join!(client.simple_query(&batch), client.simple_query(&status_batch));
-    let status: Option<EndpointStatus> =
+    let status: Option<endpoint_message::EndpointStatus> =
         status.ok().and_then(|messages| endpoint_sql::read_status(collect(messages).last()?));
     let results = match results {
         Ok(messages) => Ok(collect(messages)),
         Err(error) => match error.as_db_error() {
-            Some(error) => Err(SqlError {
+            Some(error) => Err(endpoint_sql::SqlError {
                 code: error.code().code().to_owned(),
                 message: error.message().to_owned(),
             }),
-            None => return EndpointOutcome::Lost,
+            None => return endpoint_message::EndpointOutcome::Lost,
         },
     };
     endpoint_sql::outcome(request, results, status)
 }
 
 /// Groups the messages of a batch by statement.
-fn collect(messages: Vec<SimpleQueryMessage>) -> Vec<SqlResult> {
+fn collect(messages: Vec<SimpleQueryMessage>) -> Vec<endpoint_sql::SqlResult> {
     let mut results = Vec::new();
-    let mut current = SqlResult::default();
+    let mut current = endpoint_sql::SqlResult::default();
     for message in messages {
         match message {
             SimpleQueryMessage::RowDescription(columns) => {
--- a/src/daemon/endpoint_sql.rs
+++ b/src/daemon/endpoint_sql.rs
@@ -8,10 +8,7 @@
 //! - `read_guard(term, position)`: fails with `QD001` unless the log has reached the point;
 //! - table `requests (account, id)` with a unique key, replicated with the data.
 
-use crate::core::endpoint_message::{
-    AnswerBody, EndpointOutcome, EndpointRequest, EndpointStatement, EndpointStatus,
-    TransactionStep,
-};
+use crate::core::endpoint_message;
 
 /// SQLSTATE of an endpoint whose log has not reached the read point.
 pub const STATE_BEHIND: &str = "QD001";
@@ -43,18 +40,18 @@
 }
 
 /// Writes the batch of statements for a request, run as one implicit transaction.
-pub fn batch(request: &EndpointRequest) -> String {
+pub fn batch(request: &endpoint_message::EndpointRequest) -> String {
     match request {
-        EndpointRequest::Run(statement) => run_batch(statement),
-        EndpointRequest::Status => status_batch(),
-        EndpointRequest::Await { point, wait_ms } => {
+        endpoint_message::EndpointRequest::Run(statement) => run_batch(statement),
+        endpoint_message::EndpointRequest::Status => status_batch(),
+        endpoint_message::EndpointRequest::Await { point, wait_ms } => {
             function(&format!("await({}, {}, {wait_ms})", point.term, point.position))
         }
-        EndpointRequest::Fence { term } => function(&format!("fence({term})")),
-        EndpointRequest::Promote { term, least } => {
+        endpoint_message::EndpointRequest::Fence { term } => function(&format!("fence({term})")),
+        endpoint_message::EndpointRequest::Promote { term, least } => {
             function(&format!("promote({term}, {}, {})", least.term, least.position))
         }
-        EndpointRequest::Follow { term, address } => {
+        endpoint_message::EndpointRequest::Follow { term, address } => {
             function(&format!("follow({term}, {})", quote(address)))
         }
     }
@@ -66,37 +63,40 @@
 }
 
 /// Whether a request's batch is followed by the batch that asks for the status.
-pub fn wants_status(request: &EndpointRequest) -> bool {
-    matches!(request, EndpointRequest::Run(_))
+pub fn wants_status(request: &endpoint_message::EndpointRequest) -> bool {
+    matches!(request, endpoint_message::EndpointRequest::Run(_))
 }
 
 /// Reads the results of a request's batch and of the status batch after it.
 pub fn outcome(
-    request: &EndpointRequest,
+    request: &endpoint_message::EndpointRequest,
     results: Result<Vec<SqlResult>, SqlError>,
-    status: Option<EndpointStatus>,
-) -> EndpointOutcome {
-    let EndpointRequest::Run(statement) = request else {
+    status: Option<endpoint_message::EndpointStatus>,
+) -> endpoint_message::EndpointOutcome {
+    let endpoint_message::EndpointRequest::Run(statement) = request else {
         let row = results.ok().and_then(|mut results| results.pop());
         let status = row.as_ref().and_then(read_status);
-        return status.map_or(EndpointOutcome::Lost, EndpointOutcome::Status);
+        return status.map_or(
+            endpoint_message::EndpointOutcome::Lost,
+            endpoint_message::EndpointOutcome::Status,
+        );
     };
     match (results, status) {
         (Ok(mut results), Some(status)) => {
             let body = answer_body(&statement.text, results.pop().unwrap_or_default());
-            EndpointOutcome::Ran { body, status }
+            endpoint_message::EndpointOutcome::Ran { body, status }
         }
-        (Ok(_), None) => EndpointOutcome::Lost,
+        (Ok(_), None) => endpoint_message::EndpointOutcome::Lost,
         (Err(error), status) => error_outcome(statement, error, status),
     }
 }
 
 /// Reads a status row.
-pub fn read_status(result: &SqlResult) -> Option<EndpointStatus> {
+pub fn read_status(result: &SqlResult) -> Option<endpoint_message::EndpointStatus> {
     let row = result.rows.first()?;
     let number = |index: usize| row.get(index)?.as_deref()?.parse::<u64>().ok();
     let following = row.get(5)?.clone().filter(|address| !address.is_empty());
-    Some(EndpointStatus {
+    Some(endpoint_message::EndpointStatus {
         copy: number(0)?,
         adopted_term: number(1)?,
         log_term: number(2)?,
@@ -107,7 +107,7 @@
 }
 
 /// Writes a status row.
-pub fn write_status(status: &EndpointStatus) -> SqlResult {
+pub fn write_status(status: &endpoint_message::EndpointStatus) -> SqlResult {
     let columns = ["copy", "adopted_term", "log_term", "position", "is_primary", "following"];
     let row = [
         status.copy.to_string(),
@@ -138,7 +138,7 @@
     format!("SELECT * FROM quetzaldeal.{call}")
 }
 
-fn run_batch(statement: &EndpointStatement) -> String {
+fn run_batch(statement: &endpoint_message::EndpointStatement) -> String {
     let mut parts = Vec::new();
     if let Some(term) = statement.write_term {
         parts.push(format!("SELECT quetzaldeal.write_guard({term})"));
@@ -157,25 +157,35 @@
     parts.join(";\n")
 }
 
-fn answer_body(text: &str, result: SqlResult) -> AnswerBody {
+fn answer_body(text: &str, result: SqlResult) -> endpoint_message::AnswerBody {
     let verb = text.split_whitespace().next().unwrap_or_default();
     let verb = verb.trim_end_matches(';').to_ascii_uppercase();
-    AnswerBody { columns: result.columns, rows: result.rows, affected: result.affected, tag: verb }
+    endpoint_message::AnswerBody {
+        columns: result.columns,
+        rows: result.rows,
+        affected: result.affected,
+        tag: verb,
+    }
 }
 
 fn error_outcome(
-    statement: &EndpointStatement,
+    statement: &endpoint_message::EndpointStatement,
     error: SqlError,
-    status: Option<EndpointStatus>,
-) -> EndpointOutcome {
+    status: Option<endpoint_message::EndpointStatus>,
+) -> endpoint_message::EndpointOutcome {
     let recorded = statement.record.is_some()
         && error.code == STATE_DUPLICATE
         && error.message.contains(REQUESTS_TABLE);
-    let outside = statement.step == TransactionStep::Single;
+    let outside = statement.step == endpoint_message::TransactionStep::Single;
     match (error.code.as_str(), status) {
-        (STATE_BEHIND, _) => EndpointOutcome::Behind,
-        (STATE_WRONG_TERM, _) => EndpointOutcome::WrongTerm,
-        (_, Some(status)) if recorded && outside => EndpointOutcome::Duplicate { status },
-        _ => EndpointOutcome::Refused { sqlstate: error.code, message: error.message },
+        (STATE_BEHIND, _) => endpoint_message::EndpointOutcome::Behind,
+        (STATE_WRONG_TERM, _) => endpoint_message::EndpointOutcome::WrongTerm,
+        (_, Some(status)) if recorded && outside => {
+            endpoint_message::EndpointOutcome::Duplicate { status }
+        }
+        _ => endpoint_message::EndpointOutcome::Refused {
+            sqlstate: error.code,
+            message: error.message,
+        },
     }
 }
--- a/src/daemon/host_daemon.rs
+++ b/src/daemon/host_daemon.rs
@@ -9,17 +9,17 @@
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::core::clock_time::ClockTime;
-use crate::core::core_context::HostIdentity;
-use crate::core::core_message::CoreEvent;
-use crate::core::decision_core::DecisionCore;
-use crate::daemon::caller_desk::CallerDesk;
+use crate::core::clock_time;
+use crate::core::core_context;
+use crate::core::core_message;
+use crate::core::decision_core;
+use crate::daemon::caller_desk;
 use crate::daemon::caller_door;
-use crate::daemon::core_driver::{CoreDriver, CoreOutlets};
-use crate::daemon::daemon_settings::DaemonSettings;
-use crate::daemon::duty_ring::{self, RingSender, RingWaker, TaskReceiver};
+use crate::daemon::core_driver;
+use crate::daemon::daemon_settings;
+use crate::daemon::duty_ring;
 use crate::daemon::endpoint_driver;
-use crate::daemon::latency_book::LatencyBook;
+use crate::daemon::latency_book;
 use crate::daemon::metrics_driver;
 use crate::daemon::peer_driver;
 use crate::daemon::platform_driver;
@@ -33,47 +33,48 @@
 /// # Errors
 ///
 /// Fails when a thread cannot start or an address cannot be bound.
-pub fn run(settings: DaemonSettings) -> Result<()> {
+pub fn run(settings: daemon_settings::DaemonSettings) -> Result<()> {
     let stop = CancellationToken::new();
-    let latencies = Arc::new(LatencyBook::default());
+    let latencies = Arc::new(latency_book::LatencyBook::default());
     let started = Instant::now();
     let core = build_core(&settings)?;
 
-    let (endpoint_actions, endpoint_receiver) = TaskReceiver::ring(RING_CAPACITY);
-    let (peer_actions, peer_receiver) = TaskReceiver::ring(RING_CAPACITY);
-    let (platform_actions, platform_receiver) = TaskReceiver::ring(RING_CAPACITY);
-    let (metrics_actions, metrics_receiver) = TaskReceiver::ring(RING_CAPACITY);
+    let (endpoint_actions, endpoint_receiver) = duty_ring::TaskReceiver::ring(RING_CAPACITY);
+    let (peer_actions, peer_receiver) = duty_ring::TaskReceiver::ring(RING_CAPACITY);
+    let (platform_actions, platform_receiver) = duty_ring::TaskReceiver::ring(RING_CAPACITY);
+    let (metrics_actions, metrics_receiver) = duty_ring::TaskReceiver::ring(RING_CAPACITY);
 
     // The decisions' thread hands back its handle first: the rings to it wake it by that.
-    let (setup_sender, setup_receiver) = std::sync::mpsc::sync_channel::<CoreDriver>(1);
+    let (setup_sender, setup_receiver) =
+        std::sync::mpsc::sync_channel::<core_driver::CoreDriver>(1);
     let decisions = spawn_thread("decisions", move || {
         if let Ok(driver) = setup_receiver.recv() {
             driver.run();
         }
         Ok(())
     })?;
-    let waker = RingWaker::Thread(decisions.thread().clone());
+    let waker = duty_ring::RingWaker::Thread(decisions.thread().clone());
     let mut inlets = Vec::new();
-    let mut inlet = || -> RingSender<CoreEvent> {
+    let mut inlet = || -> duty_ring::RingSender<core_message::CoreEvent> {
         let (sender, consumer) = duty_ring::ring(RING_CAPACITY, waker.clone());
         inlets.push(consumer);
         sender
     };
-    let desk = Arc::new(CallerDesk::new(inlet()));
+    let desk = Arc::new(caller_desk::CallerDesk::new(inlet()));
     let endpoint_events = inlet();
     let peer_events = inlet();
     let platform_events = inlet();
     let metrics_events = inlet();
     let signal_events = inlet();
 
-    let outlets = CoreOutlets {
+    let outlets = core_driver::CoreOutlets {
         desk: desk.clone(),
         endpoints: endpoint_actions,
         peers: peer_actions,
         platform: platform_actions,
         metrics: metrics_actions,
     };
-    let driver = CoreDriver::new(core, started, inlets, outlets, stop.clone());
+    let driver = core_driver::CoreDriver::new(core, started, inlets, outlets, stop.clone());
     setup_sender.send(driver).ok().context("the decisions' thread is gone")?;
 
     let mut threads = vec![decisions];
@@ -121,7 +122,10 @@
 }
 
 /// Passes the signals to stop on to the core, until the core has stopped.
-fn await_signals(events: &RingSender<CoreEvent>, stop: &CancellationToken) -> Result<()> {
+fn await_signals(
+    events: &duty_ring::RingSender<core_message::CoreEvent>,
+    stop: &CancellationToken,
+) -> Result<()> {
     let runtime = build_runtime()?;
     runtime.block_on(async {
         use tokio::signal::unix::{SignalKind, signal};
@@ -130,23 +134,28 @@
         loop {
             tokio::select! {
                 () = stop.cancelled() => return Ok(()),
-                _ = terminate.recv() => events.send(CoreEvent::DrainAsked).await,
-                _ = interrupt.recv() => events.send(CoreEvent::DrainAsked).await,
+                _ = terminate.recv() => events.send(core_message::CoreEvent::DrainAsked).await,
+                _ = interrupt.recv() => events.send(core_message::CoreEvent::DrainAsked).await,
             }
         }
     })
 }
 
-fn build_core(settings: &DaemonSettings) -> Result<DecisionCore> {
+fn build_core(settings: &daemon_settings::DaemonSettings) -> Result<decision_core::DecisionCore> {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let identity = HostIdentity {
+    let identity = core_context::HostIdentity {
         name: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
         incarnation: since_epoch.as_millis() as u64,
         seeds: settings.seeds.clone(),
     };
     let seed = rand::random();
-    DecisionCore::new(identity, settings.tuning.clone(), seed, ClockTime::default())
+    decision_core::DecisionCore::new(
+        identity,
+        settings.tuning.clone(),
+        seed,
+        clock_time::ClockTime::default(),
+    )
 }
 
 fn spawn_thread(
--- a/src/daemon/metrics_driver.rs
+++ b/src/daemon/metrics_driver.rs
@@ -9,11 +9,11 @@
 use cadence::{BufferedUdpMetricSink, Gauged, StatsdClient};
 use tokio_util::sync::CancellationToken;
 
-use crate::core::core_message::{CoreAction, CoreEvent};
-use crate::core::status_report::{AccountCounts, StatusReport};
+use crate::core::core_message;
+use crate::core::status_report;
 use crate::daemon::core_driver::METRICS_ASK;
-use crate::daemon::duty_ring::{RingSender, TaskReceiver};
-use crate::daemon::latency_book::LatencyBook;
+use crate::daemon::duty_ring;
+use crate::daemon::latency_book;
 
 const METRICS_INTERVAL: Duration = Duration::from_secs(60);
 const METRICS_PREFIX: &str = "quetzaldeal";
@@ -34,9 +34,9 @@
 /// Asks the core for its status now and then and sends it, until `stop` is cancelled.
 pub async fn drive(
     client: StatsdClient,
-    events: RingSender<CoreEvent>,
-    mut actions: TaskReceiver<CoreAction>,
-    latencies: Arc<LatencyBook>,
+    events: duty_ring::RingSender<core_message::CoreEvent>,
+    mut actions: duty_ring::TaskReceiver<core_message::CoreAction>,
+    latencies: Arc<latency_book::LatencyBook>,
     stop: CancellationToken,
 ) {
     let mut interval = tokio::time::interval(METRICS_INTERVAL);
@@ -46,10 +46,10 @@
             () = stop.cancelled() => return,
             _ = interval.tick() => {
                 // A busy core is asked again at the next tick.
-                drop(events.try_send(CoreEvent::StatusAsked { ask: METRICS_ASK }));
+                drop(events.try_send(core_message::CoreEvent::StatusAsked { ask: METRICS_ASK }));
             }
             action = actions.receive() => match action {
-                Some(CoreAction::AnswerStatus { report, .. }) => {
+                Some(core_message::CoreAction::AnswerStatus { report, .. }) => {
                     send_report(&client, &report, &latencies, &mut sent);
                 }
                 Some(_) => {}
@@ -62,9 +62,9 @@
 /// Sends the host's figures, and those of accounts whose counts have changed since they were sent.
 fn send_report(
     client: &StatsdClient,
-    report: &StatusReport,
-    latencies: &LatencyBook,
-    sent: &mut BTreeMap<String, AccountCounts>,
+    report: &status_report::StatusReport,
+    latencies: &latency_book::LatencyBook,
+    sent: &mut BTreeMap<String, status_report::AccountCounts>,
 ) {
     let gauge = |name: &str, value: u64| client.gauge_with_tags(name, value).send();
     gauge("version", report.version);
--- a/src/daemon/peer_driver.rs
+++ b/src/daemon/peer_driver.rs
@@ -12,12 +12,12 @@
 use volo_http::http::StatusCode;
 use volo_http::server::route::Router;
 
-use crate::core::core_message::{AskId, CallId, CoreAction, CoreEvent};
-use crate::core::peer_message::{PeerEnvelope, PeerReply, PeerRequest};
-use crate::core::status_report::StatusReport;
-use crate::daemon::duty_ring::{RingSender, TaskReceiver};
+use crate::core::core_message;
+use crate::core::peer_message;
+use crate::core::status_report;
+use crate::daemon::duty_ring;
 use crate::daemon::http_call;
-use crate::daemon::latency_book::LatencyBook;
+use crate::daemon::latency_book;
 
 /// Path that peers call.
 pub const PEER_PATH: &str = "/v1/peer";
@@ -32,37 +32,40 @@
 #[derive(Debug)]
 enum OpenQuestion {
     /// A peer's.
-    Peer(oneshot::Sender<PeerReply>),
+    Peer(oneshot::Sender<peer_message::PeerReply>),
     /// An operator's.
-    Status(oneshot::Sender<StatusReport>),
+    Status(oneshot::Sender<status_report::StatusReport>),
 }
 
 /// Joins the door to the decision core.
 #[derive(Debug)]
 struct QuestionDesk {
-    events: RingSender<CoreEvent>,
-    open: Mutex<HashMap<AskId, OpenQuestion>>,
+    events: duty_ring::RingSender<core_message::CoreEvent>,
+    open: Mutex<HashMap<core_message::AskId, OpenQuestion>>,
     next_ask: AtomicU64,
-    latencies: Arc<LatencyBook>,
+    latencies: Arc<latency_book::LatencyBook>,
     secret: String,
 }
 
 impl QuestionDesk {
-    async fn ask_peer(&self, envelope: PeerEnvelope) -> Result<PeerReply, (StatusCode, String)> {
+    async fn ask_peer(
+        &self,
+        envelope: peer_message::PeerEnvelope,
+    ) -> Result<peer_message::PeerReply, (StatusCode, String)> {
         let request = envelope.open(&self.secret).map_err(|error| {
             log::warn!("a peer was turned away: {error:#}");
             (StatusCode::BAD_REQUEST, error.to_string())
         })?;
         let (sender, receiver) = oneshot::channel();
         let ask = self.open_question(OpenQuestion::Peer(sender));
-        self.submit(ask, CoreEvent::PeerAsked { ask, request })?;
+        self.submit(ask, core_message::CoreEvent::PeerAsked { ask, request })?;
         self.receive(ask, receiver).await
     }
 
-    async fn ask_status(&self) -> Result<StatusReport, (StatusCode, String)> {
+    async fn ask_status(&self) -> Result<status_report::StatusReport, (StatusCode, String)> {
         let (sender, receiver) = oneshot::channel();
         let ask = self.open_question(OpenQuestion::Status(sender));
-        self.submit(ask, CoreEvent::StatusAsked { ask })?;
+        self.submit(ask, core_message::CoreEvent::StatusAsked { ask })?;
         let mut report = self.receive(ask, receiver).await?;
         for (name, counts) in &mut report.accounts {
             let quantiles = self.latencies.quantiles(name);
@@ -72,7 +75,11 @@
         Ok(report)
     }
 
-    fn submit(&self, ask: AskId, event: CoreEvent) -> Result<(), (StatusCode, String)> {
+    fn submit(
+        &self,
+        ask: core_message::AskId,
+        event: core_message::CoreEvent,
+    ) -> Result<(), (StatusCode, String)> {
         self.events.try_send(event).map_err(|_| {
             self.lock().remove(&ask);
             (StatusCode::SERVICE_UNAVAILABLE, "this host is busy".to_owned())
@@ -81,7 +88,7 @@
 
     async fn receive<T>(
         &self,
-        ask: AskId,
+        ask: core_message::AskId,
         receiver: oneshot::Receiver<T>,
     ) -> Result<T, (StatusCode, String)> {
         match tokio::time::timeout(CORE_TIMEOUT, receiver).await {
@@ -93,21 +100,21 @@
         }
     }
 
-    fn open_question(&self, question: OpenQuestion) -> AskId {
+    fn open_question(&self, question: OpenQuestion) -> core_message::AskId {
         let ask = self.next_ask.fetch_add(1, Ordering::Relaxed);
         self.lock().insert(ask, question);
         ask
     }
 
     /// Hands the core's answer to whoever asked; one who has gone is passed over.
-    fn answer(&self, action: CoreAction) {
+    fn answer(&self, action: core_message::CoreAction) {
         match action {
-            CoreAction::AnswerPeer { ask, reply } => {
+            core_message::CoreAction::AnswerPeer { ask, reply } => {
                 if let Some(OpenQuestion::Peer(sender)) = self.lock().remove(&ask) {
                     drop(sender.send(reply));
                 }
             }
-            CoreAction::AnswerStatus { ask, report } => {
+            core_message::CoreAction::AnswerStatus { ask, report } => {
                 if let Some(OpenQuestion::Status(sender)) = self.lock().remove(&ask) {
                     drop(sender.send(*report));
                 }
@@ -116,7 +123,7 @@
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<AskId, OpenQuestion>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<core_message::AskId, OpenQuestion>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -128,9 +135,9 @@
 /// Fails when the address cannot be bound.
 pub async fn drive(
     address: String,
-    events: RingSender<CoreEvent>,
-    mut actions: TaskReceiver<CoreAction>,
-    latencies: Arc<LatencyBook>,
+    events: duty_ring::RingSender<core_message::CoreEvent>,
+    mut actions: duty_ring::TaskReceiver<core_message::CoreAction>,
+    latencies: Arc<latency_book::LatencyBook>,
     secret: String,
     stop: CancellationToken,
 ) -> Result<()> {
@@ -145,7 +152,7 @@
     let carry_out = async {
         while let Some(action) = actions.receive().await {
             match action {
-                CoreAction::CallPeer { call, address, request } => {
+                core_message::CoreAction::CallPeer { call, address, request } => {
                     tokio::spawn(call_peer(desk.clone(), client.clone(), call, address, request));
                 }
                 answer => desk.answer(answer),
@@ -182,11 +189,11 @@
 async fn call_peer(
     desk: Arc<QuestionDesk>,
     client: Client,
-    call: CallId,
+    call: core_message::CallId,
     address: String,
-    request: PeerRequest,
+    request: peer_message::PeerRequest,
 ) {
-    let reply = match PeerEnvelope::seal(&desk.secret, &request) {
+    let reply = match peer_message::PeerEnvelope::seal(&desk.secret, &request) {
         Ok(envelope) => {
             http_call::post_message(&client, &address, PEER_PATH, &envelope, PEER_TIMEOUT).await
         }
@@ -195,5 +202,5 @@
     if let Err(error) = &reply {
         log::debug!("peer {address}: {error:#}");
     }
-    desk.events.send(CoreEvent::PeerAnswered { call, reply: reply.ok() }).await;
+    desk.events.send(core_message::CoreEvent::PeerAnswered { call, reply: reply.ok() }).await;
 }
--- a/src/daemon/platform_driver.rs
+++ b/src/daemon/platform_driver.rs
@@ -6,9 +6,9 @@
 use anyhow::Result;
 use volo_http::client::Client;
 
-use crate::core::core_message::{CallId, CoreAction, CoreEvent};
-use crate::core::platform_message::{PlatformReply, PlatformRequest};
-use crate::daemon::duty_ring::{RingSender, TaskReceiver};
+use crate::core::core_message;
+use crate::core::platform_message;
+use crate::daemon::duty_ring;
 use crate::daemon::http_call;
 
 /// Path of the platform's service.
@@ -23,13 +23,13 @@
 /// Fails when no client can be made.
 pub async fn drive(
     address: String,
-    events: RingSender<CoreEvent>,
-    mut actions: TaskReceiver<CoreAction>,
+    events: duty_ring::RingSender<core_message::CoreEvent>,
+    mut actions: duty_ring::TaskReceiver<core_message::CoreAction>,
 ) -> Result<()> {
     let client = http_call::client(PLATFORM_TIMEOUT)?;
     let events = Arc::new(events);
     while let Some(action) = actions.receive().await {
-        if let CoreAction::CallPlatform { call, request } = action {
+        if let core_message::CoreAction::CallPlatform { call, request } = action {
             tokio::spawn(perform(client.clone(), address.clone(), events.clone(), call, request));
         }
     }
@@ -44,10 +44,10 @@
 pub async fn call(
     client: &Client,
     address: &str,
-    request: &PlatformRequest,
-) -> Result<PlatformReply> {
+    request: &platform_message::PlatformRequest,
+) -> Result<platform_message::PlatformReply> {
     let wait = match request {
-        PlatformRequest::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
+        platform_message::PlatformRequest::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
         _ => Duration::ZERO,
     };
     let timeout = PLATFORM_TIMEOUT + wait;
@@ -57,13 +57,13 @@
 async fn perform(
     client: Client,
     address: String,
-    events: Arc<RingSender<CoreEvent>>,
-    id: CallId,
-    request: PlatformRequest,
+    events: Arc<duty_ring::RingSender<core_message::CoreEvent>>,
+    id: core_message::CallId,
+    request: platform_message::PlatformRequest,
 ) {
     let reply = call(&client, &address, &request).await;
     if let Err(error) = &reply {
         log::debug!("platform: {error:#}");
     }
-    events.send(CoreEvent::PlatformAnswered { call: id, reply: reply.ok() }).await;
+    events.send(core_message::CoreEvent::PlatformAnswered { call: id, reply: reply.ok() }).await;
 }
--- a/src/daemon/statement_service.rs
+++ b/src/daemon/statement_service.rs
@@ -7,15 +7,15 @@
 use motore::Service;
 use motore::layer::Layer;
 
-use crate::core::core_message::{CallerId, CoreEvent};
-use crate::daemon::caller_desk::{CallerDesk, DeskAnswer};
-use crate::daemon::latency_book::LatencyBook;
+use crate::core::core_message;
+use crate::daemon::caller_desk;
+use crate::daemon::latency_book;
 
 /// Who sends a statement.
 #[derive(Debug, Clone)]
 pub struct CallerContext {
     /// The door's number.
-    pub caller: CallerId,
+    pub caller: core_message::CallerId,
     /// The account.
     pub account: String,
 }
@@ -23,18 +23,18 @@
 /// The innermost service: asks the decision core.
 #[derive(Debug, Clone)]
 pub struct CoreService {
-    desk: Arc<CallerDesk>,
+    desk: Arc<caller_desk::CallerDesk>,
 }
 
 impl CoreService {
     /// Builds the service on a desk.
-    pub fn new(desk: Arc<CallerDesk>) -> Self {
+    pub fn new(desk: Arc<caller_desk::CallerDesk>) -> Self {
         Self { desk }
     }
 }
 
 impl Service<CallerContext, String> for CoreService {
-    type Response = DeskAnswer;
+    type Response = caller_desk::DeskAnswer;
     type Error = Infallible;
 
     async fn call(
@@ -43,19 +43,19 @@
         text: String,
     ) -> Result<Self::Response, Self::Error> {
         let caller = context.caller;
-        Ok(self.desk.ask(caller, CoreEvent::StatementArrived { caller, text }).await)
+        Ok(self.desk.ask(caller, core_message::CoreEvent::StatementArrived { caller, text }).await)
     }
 }
 
 /// Adds the recording of each statement's latency to a service.
 #[derive(Debug, Clone)]
 pub struct LatencyLayer {
-    book: Arc<LatencyBook>,
+    book: Arc<latency_book::LatencyBook>,
 }
 
 impl LatencyLayer {
     /// Builds the layer on the book that latencies go to.
-    pub fn new(book: Arc<LatencyBook>) -> Self {
+    pub fn new(book: Arc<latency_book::LatencyBook>) -> Self {
         Self { book }
     }
 }
@@ -72,7 +72,7 @@
 #[derive(Debug, Clone)]
 pub struct LatencyService<S> {
     inner: S,
-    book: Arc<LatencyBook>,
+    book: Arc<latency_book::LatencyBook>,
 }
 
 impl<S> Service<CallerContext, String> for LatencyService<S>
@@ -98,6 +98,9 @@
 pub type StatementService = LatencyService<CoreService>;
 
 /// Builds the service with its layers.
-pub fn build(desk: Arc<CallerDesk>, book: Arc<LatencyBook>) -> StatementService {
+pub fn build(
+    desk: Arc<caller_desk::CallerDesk>,
+    book: Arc<latency_book::LatencyBook>,
+) -> StatementService {
     LatencyLayer::new(book).layer(CoreService::new(desk))
 }
--- a/src/operator/config_diff.rs
+++ b/src/operator/config_diff.rs
@@ -3,22 +3,22 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use crate::world::world_config::WorldConfig;
-use crate::world::world_object::WorldObject;
+use crate::world::world_config;
+use crate::world::world_object;
 
 /// How an object differs.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ObjectChange {
     /// The object is new.
-    Added(WorldObject),
+    Added(world_object::WorldObject),
     /// The object is gone.
-    Removed(WorldObject),
+    Removed(world_object::WorldObject),
     /// The object differs.
     Changed {
         /// As it was.
-        old: WorldObject,
+        old: world_object::WorldObject,
         /// As it is.
-        new: WorldObject,
+        new: world_object::WorldObject,
     },
 }
 
@@ -41,7 +41,7 @@
 }
 
 /// Returns the changes that lead from `old` to `new`, by kind and name.
-pub fn diff(old: &WorldConfig, new: &WorldConfig) -> Vec<ObjectChange> {
+pub fn diff(old: &world_config::WorldConfig, new: &world_config::WorldConfig) -> Vec<ObjectChange> {
     let old = by_name(old);
     let new = by_name(new);
     let mut changes = Vec::new();
@@ -59,12 +59,14 @@
     changes
 }
 
-fn by_name(world: &WorldConfig) -> BTreeMap<(&'static str, String), WorldObject> {
+fn by_name(
+    world: &world_config::WorldConfig,
+) -> BTreeMap<(&'static str, String), world_object::WorldObject> {
     let objects = world.to_objects().into_iter();
     objects.map(|object| ((object.kind(), object.name().to_owned()), object)).collect()
 }
 
-fn lines(object: &WorldObject) -> Vec<String> {
+fn lines(object: &world_object::WorldObject) -> Vec<String> {
     let text = serde_yaml_ng::to_string(object).unwrap_or_default();
     text.lines().map(str::to_owned).collect()
 }
@@ -72,7 +74,7 @@
 fn write_lines(
     formatter: &mut fmt::Formatter<'_>,
     sign: &str,
-    object: &WorldObject,
+    object: &world_object::WorldObject,
 ) -> fmt::Result {
     for line in lines(object) {
         writeln!(formatter, "  {sign} {line}")?;
@@ -82,8 +84,8 @@
 
 fn write_changed(
     formatter: &mut fmt::Formatter<'_>,
-    old: &WorldObject,
-    new: &WorldObject,
+    old: &world_object::WorldObject,
+    new: &world_object::WorldObject,
 ) -> fmt::Result {
     let (old, new) = (lines(old), lines(new));
     for line in old.iter().filter(|line| !new.contains(line)) {
--- a/src/operator/config_store.rs
+++ b/src/operator/config_store.rs
@@ -6,16 +6,16 @@
 use anyhow::{Context, Result, anyhow, bail};
 use volo_http::client::Client;
 
-use crate::core::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
-use crate::core::status_report::StatusReport;
+use crate::core::platform_message;
+use crate::core::status_report;
 use crate::daemon::http_call;
 use crate::daemon::peer_driver;
 use crate::daemon::platform_driver;
 use crate::operator::config_diff;
 use crate::world::config_check;
-use crate::world::config_head::{self, ConfigHead};
+use crate::world::config_head;
 use crate::world::key_secret;
-use crate::world::world_config::WorldConfig;
+use crate::world::world_config;
 
 /// How long a command goes on trying when the platform gives no answer.
 const PATIENCE: Duration = Duration::from_secs(15);
@@ -27,11 +27,11 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct PublishedConfig {
     /// The head.
-    pub head: ConfigHead,
+    pub head: config_head::ConfigHead,
     /// The head's revision in the platform's service.
     pub revision: u64,
     /// The objects.
-    pub world: WorldConfig,
+    pub world: world_config::WorldConfig,
 }
 
 /// How a publication ended.
@@ -93,7 +93,7 @@
     /// Fails when the platform gives no answer, or a damaged one.
     pub async fn current(&self) -> Result<Option<PublishedConfig>> {
         let Some(entry) = self.get(&config_head::head_key()).await? else { return Ok(None) };
-        let head = ConfigHead::decode(&entry.value)?;
+        let head = config_head::ConfigHead::decode(&entry.value)?;
         let world = self.load(&head).await?;
         Ok(Some(PublishedConfig { head, revision: entry.revision, world }))
     }
@@ -103,11 +103,11 @@
     /// # Errors
     ///
     /// Fails when the platform gives no answer, or has no such version.
-    pub async fn earlier_head(&self, version: u64) -> Result<ConfigHead> {
+    pub async fn earlier_head(&self, version: u64) -> Result<config_head::ConfigHead> {
         let key = config_head::history_key(version);
         let entry = self.get(&key).await?;
         let entry = entry.with_context(|| format!("version {version} is not in the history"))?;
-        ConfigHead::decode(&entry.value)
+        config_head::ConfigHead::decode(&entry.value)
     }
 
     /// Reads the objects that a head names.
@@ -115,7 +115,7 @@
     /// # Errors
     ///
     /// Fails when a part is missing or damaged.
-    pub async fn load(&self, head: &ConfigHead) -> Result<WorldConfig> {
+    pub async fn load(&self, head: &config_head::ConfigHead) -> Result<world_config::WorldConfig> {
         let mut parts = Vec::new();
         for hash in &head.parts {
             let entry = self.get(&config_head::part_key(hash)).await?;
@@ -139,7 +139,7 @@
     /// Fails when the platform gives no answer for long; the text says what is known.
     pub async fn publish(
         &self,
-        world: &WorldConfig,
+        world: &world_config::WorldConfig,
         base: u64,
         author: &str,
     ) -> Result<PublishOutcome> {
@@ -164,7 +164,7 @@
             let key = config_head::history_key(version);
             self.put_new(&key, &current.head.encode()?).await?;
         }
-        let head = ConfigHead {
+        let head = config_head::ConfigHead {
             version: version + 1,
             parts: parts.into_iter().map(|(hash, _)| hash).collect(),
             token_secret: match &current {
@@ -178,22 +178,32 @@
         self.swap_head(&head, current.map_or(0, |current| current.revision)).await
     }
 
-    async fn swap_head(&self, head: &ConfigHead, expected: u64) -> Result<PublishOutcome> {
+    async fn swap_head(
+        &self,
+        head: &config_head::ConfigHead,
+        expected: u64,
+    ) -> Result<PublishOutcome> {
         let started = Instant::now();
         let published = PublishOutcome::Published { version: head.version };
-        let request = PlatformRequest::CompareSwap {
+        let request = platform_message::PlatformRequest::CompareSwap {
             key: config_head::head_key(),
             expected,
             value: head.encode()?,
         };
         loop {
             match platform_driver::call(&self.client, &self.address, &request).await {
-                Ok(PlatformReply::Swapped { .. }) => return Ok(published),
-                Ok(PlatformReply::Conflict(_)) if self.took_effect(head).await? => {
+                Ok(platform_message::PlatformReply::Swapped { .. }) => return Ok(published),
+                Ok(platform_message::PlatformReply::Conflict(_))
+                    if self.took_effect(head).await? =>
+                {
                     return Ok(published);
                 }
-                Ok(PlatformReply::Conflict(_)) => return self.conflict(head.version - 1).await,
-                Ok(PlatformReply::Refused { detail }) => bail!("the platform refused: {detail}"),
+                Ok(platform_message::PlatformReply::Conflict(_)) => {
+                    return self.conflict(head.version - 1).await;
+                }
+                Ok(platform_message::PlatformReply::Refused { detail }) => {
+                    bail!("the platform refused: {detail}")
+                }
                 Ok(_) => bail!("the platform gave an answer of another kind"),
                 Err(error) if started.elapsed() > PATIENCE => {
                     return Err(error.context(format!(
@@ -209,10 +219,10 @@
     }
 
     /// Whether the head was published, now in force or replaced since.
-    async fn took_effect(&self, head: &ConfigHead) -> Result<bool> {
+    async fn took_effect(&self, head: &config_head::ConfigHead) -> Result<bool> {
         let entry = self.get(&config_head::head_key()).await?;
         let Some(entry) = entry else { return Ok(false) };
-        let current = ConfigHead::decode(&entry.value)?;
+        let current = config_head::ConfigHead::decode(&entry.value)?;
         if current.version == head.version {
             return Ok(current.publish_id == head.publish_id);
         }
@@ -242,9 +252,9 @@
     /// # Errors
     ///
     /// Fails when the platform gives no answer.
-    pub async fn history(&self, most: usize) -> Result<Vec<ConfigHead>> {
+    pub async fn history(&self, most: usize) -> Result<Vec<config_head::ConfigHead>> {
         let Some(entry) = self.get(&config_head::head_key()).await? else { return Ok(Vec::new()) };
-        let mut heads = vec![ConfigHead::decode(&entry.value)?];
+        let mut heads = vec![config_head::ConfigHead::decode(&entry.value)?];
         let mut version = heads[0].version;
         while version > 1 && heads.len() < most {
             version -= 1;
@@ -255,26 +265,35 @@
 
     /// Writes a key that is written once; a value that stands there already is left.
     async fn put_new(&self, key: &str, value: &[u8]) -> Result<()> {
-        let request = PlatformRequest::CompareSwap {
+        let request = platform_message::PlatformRequest::CompareSwap {
             key: key.to_owned(),
             expected: 0,
             value: value.to_vec(),
         };
         match self.call_patiently(&request).await? {
-            PlatformReply::Swapped { .. } | PlatformReply::Conflict(_) => Ok(()),
-            PlatformReply::Refused { detail } => bail!("{key}: the platform refused: {detail}"),
+            platform_message::PlatformReply::Swapped { .. }
+            | platform_message::PlatformReply::Conflict(_) => Ok(()),
+            platform_message::PlatformReply::Refused { detail } => {
+                bail!("{key}: the platform refused: {detail}")
+            }
             _ => bail!("{key}: the platform gave an answer of another kind"),
         }
     }
 
-    async fn get(&self, key: &str) -> Result<Option<StoreEntry>> {
-        match self.call_patiently(&PlatformRequest::Get { key: key.to_owned() }).await? {
-            PlatformReply::Value(entry) => Ok(entry),
+    async fn get(&self, key: &str) -> Result<Option<platform_message::StoreEntry>> {
+        match self
+            .call_patiently(&platform_message::PlatformRequest::Get { key: key.to_owned() })
+            .await?
+        {
+            platform_message::PlatformReply::Value(entry) => Ok(entry),
             _ => bail!("{key}: the platform gave an answer of another kind"),
         }
     }
 
-    async fn call_patiently(&self, request: &PlatformRequest) -> Result<PlatformReply> {
+    async fn call_patiently(
+        &self,
+        request: &platform_message::PlatformRequest,
+    ) -> Result<platform_message::PlatformReply> {
         let started = Instant::now();
         let mut last = anyhow!("the platform gave no answer");
         while started.elapsed() < PATIENCE {
@@ -291,8 +310,8 @@
 /// Returns the names of hosts by the version that each reports, for hosts that answer.
 pub async fn host_versions(
     client: &Client,
-    world: &WorldConfig,
-) -> BTreeMap<String, Result<StatusReport>> {
+    world: &world_config::WorldConfig,
+) -> BTreeMap<String, Result<status_report::StatusReport>> {
     let mut reports = BTreeMap::new();
     let asked = world.hosts.values().map(|host| async {
         let report = http_call::post_message(
--- a/src/operator/operator_command.rs
+++ b/src/operator/operator_command.rs
@@ -7,15 +7,15 @@
 use anyhow::{Context, Result, bail};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-use crate::core::status_report::StatusReport;
+use crate::core::status_report;
 use crate::daemon::http_call;
 use crate::operator::config_diff;
-use crate::operator::config_store::{self, ConfigStore, PublishOutcome, PublishedConfig};
+use crate::operator::config_store;
 use crate::world::config_check;
-use crate::world::key_secret::KeySecret;
-use crate::world::world_config::WorldConfig;
-use crate::world::world_file::WorldFile;
-use crate::world::world_object::WorldObject;
+use crate::world::key_secret;
+use crate::world::world_config;
+use crate::world::world_file;
+use crate::world::world_object;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const WAIT_PAUSE: Duration = Duration::from_millis(100);
@@ -159,27 +159,27 @@
 
 async fn publish(
     matches: &ArgMatches,
-    store: &ConfigStore,
-    world: &WorldConfig,
+    store: &config_store::ConfigStore,
+    world: &world_config::WorldConfig,
     base: u64,
 ) -> Result<String> {
     let author = matches.get_one::<String>("author").cloned().unwrap_or_default();
     match store.publish(world, base, &author).await? {
-        PublishOutcome::Published { version } => {
+        config_store::PublishOutcome::Published { version } => {
             let mut text = format!("published version {version}\n");
             if flag(matches, "wait") {
                 text.push_str(&wait_for_hosts(matches, world, version).await?);
             }
             Ok(text)
         }
-        PublishOutcome::Unchanged { version } => {
+        config_store::PublishOutcome::Unchanged { version } => {
             Ok(format!("nothing differs from version {version}\n"))
         }
-        PublishOutcome::Faulty { findings } => {
+        config_store::PublishOutcome::Faulty { findings } => {
             refuse_findings(&findings)?;
             Ok(String::new())
         }
-        PublishOutcome::Conflict { version, author, changes } => bail!(
+        config_store::PublishOutcome::Conflict { version, author, changes } => bail!(
             "conflict: version {version} was published by {author} since version {base}; \
              nothing was written. It changed:\n{}Start again from `show`.",
             changes.concat()
@@ -187,7 +187,11 @@
     }
 }
 
-async fn wait_for_hosts(matches: &ArgMatches, world: &WorldConfig, version: u64) -> Result<String> {
+async fn wait_for_hosts(
+    matches: &ArgMatches,
+    world: &world_config::WorldConfig,
+    version: u64,
+) -> Result<String> {
     let client = http_call::client(CONNECT_TIMEOUT)?;
     let started = Instant::now();
     let limit = Duration::from_secs(matches.get_one("timeout").copied().unwrap_or(10));
@@ -229,7 +233,7 @@
         }
         _ => (current.head.version, current.world),
     };
-    WorldFile { base: Some(base), world }.to_yaml()
+    world_file::WorldFile { base: Some(base), world }.to_yaml()
 }
 
 async fn history(matches: &ArgMatches) -> Result<String> {
@@ -249,14 +253,14 @@
 async fn key_new(matches: &ArgMatches) -> Result<String> {
     let name = text(matches, "name")?;
     let account = text(matches, "account")?;
-    let secret = KeySecret::generate(name, account);
+    let secret = key_secret::KeySecret::generate(name, account);
     let shown = format!("key (shown once): {}\n", secret.text);
     if flag(matches, "print") {
-        let object = serde_yaml_ng::to_string(&WorldObject::Key(secret.object))?;
+        let object = serde_yaml_ng::to_string(&world_object::WorldObject::Key(secret.object))?;
         return Ok(format!("# {shown}---\n{object}"));
     }
     let store = store(matches)?;
-    let PublishedConfig { head, mut world, .. } = published(&store).await?;
+    let config_store::PublishedConfig { head, mut world, .. } = published(&store).await?;
     if world.keys.contains_key(name) {
         bail!("key {name}: field name: stands already; withdraw it first, or take another name");
     }
@@ -268,7 +272,7 @@
 async fn key_withdraw(matches: &ArgMatches) -> Result<String> {
     let name = text(matches, "name")?;
     let store = store(matches)?;
-    let PublishedConfig { head, mut world, .. } = published(&store).await?;
+    let config_store::PublishedConfig { head, mut world, .. } = published(&store).await?;
     if world.keys.remove(name).is_none() {
         bail!("key {name}: field name: no such key is published");
     }
@@ -279,7 +283,7 @@
     let name = text(matches, "name")?;
     let kind = text(matches, "kind")?;
     let store = store(matches)?;
-    let PublishedConfig { head, mut world, .. } = published(&store).await?;
+    let config_store::PublishedConfig { head, mut world, .. } = published(&store).await?;
     let switch = match kind {
         "host" => world.hosts.get_mut(name).map(|object| &mut object.in_service),
         "endpoint" => world.endpoints.get_mut(name).map(|object| &mut object.in_service),
@@ -362,14 +366,14 @@
 
 fn write_control<'a>(
     text: &mut String,
-    reports: impl Iterator<Item = &'a StatusReport>,
+    reports: impl Iterator<Item = &'a status_report::StatusReport>,
 ) -> Result<()> {
     writeln!(
         text,
         "\n{:<12} {:>14} {:>10} {:>12} {:>8}",
         "host", "platform calls", "peer calls", "share asks", "probes"
     )?;
-    for StatusReport { host, control, .. } in reports {
+    for status_report::StatusReport { host, control, .. } in reports {
         writeln!(
             text,
             "{host:<12} {:>14} {:>10} {:>12} {:>8}",
@@ -379,20 +383,20 @@
     Ok(())
 }
 
-async fn published(store: &ConfigStore) -> Result<PublishedConfig> {
+async fn published(store: &config_store::ConfigStore) -> Result<config_store::PublishedConfig> {
     store.current().await?.context("nothing is published yet")
 }
 
-fn store(matches: &ArgMatches) -> Result<ConfigStore> {
+fn store(matches: &ArgMatches) -> Result<config_store::ConfigStore> {
     let address = matches.get_one::<String>("platform").context("give --platform IP:PORT")?;
-    ConfigStore::new(address.clone())
+    config_store::ConfigStore::new(address.clone())
 }
 
-fn read_file(matches: &ArgMatches) -> Result<WorldFile> {
+fn read_file(matches: &ArgMatches) -> Result<world_file::WorldFile> {
     let path: &PathBuf = matches.get_one("file").context("no file")?;
     let text =
         std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
-    WorldFile::parse(&text).with_context(|| path.display().to_string())
+    world_file::WorldFile::parse(&text).with_context(|| path.display().to_string())
 }
 
 fn refuse_findings(findings: &[config_check::CheckFinding]) -> Result<()> {
--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -286,7 +286,6 @@
         peer_epoch: 0,
         lost_lead: false,
         samples: Default::default(),
-        sample_wanted: Default::default(),
         change: group_view::ChangeState {
             cursor: chart_cursor::ChartCursor::new(ctx.change_chart.clone()),
             reason: None,
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -63,8 +63,6 @@
     pub lost_lead: bool,
     /// Proof of how far the log had grown.
     pub samples: sample_log::SampleLog,
-    /// When a read last needed a sample.
-    pub sample_wanted: clock_time::ClockTime,
     /// A change driven by this host.
     pub change: ChangeState,
 }
--- a/src/proxy/placement_policy.rs
+++ b/src/proxy/placement_policy.rs
@@ -98,9 +98,6 @@
         return primary.ok_or(request_verdict::VerdictCause::NoPrimary);
     }
     let point = read_point(ctx, job);
-    if point.is_none() {
-        ctx.groups[group].sample_wanted = ctx.now;
-    }
     let members = ctx.groups[group].members.clone();
     let mut best: Option<(f64, arena_keys::EndpointKey)> = None;
     for endpoint in members {
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -105,7 +105,7 @@
             proxy_message::ProxyEvent::PeerSaid { message } => {
                 member_flow::on_datagram(ctx, message);
             }
-            proxy_message::ProxyEvent::TuningChanged { tuning } => ctx.tuning = tuning,
+            proxy_message::ProxyEvent::TuningChanged { tuning } => ctx.tuning = *tuning,
             proxy_message::ProxyEvent::StopAsked => shutdown_flow::start(ctx),
             proxy_message::ProxyEvent::Woken => {}
         }
--- a/src/proxy/proxy_message.rs
+++ b/src/proxy/proxy_message.rs
@@ -92,7 +92,7 @@
     /// The settings have changed.
     TuningChanged {
         /// The spans and bounds that hold from now on.
-        tuning: proxy_tuning::ProxyTuning,
+        tuning: Box<proxy_tuning::ProxyTuning>,
     },
     /// The process was asked to stop.
     StopAsked,
--- a/src/world/world_config.rs
+++ b/src/world/world_config.rs
@@ -5,7 +5,6 @@
 use anyhow::{Result, bail};
 
 use crate::world::world_object;
-use crate::world::world_object::WorldObject;
 
 /// All objects of one configuration.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -34,7 +33,7 @@
     /// # Errors
     ///
     /// Names the object whose kind and name stand twice.
-    pub fn from_objects(objects: Vec<WorldObject>) -> Result<Self> {
+    pub fn from_objects(objects: Vec<world_object::WorldObject>) -> Result<Self> {
         let mut world = Self::default();
         for object in objects {
             world.insert(object)?;
@@ -43,31 +42,31 @@
     }
 
     /// Returns all objects in the order of kind and name.
-    pub fn to_objects(&self) -> Vec<WorldObject> {
+    pub fn to_objects(&self) -> Vec<world_object::WorldObject> {
         let mut objects = Vec::new();
-        objects.extend(self.centres.values().cloned().map(WorldObject::DataCentre));
-        objects.extend(self.hosts.values().cloned().map(WorldObject::Host));
-        objects.extend(self.endpoints.values().cloned().map(WorldObject::Endpoint));
-        objects.extend(self.groups.values().cloned().map(WorldObject::Group));
-        objects.extend(self.services.values().cloned().map(WorldObject::Service));
-        objects.extend(self.accounts.values().cloned().map(WorldObject::Account));
-        objects.extend(self.keys.values().cloned().map(WorldObject::Key));
-        objects.extend(self.rules.values().cloned().map(WorldObject::Rule));
+        objects.extend(self.centres.values().cloned().map(world_object::WorldObject::DataCentre));
+        objects.extend(self.hosts.values().cloned().map(world_object::WorldObject::Host));
+        objects.extend(self.endpoints.values().cloned().map(world_object::WorldObject::Endpoint));
+        objects.extend(self.groups.values().cloned().map(world_object::WorldObject::Group));
+        objects.extend(self.services.values().cloned().map(world_object::WorldObject::Service));
+        objects.extend(self.accounts.values().cloned().map(world_object::WorldObject::Account));
+        objects.extend(self.keys.values().cloned().map(world_object::WorldObject::Key));
+        objects.extend(self.rules.values().cloned().map(world_object::WorldObject::Rule));
         objects
     }
 
     /// Removes the object of the same kind and name.
-    pub fn remove(&mut self, object: &WorldObject) {
+    pub fn remove(&mut self, object: &world_object::WorldObject) {
         let name = object.name();
         match object {
-            WorldObject::Account(_) => drop(self.accounts.remove(name)),
-            WorldObject::Key(_) => drop(self.keys.remove(name)),
-            WorldObject::DataCentre(_) => drop(self.centres.remove(name)),
-            WorldObject::Host(_) => drop(self.hosts.remove(name)),
-            WorldObject::Endpoint(_) => drop(self.endpoints.remove(name)),
-            WorldObject::Group(_) => drop(self.groups.remove(name)),
-            WorldObject::Service(_) => drop(self.services.remove(name)),
-            WorldObject::Rule(_) => drop(self.rules.remove(name)),
+            world_object::WorldObject::Account(_) => drop(self.accounts.remove(name)),
+            world_object::WorldObject::Key(_) => drop(self.keys.remove(name)),
+            world_object::WorldObject::DataCentre(_) => drop(self.centres.remove(name)),
+            world_object::WorldObject::Host(_) => drop(self.hosts.remove(name)),
+            world_object::WorldObject::Endpoint(_) => drop(self.endpoints.remove(name)),
+            world_object::WorldObject::Group(_) => drop(self.groups.remove(name)),
+            world_object::WorldObject::Service(_) => drop(self.services.remove(name)),
+            world_object::WorldObject::Rule(_) => drop(self.rules.remove(name)),
         }
     }
 
@@ -93,18 +92,26 @@
     /// # Errors
     ///
     /// Names the object whose kind and name stand twice.
-    pub fn insert(&mut self, object: WorldObject) -> Result<()> {
+    pub fn insert(&mut self, object: world_object::WorldObject) -> Result<()> {
         let label = format!("{} {}", object.kind(), object.name());
         let name = object.name().to_owned();
         let doubled = match object {
-            WorldObject::Account(account) => self.accounts.insert(name, account).is_some(),
-            WorldObject::Key(key) => self.keys.insert(name, key).is_some(),
-            WorldObject::DataCentre(centre) => self.centres.insert(name, centre).is_some(),
-            WorldObject::Host(host) => self.hosts.insert(name, host).is_some(),
-            WorldObject::Endpoint(endpoint) => self.endpoints.insert(name, endpoint).is_some(),
-            WorldObject::Group(group) => self.groups.insert(name, group).is_some(),
-            WorldObject::Service(service) => self.services.insert(name, service).is_some(),
-            WorldObject::Rule(rule) => self.rules.insert(name, rule).is_some(),
+            world_object::WorldObject::Account(account) => {
+                self.accounts.insert(name, account).is_some()
+            }
+            world_object::WorldObject::Key(key) => self.keys.insert(name, key).is_some(),
+            world_object::WorldObject::DataCentre(centre) => {
+                self.centres.insert(name, centre).is_some()
+            }
+            world_object::WorldObject::Host(host) => self.hosts.insert(name, host).is_some(),
+            world_object::WorldObject::Endpoint(endpoint) => {
+                self.endpoints.insert(name, endpoint).is_some()
+            }
+            world_object::WorldObject::Group(group) => self.groups.insert(name, group).is_some(),
+            world_object::WorldObject::Service(service) => {
+                self.services.insert(name, service).is_some()
+            }
+            world_object::WorldObject::Rule(rule) => self.rules.insert(name, rule).is_some(),
         };
         if doubled {
             bail!("{label}: field name: stands twice; give each object of a kind its own name");
--- a/src/world/world_file.rs
+++ b/src/world/world_file.rs
@@ -4,8 +4,8 @@
 use serde::Deserialize;
 use serde_yaml_ng::Value;
 
-use crate::world::world_config::WorldConfig;
-use crate::world::world_object::WorldObject;
+use crate::world::world_config;
+use crate::world::world_object;
 
 /// Kind of the document that names the version a file was edited from.
 const BASE_KIND: &str = "base";
@@ -16,7 +16,7 @@
     /// The version that the file was edited from.
     pub base: Option<u64>,
     /// The objects.
-    pub world: WorldConfig,
+    pub world: world_config::WorldConfig,
 }
 
 impl WorldFile {
@@ -39,7 +39,7 @@
                 file.read_base(&value).with_context(|| format!("document {number} ({label})"))?;
                 continue;
             }
-            let object: WorldObject = serde_yaml_ng::from_value(value)
+            let object: world_object::WorldObject = serde_yaml_ng::from_value(value)
                 .with_context(|| format!("document {number} ({label})"))?;
             file.world.insert(object)?;
         }
--- a/stand-ins/src/capacity_sheet.rs
+++ b/stand-ins/src/capacity_sheet.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use crate::capacity_slopes::{CapacitySlopes, FleetSample};
+use crate::capacity_slopes;
 
 /// Daemons.
 const HOSTS: f64 = 2_200.0;
@@ -52,7 +52,7 @@
 const MB: f64 = 1_000_000.0;
 
 /// Renders the sheet as Markdown.
-pub fn render(slopes: &CapacitySlopes) -> String {
+pub fn render(slopes: &capacity_slopes::CapacitySlopes) -> String {
     let mut out = String::new();
     write_fleets(&mut out, &slopes.fleets);
     write_roles(&mut out, slopes);
@@ -66,7 +66,7 @@
     let _written = writeln!(out, "{text}");
 }
 
-fn write_fleets(out: &mut String, fleets: &[FleetSample]) {
+fn write_fleets(out: &mut String, fleets: &[capacity_slopes::FleetSample]) {
     line(out, "### Fleets of real processes at rest\n");
     line(
         out,
@@ -102,7 +102,10 @@
 }
 
 /// Fits a straight line over the endpoints probed.
-fn fit(fleets: &[FleetSample], value: impl Fn(&FleetSample) -> f64) -> Option<(f64, f64)> {
+fn fit(
+    fleets: &[capacity_slopes::FleetSample],
+    value: impl Fn(&capacity_slopes::FleetSample) -> f64,
+) -> Option<(f64, f64)> {
     let count = fleets.len() as f64;
     let mean_x = fleets.iter().map(|fleet| fleet.endpoints).sum::<f64>() / count;
     let mean_y = fleets.iter().map(&value).sum::<f64>() / count;
@@ -126,7 +129,7 @@
     cpu_percent: f64,
 }
 
-fn roles(slopes: &CapacitySlopes) -> Vec<RoleRow> {
+fn roles(slopes: &capacity_slopes::CapacitySlopes) -> Vec<RoleRow> {
     let core = &slopes.core;
     let memory = &slopes.memory;
     let callers = CALLERS / HOSTS;
@@ -211,7 +214,7 @@
     ]
 }
 
-fn write_roles(out: &mut String, slopes: &CapacitySlopes) {
+fn write_roles(out: &mut String, slopes: &capacity_slopes::CapacitySlopes) {
     line(out, "\n### One daemon at the size designed for\n");
     line(out, "| role | mechanism | memory, MB | messages/s | bytes/s | % of a core |");
     line(out, "|---|---|---|---|---|---|");
--- a/stand-ins/src/capacity_slopes.rs
+++ b/stand-ins/src/capacity_slopes.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use quetzaldeal::core::peer_message::{PeerEnvelope, PeerPulse, PeerReply, PeerRequest};
-use quetzaldeal::core::share_ledger::{ShareGrant, SharePart};
-use quetzaldeal::daemon::latency_book::LatencyBook;
+use quetzaldeal::core::peer_message;
+use quetzaldeal::core::share_ledger;
+use quetzaldeal::daemon::latency_book;
 use serde::{Deserialize, Serialize};
 
 use crate::core_bench::{CoreBench, WorldSize, build_world};
@@ -189,7 +189,7 @@
 }
 
 fn histogram_memory(accounts: usize) -> Result<f64> {
-    let book = LatencyBook::default();
+    let book = latency_book::LatencyBook::default();
     for account in 0..accounts {
         let name = format!("account-{account}");
         (1..2_000).for_each(|step| book.record(&name, Duration::from_micros(step * 37)));
@@ -200,7 +200,7 @@
 }
 
 fn pulse_bytes(centres: usize) -> Result<f64> {
-    let pulse = PeerPulse {
+    let pulse = peer_message::PeerPulse {
         host: "data-centre-12-host-120".to_owned(),
         incarnation: 1_790_000_000_000,
         version: 12_345,
@@ -210,23 +210,26 @@
         leaving: false,
         entries: Vec::new(),
     };
-    let reply = rmp_serde::to_vec(&PeerReply::Pulse(pulse.clone()))?;
-    let request = rmp_serde::to_vec(&PeerEnvelope::seal("secret", &PeerRequest::Pulse(pulse))?)?;
+    let reply = rmp_serde::to_vec(&peer_message::PeerReply::Pulse(pulse.clone()))?;
+    let request = rmp_serde::to_vec(&peer_message::PeerEnvelope::seal(
+        "secret",
+        &peer_message::PeerRequest::Pulse(pulse),
+    )?)?;
     Ok((request.len() + reply.len()) as f64 + HTTP_FRAME_BYTES)
 }
 
 fn share_bytes() -> Result<f64> {
-    let part = SharePart { rate: 12.5, burst: 3.25 };
-    let request = PeerRequest::Share {
+    let part = share_ledger::SharePart { rate: 12.5, burst: 3.25 };
+    let request = peer_message::PeerRequest::Share {
         host: "data-centre-12-host-120".to_owned(),
         account: "account-1234".to_owned(),
         version: 12_345,
-        want: ShareGrant { part, tokens: 2.5, ttl_ms: 1_000 },
+        want: share_ledger::ShareGrant { part, tokens: 2.5, ttl_ms: 1_000 },
     };
-    let request = rmp_serde::to_vec(&PeerEnvelope::seal("secret", &request)?)?;
-    let grant = Some(ShareGrant { part, tokens: 2.5, ttl_ms: 1_000 });
+    let request = rmp_serde::to_vec(&peer_message::PeerEnvelope::seal("secret", &request)?)?;
+    let grant = Some(share_ledger::ShareGrant { part, tokens: 2.5, ttl_ms: 1_000 });
     let holders = vec!["data-centre-12-host-121".to_owned(); 3];
-    let reply = rmp_serde::to_vec(&PeerReply::Share { grant, holders })?;
+    let reply = rmp_serde::to_vec(&peer_message::PeerReply::Share { grant, holders })?;
     Ok((request.len() + reply.len()) as f64 + HTTP_FRAME_BYTES)
 }
 
--- a/stand-ins/src/core_bench.rs
+++ b/stand-ins/src/core_bench.rs
@@ -4,20 +4,18 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
-use quetzaldeal::core::clock_time::ClockTime;
-use quetzaldeal::core::core_context::HostIdentity;
-use quetzaldeal::core::core_message::{CoreAction, CoreEvent};
-use quetzaldeal::core::core_tuning::CoreTuning;
-use quetzaldeal::core::decision_core::DecisionCore;
-use quetzaldeal::core::endpoint_message::{
-    AnswerBody, EndpointOutcome, EndpointRequest, EndpointStatus, LogPoint,
-};
-use quetzaldeal::core::group_record::{self, GroupRecord, TermPhase};
-use quetzaldeal::core::platform_message::{PlatformReply, PlatformRequest, StoreEntry};
+use quetzaldeal::core::clock_time;
+use quetzaldeal::core::core_context;
+use quetzaldeal::core::core_message;
+use quetzaldeal::core::core_tuning;
+use quetzaldeal::core::decision_core;
+use quetzaldeal::core::endpoint_message;
+use quetzaldeal::core::group_record;
+use quetzaldeal::core::platform_message;
 use quetzaldeal::world::config_head;
-use quetzaldeal::world::key_secret::KeySecret;
-use quetzaldeal::world::world_config::WorldConfig;
-use quetzaldeal::world::world_file::WorldFile;
+use quetzaldeal::world::key_secret;
+use quetzaldeal::world::world_config;
+use quetzaldeal::world::world_file;
 
 /// Name of the host that the bench plays.
 const HOST: &str = "host-0";
@@ -39,12 +37,12 @@
 /// One decision core with endpoints and a platform that answer at once.
 #[derive(Debug)]
 pub struct CoreBench {
-    core: DecisionCore,
-    now: ClockTime,
-    entries: Vec<StoreEntry>,
+    core: decision_core::DecisionCore,
+    now: clock_time::ClockTime,
+    entries: Vec<platform_message::StoreEntry>,
     revision: u64,
     key: String,
-    open: VecDeque<CoreEvent>,
+    open: VecDeque<core_message::CoreEvent>,
     answered: u64,
 }
 
@@ -55,15 +53,16 @@
     ///
     /// Fails when the configuration cannot be built.
     pub fn new(size: WorldSize) -> Result<Self> {
-        let identity = HostIdentity {
+        let identity = core_context::HostIdentity {
             name: HOST.to_owned(),
             data_centre: "centre-0".to_owned(),
             incarnation: 1,
             seeds: Vec::new(),
         };
-        let tuning = CoreTuning { share_loans: false, ..CoreTuning::default() };
-        let now = ClockTime::from_millis(1_000);
-        let core = DecisionCore::new(identity, tuning, 1, now)?;
+        let tuning =
+            core_tuning::CoreTuning { share_loans: false, ..core_tuning::CoreTuning::default() };
+        let now = clock_time::ClockTime::from_millis(1_000);
+        let core = decision_core::DecisionCore::new(identity, tuning, 1, now)?;
         let mut bench = Self {
             core,
             now,
@@ -73,7 +72,7 @@
             open: VecDeque::new(),
             answered: 0,
         };
-        let secret = KeySecret::generate("key-0", ACCOUNT);
+        let secret = key_secret::KeySecret::generate("key-0", ACCOUNT);
         bench.key.clone_from(&secret.text);
         let mut world = build_world(size)?;
         world.keys.insert("key-0".to_owned(), secret.object);
@@ -90,7 +89,7 @@
     /// # Errors
     ///
     /// Fails when the configuration cannot be encoded.
-    pub fn publish(&mut self, world: &WorldConfig, version: u64) -> Result<Duration> {
+    pub fn publish(&mut self, world: &world_config::WorldConfig, version: u64) -> Result<Duration> {
         let parts = config_head::split_world(world)?;
         let head = config_head::ConfigHead {
             version,
@@ -117,7 +116,7 @@
         let end = self.now.after(span);
         while let Some(wake) = self.core.next_wake().filter(|wake| *wake <= end) {
             self.now = self.now.max(wake);
-            self.handle(CoreEvent::Woken);
+            self.handle(core_message::CoreEvent::Woken);
         }
         self.now = end;
         started.elapsed()
@@ -126,7 +125,7 @@
     /// Opens callers' connections.
     pub fn open_callers(&mut self, from: u64, to: u64) {
         for caller in from..to {
-            let event = CoreEvent::CallerOpened {
+            let event = core_message::CoreEvent::CallerOpened {
                 caller,
                 account: ACCOUNT.to_owned(),
                 key: self.key.clone(),
@@ -143,7 +142,10 @@
         let answered = self.answered;
         for _ in 0..count {
             self.now = self.now.after(Duration::from_micros(300));
-            self.handle(CoreEvent::StatementArrived { caller, text: text.to_owned() });
+            self.handle(core_message::CoreEvent::StatementArrived {
+                caller,
+                text: text.to_owned(),
+            });
         }
         let spent = started.elapsed();
         if self.answered - answered < count {
@@ -153,11 +155,11 @@
     }
 
     /// Returns the core's context.
-    pub fn core(&self) -> &DecisionCore {
+    pub fn core(&self) -> &decision_core::DecisionCore {
         &self.core
     }
 
-    fn handle(&mut self, event: CoreEvent) {
+    fn handle(&mut self, event: core_message::CoreEvent) {
         self.open.push_back(event);
         while let Some(event) = self.open.pop_front() {
             for action in self.core.handle(self.now, event) {
@@ -166,12 +168,12 @@
         }
     }
 
-    fn answer(&mut self, action: CoreAction) {
+    fn answer(&mut self, action: core_message::CoreAction) {
         let event = match action {
-            CoreAction::OpenConnection { connection, .. } => {
-                CoreEvent::ConnectionOpened { connection, opened: true }
+            core_message::CoreAction::OpenConnection { connection, .. } => {
+                core_message::CoreEvent::ConnectionOpened { connection, opened: true }
             }
-            CoreAction::CallEndpoint { call, request, connection } => {
+            core_message::CoreAction::CallEndpoint { call, request, connection } => {
                 let endpoint = self.core.context().connections[connection].endpoint;
                 let context = self.core.context();
                 let name = context.endpoints[endpoint].name.clone();
@@ -179,18 +181,20 @@
                 let primary = primary.and_then(|name| context.endpoint_names.get(&name));
                 let address = primary.map(|key| context.endpoints[*key].address.clone());
                 let outcome = outcome(&request, name.ends_with("-0"), address);
-                CoreEvent::EndpointAnswered { call, outcome }
+                core_message::CoreEvent::EndpointAnswered { call, outcome }
+            }
+            core_message::CoreAction::CallPeer { call, .. } => {
+                core_message::CoreEvent::PeerAnswered { call, reply: None }
             }
-            CoreAction::CallPeer { call, .. } => CoreEvent::PeerAnswered { call, reply: None },
-            CoreAction::CallPlatform { call, request } => {
+            core_message::CoreAction::CallPlatform { call, request } => {
                 let reply = Some(self.platform(&request));
-                if matches!(request, PlatformRequest::Watch { .. }) {
+                if matches!(request, platform_message::PlatformRequest::Watch { .. }) {
                     // A watch is answered when it has waited, or else the core would spin.
                     self.now = self.now.after(Duration::from_millis(1));
                 }
-                CoreEvent::PlatformAnswered { call, reply }
+                core_message::CoreEvent::PlatformAnswered { call, reply }
             }
-            CoreAction::AnswerCaller { .. } => {
+            core_message::CoreAction::AnswerCaller { .. } => {
                 self.answered += 1;
                 return;
             }
@@ -199,38 +203,45 @@
         self.open.push_back(event);
     }
 
-    fn platform(&self, request: &PlatformRequest) -> PlatformReply {
+    fn platform(
+        &self,
+        request: &platform_message::PlatformRequest,
+    ) -> platform_message::PlatformReply {
         match request {
-            PlatformRequest::Get { key } => {
+            platform_message::PlatformRequest::Get { key } => {
                 let entry = self.entries.iter().find(|entry| entry.key == *key);
-                PlatformReply::Value(entry.cloned())
+                platform_message::PlatformReply::Value(entry.cloned())
             }
-            PlatformRequest::Watch { prefix, after, .. } => {
-                let newer = |entry: &&StoreEntry| {
+            platform_message::PlatformRequest::Watch { prefix, after, .. } => {
+                let newer = |entry: &&platform_message::StoreEntry| {
                     entry.revision > *after && entry.key.starts_with(prefix.as_str())
                 };
                 let entries = self.entries.iter().filter(newer).cloned().collect();
-                PlatformReply::Changed { revision: self.revision, entries }
+                platform_message::PlatformReply::Changed { revision: self.revision, entries }
+            }
+            platform_message::PlatformRequest::Hosts => {
+                platform_message::PlatformReply::Hosts(Vec::new())
+            }
+            platform_message::PlatformRequest::CompareSwap { .. } => {
+                platform_message::PlatformReply::Conflict(None)
             }
-            PlatformRequest::Hosts => PlatformReply::Hosts(Vec::new()),
-            PlatformRequest::CompareSwap { .. } => PlatformReply::Conflict(None),
         }
     }
 
     fn put(&mut self, key: String, value: Vec<u8>) {
         self.revision += 1;
         self.entries.retain(|entry| entry.key != key);
-        self.entries.push(StoreEntry { key, revision: self.revision, value });
+        self.entries.push(platform_message::StoreEntry { key, revision: self.revision, value });
     }
 
     fn put_record(&mut self, group: &str) -> Result<()> {
         let names = (0..3).map(|index| format!("{group}-{index}"));
-        let record = GroupRecord {
+        let record = group_record::GroupRecord {
             term: 1,
-            phase: TermPhase::Serving,
+            phase: group_record::TermPhase::Serving,
             primary: format!("{group}-0"),
             proposer: "bench".to_owned(),
-            start: LogPoint { term: 0, position: 0 },
+            start: endpoint_message::LogPoint { term: 0, position: 0 },
             copies: names.map(|name| (name, 1)).collect(),
         };
         let value = rmp_serde::to_vec(&record).context("record")?;
@@ -244,7 +255,7 @@
 /// # Errors
 ///
 /// Fails when the world's text is malformed.
-pub fn build_world(size: WorldSize) -> Result<WorldConfig> {
+pub fn build_world(size: WorldSize) -> Result<world_config::WorldConfig> {
     let mut text = String::new();
     for centre in 0..size.centres {
         text += &format!("---\nkind: data_centre\nname: centre-{centre}\n");
@@ -289,11 +300,15 @@
         "---\nkind: rule\nname: shop\nservice: shop\naccess: write\naccounts: [{}]\n",
         names.join(", ")
     );
-    Ok(WorldFile::parse(&text)?.world)
+    Ok(world_file::WorldFile::parse(&text)?.world)
 }
 
-fn outcome(request: &EndpointRequest, primary: bool, address: Option<String>) -> EndpointOutcome {
-    let status = EndpointStatus {
+fn outcome(
+    request: &endpoint_message::EndpointRequest,
+    primary: bool,
+    address: Option<String>,
+) -> endpoint_message::EndpointOutcome {
+    let status = endpoint_message::EndpointStatus {
         copy: 1,
         adopted_term: 1,
         log_term: 1,
@@ -302,7 +317,10 @@
         following: address.filter(|_| !primary),
     };
     match request {
-        EndpointRequest::Run(_) => EndpointOutcome::Ran { body: AnswerBody::default(), status },
-        _ => EndpointOutcome::Status(status),
+        endpoint_message::EndpointRequest::Run(_) => endpoint_message::EndpointOutcome::Ran {
+            body: endpoint_message::AnswerBody::default(),
+            status,
+        },
+        _ => endpoint_message::EndpointOutcome::Status(status),
     }
 }
--- a/stand-ins/src/database_model.rs
+++ b/stand-ins/src/database_model.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashMap;
 
-use quetzaldeal::core::endpoint_message::{EndpointStatus, LogPoint};
-use quetzaldeal::daemon::endpoint_sql::{self, SqlError, SqlResult};
+use quetzaldeal::core::endpoint_message;
+use quetzaldeal::daemon::endpoint_sql;
 use serde::{Deserialize, Serialize};
 
 use crate::sql_engine;
-use crate::table_store::{TableChange, TableStore};
+use crate::table_store;
 
 /// Number of a connection to the database.
 pub type ConnectionId = u64;
@@ -18,11 +18,11 @@
     /// The term it was committed in.
     pub term: u64,
     /// Its changes.
-    pub changes: Vec<TableChange>,
+    pub changes: Vec<table_store::TableChange>,
 }
 
 /// The last position of each term in a log, oldest first.
-pub type TermEnds = Vec<LogPoint>;
+pub type TermEnds = Vec<endpoint_message::LogPoint>;
 
 /// What a primary sends a replica.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,7 +42,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct OpenTransaction {
     /// Changes not committed yet.
-    pub changes: Vec<TableChange>,
+    pub changes: Vec<table_store::TableChange>,
     /// Whether an error has ended it; COMMIT then rolls back.
     pub failed: bool,
     /// Whether a fence has ended it; COMMIT is then an error.
@@ -59,7 +59,7 @@
     primary: bool,
     following: Option<String>,
     log: Vec<LogEntry>,
-    tables: TableStore,
+    tables: table_store::TableStore,
     transactions: HashMap<ConnectionId, OpenTransaction>,
 }
 
@@ -72,14 +72,14 @@
             primary: false,
             following: None,
             log: Vec::new(),
-            tables: TableStore::default(),
+            tables: table_store::TableStore::default(),
             transactions: HashMap::new(),
         }
     }
 
     /// Returns the status.
-    pub fn status(&self) -> EndpointStatus {
-        EndpointStatus {
+    pub fn status(&self) -> endpoint_message::EndpointStatus {
+        endpoint_message::EndpointStatus {
             copy: self.copy,
             adopted_term: self.adopted_term,
             log_term: self.log.last().map_or(0, |entry| entry.term),
@@ -95,7 +95,7 @@
     }
 
     /// Returns the tables.
-    pub fn tables(&self) -> &TableStore {
+    pub fn tables(&self) -> &table_store::TableStore {
         &self.tables
     }
 
@@ -108,7 +108,7 @@
         &mut self,
         connection: ConnectionId,
         batch: &str,
-    ) -> Result<Vec<SqlResult>, SqlError> {
+    ) -> Result<Vec<endpoint_sql::SqlResult>, endpoint_sql::SqlError> {
         sql_engine::execute(self, connection, batch)
     }
 
@@ -137,7 +137,10 @@
     /// # Errors
     ///
     /// Fails unless this is the primary.
-    pub fn commit(&mut self, changes: Vec<TableChange>) -> Result<(), SqlError> {
+    pub fn commit(
+        &mut self,
+        changes: Vec<table_store::TableChange>,
+    ) -> Result<(), endpoint_sql::SqlError> {
         if changes.is_empty() {
             return Ok(());
         }
@@ -162,7 +165,7 @@
     }
 
     /// Becomes the primary of `term`, if the log has reached `least`.
-    pub fn promote(&mut self, term: u64, least: LogPoint) {
+    pub fn promote(&mut self, term: u64, least: endpoint_message::LogPoint) {
         let leads = self.primary && self.adopted_term == term;
         if term < self.adopted_term || leads || !self.status().reached(least) {
             return;
@@ -189,7 +192,7 @@
             let position = index as u64 + 1;
             match ends.last_mut() {
                 Some(end) if end.term == entry.term => end.position = position,
-                _ => ends.push(LogPoint { term: entry.term, position }),
+                _ => ends.push(endpoint_message::LogPoint { term: entry.term, position }),
             }
         }
         ends
@@ -218,7 +221,7 @@
         }
         if batch.keep < self.log.len() as u64 {
             self.log.truncate(batch.keep as usize);
-            self.tables = TableStore::default();
+            self.tables = table_store::TableStore::default();
             for entry in &self.log {
                 entry.changes.iter().for_each(|change| self.tables.apply(change));
             }
@@ -235,8 +238,8 @@
 }
 
 /// Builds an error.
-pub fn error(code: &str, message: &str) -> SqlError {
-    SqlError { code: code.to_owned(), message: message.to_owned() }
+pub fn error(code: &str, message: &str) -> endpoint_sql::SqlError {
+    endpoint_sql::SqlError { code: code.to_owned(), message: message.to_owned() }
 }
 
 /// Returns the length of the longest prefix that two logs share.
--- a/stand-ins/src/endpoint_program.rs
+++ b/stand-ins/src/endpoint_program.rs
@@ -19,8 +19,8 @@
 use pgwire::error::{ErrorInfo, PgWireError, PgWireResult};
 use pgwire::messages::PgWireBackendMessage;
 use pgwire::tokio::process_socket;
-use quetzaldeal::core::endpoint_message::LogPoint;
-use quetzaldeal::daemon::endpoint_sql::{self, SqlResult};
+use quetzaldeal::core::endpoint_message;
+use quetzaldeal::daemon::endpoint_sql;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore};
 use tokio_postgres::{NoTls, SimpleQueryMessage};
@@ -176,7 +176,7 @@
             .filter_map(|number| number.trim().parse().ok())
             .collect();
         let [term, position, wait_ms] = numbers[..] else { return };
-        let point = LogPoint { term, position };
+        let point = endpoint_message::LogPoint { term, position };
         let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
         loop {
             let changed = self.changed.notified();
@@ -202,7 +202,7 @@
             sql_error(endpoint_sql::STATE_WRONG_TERM, "not the primary of this term")
         })?;
         let bytes = rmp_serde::to_vec(&batch).map_err(|_| malformed())?;
-        let result = SqlResult {
+        let result = endpoint_sql::SqlResult {
             columns: vec!["batch".to_owned()],
             rows: vec![vec![Some(to_hex(&bytes))]],
             affected: 1,
@@ -251,7 +251,7 @@
     }
 }
 
-fn respond(result: &SqlResult, text: &str) -> Response {
+fn respond(result: &endpoint_sql::SqlResult, text: &str) -> Response {
     if result.columns.is_empty() {
         let verb = text.split_whitespace().next().unwrap_or("OK").to_ascii_uppercase();
         return Response::Execution(Tag::new(&verb).with_rows(result.affected as usize));
--- a/stand-ins/src/load_run.rs
+++ b/stand-ins/src/load_run.rs
@@ -14,7 +14,7 @@
 use tokio_postgres::Client;
 
 use crate::caller_story::{CallerLogin, is_not_run};
-use crate::load_plan::{AccountLoad, LoadPlan};
+use crate::load_plan;
 
 /// Statements that wait for one connection before more are counted as late and dropped.
 const BACKLOG_MAX: usize = 4_096;
@@ -101,7 +101,7 @@
 /// # Errors
 ///
 /// Fails when a host cannot be reached at the start.
-pub async fn run(plan: LoadPlan, report: Option<&str>) -> Result<()> {
+pub async fn run(plan: load_plan::LoadPlan, report: Option<&str>) -> Result<()> {
     let mut records = BTreeMap::new();
     let mut tasks = Vec::new();
     let started = Instant::now() + Duration::from_millis(500);
@@ -130,7 +130,7 @@
     Ok(())
 }
 
-fn new_record(account: &AccountLoad, started: Instant) -> Result<AccountRecord> {
+fn new_record(account: &load_plan::AccountLoad, started: Instant) -> Result<AccountRecord> {
     Ok(AccountRecord {
         outcome: AccountOutcome::default(),
         bucket: ExactBucket {
@@ -152,8 +152,8 @@
 }
 
 async fn open_connections(
-    plan: &LoadPlan,
-    account: &AccountLoad,
+    plan: &load_plan::LoadPlan,
+    account: &load_plan::AccountLoad,
     record: &SharedRecord,
 ) -> Result<Vec<HostConnections>> {
     let mut hosts = Vec::new();
@@ -199,8 +199,8 @@
 
 /// Offers an account's statements at their times, whether or not earlier ones are answered.
 async fn offer(
-    plan: LoadPlan,
-    account: AccountLoad,
+    plan: load_plan::LoadPlan,
+    account: load_plan::AccountLoad,
     record: SharedRecord,
     hosts: Vec<HostConnections>,
     seed: u64,
@@ -232,7 +232,7 @@
 }
 
 fn make_statement(
-    plan: &LoadPlan,
+    plan: &load_plan::LoadPlan,
     record: &SharedRecord,
     rng: &mut StdRng,
     due: Instant,
--- a/stand-ins/src/path_cost.rs
+++ b/stand-ins/src/path_cost.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use quetzaldeal::daemon::duty_ring::{self, RingWaker, TaskReceiver};
+use quetzaldeal::daemon::duty_ring;
 use tokio_postgres::{Client, Config, NoTls};
 
-use crate::caller_story::CallerLogin;
+use crate::caller_story;
 
 const WARM_UP: u32 = 200;
 const STATEMENTS: u32 = 3_000;
@@ -29,7 +29,7 @@
 /// # Errors
 ///
 /// Fails when one of them cannot be reached.
-pub async fn compare(login: &CallerLogin, direct: &str) -> Result<()> {
+pub async fn compare(login: &caller_story::CallerLogin, direct: &str) -> Result<()> {
     let mut proxied = Vec::new();
     let mut straight = Vec::new();
     for _ in 0..PARALLEL {
@@ -56,8 +56,9 @@
 ///
 /// Fails when a thread or runtime cannot be made.
 pub fn measure_hop() -> Result<()> {
-    let (to_thread, mut inlet) = duty_ring::ring(RING_CAPACITY, RingWaker::Thread(current()));
-    let (to_task, mut outlet) = TaskReceiver::ring(RING_CAPACITY);
+    let (to_thread, mut inlet) =
+        duty_ring::ring(RING_CAPACITY, duty_ring::RingWaker::Thread(current()));
+    let (to_task, mut outlet) = duty_ring::TaskReceiver::ring(RING_CAPACITY);
     let echo = std::thread::spawn(move || -> Result<()> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         runtime.block_on(async {
--- a/stand-ins/src/platform_model.rs
+++ b/stand-ins/src/platform_model.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use quetzaldeal::core::platform_message::{ListedHost, PlatformReply, PlatformRequest, StoreEntry};
+use quetzaldeal::core::platform_message;
 
 /// The largest value that the service holds, in bytes.
 pub const VALUE_MAX_BYTES: usize = 1_000_000;
@@ -20,8 +20,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct PlatformModel {
     revision: u64,
-    entries: BTreeMap<String, StoreEntry>,
-    hosts: Vec<ListedHost>,
+    entries: BTreeMap<String, platform_message::StoreEntry>,
+    hosts: Vec<platform_message::ListedHost>,
     counts: CallCounts,
 }
 
@@ -29,25 +29,28 @@
     /// Lists a host or endpoint as live or leaving.
     pub fn list_host(&mut self, name: &str, leaving: bool) {
         self.hosts.retain(|host| host.name != name);
-        self.hosts.push(ListedHost { name: name.to_owned(), leaving });
+        self.hosts.push(platform_message::ListedHost { name: name.to_owned(), leaving });
     }
 
     /// Handles a request; `None` for a watch that has nothing to tell yet.
-    pub fn handle(&mut self, request: &PlatformRequest) -> Option<PlatformReply> {
+    pub fn handle(
+        &mut self,
+        request: &platform_message::PlatformRequest,
+    ) -> Option<platform_message::PlatformReply> {
         match request {
-            PlatformRequest::Get { key } => {
+            platform_message::PlatformRequest::Get { key } => {
                 self.counts.reads += 1;
-                Some(PlatformReply::Value(self.entries.get(key).cloned()))
+                Some(platform_message::PlatformReply::Value(self.entries.get(key).cloned()))
             }
-            PlatformRequest::CompareSwap { key, expected, value } => {
+            platform_message::PlatformRequest::CompareSwap { key, expected, value } => {
                 self.counts.writes += 1;
                 Some(self.swap(key, *expected, value))
             }
-            PlatformRequest::Hosts => {
+            platform_message::PlatformRequest::Hosts => {
                 self.counts.reads += 1;
-                Some(PlatformReply::Hosts(self.hosts.clone()))
+                Some(platform_message::PlatformReply::Hosts(self.hosts.clone()))
             }
-            PlatformRequest::Watch { prefix, after, .. } => {
+            platform_message::PlatformRequest::Watch { prefix, after, .. } => {
                 self.counts.reads += 1;
                 self.changes(prefix, *after)
             }
@@ -55,18 +58,20 @@
     }
 
     /// Returns what has changed under a prefix, if anything has.
-    pub fn changes(&self, prefix: &str, after: u64) -> Option<PlatformReply> {
+    pub fn changes(&self, prefix: &str, after: u64) -> Option<platform_message::PlatformReply> {
         match self.snapshot(prefix, after) {
-            PlatformReply::Changed { entries, .. } if entries.is_empty() => None,
+            platform_message::PlatformReply::Changed { entries, .. } if entries.is_empty() => None,
             reply => Some(reply),
         }
     }
 
     /// Returns what has changed under a prefix, be it nothing.
-    pub fn snapshot(&self, prefix: &str, after: u64) -> PlatformReply {
-        let wanted = |entry: &&StoreEntry| entry.key.starts_with(prefix) && entry.revision > after;
+    pub fn snapshot(&self, prefix: &str, after: u64) -> platform_message::PlatformReply {
+        let wanted = |entry: &&platform_message::StoreEntry| {
+            entry.key.starts_with(prefix) && entry.revision > after
+        };
         let entries = self.entries.values().filter(wanted).cloned().collect();
-        PlatformReply::Changed { revision: self.revision, entries }
+        platform_message::PlatformReply::Changed { revision: self.revision, entries }
     }
 
     /// Returns the calls counted so far.
@@ -74,19 +79,22 @@
         self.counts
     }
 
-    fn swap(&mut self, key: &str, expected: u64, value: &[u8]) -> PlatformReply {
+    fn swap(&mut self, key: &str, expected: u64, value: &[u8]) -> platform_message::PlatformReply {
         if value.len() > VALUE_MAX_BYTES {
             let detail = format!("value of {} bytes is too large", value.len());
-            return PlatformReply::Refused { detail };
+            return platform_message::PlatformReply::Refused { detail };
         }
         let current = self.entries.get(key);
         if current.map_or(0, |entry| entry.revision) != expected {
-            return PlatformReply::Conflict(current.cloned());
+            return platform_message::PlatformReply::Conflict(current.cloned());
         }
         self.revision += 1;
-        let entry =
-            StoreEntry { key: key.to_owned(), revision: self.revision, value: value.to_vec() };
+        let entry = platform_message::StoreEntry {
+            key: key.to_owned(),
+            revision: self.revision,
+            value: value.to_vec(),
+        };
         self.entries.insert(key.to_owned(), entry);
-        PlatformReply::Swapped { revision: self.revision }
+        platform_message::PlatformReply::Swapped { revision: self.revision }
     }
 }
--- a/stand-ins/src/platform_program.rs
+++ b/stand-ins/src/platform_program.rs
@@ -4,15 +4,15 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use quetzaldeal::core::platform_message::{PlatformReply, PlatformRequest};
+use quetzaldeal::core::platform_message;
 use quetzaldeal::daemon::http_call;
 use quetzaldeal::daemon::platform_driver::PLATFORM_PATH;
 use tokio::sync::Notify;
 use volo_http::http::StatusCode;
 use volo_http::server::route::Router;
 
-use crate::fault_message::{FAULT_PATH, PlatformFaults};
-use crate::platform_model::{CallCounts, PlatformModel};
+use crate::fault_message;
+use crate::platform_model;
 
 /// Path that the counted calls are read at.
 pub const COUNTS_PATH: &str = "/v1/counts";
@@ -22,12 +22,12 @@
 /// The platform's service.
 #[derive(Debug, Default)]
 pub struct PlatformProgram {
-    model: Mutex<PlatformModel>,
-    faults: Mutex<PlatformFaults>,
+    model: Mutex<platform_model::PlatformModel>,
+    faults: Mutex<fault_message::PlatformFaults>,
     changed: Notify,
 }
 
-type Answer = Result<PlatformReply, (StatusCode, String)>;
+type Answer = Result<platform_message::PlatformReply, (StatusCode, String)>;
 
 impl PlatformProgram {
     /// Serves until the process is stopped.
@@ -44,27 +44,27 @@
         });
         let counts = program.clone();
         let router = http_call::route_messages(router, COUNTS_PATH, move |(): ()| {
-            let CallCounts { reads, writes } = counts.model().counts();
+            let platform_model::CallCounts { reads, writes } = counts.model().counts();
             async move { Ok((reads, writes)) }
         });
-        let router = http_call::route_messages(router, FAULT_PATH, move |faults| {
+        let router = http_call::route_messages(router, fault_message::FAULT_PATH, move |faults| {
             *program.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
             async move { Ok(()) }
         });
         http_call::serve(address, router).await
     }
 
-    async fn answer(&self, request: PlatformRequest) -> Answer {
+    async fn answer(&self, request: platform_message::PlatformRequest) -> Answer {
         let faults = self.faults();
         if faults.outage {
             return self.stay_silent().await;
         }
         tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
-        if let PlatformRequest::Watch { prefix, after, wait_ms } = &request {
+        if let platform_message::PlatformRequest::Watch { prefix, after, wait_ms } = &request {
             return self.watch(&request, prefix, *after, Duration::from_millis(*wait_ms)).await;
         }
         let reply = self.model().handle(&request);
-        if matches!(reply, Some(PlatformReply::Swapped { .. })) {
+        if matches!(reply, Some(platform_message::PlatformReply::Swapped { .. })) {
             self.changed.notify_waiters();
             if self.take_lost_answer() {
                 return self.stay_silent().await;
@@ -75,7 +75,7 @@
 
     async fn watch(
         &self,
-        request: &PlatformRequest,
+        request: &platform_message::PlatformRequest,
         prefix: &str,
         after: u64,
         wait: Duration,
@@ -109,11 +109,11 @@
         lost
     }
 
-    fn faults(&self) -> PlatformFaults {
+    fn faults(&self) -> fault_message::PlatformFaults {
         *self.faults.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn model(&self) -> std::sync::MutexGuard<'_, PlatformModel> {
+    fn model(&self) -> std::sync::MutexGuard<'_, platform_model::PlatformModel> {
         self.model.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/stand-ins/src/sql_engine.rs
+++ b/stand-ins/src/sql_engine.rs
@@ -1,13 +1,13 @@
 //! Runs the few forms of SQL that the stand-in databases know.
 
-use quetzaldeal::core::endpoint_message::LogPoint;
-use quetzaldeal::daemon::endpoint_sql::{self, SqlError, SqlResult};
+use quetzaldeal::core::endpoint_message;
+use quetzaldeal::daemon::endpoint_sql;
 use sqlparser::ast::{self, Expr, SetExpr, Statement};
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
 
 use crate::database_model::{ConnectionId, DatabaseModel, error};
-use crate::table_store::{SmallTable, TableChange};
+use crate::table_store;
 
 const STATE_SYNTAX: &str = "42601";
 const STATE_READ_ONLY: &str = "25006";
@@ -22,7 +22,7 @@
     database: &mut DatabaseModel,
     connection: ConnectionId,
     batch: &str,
-) -> Result<Vec<SqlResult>, SqlError> {
+) -> Result<Vec<endpoint_sql::SqlResult>, endpoint_sql::SqlError> {
     let statements = Parser::parse_sql(&PostgreSqlDialect {}, batch)
         .map_err(|problem| error(STATE_SYNTAX, &problem.to_string()))?;
     let explicit = database.transaction(connection).is_some();
@@ -51,7 +51,10 @@
 }
 
 impl BatchRun<'_> {
-    fn statement(&mut self, statement: &Statement) -> Result<SqlResult, SqlError> {
+    fn statement(
+        &mut self,
+        statement: &Statement,
+    ) -> Result<endpoint_sql::SqlResult, endpoint_sql::SqlError> {
         let failed = self.pending(|transaction| transaction.failed || transaction.fenced);
         let ends = matches!(statement, Statement::Commit { .. } | Statement::Rollback { .. });
         if failed && !ends && self.explicit {
@@ -60,25 +63,25 @@
         match statement {
             Statement::StartTransaction { .. } => {
                 self.explicit = true;
-                Ok(SqlResult::default())
+                Ok(endpoint_sql::SqlResult::default())
             }
             Statement::Commit { .. } => self.commit(),
             Statement::Rollback { .. } => {
                 self.database.take_transaction(self.connection);
                 self.explicit = false;
                 self.database.begin(self.connection);
-                Ok(SqlResult::default())
+                Ok(endpoint_sql::SqlResult::default())
             }
             Statement::Set(ast::Set::SetTransaction { .. }) => {
                 if let Some(transaction) = self.database.transaction(self.connection) {
                     transaction.read_only = true;
                 }
-                Ok(SqlResult::default())
+                Ok(endpoint_sql::SqlResult::default())
             }
-            Statement::Set(_) => Ok(SqlResult::default()),
+            Statement::Set(_) => Ok(endpoint_sql::SqlResult::default()),
             Statement::CreateTable(table) => {
                 let columns = table.columns.iter().map(|column| column.name.value.clone());
-                let change = TableChange::Create {
+                let change = table_store::TableChange::Create {
                     table: table.name.to_string(),
                     columns: columns.collect(),
                 };
@@ -92,7 +95,7 @@
         }
     }
 
-    fn commit(&mut self) -> Result<SqlResult, SqlError> {
+    fn commit(&mut self) -> Result<endpoint_sql::SqlResult, endpoint_sql::SqlError> {
         let transaction = self.database.take_transaction(self.connection).unwrap_or_default();
         self.explicit = false;
         self.database.begin(self.connection);
@@ -101,14 +104,14 @@
             return Err(error(state, "the transaction was ended by a fence"));
         }
         if transaction.failed {
-            return Ok(SqlResult::default());
+            return Ok(endpoint_sql::SqlResult::default());
         }
         self.database.commit(transaction.changes)?;
-        Ok(SqlResult::default())
+        Ok(endpoint_sql::SqlResult::default())
     }
 
     /// Commits an implicit transaction.
-    fn finish(self) -> Result<(), SqlError> {
+    fn finish(self) -> Result<(), endpoint_sql::SqlError> {
         if self.explicit {
             return Ok(());
         }
@@ -131,16 +134,19 @@
         self.database.transaction(self.connection).map(|open| read(open)).unwrap_or_default()
     }
 
-    fn changes(&mut self) -> Vec<TableChange> {
+    fn changes(&mut self) -> Vec<table_store::TableChange> {
         self.pending(|transaction| transaction.changes.clone())
     }
 
-    fn view(&mut self, table: &str) -> SmallTable {
+    fn view(&mut self, table: &str) -> table_store::SmallTable {
         let pending = self.changes();
         self.database.tables().view(table, &pending).unwrap_or_default()
     }
 
-    fn write(&mut self, change: TableChange) -> Result<SqlResult, SqlError> {
+    fn write(
+        &mut self,
+        change: table_store::TableChange,
+    ) -> Result<endpoint_sql::SqlResult, endpoint_sql::SqlError> {
         let primary = self.database.status().primary;
         let read_only = self.pending(|transaction| transaction.read_only);
         if read_only || !primary {
@@ -149,10 +155,13 @@
         if let Some(transaction) = self.database.transaction(self.connection) {
             transaction.changes.push(change);
         }
-        Ok(SqlResult { affected: 1, ..SqlResult::default() })
+        Ok(endpoint_sql::SqlResult { affected: 1, ..endpoint_sql::SqlResult::default() })
     }
 
-    fn insert(&mut self, insert: &ast::Insert) -> Result<SqlResult, SqlError> {
+    fn insert(
+        &mut self,
+        insert: &ast::Insert,
+    ) -> Result<endpoint_sql::SqlResult, endpoint_sql::SqlError> {
         let table = insert.table.to_string();
         let Some(SetExpr::Values(values)) = insert.source.as_ref().map(|query| &*query.body) else {
             return Err(error(STATE_SYNTAX, "INSERT takes VALUES"));
@@ -160,7 +169,7 @@
         let known = self.database.tables().columns(&table).is_some();
         if !known && !insert.columns.is_empty() {
             let columns = insert.columns.iter().map(ToString::to_string).collect();
-            self.write(TableChange::Create { table: table.clone(), columns })?;
+            self.write(table_store::TableChange::Create { table: table.clone(), columns })?;
         }
         let mut affected = 0;
         for row in &values.rows {
@@ -173,13 +182,16 @@
                 let message = format!("duplicate key {} in table {table}", row[0]);
                 return Err(error(endpoint_sql::STATE_DUPLICATE, &message));
             }
-            self.write(TableChange::Put { table: table.clone(), row })?;
+            self.write(table_store::TableChange::Put { table: table.clone(), row })?;
             affected += 1;
         }
-        Ok(SqlResult { affected, ..SqlResult::default() })
+        Ok(endpoint_sql::SqlResult { affected, ..endpoint_sql::SqlResult::default() })
     }
 
-    fn update(&mut self, update: &ast::Update) -> Result<SqlResult, SqlError> {
+    fn update(
+        &mut self,
+        update: &ast::Update,
+    ) -> Result<endpoint_sql::SqlResult, endpoint_sql::SqlError> {
         let table = update.table.to_string();
         let view = self.view(&table);
         let mut affected = 0;
@@ -192,13 +204,16 @@
                 };
                 row[index] = evaluate(&assignment.value, &view, &row);
             }
-            self.write(TableChange::Put { table: table.clone(), row })?;
+            self.write(table_store::TableChange::Put { table: table.clone(), row })?;
             affected += 1;
         }
-        Ok(SqlResult { affected, ..SqlResult::default() })
+        Ok(endpoint_sql::SqlResult { affected, ..endpoint_sql::SqlResult::default() })
     }
 
-    fn delete(&mut self, delete: &ast::Delete) -> Result<SqlResult, SqlError> {
+    fn delete(
+        &mut self,
+        delete: &ast::Delete,
+    ) -> Result<endpoint_sql::SqlResult, endpoint_sql::SqlError> {
         let ast::FromTable::WithFromKeyword(from) = &delete.from else {
             return Err(error(STATE_SYNTAX, "DELETE takes FROM"));
         };
@@ -206,13 +221,19 @@
         let view = self.view(&table);
         let mut affected = 0;
         for row in matching(&view, delete.selection.as_ref()) {
-            self.write(TableChange::Remove { table: table.clone(), key: row[0].clone() })?;
+            self.write(table_store::TableChange::Remove {
+                table: table.clone(),
+                key: row[0].clone(),
+            })?;
             affected += 1;
         }
-        Ok(SqlResult { affected, ..SqlResult::default() })
+        Ok(endpoint_sql::SqlResult { affected, ..endpoint_sql::SqlResult::default() })
     }
 
-    fn query(&mut self, query: &ast::Query) -> Result<SqlResult, SqlError> {
+    fn query(
+        &mut self,
+        query: &ast::Query,
+    ) -> Result<endpoint_sql::SqlResult, endpoint_sql::SqlError> {
         let SetExpr::Select(select) = &*query.body else {
             return Err(error(STATE_SYNTAX, "only SELECT is known here"));
         };
@@ -229,7 +250,7 @@
         Ok(project(&view, select, from.is_empty()))
     }
 
-    fn function(&mut self, call: &str) -> Result<SqlResult, SqlError> {
+    fn function(&mut self, call: &str) -> Result<endpoint_sql::SqlResult, endpoint_sql::SqlError> {
         let (name, arguments) = call.split_once('(').unwrap_or((call, ""));
         let arguments: Vec<&str> =
             arguments.trim_end_matches(')').split(',').map(|text| text.trim()).collect();
@@ -241,7 +262,7 @@
             "status" | "await" => {}
             "fence" => self.database.fence(number(0)),
             "promote" => {
-                let least = LogPoint { term: number(1), position: number(2) };
+                let least = endpoint_message::LogPoint { term: number(1), position: number(2) };
                 self.database.promote(number(0), least);
             }
             "follow" => {
@@ -253,7 +274,7 @@
                 return Err(error(endpoint_sql::STATE_WRONG_TERM, &message));
             }
             "read_guard" => {
-                let point = LogPoint { term: number(0), position: number(1) };
+                let point = endpoint_message::LogPoint { term: number(0), position: number(1) };
                 if !status.reached(point) {
                     return Err(error(endpoint_sql::STATE_BEHIND, "the log is behind"));
                 }
@@ -278,7 +299,7 @@
 }
 
 /// Computes a literal, a column, or a sum of the two.
-fn evaluate(expression: &Expr, table: &SmallTable, row: &[String]) -> String {
+fn evaluate(expression: &Expr, table: &table_store::SmallTable, row: &[String]) -> String {
     match expression {
         Expr::Identifier(name) => {
             let index = table.columns.iter().position(|column| *column == name.value);
@@ -292,7 +313,10 @@
     }
 }
 
-fn matching<'a>(table: &'a SmallTable, selection: Option<&Expr>) -> Vec<&'a Vec<String>> {
+fn matching<'a>(
+    table: &'a table_store::SmallTable,
+    selection: Option<&Expr>,
+) -> Vec<&'a Vec<String>> {
     let wanted = |row: &&Vec<String>| match selection {
         Some(Expr::BinaryOp { left, op: ast::BinaryOperator::Eq, right }) => {
             evaluate(left, table, row) == evaluate(right, table, row)
@@ -302,13 +326,17 @@
     table.rows.values().filter(wanted).collect()
 }
 
-fn project(table: &SmallTable, select: &ast::Select, constant: bool) -> SqlResult {
+fn project(
+    table: &table_store::SmallTable,
+    select: &ast::Select,
+    constant: bool,
+) -> endpoint_sql::SqlResult {
     let empty = Vec::new();
     let rows = if constant { vec![&empty] } else { matching(table, select.selection.as_ref()) };
     let names: Vec<String> = select.projection.iter().map(ToString::to_string).collect();
     if names == ["count(*)"] || names == ["COUNT(*)"] {
         let count = rows.len().to_string();
-        return SqlResult {
+        return endpoint_sql::SqlResult {
             columns: vec!["count".to_owned()],
             rows: vec![vec![Some(count)]],
             affected: 1,
@@ -317,7 +345,11 @@
     if names == ["*"] {
         let rows: Vec<_> =
             rows.into_iter().map(|row| row.iter().cloned().map(Some).collect()).collect();
-        return SqlResult { columns: table.columns.clone(), affected: rows.len() as u64, rows };
+        return endpoint_sql::SqlResult {
+            columns: table.columns.clone(),
+            affected: rows.len() as u64,
+            rows,
+        };
     }
     let cell = |item: &ast::SelectItem, row: &[String]| match item {
         ast::SelectItem::UnnamedExpr(expression)
@@ -328,5 +360,5 @@
     };
     let line = |row: &Vec<String>| select.projection.iter().map(|item| cell(item, row)).collect();
     let rows: Vec<Vec<Option<String>>> = rows.into_iter().map(line).collect();
-    SqlResult { columns: names, affected: rows.len() as u64, rows }
+    endpoint_sql::SqlResult { columns: names, affected: rows.len() as u64, rows }
 }
--- a/tests/checks.rs
+++ b/tests/checks.rs
@@ -2,12 +2,12 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by a panic")]
 
-use quetzaldeal::core::state_chart::StateChart;
-use quetzaldeal::daemon::daemon_settings::DaemonSettings;
+use quetzaldeal::core::state_chart;
+use quetzaldeal::daemon::daemon_settings;
 use quetzaldeal::operator::config_diff;
 use quetzaldeal::world::config_check;
-use quetzaldeal::world::world_config::WorldConfig;
-use quetzaldeal::world::world_file::WorldFile;
+use quetzaldeal::world::world_config;
+use quetzaldeal::world::world_file;
 
 const SOUND: &str = "
 ---\nkind: base\nversion: 4
@@ -21,8 +21,8 @@
 ---\nkind: rule\nname: shop\nservice: shop\naccounts: [desk]\naccess: write
 ";
 
-fn parse(text: &str) -> WorldConfig {
-    WorldFile::parse(text).unwrap().world
+fn parse(text: &str) -> world_config::WorldConfig {
+    world_file::WorldFile::parse(text).unwrap().world
 }
 
 /// Returns the findings of the sound world with one text replaced, as operators read them.
@@ -92,27 +92,27 @@
 }
 
 malformed! {
-    doubled_name: |text| WorldFile::parse(text).map(drop),
+    doubled_name: |text| world_file::WorldFile::parse(text).map(drop),
         "kind: data_centre\nname: a\n---\nkind: data_centre\nname: a\n",
         "data_centre a: field name: stands twice";
-    unknown_field: |text| WorldFile::parse(text).map(drop),
+    unknown_field: |text| world_file::WorldFile::parse(text).map(drop),
         "kind: account\nname: desk\nrate: 1\nburst: 1\ncolour: red\n",
         "document 1 (account desk): unknown field `colour`";
-    unknown_kind: |text| WorldFile::parse(text).map(drop),
+    unknown_kind: |text| world_file::WorldFile::parse(text).map(drop),
         "kind: zone\nname: a\n",
         "document 1 (zone a): unknown variant `zone`";
-    broken_yaml: |text| WorldFile::parse(text).map(drop), "kind: [account\n", "malformed YAML";
-    settings_unknown_field: |text| DaemonSettings::parse(text).map(drop),
+    broken_yaml: |text| world_file::WorldFile::parse(text).map(drop), "kind: [account\n", "malformed YAML";
+    settings_unknown_field: |text| daemon_settings::DaemonSettings::parse(text).map(drop),
         "host: a1\ndata_centre: a\ncaller: 1.2.3.4:5\n",
         "unknown field `caller`";
-    settings_bad_address: |text| DaemonSettings::parse(text).map(drop),
+    settings_bad_address: |text| daemon_settings::DaemonSettings::parse(text).map(drop),
         "host: a1\ndata_centre: a\ncallers: here\npeers: 1.2.3.4:5\nplatform: 1.2.3.4:6\n\
          endpoint_login: {user: u, database: d}\n",
         "field callers: \"here\": give an IP number and port";
-    chart_unknown_state: |text| StateChart::parse(text).map(drop),
+    chart_unknown_state: |text| state_chart::StateChart::parse(text).map(drop),
         "name: c\nstart: a\nstates:\n  a: {go: b}\n",
         "chart c: a on go: unknown state b";
-    chart_unreachable_state: |text| StateChart::parse(text).map(drop),
+    chart_unreachable_state: |text| state_chart::StateChart::parse(text).map(drop),
         "name: c\nstart: a\nstates:\n  a: {}\n  b: {}\n",
         "chart c: state b cannot be reached";
 }
@@ -120,13 +120,13 @@
 #[test]
 fn sound_world_has_no_findings() {
     assert_eq!(config_check::check_world(&parse(SOUND), None), Vec::new());
-    assert_eq!(WorldFile::parse(SOUND).unwrap().base, Some(4));
+    assert_eq!(world_file::WorldFile::parse(SOUND).unwrap().base, Some(4));
 }
 
 #[test]
 fn written_world_reads_the_same() {
-    let file = WorldFile::parse(SOUND).unwrap();
-    assert_eq!(WorldFile::parse(&file.to_yaml().unwrap()).unwrap(), file);
+    let file = world_file::WorldFile::parse(SOUND).unwrap();
+    assert_eq!(world_file::WorldFile::parse(&file.to_yaml().unwrap()).unwrap(), file);
 }
 
 #[test]
--- a/tests/fleet_fakes/fleet_truth.rs
+++ b/tests/fleet_fakes/fleet_truth.rs
@@ -3,14 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use quetzaldeal::core::clock_time::ClockTime;
-use quetzaldeal::core::core_message::CoreAction;
-use quetzaldeal::core::decision_core::DecisionCore;
-use quetzaldeal::core::endpoint_message::{AnswerBody, EndpointRequest, TransactionStep};
-use quetzaldeal::core::group_record::{self, GroupRecord, TermPhase};
-use quetzaldeal::core::platform_message::{PlatformReply, PlatformRequest};
-use quetzaldeal::core::request_verdict::{RequestFate, RequestVerdict, VerdictCause};
-use quetzaldeal::world::world_config::WorldConfig;
+use quetzaldeal::core::clock_time;
+use quetzaldeal::core::core_message;
+use quetzaldeal::core::decision_core;
+use quetzaldeal::core::endpoint_message;
+use quetzaldeal::core::group_record;
+use quetzaldeal::core::platform_message;
+use quetzaldeal::core::request_verdict;
+use quetzaldeal::world::world_config;
 use stand_ins::platform_model::PlatformModel;
 use stand_ins::table_store::TableChange;
 
@@ -25,11 +25,11 @@
     rate: f64,
     burst: f64,
     tokens: f64,
-    at: ClockTime,
+    at: clock_time::ClockTime,
 }
 
 impl ExactBucket {
-    fn advance(&mut self, now: ClockTime) {
+    fn advance(&mut self, now: clock_time::ClockTime) {
         let passed = now.since(self.at).as_secs_f64();
         self.tokens = (self.tokens + passed * self.rate).min(self.burst);
         self.at = now;
@@ -42,7 +42,7 @@
     /// Keys that must appear nowhere.
     pub(crate) secrets: Vec<String>,
     /// Inserted rows by identifier, with their fates.
-    pub(crate) inserts: BTreeMap<String, RequestFate>,
+    pub(crate) inserts: BTreeMap<String, request_verdict::RequestFate>,
     /// Counter updates: acknowledged, and of unknown fate.
     pub(crate) counted: (u64, u64),
     /// Rows that each caller's session must see.
@@ -51,12 +51,12 @@
     pub(crate) uncommitted: BTreeMap<String, Vec<String>>,
     /// Faults found.
     pub(crate) faults: Vec<String>,
-    withdrawn: BTreeMap<String, ClockTime>,
-    drained: BTreeMap<String, ClockTime>,
+    withdrawn: BTreeMap<String, clock_time::ClockTime>,
+    drained: BTreeMap<String, clock_time::ClockTime>,
     versions: BTreeMap<String, u64>,
     admitted: BTreeMap<(String, String), u64>,
     buckets: BTreeMap<String, ExactBucket>,
-    lowered: Vec<(ClockTime, String, f64, f64)>,
+    lowered: Vec<(clock_time::ClockTime, String, f64, f64)>,
 }
 
 impl FleetTruth {
@@ -65,7 +65,12 @@
         self.admitted.retain(|(name, _), _| name != host);
     }
 
-    pub(crate) fn note_published(&mut self, now: ClockTime, old: &WorldConfig, new: &WorldConfig) {
+    pub(crate) fn note_published(
+        &mut self,
+        now: clock_time::ClockTime,
+        old: &world_config::WorldConfig,
+        new: &world_config::WorldConfig,
+    ) {
         for key in old.keys.values().filter(|key| !new.keys.contains_key(&key.name)) {
             self.withdrawn.insert(key.account.clone(), now);
         }
@@ -98,7 +103,7 @@
         }
     }
 
-    pub(crate) fn note_service(&mut self, now: ClockTime, name: &str, out: bool) {
+    pub(crate) fn note_service(&mut self, now: clock_time::ClockTime, name: &str, out: bool) {
         if out {
             self.drained.entry(name.to_owned()).or_insert(now);
         } else {
@@ -109,7 +114,7 @@
     pub(crate) fn note_sent(&mut self, caller: &str, text: &str) {
         if let Some(id) = inserted(text) {
             // Until it is answered it may have run.
-            self.inserts.entry(id).or_insert(RequestFate::MayHaveRun);
+            self.inserts.entry(id).or_insert(request_verdict::RequestFate::MayHaveRun);
         }
         self.must_see.entry(caller.to_owned()).or_default();
     }
@@ -117,10 +122,10 @@
     /// Checks a core after each event that it handled.
     pub(crate) fn check_core(
         &mut self,
-        now: ClockTime,
+        now: clock_time::ClockTime,
         host: &str,
-        core: &DecisionCore,
-        world: &WorldConfig,
+        core: &decision_core::DecisionCore,
+        world: &world_config::WorldConfig,
     ) {
         let context = core.context();
         let version = context.config.version();
@@ -154,9 +159,12 @@
     }
 
     /// Checks that no action carries a caller's key.
-    pub(crate) fn check_action(&mut self, action: &CoreAction) {
-        if matches!(action, CoreAction::OpenConnection { .. } | CoreAction::CloseConnection { .. })
-        {
+    pub(crate) fn check_action(&mut self, action: &core_message::CoreAction) {
+        if matches!(
+            action,
+            core_message::CoreAction::OpenConnection { .. }
+                | core_message::CoreAction::CloseConnection { .. }
+        ) {
             return;
         }
         let text = format!("{action:?}");
@@ -167,12 +175,15 @@
 
     pub(crate) fn check_endpoint_call(
         &mut self,
-        now: ClockTime,
+        now: clock_time::ClockTime,
         base: &str,
-        request: &EndpointRequest,
+        request: &endpoint_message::EndpointRequest,
     ) {
-        let EndpointRequest::Run(statement) = request else { return };
-        let fresh = matches!(statement.step, TransactionStep::Single | TransactionStep::Begin);
+        let endpoint_message::EndpointRequest::Run(statement) = request else { return };
+        let fresh = matches!(
+            statement.step,
+            endpoint_message::TransactionStep::Single | endpoint_message::TransactionStep::Begin
+        );
         if fresh && self.out_for_long(now, base) {
             self.fault(format!("{base} got new work although out of service"));
         }
@@ -181,15 +192,15 @@
     #[allow(clippy::too_many_arguments, reason = "one answer with all that it is judged by")]
     pub(crate) fn check_answer(
         &mut self,
-        now: ClockTime,
-        sent: ClockTime,
+        now: clock_time::ClockTime,
+        sent: clock_time::ClockTime,
         caller: &str,
         account: &str,
         text: &str,
-        verdict: &RequestVerdict,
-        body: &AnswerBody,
+        verdict: &request_verdict::RequestVerdict,
+        body: &endpoint_message::AnswerBody,
     ) {
-        let ran = verdict.fate == RequestFate::Ran;
+        let ran = verdict.fate == request_verdict::RequestFate::Ran;
         let upper = text.to_ascii_uppercase();
         let plain = upper.starts_with("SET") || upper.starts_with("SHOW");
         if let Some(at) = self.withdrawn.get(account)
@@ -215,9 +226,13 @@
         }
         if upper.starts_with("UPDATE COUNTERS") {
             match verdict.fate {
-                RequestFate::Ran if verdict.cause == VerdictCause::Completed => self.counted.0 += 1,
-                RequestFate::Ran | RequestFate::NotRun => {}
-                RequestFate::MayHaveRun => self.counted.1 += 1,
+                request_verdict::RequestFate::Ran
+                    if verdict.cause == request_verdict::VerdictCause::Completed =>
+                {
+                    self.counted.0 += 1
+                }
+                request_verdict::RequestFate::Ran | request_verdict::RequestFate::NotRun => {}
+                request_verdict::RequestFate::MayHaveRun => self.counted.1 += 1,
             }
         }
         if let Some(id) = selected(text)
@@ -230,24 +245,29 @@
     }
 
     /// Notes the fate of a row; one that ran stays so, though its identifier is tried again.
-    fn note_fate(&mut self, id: String, fate: RequestFate) {
+    fn note_fate(&mut self, id: String, fate: request_verdict::RequestFate) {
         let known = self.inserts.entry(id).or_insert(fate);
-        if *known != RequestFate::Ran {
+        if *known != request_verdict::RequestFate::Ran {
             *known = fate;
         }
     }
 
     /// Follows a caller's transaction: its rows have the fate of its end.
-    fn note_transaction(&mut self, caller: &str, upper: &str, verdict: &RequestVerdict) {
+    fn note_transaction(
+        &mut self,
+        caller: &str,
+        upper: &str,
+        verdict: &request_verdict::RequestVerdict,
+    ) {
         match upper {
-            "BEGIN" if verdict.fate == RequestFate::Ran => {
+            "BEGIN" if verdict.fate == request_verdict::RequestFate::Ran => {
                 self.uncommitted.insert(caller.to_owned(), Vec::new());
             }
             "COMMIT" | "ROLLBACK" => {
                 let rows = self.uncommitted.remove(caller).unwrap_or_default();
                 let fate = match upper {
                     "COMMIT" => verdict.fate,
-                    _ => RequestFate::NotRun,
+                    _ => request_verdict::RequestFate::NotRun,
                 };
                 rows.into_iter().for_each(|id| self.note_fate(id, fate));
             }
@@ -264,7 +284,7 @@
         let mut faults = Vec::new();
         for (name, base) in bases {
             for id in logged_inserts(base) {
-                if self.inserts.get(&id) == Some(&RequestFate::NotRun) {
+                if self.inserts.get(&id) == Some(&request_verdict::RequestFate::NotRun) {
                     faults.push(format!(
                         "{id} was answered as not run and stands in the log of {name}"
                     ));
@@ -285,7 +305,7 @@
             if leaders.count() > 1 {
                 faults.push(format!("{group} has two primaries in term {}", record.term));
             }
-            if record.phase != TermPhase::Serving {
+            if record.phase != group_record::TermPhase::Serving {
                 continue;
             }
             let counted = |base: &&FakeBase| {
@@ -296,7 +316,8 @@
             let elsewhere: BTreeSet<String> =
                 members.iter().flat_map(|base| logged_inserts(base)).collect();
             let lost = elsewhere.difference(&present);
-            let acked = lost.filter(|id| self.inserts.get(*id) == Some(&RequestFate::Ran));
+            let acked =
+                lost.filter(|id| self.inserts.get(*id) == Some(&request_verdict::RequestFate::Ran));
             for id in acked {
                 faults.push(format!("{id} was acknowledged and is not on {}", record.primary));
             }
@@ -321,7 +342,8 @@
             let row = primary.model.tables().row("counters", "c", &[]);
             counter += row.and_then(|row| row[1].parse::<u64>().ok()).unwrap_or(0);
         }
-        let acked = self.inserts.iter().filter(|(_, fate)| **fate == RequestFate::Ran);
+        let acked =
+            self.inserts.iter().filter(|(_, fate)| **fate == request_verdict::RequestFate::Ran);
         let missing: Vec<String> =
             acked.map(|(id, _)| id.clone()).filter(|id| !present.contains(id)).collect();
         for id in missing {
@@ -333,7 +355,7 @@
         }
     }
 
-    fn apply_lowered(&mut self, now: ClockTime) {
+    fn apply_lowered(&mut self, now: clock_time::ClockTime) {
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.lowered).into_iter().partition(|(at, ..)| *at <= now);
         self.lowered = later;
@@ -346,7 +368,7 @@
         }
     }
 
-    fn out_for_long(&self, now: ClockTime, name: &str) -> bool {
+    fn out_for_long(&self, now: clock_time::ClockTime, name: &str) -> bool {
         self.drained.get(name).is_some_and(|at| now >= at.after(TAKES_HOLD))
     }
 
@@ -358,10 +380,15 @@
 }
 
 /// Returns the platform's record of a group.
-pub(crate) fn read_record(platform: &PlatformModel, group: &str) -> Option<GroupRecord> {
+pub(crate) fn read_record(
+    platform: &PlatformModel,
+    group: &str,
+) -> Option<group_record::GroupRecord> {
     let key = group_record::record_key(group);
-    match platform.clone().handle(&PlatformRequest::Get { key }) {
-        Some(PlatformReply::Value(Some(entry))) => rmp_serde::from_slice(&entry.value).ok(),
+    match platform.clone().handle(&platform_message::PlatformRequest::Get { key }) {
+        Some(platform_message::PlatformReply::Value(Some(entry))) => {
+            rmp_serde::from_slice(&entry.value).ok()
+        }
         _ => None,
     }
 }
--- a/tests/fleet_fakes/fleet_world.rs
+++ b/tests/fleet_fakes/fleet_world.rs
@@ -1,12 +1,12 @@
 //! Configurations for the fakes.
 
-use quetzaldeal::world::key_secret::KeySecret;
-use quetzaldeal::world::world_config::WorldConfig;
-use quetzaldeal::world::world_file::WorldFile;
+use quetzaldeal::world::key_secret;
+use quetzaldeal::world::world_config;
+use quetzaldeal::world::world_file;
 
 /// A configuration with the keys that its callers present.
 pub(crate) struct FleetWorld {
-    pub(crate) world: WorldConfig,
+    pub(crate) world: world_config::WorldConfig,
     pub(crate) keys: Vec<(String, String)>,
 }
 
@@ -51,10 +51,10 @@
         "---\nkind: rule\nname: shop\nservice: shop\naccounts: [{}]\naccess: write\nmax_age_ms: 10000\n",
         account_names.join(", ")
     );
-    let mut world = WorldFile::parse(&text).unwrap().world;
+    let mut world = world_file::WorldFile::parse(&text).unwrap().world;
     let mut keys = Vec::new();
     for (name, _, _) in accounts {
-        let secret = KeySecret::generate(&format!("{name}-key"), name);
+        let secret = key_secret::KeySecret::generate(&format!("{name}-key"), name);
         world.keys.insert(secret.object.name.clone(), secret.object);
         keys.push((name.clone(), secret.text));
     }
