--- a/tests/fleet_fakes/mod.rs
+++ b/tests/fleet_fakes/mod.rs
@@ -10,19 +10,19 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use quetzaldeal::core::arena_keys::ConnectionKey;
-use quetzaldeal::core::clock_time::ClockTime;
-use quetzaldeal::core::core_context::HostIdentity;
-use quetzaldeal::core::core_message::{CallId, CoreAction, CoreEvent};
-use quetzaldeal::core::core_tuning::CoreTuning;
-use quetzaldeal::core::decision_core::DecisionCore;
-use quetzaldeal::core::endpoint_message::{AnswerBody, EndpointRequest};
-use quetzaldeal::core::peer_message::PeerRequest;
-use quetzaldeal::core::platform_message::{PlatformReply, PlatformRequest};
-use quetzaldeal::core::request_verdict::RequestVerdict;
+use quetzaldeal::core::arena_keys;
+use quetzaldeal::core::clock_time;
+use quetzaldeal::core::core_context;
+use quetzaldeal::core::core_message;
+use quetzaldeal::core::core_tuning;
+use quetzaldeal::core::decision_core;
+use quetzaldeal::core::endpoint_message;
+use quetzaldeal::core::peer_message;
+use quetzaldeal::core::platform_message;
+use quetzaldeal::core::request_verdict;
 use quetzaldeal::daemon::endpoint_sql;
 use quetzaldeal::world::config_head;
-use quetzaldeal::world::world_config::WorldConfig;
+use quetzaldeal::world::world_config;
 use stand_ins::database_model::DatabaseModel;
 use stand_ins::platform_model::PlatformModel;
 
@@ -39,11 +39,11 @@
 pub(crate) struct FakeHost {
     pub(crate) centre: String,
     pub(crate) address: String,
-    pub(crate) core: Option<DecisionCore>,
+    pub(crate) core: Option<decision_core::DecisionCore>,
     pub(crate) incarnation: u64,
     pub(crate) paused: bool,
-    held: Vec<CoreEvent>,
-    wake_set: Option<ClockTime>,
+    held: Vec<core_message::CoreEvent>,
+    wake_set: Option<clock_time::ClockTime>,
 }
 
 /// A database with what can go wrong with it.
@@ -65,9 +65,9 @@
     pub(crate) host: String,
     pub(crate) account: String,
     pub(crate) id: u64,
-    pub(crate) open: Option<Result<(), RequestVerdict>>,
-    pub(crate) sent: Option<(String, ClockTime)>,
-    pub(crate) answer: Option<(RequestVerdict, AnswerBody)>,
+    pub(crate) open: Option<Result<(), request_verdict::RequestVerdict>>,
+    pub(crate) sent: Option<(String, clock_time::ClockTime)>,
+    pub(crate) answer: Option<(request_verdict::RequestVerdict, endpoint_message::AnswerBody)>,
     pub(crate) closed: bool,
 }
 
@@ -75,14 +75,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct LinkKey {
     process: u64,
-    connection: ConnectionKey,
+    connection: arena_keys::ConnectionKey,
 }
 
 enum Delivery {
     Host {
         host: String,
         process: u64,
-        event: CoreEvent,
+        event: core_message::CoreEvent,
     },
     Wake {
         host: String,
@@ -92,32 +92,32 @@
         base: String,
         host: String,
         process: u64,
-        connection: ConnectionKey,
+        connection: arena_keys::ConnectionKey,
     },
     Call {
         base: String,
         host: String,
         process: u64,
-        connection: ConnectionKey,
-        call: CallId,
-        request: EndpointRequest,
+        connection: arena_keys::ConnectionKey,
+        call: core_message::CallId,
+        request: endpoint_message::EndpointRequest,
     },
     Peer {
         to: String,
         from: String,
         process: u64,
-        call: CallId,
-        request: PeerRequest,
+        call: core_message::CallId,
+        request: peer_message::PeerRequest,
     },
     Platform {
         host: String,
         process: u64,
-        call: CallId,
-        request: PlatformRequest,
+        call: core_message::CallId,
+        request: platform_message::PlatformRequest,
     },
     WatchEnd {
         process: u64,
-        call: CallId,
+        call: core_message::CallId,
     },
     Replicate {
         base: String,
@@ -127,15 +127,15 @@
 struct OpenWatch {
     host: String,
     process: u64,
-    call: CallId,
+    call: core_message::CallId,
     prefix: String,
     after: u64,
-    until: ClockTime,
+    until: clock_time::ClockTime,
 }
 
 /// A fleet of real cores among fakes.
 pub(crate) struct FakeFleet {
-    pub(crate) now: ClockTime,
+    pub(crate) now: clock_time::ClockTime,
     pub(crate) hosts: BTreeMap<String, FakeHost>,
     pub(crate) bases: BTreeMap<String, FakeBase>,
     pub(crate) callers: BTreeMap<String, FakeCaller>,
@@ -144,21 +144,21 @@
     pub(crate) slow_ms: u64,
     pub(crate) lose_answers: u32,
     pub(crate) truth: FleetTruth,
-    pub(crate) world: WorldConfig,
+    pub(crate) world: world_config::WorldConfig,
     pub(crate) version: u64,
-    pub(crate) tuning: CoreTuning,
+    pub(crate) tuning: core_tuning::CoreTuning,
     cuts: BTreeSet<(String, String)>,
-    queue: BTreeMap<(ClockTime, u64), Delivery>,
+    queue: BTreeMap<(clock_time::ClockTime, u64), Delivery>,
     watches: Vec<OpenWatch>,
-    asks: HashMap<u64, (String, String, u64, CallId)>,
+    asks: HashMap<u64, (String, String, u64, core_message::CallId)>,
     sequence: u64,
     seed: u64,
 }
 
 impl FakeFleet {
-    pub(crate) fn new(world: WorldConfig, seed: u64) -> Self {
+    pub(crate) fn new(world: world_config::WorldConfig, seed: u64) -> Self {
         let mut fleet = Self {
-            now: ClockTime::from_millis(1_000),
+            now: clock_time::ClockTime::from_millis(1_000),
             hosts: BTreeMap::new(),
             bases: BTreeMap::new(),
             callers: BTreeMap::new(),
@@ -169,7 +169,7 @@
             truth: FleetTruth::default(),
             world: world.clone(),
             version: 0,
-            tuning: CoreTuning::default(),
+            tuning: core_tuning::CoreTuning::default(),
             cuts: BTreeSet::new(),
             queue: BTreeMap::new(),
             watches: Vec::new(),
@@ -202,11 +202,11 @@
     }
 
     /// Publishes a configuration as an operator would.
-    pub(crate) fn publish(&mut self, world: WorldConfig) {
+    pub(crate) fn publish(&mut self, world: world_config::WorldConfig) {
         let parts = config_head::split_world(&world).unwrap();
         for (hash, value) in &parts {
             let key = config_head::part_key(hash);
-            self.platform.handle(&PlatformRequest::CompareSwap {
+            self.platform.handle(&platform_message::PlatformRequest::CompareSwap {
                 key,
                 expected: 0,
                 value: value.clone(),
@@ -222,13 +222,18 @@
             published_at_ms: 0,
         };
         let key = config_head::head_key();
-        let current = self.platform.handle(&PlatformRequest::Get { key: key.clone() });
+        let current =
+            self.platform.handle(&platform_message::PlatformRequest::Get { key: key.clone() });
         let expected = match current {
-            Some(PlatformReply::Value(Some(entry))) => entry.revision,
+            Some(platform_message::PlatformReply::Value(Some(entry))) => entry.revision,
             _ => 0,
         };
         let value = head.encode().unwrap();
-        self.platform.handle(&PlatformRequest::CompareSwap { key, expected, value });
+        self.platform.handle(&platform_message::PlatformRequest::CompareSwap {
+            key,
+            expected,
+            value,
+        });
         self.truth.note_published(self.now, &self.world, &world);
         self.world = world;
         self.notify_watches();
@@ -246,14 +251,15 @@
         self.sequence += 1;
         let incarnation = self.sequence;
         let seeds = self.world.hosts.values().filter(|host| host.name != name);
-        let identity = HostIdentity {
+        let identity = core_context::HostIdentity {
             name: name.to_owned(),
             data_centre: object.data_centre.clone(),
             incarnation,
             seeds: seeds.map(|host| host.address.clone()).collect(),
         };
         let seed = self.seed ^ incarnation;
-        let core = DecisionCore::new(identity, self.tuning.clone(), seed, self.now).unwrap();
+        let core = decision_core::DecisionCore::new(identity, self.tuning.clone(), seed, self.now)
+            .unwrap();
         let host = FakeHost {
             centre: object.data_centre,
             address: object.address,
@@ -265,7 +271,7 @@
         };
         self.hosts.insert(name.to_owned(), host);
         self.truth.note_start(name);
-        self.reach_host(name, CoreEvent::Woken);
+        self.reach_host(name, core_message::CoreEvent::Woken);
     }
 
     /// Kills a process at once.
@@ -314,7 +320,7 @@
         for event in held {
             self.reach_host(name, event);
         }
-        self.reach_host(name, CoreEvent::Woken);
+        self.reach_host(name, core_message::CoreEvent::Woken);
     }
 
     pub(crate) fn cut(&mut self, left: &str, right: &str) {
@@ -360,7 +366,7 @@
         };
         self.callers.insert(name.to_owned(), caller);
         let settings = settings.iter().map(|(name, value)| ((*name).to_owned(), value.clone()));
-        let event = CoreEvent::CallerOpened {
+        let event = core_message::CoreEvent::CallerOpened {
             caller: id,
             account: account.to_owned(),
             key: key.to_owned(),
@@ -378,7 +384,10 @@
         caller.sent = Some((text.to_owned(), now));
         let (host, id) = (caller.host.clone(), caller.id);
         self.truth.note_sent(name, text);
-        self.reach_host(&host, CoreEvent::StatementArrived { caller: id, text: text.to_owned() });
+        self.reach_host(
+            &host,
+            core_message::CoreEvent::StatementArrived { caller: id, text: text.to_owned() },
+        );
     }
 
     /// Sends a statement and lets time pass until it is answered, at most `limit_ms`.
@@ -387,7 +396,7 @@
         name: &str,
         text: &str,
         limit_ms: u64,
-    ) -> Option<(RequestVerdict, AnswerBody)> {
+    ) -> Option<(request_verdict::RequestVerdict, endpoint_message::AnswerBody)> {
         self.send(name, text);
         for _ in 0..limit_ms {
             let caller = &self.callers[name];
@@ -403,7 +412,10 @@
     pub(crate) fn close(&mut self, name: &str) {
         let Some(caller) = self.callers.remove(name) else { return };
         if !caller.closed {
-            self.reach_host(&caller.host, CoreEvent::CallerClosed { caller: caller.id });
+            self.reach_host(
+                &caller.host,
+                core_message::CoreEvent::CallerClosed { caller: caller.id },
+            );
         }
     }
 
@@ -414,7 +426,7 @@
     }
 
     pub(crate) fn drain(&mut self, host: &str) {
-        self.reach_host(host, CoreEvent::DrainAsked);
+        self.reach_host(host, core_message::CoreEvent::DrainAsked);
     }
 
     fn add_base(&mut self, name: &str, address: &str, centre: &str) {
@@ -434,7 +446,7 @@
         self.push(self.now, Delivery::Replicate { base: name.to_owned() });
     }
 
-    fn push(&mut self, at: ClockTime, delivery: Delivery) {
+    fn push(&mut self, at: clock_time::ClockTime, delivery: Delivery) {
         self.sequence += 1;
         self.queue.insert((at, self.sequence), delivery);
     }
@@ -472,7 +484,7 @@
                 if let Some(state) = self.hosts.get_mut(&host) {
                     state.wake_set = None;
                 }
-                self.reach_host(&host, CoreEvent::Woken);
+                self.reach_host(&host, core_message::CoreEvent::Woken);
             }
             Delivery::Open { base, host, process, connection } => {
                 self.open_link(&base, &host, process, connection)
@@ -492,11 +504,11 @@
         }
     }
 
-    fn reach_host(&mut self, name: &str, event: CoreEvent) {
+    fn reach_host(&mut self, name: &str, event: core_message::CoreEvent) {
         let now = self.now;
         let Some(host) = self.hosts.get_mut(name) else { return };
         if host.paused {
-            if !matches!(event, CoreEvent::Woken) {
+            if !matches!(event, core_message::CoreEvent::Woken) {
                 host.held.push(event);
             }
             return;
@@ -512,7 +524,9 @@
 
     fn set_wake(&mut self, name: &str) {
         let Some(host) = self.hosts.get_mut(name) else { return };
-        let Some(wake) = host.core.as_ref().and_then(DecisionCore::next_wake) else { return };
+        let Some(wake) = host.core.as_ref().and_then(decision_core::DecisionCore::next_wake) else {
+            return;
+        };
         let wake = wake.max(self.now.after(std::time::Duration::from_micros(10)));
         if host.wake_set.is_some_and(|set| set <= wake) {
             return;
@@ -522,26 +536,28 @@
         self.push(wake, Delivery::Wake { host: name.to_owned(), process });
     }
 
-    fn carry_out(&mut self, name: &str, action: CoreAction) {
+    fn carry_out(&mut self, name: &str, action: core_message::CoreAction) {
         self.truth.check_action(&action);
         let process = self.process(name);
         let host = name.to_owned();
         match action {
-            CoreAction::AdmitCaller { caller } => self.note_opened(caller, Ok(())),
-            CoreAction::RefuseCaller { caller, verdict } => self.note_opened(caller, Err(verdict)),
-            CoreAction::AnswerCaller { caller, verdict, body, .. } => {
+            core_message::CoreAction::AdmitCaller { caller } => self.note_opened(caller, Ok(())),
+            core_message::CoreAction::RefuseCaller { caller, verdict } => {
+                self.note_opened(caller, Err(verdict))
+            }
+            core_message::CoreAction::AnswerCaller { caller, verdict, body, .. } => {
                 self.note_answer(caller, verdict, body)
             }
-            CoreAction::CloseCaller { caller, .. } => {
+            core_message::CoreAction::CloseCaller { caller, .. } => {
                 for state in self.callers.values_mut().filter(|state| state.id == caller) {
                     state.closed = true;
                 }
             }
-            CoreAction::OpenConnection { connection, address } => {
+            core_message::CoreAction::OpenConnection { connection, address } => {
                 let base = self.base_at(&address);
                 self.push_after(HOP_US, Delivery::Open { base, host, process, connection });
             }
-            CoreAction::CloseConnection { connection } => {
+            core_message::CoreAction::CloseConnection { connection } => {
                 let link = LinkKey { process, connection };
                 for base in self.bases.values_mut() {
                     if let Some(id) = base.connections.remove(&link) {
@@ -549,7 +565,7 @@
                     }
                 }
             }
-            CoreAction::CallEndpoint { call, connection, request } => {
+            core_message::CoreAction::CallEndpoint { call, connection, request } => {
                 let link = LinkKey { process, connection };
                 let base = self.bases.iter().find(|(_, base)| base.connections.contains_key(&link));
                 let Some((base, _)) = base else { return };
@@ -560,33 +576,38 @@
                     Delivery::Call { base, host, process, connection, call, request },
                 );
             }
-            CoreAction::CallPeer { call, address, request } => {
+            core_message::CoreAction::CallPeer { call, address, request } => {
                 let to = self.hosts.iter().find(|(_, state)| state.address == address);
                 let to = to.map(|(name, _)| name.clone()).unwrap_or_default();
                 self.push_after(HOP_US, Delivery::Peer { to, from: host, process, call, request });
             }
-            CoreAction::AnswerPeer { ask, reply } => {
+            core_message::CoreAction::AnswerPeer { ask, reply } => {
                 let Some((to, from, process, call)) = self.asks.remove(&ask) else { return };
                 let reply = self.reaches(&to, &from).then_some(reply);
                 let delay = if reply.is_some() { HOP_US } else { LOST_CALL_US };
-                let event = CoreEvent::PeerAnswered { call, reply };
+                let event = core_message::CoreEvent::PeerAnswered { call, reply };
                 self.push_after(delay, Delivery::Host { host: from, process, event });
             }
-            CoreAction::CallPlatform { call, request } => {
+            core_message::CoreAction::CallPlatform { call, request } => {
                 let delay = HOP_US + self.slow_ms * 1_000;
                 self.push_after(delay, Delivery::Platform { host, process, call, request });
             }
-            CoreAction::AnswerStatus { .. } | CoreAction::Stop => {}
+            core_message::CoreAction::AnswerStatus { .. } | core_message::CoreAction::Stop => {}
         }
     }
 
-    fn note_opened(&mut self, caller: u64, opened: Result<(), RequestVerdict>) {
+    fn note_opened(&mut self, caller: u64, opened: Result<(), request_verdict::RequestVerdict>) {
         for state in self.callers.values_mut().filter(|state| state.id == caller) {
             state.open = Some(opened.clone());
         }
     }
 
-    fn note_answer(&mut self, caller: u64, verdict: RequestVerdict, body: AnswerBody) {
+    fn note_answer(
+        &mut self,
+        caller: u64,
+        verdict: request_verdict::RequestVerdict,
+        body: endpoint_message::AnswerBody,
+    ) {
         let found = self.callers.iter_mut().find(|(_, state)| state.id == caller);
         let Some((name, state)) = found else { return };
         let (text, sent) = state.sent.clone().unwrap_or_default();
@@ -602,7 +623,13 @@
         found.map(|(name, _)| name.clone()).unwrap_or_default()
     }
 
-    fn open_link(&mut self, base: &str, host: &str, process: u64, connection: ConnectionKey) {
+    fn open_link(
+        &mut self,
+        base: &str,
+        host: &str,
+        process: u64,
+        connection: arena_keys::ConnectionKey,
+    ) {
         let opened =
             self.reaches(host, base) && self.bases.get(base).is_some_and(|base| base.alive);
         let reachable = self.reaches(host, base);
@@ -613,7 +640,7 @@
             state.connections.insert(LinkKey { process, connection }, id);
         }
         let delay = if reachable { HOP_US } else { LOST_CALL_US };
-        let event = CoreEvent::ConnectionOpened { connection, opened };
+        let event = core_message::CoreEvent::ConnectionOpened { connection, opened };
         self.push_after(delay, Delivery::Host { host: host.to_owned(), process, event });
     }
 
@@ -623,7 +650,7 @@
         if !self.reaches(&host, base) {
             return;
         }
-        let event = CoreEvent::ConnectionEnded { connection: link.connection };
+        let event = core_message::CoreEvent::ConnectionEnded { connection: link.connection };
         self.push_after(HOP_US, Delivery::Host { host, process: link.process, event });
     }
 
@@ -632,9 +659,9 @@
         base: &str,
         host: &str,
         process: u64,
-        connection: ConnectionKey,
-        call: CallId,
-        request: &EndpointRequest,
+        connection: arena_keys::ConnectionKey,
+        call: core_message::CallId,
+        request: &endpoint_message::EndpointRequest,
     ) {
         if !self.reaches(host, base) {
             return;
@@ -647,17 +674,24 @@
         }
         let results = state.model.execute(id, &endpoint_sql::batch(request));
         let status = Some(state.model.status());
-        let works = matches!(request, EndpointRequest::Run(_));
+        let works = matches!(request, endpoint_message::EndpointRequest::Run(_));
         let delay = HOP_US + if works { state.work_ms * 1_000 } else { 0 };
         let outcome = endpoint_sql::outcome(request, results, status);
-        let event = CoreEvent::EndpointAnswered { call, outcome };
+        let event = core_message::CoreEvent::EndpointAnswered { call, outcome };
         self.push_after(delay, Delivery::Host { host: host.to_owned(), process, event });
     }
 
-    fn ask_peer(&mut self, to: &str, from: &str, process: u64, call: CallId, request: PeerRequest) {
+    fn ask_peer(
+        &mut self,
+        to: &str,
+        from: &str,
+        process: u64,
+        call: core_message::CallId,
+        request: peer_message::PeerRequest,
+    ) {
         let up = self.hosts.get(to).is_some_and(|host| host.core.is_some() && !host.paused);
         if !up || !self.reaches(to, from) {
-            let event = CoreEvent::PeerAnswered { call, reply: None };
+            let event = core_message::CoreEvent::PeerAnswered { call, reply: None };
             return self.push_after(
                 LOST_CALL_US,
                 Delivery::Host { host: from.to_owned(), process, event },
@@ -666,22 +700,28 @@
         self.sequence += 1;
         let ask = self.sequence;
         self.asks.insert(ask, (to.to_owned(), from.to_owned(), process, call));
-        self.reach_host(to, CoreEvent::PeerAsked { ask, request });
+        self.reach_host(to, core_message::CoreEvent::PeerAsked { ask, request });
     }
 
-    fn call_platform(&mut self, host: &str, process: u64, call: CallId, request: PlatformRequest) {
+    fn call_platform(
+        &mut self,
+        host: &str,
+        process: u64,
+        call: core_message::CallId,
+        request: platform_message::PlatformRequest,
+    ) {
         let lost = Delivery::Host {
             host: host.to_owned(),
             process,
-            event: CoreEvent::PlatformAnswered { call, reply: None },
+            event: core_message::CoreEvent::PlatformAnswered { call, reply: None },
         };
         if self.outage || !self.reaches(host, PLATFORM) {
             return self.push_after(LOST_CALL_US, lost);
         }
-        let swap = matches!(request, PlatformRequest::CompareSwap { .. });
+        let swap = matches!(request, platform_message::PlatformRequest::CompareSwap { .. });
         let reply = self.platform.handle(&request);
         match (reply, request) {
-            (None, PlatformRequest::Watch { prefix, after, wait_ms }) => {
+            (None, platform_message::PlatformRequest::Watch { prefix, after, wait_ms }) => {
                 let until = self.now.after(std::time::Duration::from_millis(wait_ms));
                 self.watches.push(OpenWatch {
                     host: host.to_owned(),
@@ -701,14 +741,14 @@
                     self.lose_answers -= 1;
                     return self.push_after(LOST_CALL_US, lost);
                 }
-                let event = CoreEvent::PlatformAnswered { call, reply };
+                let event = core_message::CoreEvent::PlatformAnswered { call, reply };
                 let delay = HOP_US + self.slow_ms * 1_000;
                 self.push_after(delay, Delivery::Host { host: host.to_owned(), process, event });
             }
         }
     }
 
-    fn expire_watch(&mut self, process: u64, call: CallId) {
+    fn expire_watch(&mut self, process: u64, call: core_message::CallId) {
         let index =
             self.watches.iter().position(|watch| watch.process == process && watch.call == call);
         let Some(index) = index else { return };
@@ -728,11 +768,11 @@
         }
     }
 
-    fn answer_watch(&mut self, watch: OpenWatch, reply: PlatformReply) {
+    fn answer_watch(&mut self, watch: OpenWatch, reply: platform_message::PlatformReply) {
         let reached = !self.outage && self.reaches(&watch.host, PLATFORM);
         let reply = reached.then_some(reply);
         let delay = if reached { HOP_US } else { LOST_CALL_US };
-        let event = CoreEvent::PlatformAnswered { call: watch.call, reply };
+        let event = core_message::CoreEvent::PlatformAnswered { call: watch.call, reply };
         self.push_after(delay, Delivery::Host { host: watch.host, process: watch.process, event });
     }
 
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -8,15 +8,15 @@
 use fleet_fakes::fleet_world;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use quetzaldeal::core::clock_time::ClockTime;
-use quetzaldeal::core::endpoint_message::LogPoint;
-use quetzaldeal::core::peer_message::{PeerEnvelope, PeerPulse};
-use quetzaldeal::core::platform_message::{PlatformReply, PlatformRequest};
-use quetzaldeal::core::session_token::SessionToken;
-use quetzaldeal::core::share_ledger::{ShareGrant, ShareLedger, SharePart};
+use quetzaldeal::core::clock_time;
+use quetzaldeal::core::endpoint_message;
+use quetzaldeal::core::peer_message;
+use quetzaldeal::core::platform_message;
+use quetzaldeal::core::session_token;
+use quetzaldeal::core::share_ledger;
 use quetzaldeal::core::statement_text;
 use quetzaldeal::world::config_head;
-use quetzaldeal::world::world_file::WorldFile;
+use quetzaldeal::world::world_file;
 
 /// Seed of every property, so that each run gives the same verdict; `PROPERTY_SEED` sets another.
 const SEED: u64 = 20_261_204;
@@ -48,17 +48,17 @@
 }
 
 decoders! {
-    decode_peer_message => |bytes| drop(rmp_serde::from_slice::<PeerEnvelope>(bytes));
-    decode_platform_reply => |bytes| drop(rmp_serde::from_slice::<PlatformReply>(bytes));
-    decode_platform_request => |bytes| drop(rmp_serde::from_slice::<PlatformRequest>(bytes));
+    decode_peer_message => |bytes| drop(rmp_serde::from_slice::<peer_message::PeerEnvelope>(bytes));
+    decode_platform_reply => |bytes| drop(rmp_serde::from_slice::<platform_message::PlatformReply>(bytes));
+    decode_platform_request => |bytes| drop(rmp_serde::from_slice::<platform_message::PlatformRequest>(bytes));
     decode_config_head => |bytes| drop(config_head::ConfigHead::decode(bytes));
     decode_config_part => |bytes| drop(config_head::join_parts([bytes]));
     decode_session_token => |bytes| {
         let text = String::from_utf8_lossy(bytes);
-        assert!(SessionToken::open(b"secret", "desk", &text).is_err());
+        assert!(session_token::SessionToken::open(b"secret", "desk", &text).is_err());
     };
     decode_statement => |bytes| drop(statement_text::classify(&String::from_utf8_lossy(bytes)));
-    decode_world_file => |bytes| drop(WorldFile::parse(&String::from_utf8_lossy(bytes)));
+    decode_world_file => |bytes| drop(world_file::WorldFile::parse(&String::from_utf8_lossy(bytes)));
 }
 
 proptest! {
@@ -71,7 +71,7 @@
         age in prop::option::of(any::<u64>()),
         ages in prop::collection::vec(any::<u16>(), 0..16),
     ) {
-        let pulse = PeerPulse {
+        let pulse = peer_message::PeerPulse {
             host: "a1".to_owned(),
             incarnation: 3,
             version,
@@ -82,17 +82,17 @@
             entries: Vec::new(),
         };
         let bytes = rmp_serde::to_vec(&pulse).unwrap();
-        prop_assert_eq!(rmp_serde::from_slice::<PeerPulse>(&bytes).unwrap(), pulse);
+        prop_assert_eq!(rmp_serde::from_slice::<peer_message::PeerPulse>(&bytes).unwrap(), pulse);
     }
 
     #[test]
     fn token_opens_for_its_account_alone(term in any::<u64>(), position in any::<u64>()) {
-        let mut token = SessionToken::default();
-        token.advance("g1", LogPoint { term, position });
+        let mut token = session_token::SessionToken::default();
+        token.advance("g1", endpoint_message::LogPoint { term, position });
         let text = token.seal(b"secret", "desk");
-        prop_assert_eq!(SessionToken::open(b"secret", "desk", &text).unwrap(), token);
-        prop_assert!(SessionToken::open(b"secret", "club", &text).is_err());
-        prop_assert!(SessionToken::open(b"other", "desk", &text).is_err());
+        prop_assert_eq!(session_token::SessionToken::open(b"secret", "desk", &text).unwrap(), token);
+        prop_assert!(session_token::SessionToken::open(b"secret", "club", &text).is_err());
+        prop_assert!(session_token::SessionToken::open(b"other", "desk", &text).is_err());
     }
 
     /// The parts that all hosts may use never sum to more than the account's.
@@ -100,9 +100,9 @@
     fn shares_are_conserved(
         steps in prop::collection::vec((0..4_usize, 0..4_usize, 0..400_u64, 0..12_u32), 1..120),
     ) {
-        let mut now = ClockTime::from_millis(10);
-        let part = SharePart { rate: 25.0, burst: 10.0 };
-        let mut ledgers: Vec<ShareLedger> = (0..4).map(|_| ShareLedger::new(now)).collect();
+        let mut now = clock_time::ClockTime::from_millis(10);
+        let part = share_ledger::SharePart { rate: 25.0, burst: 10.0 };
+        let mut ledgers: Vec<share_ledger::ShareLedger> = (0..4).map(|_| share_ledger::ShareLedger::new(now)).collect();
         for ledger in &mut ledgers {
             ledger.deal(now, part);
             ledger.open_at(now);
@@ -120,7 +120,7 @@
                 continue;
             }
             let Some(want) = ledgers[asker].shortage(now, arrivals as usize) else { continue };
-            let grant: Option<ShareGrant> = ledgers[lender].lend(now, &asker.to_string(), want);
+            let grant: Option<share_ledger::ShareGrant> = ledgers[lender].lend(now, &asker.to_string(), want);
             // Some grants are lost on their way, others arrive late.
             if let Some(grant) = grant.filter(|_| arrivals % 5 != 4) {
                 let arrived = now.after(std::time::Duration::from_millis(u64::from(arrivals) * 9));
@@ -129,7 +129,7 @@
                 bucket = (bucket + f64::from(arrivals) * 0.9).min(40.0);
                 ledgers[asker].borrow(now, asked, grant);
             }
-            let mut sum = SharePart::default();
+            let mut sum = share_ledger::SharePart::default();
             let mut tokens = 0.0;
             for ledger in &mut ledgers {
                 tokens += ledger.tokens(now);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -1,5 +1,6 @@
 //! Scenarios of the proxy core in virtual time, held against the truth of the fakes.
 
+#[allow(dead_code, reason = "each test program uses its part of the fakes")]
 mod proxy_fakes;
 
 use std::time::Duration;
--- a/tests/proxy_properties.rs
+++ b/tests/proxy_properties.rs
@@ -2,6 +2,7 @@
 //!
 //! `PROPERTY_SEED` and `PROPERTY_CASES` choose other and more histories than CI plays.
 
+#[allow(dead_code, reason = "each test program uses its part of the fakes")]
 mod proxy_fakes;
 
 use std::time::Duration;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -11,8 +11,8 @@
 use fleet_fakes::FakeFleet;
 use fleet_fakes::fleet_truth;
 use fleet_fakes::fleet_world;
-use quetzaldeal::core::request_verdict::{RequestFate, RequestVerdict};
-use quetzaldeal::world::world_file::WorldFile;
+use quetzaldeal::core::request_verdict;
+use quetzaldeal::world::world_file;
 
 /// Seed of all randomness in scenarios.
 const SEED: u64 = 7;
@@ -212,7 +212,7 @@
             _ => added += &format!("{line}\n"),
         }
     }
-    for object in WorldFile::parse(&added).unwrap().world.to_objects() {
+    for object in world_file::WorldFile::parse(&added).unwrap().world.to_objects() {
         world.insert(object).unwrap();
     }
     let findings = quetzaldeal::world::config_check::check_world(&world, Some(&fleet.world));
@@ -273,7 +273,10 @@
 fn show_answer(
     fleet: &FakeFleet,
     caller: &str,
-    answer: Option<(RequestVerdict, quetzaldeal::core::endpoint_message::AnswerBody)>,
+    answer: Option<(
+        request_verdict::RequestVerdict,
+        quetzaldeal::core::endpoint_message::AnswerBody,
+    )>,
 ) -> String {
     let Some((verdict, body)) = answer else {
         let closed = fleet.callers[caller].closed;
@@ -288,11 +291,11 @@
     text
 }
 
-fn describe(verdict: &RequestVerdict) -> String {
+fn describe(verdict: &request_verdict::RequestVerdict) -> String {
     let fate = match verdict.fate {
-        RequestFate::Ran => "ran",
-        RequestFate::NotRun => "not run",
-        RequestFate::MayHaveRun => "may have run",
+        request_verdict::RequestFate::Ran => "ran",
+        request_verdict::RequestFate::NotRun => "not run",
+        request_verdict::RequestFate::MayHaveRun => "may have run",
     };
     let again = if verdict.retry_after.is_some() { ", come back" } else { "" };
     format!("{fate}: {}{again}\n", verdict.message())
@@ -337,7 +340,7 @@
             if let Some((verdict, _)) = caller.answer.take() {
                 caller.sent = None;
                 match verdict.fate {
-                    RequestFate::Ran => ran += 1,
+                    request_verdict::RequestFate::Ran => ran += 1,
                     _ => refused += 1,
                 }
             }
