refactor(proxy): answers, endpoints, membership, stopping and fencing in files of their own

Change: answer_flow, endpoint_flow, tenure_flow, stop_flow, fence_policy; a job's phase has a name in the log. Behaviour unchanged.

--- /dev/null
+++ b/src/proxy/answer_flow.rs
@@ -0,0 +1,213 @@
+//! Answers of endpoints to callers' statements: what they mean for session, transaction and link.
+
+use crate::core::arena_keys;
+use crate::core::endpoint_message;
+use crate::core::request_verdict;
+use crate::proxy::endpoint_command;
+use crate::proxy::job_state;
+use crate::proxy::link_flow;
+use crate::proxy::operation_flow;
+use crate::proxy::proxy_context;
+use crate::proxy::session_state;
+
+/// Takes up the endpoint's answer to a job's own statement.
+pub fn on_answer(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+    answer: endpoint_command::EndpointAnswer,
+) {
+    let state = &ctx.jobs[job];
+    let commit = state.kind == job_state::JobKind::Commit;
+    let single = ctx.sessions[state.session].open_work().is_none();
+    if commit {
+        on_commit(ctx, job, link, answer);
+    } else if single {
+        on_single(ctx, job, link, answer);
+    } else {
+        on_within(ctx, job, link, answer);
+    }
+}
+
+fn on_single(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+    answer: endpoint_command::EndpointAnswer,
+) {
+    let endpoint = ctx.links[link].endpoint;
+    let reads = ctx.jobs[job].reads();
+    if let Err(fault) = &answer.outcome {
+        operation_flow::note_fault(ctx, job, endpoint, fault);
+    }
+    let unknown = answer.outcome == Err(endpoint_command::EndpointFault::UnknownName);
+    if unknown {
+        ctx.links[link].prepared.clear();
+    }
+    let lasting = lasting_primary(ctx, job, endpoint);
+    // The job has no link any more when the link serves the next one.
+    ctx.jobs[job].phase = job_state::JobPhase::AwaitShare { until: ctx.now };
+    if answer.phase == endpoint_command::SessionPhase::Idle {
+        link_flow::release(ctx, link);
+    } else {
+        link_flow::close(ctx, link, "discarded");
+    }
+    match answer.outcome {
+        Ok(_) if !reads && !lasting => {
+            let cause = request_verdict::VerdictCause::PrimaryReplaced;
+            let verdict = request_verdict::RequestVerdict::may_have_run(cause);
+            operation_flow::finish(ctx, job, Vec::new(), None, verdict);
+        }
+        Ok(signature) => {
+            if reads {
+                ctx.endpoints[endpoint].lags = 0;
+                count_read(ctx, job);
+            } else {
+                mark(ctx, job, answer.position);
+            }
+            let verdict = request_verdict::RequestVerdict::ran();
+            operation_flow::finish(ctx, job, answer.rows, Some(signature), verdict);
+        }
+        Err(endpoint_command::EndpointFault::Other { code, text }) => {
+            operation_flow::finish(ctx, job, Vec::new(), None, failed(code, text));
+        }
+        Err(endpoint_command::EndpointFault::UnknownName) => {
+            again_same(ctx, job);
+        }
+        Err(fault) => {
+            operation_flow::try_elsewhere(ctx, job, endpoint, operation_flow::cause_of(&fault))
+        }
+    }
+}
+
+fn on_within(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+    answer: endpoint_command::EndpointAnswer,
+) {
+    let session = ctx.jobs[job].session;
+    let reads = ctx.jobs[job].reads();
+    let endpoint = ctx.links[link].endpoint;
+    match answer.outcome {
+        Ok(signature) => {
+            if let session_state::WorkPhase::Open(work) = &mut ctx.sessions[session].work {
+                work.link = Some(link);
+                work.wrote |= !reads;
+            }
+            link_flow::pin(ctx, link, session);
+            if reads {
+                count_read(ctx, job);
+            }
+            let verdict = request_verdict::RequestVerdict::ran();
+            operation_flow::finish(ctx, job, answer.rows, Some(signature), verdict);
+        }
+        Err(fault) => {
+            operation_flow::note_fault(ctx, job, endpoint, &fault);
+            ctx.sessions[session].work = session_state::WorkPhase::Failed;
+            link_flow::roll_back(ctx, link);
+            let verdict = match fault {
+                endpoint_command::EndpointFault::Other { code, text } => failed(code, text),
+                endpoint_command::EndpointFault::UnknownName => operation_flow::refusal(
+                    ctx,
+                    Some(job),
+                    request_verdict::VerdictCause::TransactionLost,
+                ),
+                fault => operation_flow::refusal(ctx, Some(job), operation_flow::cause_of(&fault)),
+            };
+            operation_flow::finish(ctx, job, Vec::new(), None, verdict);
+        }
+    }
+}
+
+fn on_commit(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    link: arena_keys::ConnectionKey,
+    answer: endpoint_command::EndpointAnswer,
+) {
+    let session = ctx.jobs[job].session;
+    let endpoint = ctx.links[link].endpoint;
+    let wrote = ctx.sessions[session].open_work().is_some_and(|work| work.wrote);
+    let lasting = lasting_primary(ctx, job, endpoint);
+    ctx.sessions[session].work = session_state::WorkPhase::Idle;
+    if let Err(fault) = &answer.outcome {
+        operation_flow::note_fault(ctx, job, endpoint, fault);
+    }
+    if answer.phase == endpoint_command::SessionPhase::Idle {
+        link_flow::release(ctx, link);
+    } else {
+        link_flow::roll_back(ctx, link);
+    }
+    let verdict = match answer.outcome {
+        Ok(_) if wrote && !lasting => {
+            let cause = request_verdict::VerdictCause::PrimaryReplaced;
+            request_verdict::RequestVerdict::may_have_run(cause)
+        }
+        Ok(signature) => {
+            if wrote {
+                mark(ctx, job, answer.position);
+            }
+            let verdict = request_verdict::RequestVerdict::ran();
+            return operation_flow::finish(ctx, job, answer.rows, Some(signature), verdict);
+        }
+        Err(endpoint_command::EndpointFault::Other { code, text }) => failed(code, text),
+        Err(fault) => operation_flow::refusal(ctx, Some(job), operation_flow::cause_of(&fault)),
+    };
+    operation_flow::finish(ctx, job, Vec::new(), None, verdict);
+}
+
+/// Runs a job again whose prepared statement the link had lost.
+fn again_same(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    if ctx.jobs[job].attempts >= ctx.tuning.attempts_max {
+        return operation_flow::refuse(ctx, job, request_verdict::VerdictCause::NoEndpoint);
+    }
+    operation_flow::place(ctx, job);
+}
+
+/// Whether the primary that a job went to is still in force, so that what it kept counts.
+fn lasting_primary(
+    ctx: &proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    endpoint: arena_keys::EndpointKey,
+) -> bool {
+    let state = &ctx.jobs[job];
+    let view = &ctx.groups[state.group];
+    // A host that was told to stop may still pass answers on until it has said that it stopped.
+    let epoch = match view.serving() {
+        Some(record) => Some(record.epoch),
+        None if view.stopped_epoch < view.epoch() => Some(view.epoch() - 1),
+        None => None,
+    };
+    let recorded = view.record.as_ref().map(|record| record.primary.as_str());
+    state.primary_epoch.is_some()
+        && state.primary_epoch == epoch
+        && recorded == Some(ctx.endpoints[endpoint].entry.id.as_str())
+        && ctx.permitted(state.group)
+}
+
+fn failed(code: String, text: String) -> request_verdict::RequestVerdict {
+    let cause = request_verdict::VerdictCause::DatabaseError { sqlstate: code, message: text };
+    request_verdict::RequestVerdict::may_have_run(cause)
+}
+
+fn mark(
+    ctx: &mut proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+    position: Option<endpoint_message::LogPoint>,
+) {
+    let state = &ctx.jobs[job];
+    let (session, group) = (state.session, state.group);
+    if let Some(point) = position {
+        ctx.sessions[session].mark = Some((group, point));
+        ctx.sessions[session].position = Some(point);
+    }
+}
+
+fn count_read(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+    if ctx.jobs[job].primary_epoch.is_some() {
+        ctx.counts.primary_reads += 1;
+    } else {
+        ctx.counts.replica_reads += 1;
+    }
+}
--- a/src/proxy/change_flow.rs
+++ b/src/proxy/change_flow.rs
@@ -12,14 +12,14 @@
 use crate::core::core_message;
 use crate::proxy::change_record;
 use crate::proxy::endpoint_command;
+use crate::proxy::fence_policy;
 use crate::proxy::group_view;
-use crate::proxy::job_state;
 use crate::proxy::link_flow;
 use crate::proxy::link_state;
 use crate::proxy::member_flow;
-use crate::proxy::operation_flow;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
+use crate::proxy::stop_flow;
 use crate::proxy::store_message;
 use crate::proxy::store_session;
 
@@ -43,7 +43,7 @@
 pub fn drive_all(ctx: &mut proxy_context::ProxyContext) {
     let groups: Vec<arena_keys::GroupKey> = ctx.groups.keys().collect();
     for group in groups {
-        settle_stop(ctx, group);
+        stop_flow::settle_stop(ctx, group);
         drive(ctx, group);
     }
 }
@@ -87,7 +87,7 @@
     } else if own && ((state == "stopping" && !serving) || (state == "deciding" && serving)) {
         fire(ctx, group, "record_written");
     }
-    settle_stop(ctx, group);
+    stop_flow::settle_stop(ctx, group);
     drive(ctx, group);
 }
 
@@ -137,61 +137,6 @@
     drive(ctx, group);
 }
 
-/// Says that this host uses the old primary no more, once that is so.
-fn settle_stop(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
-    let view = &ctx.groups[group];
-    let Some(record) = &view.record else { return };
-    let stopping = record.phase != change_record::ChangePhase::Serving;
-    // A peer may know of a change that this host has not read yet.
-    let epoch = if stopping { record.epoch.max(view.peer_epoch) } else { view.peer_epoch };
-    if epoch < record.epoch + u64::from(!stopping) || view.stopped_epoch >= epoch {
-        return;
-    }
-    let primary = ctx.endpoint_names.get(&record.primary).copied();
-    let late = ctx.now.since(view.learnt) >= ctx.tuning.stop_writes;
-    let failing = primary.is_none_or(|endpoint| ctx.endpoints[endpoint].failing.is_some());
-    let (jobs, links) = work_on(ctx, group, primary);
-    if !jobs.is_empty() || !links.is_empty() {
-        if !late && !failing {
-            return;
-        }
-        for job in jobs {
-            operation_flow::cut_short(ctx, job);
-        }
-        for link in links {
-            if let Some(session) = ctx.links.get(link).and_then(|view| view.pinned) {
-                operation_flow::lose_work(ctx, session, "primary_replaced");
-                link_flow::close(ctx, link, "discarded");
-            }
-        }
-    }
-    ctx.groups[group].stopped_epoch = epoch;
-    log::info!("event=primary_stopped group={} epoch={epoch}", ctx.groups[group].name);
-    member_flow::pulse_all(ctx);
-}
-
-/// Returns the jobs and idle transactions that rely on the primary.
-fn work_on(
-    ctx: &proxy_context::ProxyContext,
-    group: arena_keys::GroupKey,
-    primary: Option<arena_keys::EndpointKey>,
-) -> (Vec<arena_keys::StatementKey>, Vec<arena_keys::ConnectionKey>) {
-    let jobs = ctx.jobs.iter().filter(|(_, job)| {
-        let running = matches!(job.phase, job_state::JobPhase::Running { .. });
-        let within = ctx.sessions[job.session].open_work().is_some_and(|work| !work.read_only);
-        running && job.group == group && job.primary_epoch.is_some() && (within || !job.reads())
-    });
-    let jobs = jobs.map(|(key, _)| key).collect();
-    let links = ctx.links.iter().filter(|(_, link)| {
-        let session = link.pinned.and_then(|session| ctx.sessions.get(session));
-        let plain = session.and_then(|session| session.open_work());
-        Some(link.endpoint) == primary
-            && link.user.is_none()
-            && plain.is_some_and(|work| !work.read_only)
-    });
-    (jobs, links.map(|(key, _)| key).collect())
-}
-
 fn drive(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
     if ctx.duty_token().is_none() || !ctx.store.tenured(ctx.now) {
         if ctx.groups[group].change.cursor.state() != "watching" {
@@ -284,14 +229,14 @@
 }
 
 fn await_hosts(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
-    let fenced = fence(ctx, group);
+    let fenced = fence_policy::fence(ctx, group);
     let view = &ctx.groups[group];
     let (name, epoch) = (&view.name, view.epoch());
     let own = &ctx.identity.host;
     let settled = ctx.kept_hosts().iter().all(|host| {
         let Some(member) = ctx.members.get(host) else { return false };
         let said = member.sights.get(name).is_some_and(|sight| sight.stopped_epoch >= epoch);
-        let wordless = || fenced || unheard_by_most(ctx, group, host);
+        let wordless = || fenced || fence_policy::unheard_by_most(ctx, group, host);
         said || host == own || (member.gone.is_some() && wordless())
     });
     if ctx.groups[group].stopped_epoch >= epoch && settled {
@@ -305,56 +250,6 @@
     }
 }
 
-/// Whether no host can have the word of most hosts for an epoch before the record's.
-///
-/// That is so once most hosts have known the new epoch for as long as such words last.
-fn fence(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) -> bool {
-    let held = by_most(ctx, |host| knows_epoch(ctx, group, host));
-    let now = ctx.now;
-    let change = &mut ctx.groups[group].change;
-    if !held {
-        change.fenced_since = None;
-        return false;
-    }
-    let since = *change.fenced_since.get_or_insert(now);
-    now.since(since) >= ctx.tuning.quorum_word + ctx.tuning.lease_margin
-}
-
-/// Whether most hosts know the record's epoch and have not heard `target` for as long as words
-/// last: it has nobody's word for an older epoch, and will get none.
-fn unheard_by_most(
-    ctx: &proxy_context::ProxyContext,
-    group: arena_keys::GroupKey,
-    target: &String,
-) -> bool {
-    by_most(ctx, |host| {
-        let unheard = match ctx.members.get(host) {
-            _ if *host == ctx.identity.host => member_flow::silent_hosts(ctx).contains(target),
-            Some(member) => member.silent.contains(target),
-            None => false,
-        };
-        unheard && knows_epoch(ctx, group, host)
-    })
-}
-
-/// Whether something holds for most hosts, in every set of hosts that one of them which was cut off
-/// may still go by.
-fn by_most(ctx: &proxy_context::ProxyContext, holds: impl Fn(&String) -> bool) -> bool {
-    let most = |hosts: &[String]| hosts.iter().filter(|host| holds(host)).count() * 2 > hosts.len();
-    most(&ctx.kept_hosts()) && ctx.past_hosts.iter().all(|(_, hosts)| most(hosts))
-}
-
-fn knows_epoch(
-    ctx: &proxy_context::ProxyContext,
-    group: arena_keys::GroupKey,
-    host: &String,
-) -> bool {
-    let view = &ctx.groups[group];
-    let member = ctx.members.get(host);
-    let sight = member.and_then(|member| member.sights.get(&view.name));
-    *host == ctx.identity.host || sight.is_some_and(|sight| sight.known_epoch >= view.epoch())
-}
-
 fn choose(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
     ask_all(ctx, group);
     let view = &ctx.groups[group];
--- /dev/null
+++ b/src/proxy/endpoint_flow.rs
@@ -0,0 +1,117 @@
+//! What the store tells of endpoints: registrations, their end, evacuated data centres.
+
+use crate::core::arena_keys;
+use crate::core::circuit_breaker;
+use crate::proxy::endpoint_view;
+use crate::proxy::feed_flow;
+use crate::proxy::link_flow;
+use crate::proxy::proxy_context;
+use crate::proxy::store_message;
+
+/// Latency assumed of an endpoint that has not answered yet, in milliseconds.
+const FIRST_LATENCY_MS: f64 = 20.0;
+
+/// Takes up a registration, new or changed.
+pub fn take_endpoint(ctx: &mut proxy_context::ProxyContext, entry: store_message::EndpointEntry) {
+    let group = feed_flow::group_key(ctx, &entry.group);
+    let now = ctx.now;
+    let evacuated = ctx.evacuations.get(&entry.data_centre).copied();
+    let Some(endpoint) = ctx.endpoint_names.get(&entry.id).copied() else {
+        log::info!(
+            "event=endpoint_registered endpoint={} group={} address={} primary={} draining={}",
+            entry.id,
+            entry.group,
+            entry.address,
+            entry.primary,
+            entry.draining
+        );
+        let id = entry.id.clone();
+        let draining = entry.draining.then_some(now);
+        let endpoint = ctx.endpoints.insert(endpoint_view::EndpointView {
+            entry,
+            group,
+            gone: None,
+            draining,
+            evacuated,
+            circuit: circuit_breaker::CircuitBreaker::default(),
+            links: Vec::new(),
+            full_until: Default::default(),
+            queue: Vec::new(),
+            position: Default::default(),
+            lags: 0,
+            lagging_until: Default::default(),
+            answered: Default::default(),
+            failing: None,
+            refusing: None,
+            report: None,
+            latency_ms: FIRST_LATENCY_MS,
+        });
+        ctx.endpoint_names.insert(id, endpoint);
+        ctx.groups[group].members.push(endpoint);
+        return;
+    };
+    let view = &mut ctx.endpoints[endpoint];
+    let reborn = view.entry.born != entry.born || view.entry.address != entry.address;
+    let moved = view.group != group;
+    let old_group = view.group;
+    if view.entry.draining != entry.draining || view.gone.is_some() || reborn {
+        log::info!(
+            "event=endpoint_changed endpoint={} draining={} back={} reborn={reborn} primary={}",
+            entry.id,
+            entry.draining,
+            view.gone.is_some(),
+            entry.primary
+        );
+    }
+    view.gone = None;
+    view.draining = if entry.draining { view.draining.or(Some(now)) } else { None };
+    view.evacuated = evacuated;
+    view.group = group;
+    view.entry = entry;
+    if reborn {
+        view.position = Default::default();
+        view.report = None;
+        view.circuit.succeed();
+        view.failing = None;
+    }
+    if moved {
+        ctx.groups[old_group].members.retain(|member| *member != endpoint);
+        ctx.groups[group].members.push(endpoint);
+    }
+    if reborn || moved {
+        close_links(ctx, endpoint);
+    }
+}
+
+/// Notes that a registration vanished; it may come back.
+pub fn lose_endpoint(ctx: &mut proxy_context::ProxyContext, id: &str) {
+    let now = ctx.now;
+    let Some(endpoint) = ctx.endpoint_names.get(id).copied() else { return };
+    log::info!("event=endpoint_gone endpoint={id}");
+    ctx.endpoints[endpoint].gone.get_or_insert(now);
+}
+
+fn close_links(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
+    for link in ctx.endpoints[endpoint].links.clone() {
+        link_flow::on_ended(ctx, link, false);
+    }
+    ctx.endpoints[endpoint].circuit.succeed();
+    ctx.endpoints[endpoint].failing = None;
+}
+
+/// Notes that a data centre is being evacuated, or is no longer.
+pub fn evacuate(ctx: &mut proxy_context::ProxyContext, centre: String, on: bool) {
+    log::info!("event=evacuation data_centre={centre} on={on}");
+    let now = ctx.now;
+    if on {
+        ctx.evacuations.entry(centre.clone()).or_insert(now);
+    } else {
+        ctx.evacuations.remove(&centre);
+    }
+    let since = ctx.evacuations.get(&centre).copied();
+    for endpoint in ctx.endpoints.values_mut() {
+        if endpoint.entry.data_centre == centre {
+            endpoint.evacuated = since;
+        }
+    }
+}
--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -5,19 +5,16 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
 
 use crate::core::arena_keys;
 use crate::core::chart_cursor;
-use crate::core::circuit_breaker;
 use crate::core::clock_time;
 use crate::core::share_ledger;
 use crate::proxy::change_flow;
 use crate::proxy::change_record;
 use crate::proxy::duty_flow;
-use crate::proxy::endpoint_view;
+use crate::proxy::endpoint_flow;
 use crate::proxy::group_view;
-use crate::proxy::link_flow;
 use crate::proxy::member_flow;
 use crate::proxy::member_view;
 use crate::proxy::proxy_config;
@@ -25,11 +22,10 @@
 use crate::proxy::quota_flow;
 use crate::proxy::store_message;
 use crate::proxy::store_session;
+use crate::proxy::tenure_flow;
 
 /// Doublings of the pause between calls to the store that fail.
 const PAUSE_DOUBLINGS_MAX: u32 = 2;
-/// Latency assumed of an endpoint that has not answered yet, in milliseconds.
-const FIRST_LATENCY_MS: f64 = 20.0;
 
 /// Makes the calls to the store that are due.
 pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
@@ -38,7 +34,7 @@
     }
     let stopping = ctx.stopping.is_some();
     if !ctx.store.lease_open && ctx.now >= ctx.store.next_lease && !ctx.stopped {
-        look_after_lease(ctx, stopping);
+        tenure_flow::look_after_lease(ctx, stopping);
     }
 }
 
@@ -52,8 +48,10 @@
     match &call.purpose {
         store_session::StorePurpose::List => on_listed(ctx, reply),
         store_session::StorePurpose::Watch => on_changed(ctx, reply),
-        store_session::StorePurpose::HostLease => on_host_lease(ctx, call, &reply),
-        store_session::StorePurpose::HostRecord { lease } => on_host_record(ctx, *lease, &reply),
+        store_session::StorePurpose::HostLease => tenure_flow::on_host_lease(ctx, call, &reply),
+        store_session::StorePurpose::HostRecord { lease } => {
+            tenure_flow::on_host_record(ctx, *lease, &reply)
+        }
         store_session::StorePurpose::RosterRecord => {
             ctx.store.lease_open = false;
             ctx.store.next_lease = ctx.now.after(ctx.tuning.store_pause);
@@ -62,7 +60,9 @@
                 ctx.store.next_lease = ctx.now;
             }
         }
-        store_session::StorePurpose::HostKeep { lease } => on_host_keep(ctx, call, *lease, &reply),
+        store_session::StorePurpose::HostKeep { lease } => {
+            tenure_flow::on_host_keep(ctx, call, *lease, &reply)
+        }
         store_session::StorePurpose::DutyLease => duty_flow::on_lease(ctx, call, &reply),
         store_session::StorePurpose::DutyRecord => duty_flow::on_record(ctx, &reply),
         store_session::StorePurpose::DutyKeep => duty_flow::on_keep(ctx, call, &reply),
@@ -116,7 +116,8 @@
     }
 }
 
-fn pause(ctx: &mut proxy_context::ProxyContext) -> clock_time::ClockTime {
+/// Returns when a call to the store that failed may be made again.
+pub fn pause(ctx: &mut proxy_context::ProxyContext) -> clock_time::ClockTime {
     let doublings = ctx.store.failures.min(PAUSE_DOUBLINGS_MAX);
     let span = ctx.tuning.store_pause * (1 << doublings);
     let span = ctx.spread(span);
@@ -220,11 +221,13 @@
             adopt(ctx, config);
         }
         (store_message::FeedSubject::Endpoint(id), body) => match body {
-            Some(store_message::FeedBody::Endpoint(entry)) => take_endpoint(ctx, entry),
-            _ => lose_endpoint(ctx, &id),
+            Some(store_message::FeedBody::Endpoint(entry)) => {
+                endpoint_flow::take_endpoint(ctx, entry)
+            }
+            _ => endpoint_flow::lose_endpoint(ctx, &id),
         },
         (store_message::FeedSubject::Evacuation(centre), body) => {
-            evacuate(ctx, centre, body.is_some());
+            endpoint_flow::evacuate(ctx, centre, body.is_some());
         }
         (store_message::FeedSubject::Record(key), body) => {
             let bytes = match body {
@@ -301,108 +304,6 @@
     group
 }
 
-fn take_endpoint(ctx: &mut proxy_context::ProxyContext, entry: store_message::EndpointEntry) {
-    let group = group_key(ctx, &entry.group);
-    let now = ctx.now;
-    let evacuated = ctx.evacuations.get(&entry.data_centre).copied();
-    let Some(endpoint) = ctx.endpoint_names.get(&entry.id).copied() else {
-        log::info!(
-            "event=endpoint_registered endpoint={} group={} address={} primary={} draining={}",
-            entry.id,
-            entry.group,
-            entry.address,
-            entry.primary,
-            entry.draining
-        );
-        let id = entry.id.clone();
-        let draining = entry.draining.then_some(now);
-        let endpoint = ctx.endpoints.insert(endpoint_view::EndpointView {
-            entry,
-            group,
-            gone: None,
-            draining,
-            evacuated,
-            circuit: circuit_breaker::CircuitBreaker::default(),
-            links: Vec::new(),
-            full_until: Default::default(),
-            queue: Vec::new(),
-            position: Default::default(),
-            lags: 0,
-            lagging_until: Default::default(),
-            answered: Default::default(),
-            failing: None,
-            refusing: None,
-            report: None,
-            latency_ms: FIRST_LATENCY_MS,
-        });
-        ctx.endpoint_names.insert(id, endpoint);
-        ctx.groups[group].members.push(endpoint);
-        return;
-    };
-    let view = &mut ctx.endpoints[endpoint];
-    let reborn = view.entry.born != entry.born || view.entry.address != entry.address;
-    let moved = view.group != group;
-    let old_group = view.group;
-    if view.entry.draining != entry.draining || view.gone.is_some() || reborn {
-        log::info!(
-            "event=endpoint_changed endpoint={} draining={} back={} reborn={reborn} primary={}",
-            entry.id,
-            entry.draining,
-            view.gone.is_some(),
-            entry.primary
-        );
-    }
-    view.gone = None;
-    view.draining = if entry.draining { view.draining.or(Some(now)) } else { None };
-    view.evacuated = evacuated;
-    view.group = group;
-    view.entry = entry;
-    if reborn {
-        view.position = Default::default();
-        view.report = None;
-        view.circuit.succeed();
-        view.failing = None;
-    }
-    if moved {
-        ctx.groups[old_group].members.retain(|member| *member != endpoint);
-        ctx.groups[group].members.push(endpoint);
-    }
-    if reborn || moved {
-        close_links(ctx, endpoint);
-    }
-}
-
-fn lose_endpoint(ctx: &mut proxy_context::ProxyContext, id: &str) {
-    let now = ctx.now;
-    let Some(endpoint) = ctx.endpoint_names.get(id).copied() else { return };
-    log::info!("event=endpoint_gone endpoint={id}");
-    ctx.endpoints[endpoint].gone.get_or_insert(now);
-}
-
-fn close_links(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
-    for link in ctx.endpoints[endpoint].links.clone() {
-        link_flow::on_ended(ctx, link, false);
-    }
-    ctx.endpoints[endpoint].circuit.succeed();
-    ctx.endpoints[endpoint].failing = None;
-}
-
-fn evacuate(ctx: &mut proxy_context::ProxyContext, centre: String, on: bool) {
-    log::info!("event=evacuation data_centre={centre} on={on}");
-    let now = ctx.now;
-    if on {
-        ctx.evacuations.entry(centre.clone()).or_insert(now);
-    } else {
-        ctx.evacuations.remove(&centre);
-    }
-    let since = ctx.evacuations.get(&centre).copied();
-    for endpoint in ctx.endpoints.values_mut() {
-        if endpoint.entry.data_centre == centre {
-            endpoint.evacuated = since;
-        }
-    }
-}
-
 fn take_record(
     ctx: &mut proxy_context::ProxyContext,
     key: &str,
@@ -479,111 +380,3 @@
     ctx.pulsed = Default::default();
     member_flow::on_tick(ctx);
 }
-
-fn look_after_lease(ctx: &mut proxy_context::ProxyContext, stopping: bool) {
-    match (ctx.store.lease, ctx.store.registered) {
-        (Some(lease), Some(_)) => {
-            ctx.store.lease_open = true;
-            let request = store_message::StoreRequest::Keep { lease };
-            ctx.call_store(store_session::StorePurpose::HostKeep { lease }, request);
-        }
-        (Some(_), None) if !stopping && !ctx.roster.contains_key(&ctx.identity.host) => enrol(ctx),
-        (Some(lease), None) if !stopping => register(ctx, lease),
-        (None, _) if !stopping => {
-            ctx.store.lease_open = true;
-            let ttl = ctx.tuning.host_lease;
-            let request = store_message::StoreRequest::Lease { ttl };
-            ctx.call_store(store_session::StorePurpose::HostLease, request);
-        }
-        _ => {}
-    }
-}
-
-/// Writes this host's entry in the roster.
-fn enrol(ctx: &mut proxy_context::ProxyContext) {
-    // Without a full reading this host does not know whether its entry is there.
-    if ctx.store.revision.is_none() {
-        return;
-    }
-    let Ok(value) = rmp_serde::to_vec(&ctx.identity) else { return };
-    ctx.store.lease_open = true;
-    let key = format!("{}{}", change_record::ROSTER_PREFIX, ctx.identity.host);
-    let request = store_message::StoreRequest::Write { key, value, lease: 0, expect: None };
-    ctx.call_store(store_session::StorePurpose::RosterRecord, request);
-}
-
-fn register(ctx: &mut proxy_context::ProxyContext, lease: u64) {
-    let Ok(value) = rmp_serde::to_vec(&ctx.identity) else { return };
-    ctx.store.lease_open = true;
-    let request = store_message::StoreRequest::Write {
-        key: format!("{}{}", change_record::MEMBER_PREFIX, ctx.identity.host),
-        value,
-        lease,
-        expect: None,
-    };
-    ctx.call_store(store_session::StorePurpose::HostRecord { lease }, request);
-}
-
-fn on_host_lease(
-    ctx: &mut proxy_context::ProxyContext,
-    call: &store_session::StoreCall,
-    reply: &store_message::StoreReply,
-) {
-    ctx.store.lease_open = false;
-    let store_message::StoreReply::Leased { lease, ttl } = reply else {
-        ctx.store.next_lease = pause(ctx);
-        return;
-    };
-    ctx.store.lease = Some(*lease);
-    ctx.store.registered = None;
-    ctx.store.lease_until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
-}
-
-fn on_host_record(
-    ctx: &mut proxy_context::ProxyContext,
-    lease: u64,
-    reply: &store_message::StoreReply,
-) {
-    ctx.store.lease_open = false;
-    match reply {
-        store_message::StoreReply::Written { revision } if ctx.store.lease == Some(lease) => {
-            log::info!("event=registered lease={lease} revision={revision}");
-            ctx.store.registered = Some(*revision);
-            ctx.store.enrolled = true;
-            let renewal = ctx.tuning.host_renewal;
-            ctx.store.next_lease = ctx.now.after(renewal);
-        }
-        store_message::StoreReply::LeaseGone => {
-            ctx.store.lease = None;
-            ctx.store.next_lease = pause(ctx);
-        }
-        _ => ctx.store.next_lease = pause(ctx),
-    }
-}
-
-fn on_host_keep(
-    ctx: &mut proxy_context::ProxyContext,
-    call: &store_session::StoreCall,
-    lease: u64,
-    reply: &store_message::StoreReply,
-) {
-    ctx.store.lease_open = false;
-    if ctx.store.lease != Some(lease) {
-        return;
-    }
-    match reply {
-        store_message::StoreReply::Leased { ttl, .. } => {
-            let until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
-            ctx.store.lease_until = ctx.store.lease_until.max(until);
-            let renewal = ctx.tuning.host_renewal;
-            ctx.store.next_lease = ctx.now.after(renewal);
-        }
-        store_message::StoreReply::LeaseGone => {
-            log::warn!("event=membership_lost lease={lease}");
-            ctx.store.lease = None;
-            ctx.store.registered = None;
-            ctx.store.next_lease = ctx.now.after(Duration::ZERO);
-        }
-        _ => ctx.store.next_lease = pause(ctx),
-    }
-}
--- /dev/null
+++ b/src/proxy/fence_policy.rs
@@ -0,0 +1,55 @@
+//! When no host can use a primary of an older epoch any more.
+
+use crate::core::arena_keys;
+use crate::proxy::member_flow;
+use crate::proxy::proxy_context;
+
+/// Whether no host can have the word of most hosts for an epoch before the record's.
+///
+/// That is so once most hosts have known the new epoch for as long as such words last.
+pub fn fence(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) -> bool {
+    let held = by_most(ctx, |host| knows_epoch(ctx, group, host));
+    let now = ctx.now;
+    let change = &mut ctx.groups[group].change;
+    if !held {
+        change.fenced_since = None;
+        return false;
+    }
+    let since = *change.fenced_since.get_or_insert(now);
+    now.since(since) >= ctx.tuning.quorum_word + ctx.tuning.lease_margin
+}
+
+/// Whether most hosts know the record's epoch and have not heard `target` for as long as words
+/// last: it has nobody's word for an older epoch, and will get none.
+pub fn unheard_by_most(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    target: &String,
+) -> bool {
+    by_most(ctx, |host| {
+        let unheard = match ctx.members.get(host) {
+            _ if *host == ctx.identity.host => member_flow::silent_hosts(ctx).contains(target),
+            Some(member) => member.silent.contains(target),
+            None => false,
+        };
+        unheard && knows_epoch(ctx, group, host)
+    })
+}
+
+/// Whether something holds for most hosts, in every set of hosts that one of them which was cut off
+/// may still go by.
+fn by_most(ctx: &proxy_context::ProxyContext, holds: impl Fn(&String) -> bool) -> bool {
+    let most = |hosts: &[String]| hosts.iter().filter(|host| holds(host)).count() * 2 > hosts.len();
+    most(&ctx.kept_hosts()) && ctx.past_hosts.iter().all(|(_, hosts)| most(hosts))
+}
+
+fn knows_epoch(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    host: &String,
+) -> bool {
+    let view = &ctx.groups[group];
+    let member = ctx.members.get(host);
+    let sight = member.and_then(|member| member.sights.get(&view.name));
+    *host == ctx.identity.host || sight.is_some_and(|sight| sight.known_epoch >= view.epoch())
+}
--- a/src/proxy/job_state.rs
+++ b/src/proxy/job_state.rs
@@ -51,6 +51,18 @@
     },
 }
 
+impl JobPhase {
+    /// Returns the phase's name, for log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::AwaitShare { .. } => "waiting",
+            Self::Queued { .. } => "queued",
+            Self::Running { sent: false, .. } => "preparing",
+            Self::Running { sent: true, .. } => "sent",
+        }
+    }
+}
+
 /// One request of a caller that has not been answered yet.
 #[derive(Debug)]
 pub struct JobState {
--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -8,6 +8,7 @@
 use crate::core::arena_keys;
 use crate::core::chart_cursor;
 use crate::core::request_verdict;
+use crate::proxy::answer_flow;
 use crate::proxy::change_flow;
 use crate::proxy::endpoint_command;
 use crate::proxy::job_state;
@@ -359,7 +360,7 @@
         let passed = ctx.now.since(ctx.links[link].sent).as_secs_f64() * 1_000.0;
         let view = &mut ctx.endpoints[ctx.links[link].endpoint];
         view.latency_ms += (passed - view.latency_ms) * LATENCY_WEIGHT;
-        return operation_flow::on_answer(ctx, job, link, answer);
+        return answer_flow::on_answer(ctx, job, link, answer);
     }
     match answer.outcome {
         Ok(_) => send_next(ctx, link),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -4,13 +4,16 @@
 //! platform's names into the typed messages of `proxy_message`, `store_message` and
 //! `endpoint_command`.
 
+pub mod answer_flow;
 pub mod change_flow;
 pub mod change_record;
 pub mod decision_log;
 pub mod duty_flow;
 pub mod endpoint_command;
+pub mod endpoint_flow;
 pub mod endpoint_view;
 pub mod feed_flow;
+pub mod fence_policy;
 pub mod group_view;
 pub mod job_state;
 pub mod link_flow;
@@ -31,5 +34,7 @@
 pub mod session_request;
 pub mod session_state;
 pub mod shutdown_flow;
+pub mod stop_flow;
 pub mod store_message;
 pub mod store_session;
+pub mod tenure_flow;
--- a/src/proxy/operation_flow.rs
+++ b/src/proxy/operation_flow.rs
@@ -96,25 +96,6 @@
     place(ctx, job);
 }
 
-/// Takes up the endpoint's answer to a job's own statement.
-pub fn on_answer(
-    ctx: &mut proxy_context::ProxyContext,
-    job: arena_keys::StatementKey,
-    link: arena_keys::ConnectionKey,
-    answer: endpoint_command::EndpointAnswer,
-) {
-    let state = &ctx.jobs[job];
-    let commit = state.kind == job_state::JobKind::Commit;
-    let single = ctx.sessions[state.session].open_work().is_none();
-    if commit {
-        on_commit(ctx, job, link, answer);
-    } else if single {
-        on_single(ctx, job, link, answer);
-    } else {
-        on_within(ctx, job, link, answer);
-    }
-}
-
 /// Takes up an endpoint's refusal of what precedes a job's statement on a link.
 pub fn on_setup_fault(
     ctx: &mut proxy_context::ProxyContext,
@@ -349,7 +330,8 @@
     session_flow::answer(ctx, session, Vec::new(), None, verdict);
 }
 
-fn place(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
+/// Seeks an endpoint for a job, or refuses it.
+pub fn place(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
     let session = ctx.jobs[job].session;
     let held = ctx.sessions[session].open_work().and_then(|work| work.link);
     if let Some(link) = held {
@@ -385,130 +367,6 @@
     place(ctx, job);
 }
 
-fn on_single(
-    ctx: &mut proxy_context::ProxyContext,
-    job: arena_keys::StatementKey,
-    link: arena_keys::ConnectionKey,
-    answer: endpoint_command::EndpointAnswer,
-) {
-    let endpoint = ctx.links[link].endpoint;
-    let reads = ctx.jobs[job].reads();
-    if let Err(fault) = &answer.outcome {
-        note_fault(ctx, job, endpoint, fault);
-    }
-    let unknown = answer.outcome == Err(endpoint_command::EndpointFault::UnknownName);
-    if unknown {
-        ctx.links[link].prepared.clear();
-    }
-    let lasting = lasting_primary(ctx, job, endpoint);
-    // The job has no link any more when the link serves the next one.
-    ctx.jobs[job].phase = job_state::JobPhase::AwaitShare { until: ctx.now };
-    if answer.phase == endpoint_command::SessionPhase::Idle {
-        link_flow::release(ctx, link);
-    } else {
-        link_flow::close(ctx, link, "discarded");
-    }
-    match answer.outcome {
-        Ok(_) if !reads && !lasting => {
-            let cause = request_verdict::VerdictCause::PrimaryReplaced;
-            let verdict = request_verdict::RequestVerdict::may_have_run(cause);
-            finish(ctx, job, Vec::new(), None, verdict);
-        }
-        Ok(signature) => {
-            if reads {
-                ctx.endpoints[endpoint].lags = 0;
-                count_read(ctx, job);
-            } else {
-                mark(ctx, job, answer.position);
-            }
-            let verdict = request_verdict::RequestVerdict::ran();
-            finish(ctx, job, answer.rows, Some(signature), verdict);
-        }
-        Err(endpoint_command::EndpointFault::Other { code, text }) => {
-            finish(ctx, job, Vec::new(), None, failed(code, text));
-        }
-        Err(endpoint_command::EndpointFault::UnknownName) => {
-            again_same(ctx, job);
-        }
-        Err(fault) => try_elsewhere(ctx, job, endpoint, cause_of(&fault)),
-    }
-}
-
-fn on_within(
-    ctx: &mut proxy_context::ProxyContext,
-    job: arena_keys::StatementKey,
-    link: arena_keys::ConnectionKey,
-    answer: endpoint_command::EndpointAnswer,
-) {
-    let session = ctx.jobs[job].session;
-    let reads = ctx.jobs[job].reads();
-    let endpoint = ctx.links[link].endpoint;
-    match answer.outcome {
-        Ok(signature) => {
-            if let session_state::WorkPhase::Open(work) = &mut ctx.sessions[session].work {
-                work.link = Some(link);
-                work.wrote |= !reads;
-            }
-            link_flow::pin(ctx, link, session);
-            if reads {
-                count_read(ctx, job);
-            }
-            let verdict = request_verdict::RequestVerdict::ran();
-            finish(ctx, job, answer.rows, Some(signature), verdict);
-        }
-        Err(fault) => {
-            note_fault(ctx, job, endpoint, &fault);
-            ctx.sessions[session].work = session_state::WorkPhase::Failed;
-            link_flow::roll_back(ctx, link);
-            let verdict = match fault {
-                endpoint_command::EndpointFault::Other { code, text } => failed(code, text),
-                endpoint_command::EndpointFault::UnknownName => {
-                    refusal(ctx, Some(job), request_verdict::VerdictCause::TransactionLost)
-                }
-                fault => refusal(ctx, Some(job), cause_of(&fault)),
-            };
-            finish(ctx, job, Vec::new(), None, verdict);
-        }
-    }
-}
-
-fn on_commit(
-    ctx: &mut proxy_context::ProxyContext,
-    job: arena_keys::StatementKey,
-    link: arena_keys::ConnectionKey,
-    answer: endpoint_command::EndpointAnswer,
-) {
-    let session = ctx.jobs[job].session;
-    let endpoint = ctx.links[link].endpoint;
-    let wrote = ctx.sessions[session].open_work().is_some_and(|work| work.wrote);
-    let lasting = lasting_primary(ctx, job, endpoint);
-    ctx.sessions[session].work = session_state::WorkPhase::Idle;
-    if let Err(fault) = &answer.outcome {
-        note_fault(ctx, job, endpoint, fault);
-    }
-    if answer.phase == endpoint_command::SessionPhase::Idle {
-        link_flow::release(ctx, link);
-    } else {
-        link_flow::roll_back(ctx, link);
-    }
-    let verdict = match answer.outcome {
-        Ok(_) if wrote && !lasting => {
-            let cause = request_verdict::VerdictCause::PrimaryReplaced;
-            request_verdict::RequestVerdict::may_have_run(cause)
-        }
-        Ok(signature) => {
-            if wrote {
-                mark(ctx, job, answer.position);
-            }
-            let verdict = request_verdict::RequestVerdict::ran();
-            return finish(ctx, job, answer.rows, Some(signature), verdict);
-        }
-        Err(endpoint_command::EndpointFault::Other { code, text }) => failed(code, text),
-        Err(fault) => refusal(ctx, Some(job), cause_of(&fault)),
-    };
-    finish(ctx, job, Vec::new(), None, verdict);
-}
-
 /// Ends the transaction of a job whose link refused what precedes its statement.
 fn lose_transaction(
     ctx: &mut proxy_context::ProxyContext,
@@ -522,14 +380,6 @@
     finish(ctx, job, Vec::new(), None, verdict);
 }
 
-/// Runs a job again whose prepared statement the link had lost.
-fn again_same(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
-    if ctx.jobs[job].attempts >= ctx.tuning.attempts_max {
-        return refuse(ctx, job, request_verdict::VerdictCause::NoEndpoint);
-    }
-    place(ctx, job);
-}
-
 fn time_out(
     ctx: &mut proxy_context::ProxyContext,
     job: arena_keys::StatementKey,
@@ -556,7 +406,7 @@
 }
 
 /// Gives a job its final answer.
-fn finish(
+pub fn finish(
     ctx: &mut proxy_context::ProxyContext,
     job: arena_keys::StatementKey,
     rows: Vec<String>,
@@ -584,28 +434,8 @@
     }
 }
 
-/// Whether the primary that a job went to is still in force, so that what it kept counts.
-fn lasting_primary(
-    ctx: &proxy_context::ProxyContext,
-    job: arena_keys::StatementKey,
-    endpoint: arena_keys::EndpointKey,
-) -> bool {
-    let state = &ctx.jobs[job];
-    let view = &ctx.groups[state.group];
-    // A host that was told to stop may still pass answers on until it has said that it stopped.
-    let epoch = match view.serving() {
-        Some(record) => Some(record.epoch),
-        None if view.stopped_epoch < view.epoch() => Some(view.epoch() - 1),
-        None => None,
-    };
-    let recorded = view.record.as_ref().map(|record| record.primary.as_str());
-    state.primary_epoch.is_some()
-        && state.primary_epoch == epoch
-        && recorded == Some(ctx.endpoints[endpoint].entry.id.as_str())
-        && ctx.permitted(state.group)
-}
-
-fn note_fault(
+/// Notes what an endpoint's refusal says of it.
+pub fn note_fault(
     ctx: &mut proxy_context::ProxyContext,
     job: arena_keys::StatementKey,
     endpoint: arena_keys::EndpointKey,
@@ -640,7 +470,8 @@
     });
 }
 
-fn cause_of(fault: &endpoint_command::EndpointFault) -> request_verdict::VerdictCause {
+/// Returns the cause that callers are told for a refusal of an endpoint.
+pub fn cause_of(fault: &endpoint_command::EndpointFault) -> request_verdict::VerdictCause {
     match fault {
         endpoint_command::EndpointFault::Busy => request_verdict::VerdictCause::QueueFull,
         endpoint_command::EndpointFault::ReadOnly => request_verdict::VerdictCause::NoPrimary,
@@ -648,32 +479,6 @@
     }
 }
 
-fn failed(code: String, text: String) -> request_verdict::RequestVerdict {
-    let cause = request_verdict::VerdictCause::DatabaseError { sqlstate: code, message: text };
-    request_verdict::RequestVerdict::may_have_run(cause)
-}
-
-fn mark(
-    ctx: &mut proxy_context::ProxyContext,
-    job: arena_keys::StatementKey,
-    position: Option<endpoint_message::LogPoint>,
-) {
-    let state = &ctx.jobs[job];
-    let (session, group) = (state.session, state.group);
-    if let Some(point) = position {
-        ctx.sessions[session].mark = Some((group, point));
-        ctx.sessions[session].position = Some(point);
-    }
-}
-
-fn count_read(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
-    if ctx.jobs[job].primary_epoch.is_some() {
-        ctx.counts.primary_reads += 1;
-    } else {
-        ctx.counts.replica_reads += 1;
-    }
-}
-
 fn count(
     ctx: &mut proxy_context::ProxyContext,
     state: &job_state::JobState,
@@ -689,7 +494,7 @@
     let cause = format!("{:?}", verdict.cause);
     let cause = cause.split([' ', '{']).next().unwrap_or_default().to_owned();
     let passed = ctx.now.since(state.arrived).as_millis();
-    let (id, phase, attempts) = (state.id.clone(), state.phase, state.attempts);
+    let (id, phase, attempts) = (state.id.clone(), state.phase.name(), state.attempts);
     let (database, fate) = (state.route.database.clone(), verdict.fate);
     let version = ctx.config.as_ref().map_or(0, |config| config.version);
     let view = &ctx.groups[state.group];
@@ -704,7 +509,7 @@
             "event=request_unserved request={id} account={account} database={database} \
              group={group} epoch={epoch} serving={serving} permitted={permitted} record_age_ms={record_age} \
              store_age_ms={store_age} version={version} \
-             phase={phase:?} attempts={attempts} age_ms={passed} fate={fate:?} cause={cause} \
+             phase={phase} attempts={attempts} age_ms={passed} fate={fate:?} cause={cause} \
              retry_ms={retry}"
         )
     });
--- /dev/null
+++ b/src/proxy/tenure_flow.rs
@@ -0,0 +1,121 @@
+//! This host's own membership in the store: its lease, its entry in the roster, its record.
+
+use std::time::Duration;
+
+use crate::proxy::change_record;
+use crate::proxy::feed_flow;
+use crate::proxy::proxy_context;
+use crate::proxy::store_message;
+use crate::proxy::store_session;
+
+/// Takes, registers or renews what is due of the membership.
+pub fn look_after_lease(ctx: &mut proxy_context::ProxyContext, stopping: bool) {
+    match (ctx.store.lease, ctx.store.registered) {
+        (Some(lease), Some(_)) => {
+            ctx.store.lease_open = true;
+            let request = store_message::StoreRequest::Keep { lease };
+            ctx.call_store(store_session::StorePurpose::HostKeep { lease }, request);
+        }
+        (Some(_), None) if !stopping && !ctx.roster.contains_key(&ctx.identity.host) => enrol(ctx),
+        (Some(lease), None) if !stopping => register(ctx, lease),
+        (None, _) if !stopping => {
+            ctx.store.lease_open = true;
+            let ttl = ctx.tuning.host_lease;
+            let request = store_message::StoreRequest::Lease { ttl };
+            ctx.call_store(store_session::StorePurpose::HostLease, request);
+        }
+        _ => {}
+    }
+}
+
+/// Writes this host's entry in the roster.
+fn enrol(ctx: &mut proxy_context::ProxyContext) {
+    // Without a full reading this host does not know whether its entry is there.
+    if ctx.store.revision.is_none() {
+        return;
+    }
+    let Ok(value) = rmp_serde::to_vec(&ctx.identity) else { return };
+    ctx.store.lease_open = true;
+    let key = format!("{}{}", change_record::ROSTER_PREFIX, ctx.identity.host);
+    let request = store_message::StoreRequest::Write { key, value, lease: 0, expect: None };
+    ctx.call_store(store_session::StorePurpose::RosterRecord, request);
+}
+
+fn register(ctx: &mut proxy_context::ProxyContext, lease: u64) {
+    let Ok(value) = rmp_serde::to_vec(&ctx.identity) else { return };
+    ctx.store.lease_open = true;
+    let request = store_message::StoreRequest::Write {
+        key: format!("{}{}", change_record::MEMBER_PREFIX, ctx.identity.host),
+        value,
+        lease,
+        expect: None,
+    };
+    ctx.call_store(store_session::StorePurpose::HostRecord { lease }, request);
+}
+
+/// Takes up the store's answer to the taking of a lease.
+pub fn on_host_lease(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    reply: &store_message::StoreReply,
+) {
+    ctx.store.lease_open = false;
+    let store_message::StoreReply::Leased { lease, ttl } = reply else {
+        ctx.store.next_lease = feed_flow::pause(ctx);
+        return;
+    };
+    ctx.store.lease = Some(*lease);
+    ctx.store.registered = None;
+    ctx.store.lease_until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
+}
+
+/// Takes up the store's answer to the writing of the member record.
+pub fn on_host_record(
+    ctx: &mut proxy_context::ProxyContext,
+    lease: u64,
+    reply: &store_message::StoreReply,
+) {
+    ctx.store.lease_open = false;
+    match reply {
+        store_message::StoreReply::Written { revision } if ctx.store.lease == Some(lease) => {
+            log::info!("event=registered lease={lease} revision={revision}");
+            ctx.store.registered = Some(*revision);
+            ctx.store.enrolled = true;
+            let renewal = ctx.tuning.host_renewal;
+            ctx.store.next_lease = ctx.now.after(renewal);
+        }
+        store_message::StoreReply::LeaseGone => {
+            ctx.store.lease = None;
+            ctx.store.next_lease = feed_flow::pause(ctx);
+        }
+        _ => ctx.store.next_lease = feed_flow::pause(ctx),
+    }
+}
+
+/// Takes up the store's answer to the renewal of the lease.
+pub fn on_host_keep(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    lease: u64,
+    reply: &store_message::StoreReply,
+) {
+    ctx.store.lease_open = false;
+    if ctx.store.lease != Some(lease) {
+        return;
+    }
+    match reply {
+        store_message::StoreReply::Leased { ttl, .. } => {
+            let until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
+            ctx.store.lease_until = ctx.store.lease_until.max(until);
+            let renewal = ctx.tuning.host_renewal;
+            ctx.store.next_lease = ctx.now.after(renewal);
+        }
+        store_message::StoreReply::LeaseGone => {
+            log::warn!("event=membership_lost lease={lease}");
+            ctx.store.lease = None;
+            ctx.store.registered = None;
+            ctx.store.next_lease = ctx.now.after(Duration::ZERO);
+        }
+        _ => ctx.store.next_lease = feed_flow::pause(ctx),
+    }
+}
