fix(proxy): endpoints gone for a minute are forgotten

Cause: registrations that vanished stayed in the arenas for the life of the process. Change: an endpoint without registration, links and waiting jobs, that no record names, is dropped after 60 s. Scenario endpoints_gone_for_long_are_forgotten.

--- a/src/proxy/endpoint_flow.rs
+++ b/src/proxy/endpoint_flow.rs
@@ -1,5 +1,7 @@
 //! What the store tells of endpoints: registrations, their end, evacuated data centres.
 
+use std::time::Duration;
+
 use crate::core::arena_keys;
 use crate::core::circuit_breaker;
 use crate::proxy::endpoint_view;
@@ -8,6 +10,8 @@
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 
+/// Time for which an endpoint that is gone is remembered.
+const GONE_KEPT: Duration = Duration::from_secs(60);
 /// Latency assumed of an endpoint that has not answered yet, in milliseconds.
 const FIRST_LATENCY_MS: f64 = 20.0;
 
@@ -115,3 +119,28 @@
         }
     }
 }
+
+/// Forgets endpoints that have been gone for long and that nothing refers to.
+pub fn forget_gone(ctx: &mut proxy_context::ProxyContext) {
+    let recorded = |id: &String| {
+        ctx.groups
+            .values()
+            .filter_map(|group| group.record.as_ref())
+            .any(|record| record.primary == *id || record.candidate.as_ref() == Some(id))
+    };
+    let gone: Vec<arena_keys::EndpointKey> = ctx
+        .endpoints
+        .iter()
+        .filter(|(_, view)| {
+            let past = view.gone.is_some_and(|since| ctx.now.since(since) >= GONE_KEPT);
+            past && view.links.is_empty() && view.queue.is_empty() && !recorded(&view.entry.id)
+        })
+        .map(|(key, _)| key)
+        .collect();
+    for endpoint in gone {
+        let Some(view) = ctx.endpoints.remove(endpoint) else { continue };
+        log::info!("event=endpoint_forgotten endpoint={}", view.entry.id);
+        ctx.endpoint_names.remove(&view.entry.id);
+        ctx.groups[view.group].members.retain(|member| *member != endpoint);
+    }
+}
--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -308,7 +308,8 @@
     }
 }
 
-/// Pings primaries that have not answered for a while, and those that reads need a sample of.
+/// Pings primaries that have not answered for a while: that shows whether they run, and how far
+/// their logs have grown.
 pub fn ping_primaries(ctx: &mut proxy_context::ProxyContext) {
     let groups: Vec<arena_keys::GroupKey> = ctx.groups.keys().collect();
     for group in groups {
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -8,6 +8,7 @@
 use crate::proxy::change_flow;
 use crate::proxy::change_record;
 use crate::proxy::duty_flow;
+use crate::proxy::endpoint_flow;
 use crate::proxy::feed_flow;
 use crate::proxy::link_flow;
 use crate::proxy::member_flow;
@@ -126,6 +127,7 @@
         let next = ctx.now.after(ctx.tuning.tick);
         ctx.timers.push(next, proxy_context::ProxyTimer::Tick);
         feed_flow::on_tick(ctx);
+        endpoint_flow::forget_gone(ctx);
         link_flow::on_tick(ctx);
         link_flow::ping_primaries(ctx);
         member_flow::on_tick(ctx);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -277,6 +277,23 @@
             assert!(fleet.greeting(host, caller).is_some(), "host {host}");
         }
     };
+    endpoints_gone_for_long_are_forgotten: |fleet| {
+        let caller = fleet.open(0, "large", "aged");
+        assert!(ran(fleet, 0, caller, read()));
+        fleet.crash("db2", true);
+        fleet.run(millis(30_000));
+        assert_eq!(fleet.core(0).context().endpoints.len(), 3);
+        fleet.run(millis(45_000));
+        for host in 0..4 {
+            assert_eq!(fleet.core(host).context().endpoints.len(), 2, "host {host}");
+        }
+        assert!(ran(fleet, 0, caller, read()));
+        // It comes back as if it were new.
+        fleet.restart("db2");
+        fleet.run(millis(1_000));
+        assert_eq!(fleet.core(0).context().endpoints.len(), 3);
+        assert!(ran(fleet, 0, caller, read()));
+    };
     a_host_about_to_end_takes_no_session: |fleet| {
         fleet.stop_host(0);
         fleet.run(millis(2_350));
