refactor(proxy): one way to end a transaction, one place for what a lease is good for

Cause: read once more as a whole, the change did some things in several places: five endings of a session's transaction, three choices of the state after it, four sums of a lease's end, two lists of the commands that are a caller's own, three tests of an endpoint that stays. The answer to the roster's entry was handled in feed_flow, a change's reason was kept and never read, and the roster was copied on each tick. Change: end_work, ended_phase, lease_end, is_callers, eligible and open serve all of them; on_roster_record stands with the rest of the membership; the unread field is gone.

--- a/src/proxy/change_flow.rs
+++ b/src/proxy/change_flow.rs
@@ -159,7 +159,6 @@
     let Some(reason) = find_reason(ctx, group) else { return demote_others(ctx, group) };
     let now = ctx.now;
     let view = &mut ctx.groups[group];
-    view.change.reason = Some(reason);
     view.change.began = now;
     view.change.rejected.clear();
     log::info!(
--- a/src/proxy/duty_flow.rs
+++ b/src/proxy/duty_flow.rs
@@ -74,7 +74,7 @@
         lease: *lease,
     };
     let Ok(value) = rmp_serde::to_vec(&record) else { return fail(ctx) };
-    ctx.duty.lease = Some((*lease, call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin))));
+    ctx.duty.lease = Some((*lease, call.lease_end(*ttl, ctx.tuning.lease_margin)));
     let expect = ctx.duty.record.as_ref().map_or(0, |(_, revision)| *revision);
     let request = store_message::StoreRequest::Write {
         key: change_record::DUTY_KEY.to_owned(),
@@ -104,7 +104,7 @@
     match reply {
         store_message::StoreReply::Leased { ttl, .. } => {
             tidy_roster(ctx);
-            let until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
+            let until = call.lease_end(*ttl, ctx.tuning.lease_margin);
             ctx.duty.until = ctx.duty.until.max(until);
         }
         store_message::StoreReply::LeaseGone => {
--- a/src/proxy/endpoint_command.rs
+++ b/src/proxy/endpoint_command.rs
@@ -70,6 +70,13 @@
     },
 }
 
+impl EndpointCommand {
+    /// Whether the command is a caller's own, and not one that this host adds.
+    pub fn is_callers(&self) -> bool {
+        matches!(self, Self::Run { .. } | Self::Commit { .. })
+    }
+}
+
 /// Why an endpoint did not complete a command.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointFault {
--- a/src/proxy/endpoint_flow.rs
+++ b/src/proxy/endpoint_flow.rs
@@ -75,8 +75,6 @@
     if reborn {
         view.position = Default::default();
         view.report = None;
-        view.circuit.succeed();
-        view.failing = None;
     }
     if moved {
         ctx.groups[old_group].members.retain(|member| *member != endpoint);
--- a/src/proxy/endpoint_view.rs
+++ b/src/proxy/endpoint_view.rs
@@ -52,10 +52,12 @@
 impl EndpointView {
     /// Whether replicas' work may go there.
     pub fn takes_reads(&self, now: clock_time::ClockTime) -> bool {
-        self.gone.is_none()
-            && self.draining.is_none()
-            && self.evacuated.is_none()
-            && (self.circuit.closed() || self.circuit.may_probe(now))
+        self.eligible() && self.open(now)
+    }
+
+    /// Whether its circuit lets work through.
+    pub fn open(&self, now: clock_time::ClockTime) -> bool {
+        self.circuit.closed() || self.circuit.may_probe(now)
     }
 
     /// Whether it must not get any work: it has been leaving, gone or evacuated for too long.
@@ -74,7 +76,7 @@
         gone || self.draining.is_some() || self.evacuated.is_some()
     }
 
-    /// Whether it may be appointed as a primary.
+    /// Whether it stays, so that it may be appointed or read from.
     pub fn eligible(&self) -> bool {
         self.gone.is_none() && self.draining.is_none() && self.evacuated.is_none()
     }
--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -52,14 +52,7 @@
         store_session::StorePurpose::HostRecord { lease } => {
             tenure_flow::on_host_record(ctx, *lease, &reply)
         }
-        store_session::StorePurpose::RosterRecord => {
-            ctx.store.lease_open = false;
-            ctx.store.next_lease = ctx.now.after(ctx.tuning.store_pause);
-            if let store_message::StoreReply::Written { revision } = reply {
-                ctx.roster.insert(ctx.identity.host.clone(), revision);
-                ctx.store.next_lease = ctx.now;
-            }
-        }
+        store_session::StorePurpose::RosterRecord => tenure_flow::on_roster_record(ctx, &reply),
         store_session::StorePurpose::HostKeep { lease } => {
             tenure_flow::on_host_keep(ctx, call, *lease, &reply)
         }
@@ -291,7 +284,6 @@
         samples: Default::default(),
         change: group_view::ChangeState {
             cursor: chart_cursor::ChartCursor::new(ctx.change_chart.clone()),
-            reason: None,
             since: ctx.now,
             began: ctx.now,
             asked: Default::default(),
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -26,8 +26,6 @@
 pub struct ChangeState {
     /// Life cycle, by the chart `primary_change`.
     pub cursor: chart_cursor::ChartCursor,
-    /// Why.
-    pub reason: Option<ChangeReason>,
     /// When the state was entered.
     pub since: clock_time::ClockTime,
     /// When the change began.
--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -32,7 +32,7 @@
 const LINKS_LINGER: Duration = Duration::from_millis(3_300);
 /// Pause before the next link to an endpoint that had too many.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
-/// Mean of how many answers an endpoint's latency is taken over.
+/// Weight of a new answer in the mean of an endpoint's latency.
 const LATENCY_WEIGHT: f64 = 0.1;
 
 /// Runs a job on the endpoint, now or when a link is free.
@@ -352,12 +352,7 @@
     command: endpoint_command::EndpointCommand,
     answer: endpoint_command::EndpointAnswer,
 ) {
-    let main = matches!(
-        command,
-        endpoint_command::EndpointCommand::Run { .. }
-            | endpoint_command::EndpointCommand::Commit { .. }
-    );
-    if main {
+    if command.is_callers() {
         let passed = ctx.now.since(ctx.links[link].sent).as_secs_f64() * 1_000.0;
         let view = &mut ctx.endpoints[ctx.links[link].endpoint];
         view.latency_ms += (passed - view.latency_ms) * LATENCY_WEIGHT;
@@ -384,12 +379,7 @@
     view.cursor.fire("call_sent");
     view.sent = now;
     view.current = Some(command.clone());
-    let main = matches!(
-        command,
-        endpoint_command::EndpointCommand::Run { .. }
-            | endpoint_command::EndpointCommand::Commit { .. }
-    );
-    if let (true, Some(link_state::LinkUser::Job(job))) = (main, view.user) {
+    if let (true, Some(link_state::LinkUser::Job(job))) = (command.is_callers(), view.user) {
         ctx.jobs[job].phase = job_state::JobPhase::Running { link, sent: true };
     }
     ctx.actions.push(proxy_message::ProxyAction::SendLink { link, command });
--- a/src/proxy/operation_flow.rs
+++ b/src/proxy/operation_flow.rs
@@ -216,6 +216,31 @@
     ctx.note(|| format!("event=transaction_ended caller={caller} cause={cause}"));
 }
 
+/// Leaves a session's open transaction for `phase`, and rolls it back on its link.
+pub fn end_work(
+    ctx: &mut proxy_context::ProxyContext,
+    session: arena_keys::CallerKey,
+    phase: session_state::WorkPhase,
+) {
+    let link = ctx.sessions[session].open_work().and_then(|work| work.link);
+    ctx.sessions[session].work = phase;
+    if let Some(link) = link {
+        link_flow::roll_back(ctx, link);
+    }
+}
+
+/// Returns what a transaction is after one of its requests failed: a COMMIT ends it for its caller,
+/// too.
+fn ended_phase(
+    ctx: &proxy_context::ProxyContext,
+    job: arena_keys::StatementKey,
+) -> session_state::WorkPhase {
+    match ctx.jobs[job].kind {
+        job_state::JobKind::Commit => session_state::WorkPhase::Idle,
+        _ => session_state::WorkPhase::Failed,
+    }
+}
+
 /// Gives a job its final answer for a cause that kept it from running.
 pub fn refuse(
     ctx: &mut proxy_context::ProxyContext,
@@ -224,15 +249,9 @@
 ) {
     let verdict = refusal(ctx, Some(job), cause);
     let session = ctx.jobs[job].session;
-    if let Some(work) = ctx.sessions[session].open_work() {
-        let link = work.link;
-        ctx.sessions[session].work = session_state::WorkPhase::Failed;
-        if ctx.jobs[job].kind == job_state::JobKind::Commit {
-            ctx.sessions[session].work = session_state::WorkPhase::Idle;
-        }
-        if let Some(link) = link {
-            link_flow::roll_back(ctx, link);
-        }
+    if ctx.sessions[session].open_work().is_some() {
+        let phase = ended_phase(ctx, job);
+        end_work(ctx, session, phase);
     }
     finish(ctx, job, Vec::new(), None, verdict);
 }
@@ -246,11 +265,7 @@
     let keeps = sent && (commit || !within) && !state.reads();
     let session = state.session;
     if within {
-        let phase = match commit {
-            true => session_state::WorkPhase::Idle,
-            false => session_state::WorkPhase::Failed,
-        };
-        ctx.sessions[session].work = phase;
+        ctx.sessions[session].work = ended_phase(ctx, job);
     }
     link_flow::close(ctx, link, "discarded");
     let verdict = if keeps {
@@ -316,12 +331,8 @@
     session: arena_keys::CallerKey,
     cause: request_verdict::VerdictCause,
 ) {
-    let link = ctx.sessions[session].open_work().map(|work| work.link);
-    if let Some(link) = link {
-        ctx.sessions[session].work = session_state::WorkPhase::Failed;
-        if let Some(link) = link {
-            link_flow::roll_back(ctx, link);
-        }
+    if ctx.sessions[session].open_work().is_some() {
+        end_work(ctx, session, session_state::WorkPhase::Failed);
     }
     let verdict = refusal(ctx, None, cause);
     let caller = ctx.sessions[session].caller;
@@ -386,15 +397,9 @@
     link: arena_keys::ConnectionKey,
     sent: bool,
 ) {
-    let state = &ctx.jobs[job];
-    let session = state.session;
-    let commit = state.kind == job_state::JobKind::Commit;
+    let session = ctx.jobs[job].session;
     if ctx.sessions[session].open_work().is_some() {
-        let phase = match commit {
-            true => session_state::WorkPhase::Idle,
-            false => session_state::WorkPhase::Failed,
-        };
-        ctx.sessions[session].work = phase;
+        ctx.sessions[session].work = ended_phase(ctx, job);
     }
     link_flow::close(ctx, link, "silent");
     let cause = request_verdict::VerdictCause::DeadlinePassed;
--- a/src/proxy/placement_policy.rs
+++ b/src/proxy/placement_policy.rs
@@ -74,9 +74,7 @@
     if leads || needs_primary(ctx, job) {
         return leads;
     }
-    let view = &ctx.endpoints[endpoint];
-    let stays = view.gone.is_none() && view.draining.is_none() && view.evacuated.is_none();
-    stays && read_point(ctx, job).is_some()
+    ctx.endpoints[endpoint].eligible() && read_point(ctx, job).is_some()
 }
 
 /// Chooses an endpoint for a job.
@@ -90,8 +88,7 @@
 ) -> Result<arena_keys::EndpointKey, request_verdict::VerdictCause> {
     let group = ctx.jobs[job].group;
     let primary = ctx.usable_primary(group).filter(|endpoint| {
-        let view = &ctx.endpoints[*endpoint];
-        let open = view.circuit.closed() || view.circuit.may_probe(ctx.now);
+        let open = ctx.endpoints[*endpoint].open(ctx.now);
         open && !ctx.jobs[job].avoided.contains(endpoint) && has_way(ctx, *endpoint)
     });
     if needs_primary(ctx, job) {
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -327,13 +327,12 @@
     /// have nothing to rely on.
     pub fn in_touch(&self, span: Duration) -> bool {
         let since = self.now.before(span);
-        let kept = self.kept_hosts();
-        let heard = kept.iter().filter(|host| {
+        let heard = self.roster.keys().filter(|host| {
             let member = self.members.get(*host);
             let heard = member.and_then(|member| member.heard);
             **host == self.identity.host || heard.is_some_and(|heard| heard > since)
         });
-        self.store.answered > since || heard.count() * 2 > kept.len()
+        self.store.answered > since || heard.count() * 2 > self.roster.len()
     }
 
     fn quorum(&self, view: &group_view::GroupView) -> bool {
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -18,7 +18,6 @@
 use crate::proxy::proxy_tuning;
 use crate::proxy::quota_flow;
 use crate::proxy::session_flow;
-use crate::proxy::session_state;
 use crate::proxy::shutdown_flow;
 
 /// Time in which the store or most hosts must have been heard; two renewals of the lease fit in.
@@ -192,7 +191,6 @@
         for session in idle {
             let link = ctx.sessions[session].open_work().and_then(|work| work.link);
             operation_flow::lose_work(ctx, session, "idle");
-            ctx.sessions[session].work = session_state::WorkPhase::Failed;
             if let Some(link) = link {
                 link_flow::roll_back(ctx, link);
             }
--- a/src/proxy/session_flow.rs
+++ b/src/proxy/session_flow.rs
@@ -146,11 +146,7 @@
     let phase = ctx.sessions[session].phase();
     match (request, phase) {
         (session_request::SessionRequest::Rollback, endpoint_command::SessionPhase::Open) => {
-            let link = ctx.sessions[session].open_work().and_then(|work| work.link);
-            ctx.sessions[session].work = session_state::WorkPhase::Idle;
-            if let Some(link) = link {
-                link_flow::roll_back(ctx, link);
-            }
+            operation_flow::end_work(ctx, session, session_state::WorkPhase::Idle);
             done(ctx, session);
         }
         (session_request::SessionRequest::Rollback, endpoint_command::SessionPhase::Failed) => {
--- a/src/proxy/shutdown_flow.rs
+++ b/src/proxy/shutdown_flow.rs
@@ -8,7 +8,7 @@
 
 use crate::core::arena_keys;
 use crate::proxy::endpoint_command;
-use crate::proxy::link_flow;
+use crate::proxy::operation_flow;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
 use crate::proxy::session_flow;
@@ -114,10 +114,6 @@
         .map(|(key, _)| key)
         .collect();
     for session in open {
-        let link = ctx.sessions[session].open_work().and_then(|work| work.link);
-        ctx.sessions[session].work = session_state::WorkPhase::Failed;
-        if let Some(link) = link {
-            link_flow::roll_back(ctx, link);
-        }
+        operation_flow::end_work(ctx, session, session_state::WorkPhase::Failed);
     }
 }
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -1,6 +1,7 @@
 //! This host's standing with the store: what it has read, and the leases that it holds.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::core::arena_keys;
 use crate::core::clock_time;
@@ -54,6 +55,14 @@
     pub sent: clock_time::ClockTime,
 }
 
+impl StoreCall {
+    /// Returns until when a lease that this call took or renewed surely runs: it counts from the
+    /// call's arrival, which is no earlier than its sending.
+    pub fn lease_end(&self, ttl: Duration, margin: Duration) -> clock_time::ClockTime {
+        self.sent.after(ttl.saturating_sub(margin))
+    }
+}
+
 /// The reading of all items, page by page.
 #[derive(Debug, Default)]
 pub struct FullReading {
--- a/src/proxy/tenure_flow.rs
+++ b/src/proxy/tenure_flow.rs
@@ -1,7 +1,5 @@
 //! This host's own membership in the store: its lease, its entry in the roster, its record.
 
-use std::time::Duration;
-
 use crate::proxy::change_record;
 use crate::proxy::feed_flow;
 use crate::proxy::proxy_context;
@@ -53,6 +51,16 @@
     ctx.call_store(store_session::StorePurpose::HostRecord { lease }, request);
 }
 
+/// Takes up the store's answer to the writing of the entry in the roster.
+pub fn on_roster_record(ctx: &mut proxy_context::ProxyContext, reply: &store_message::StoreReply) {
+    ctx.store.lease_open = false;
+    ctx.store.next_lease = ctx.now.after(ctx.tuning.store_pause);
+    if let store_message::StoreReply::Written { revision } = reply {
+        ctx.roster.insert(ctx.identity.host.clone(), *revision);
+        ctx.store.next_lease = ctx.now;
+    }
+}
+
 /// Takes up the store's answer to the taking of a lease.
 pub fn on_host_lease(
     ctx: &mut proxy_context::ProxyContext,
@@ -66,7 +74,7 @@
     };
     ctx.store.lease = Some(*lease);
     ctx.store.registered = None;
-    ctx.store.lease_until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
+    ctx.store.lease_until = call.lease_end(*ttl, ctx.tuning.lease_margin);
 }
 
 /// Takes up the store's answer to the writing of the member record.
@@ -105,7 +113,7 @@
     }
     match reply {
         store_message::StoreReply::Leased { ttl, .. } => {
-            let until = call.sent.after(ttl.saturating_sub(ctx.tuning.lease_margin));
+            let until = call.lease_end(*ttl, ctx.tuning.lease_margin);
             ctx.store.lease_until = ctx.store.lease_until.max(until);
             let renewal = ctx.tuning.host_renewal;
             ctx.store.next_lease = ctx.now.after(renewal);
@@ -114,7 +122,7 @@
             log::warn!("event=membership_lost lease={lease}");
             ctx.store.lease = None;
             ctx.store.registered = None;
-            ctx.store.next_lease = ctx.now.after(Duration::ZERO);
+            ctx.store.next_lease = ctx.now;
         }
         _ => ctx.store.next_lease = feed_flow::pause(ctx),
     }
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -702,12 +702,7 @@
         if !self.reach(&Place::Host(host), &Place::Database(fake.endpoint.clone())) {
             return;
         }
-        let works = matches!(
-            command,
-            endpoint_command::EndpointCommand::Run { .. }
-                | endpoint_command::EndpointCommand::Commit { .. }
-        );
-        let work = if works { self.databases[&fake.endpoint].work } else { 0 };
+        let work = if command.is_callers() { self.databases[&fake.endpoint].work } else { 0 };
         self.push(self.now + work, Step::Run { host, life, link, command });
     }
 
