feat(core): shares open at once where no older version can be served

Cause: a host that started held every share closed for the age limit of evidence (5.5 s and the accounts' grace), since it could not know whether others still served an older version; refusals said "over its rate" and a time to come back worked out from a rate of nothing. Ruled out: a shorter hold (a host that is cut off serves an older version for as long as its evidence lasts); words of all hosts (hosts that left with the older version are not known after a start). Change: the first version has none before it; for later ones the hosts that watch the platform note once a version that its shares are open, and a host that starts finds that. Refusals name the closed share and when it opens.

--- a/src/core/call_purpose.rs
+++ b/src/core/call_purpose.rs
@@ -69,6 +69,8 @@
     HostList,
     /// The record of leaving hosts is to be swapped.
     LeavingSwap,
+    /// The record of opened shares is to be swapped.
+    OpeningSwap,
     /// A group's record is to be swapped.
     SwapRecord {
         /// The group.
--- a/src/core/config_flow.rs
+++ b/src/core/config_flow.rs
@@ -22,6 +22,7 @@
 use crate::core::group_record;
 use crate::core::group_state;
 use crate::core::leaving_flow;
+use crate::core::opening_flow;
 use crate::core::peer_message;
 use crate::core::peer_table;
 use crate::core::platform_message;
@@ -172,6 +173,7 @@
     adopt_endpoints(ctx, &world);
     adopt_groups(ctx, &world);
     adopt_accounts(ctx, &world);
+    opening_flow::open_shares(ctx);
     leaving_flow::apply(ctx);
     caller_flow::sweep(ctx);
 }
--- a/src/core/config_state.rs
+++ b/src/core/config_state.rs
@@ -32,8 +32,14 @@
     pub home_map: rendezvous_rank::HomeMap,
     /// When the configuration came into force here.
     pub adopted: clock_time::ClockTime,
-    /// Whether a majority of data centres was heard under this configuration since.
+    /// Whether it is known when the shares of this configuration open.
     pub attested: bool,
+    /// When all shares of this configuration are open; holds once it is attested.
+    pub opened_at: clock_time::ClockTime,
+    /// The newest version whose shares are open, by the live record.
+    pub opened_version: u64,
+    /// When that record may be written again.
+    pub note_after: clock_time::ClockTime,
 }
 
 impl ConfigState {
--- a/src/core/core_context.rs
+++ b/src/core/core_context.rs
@@ -145,6 +145,8 @@
     pub leaving: leaving_record::LeavingRecord,
     /// When that was last learnt.
     pub leaving_since: clock_time::ClockTime,
+    /// When this process started.
+    pub started: clock_time::ClockTime,
     /// What retries may still cost.
     pub retries: retry_budget::RetryBudget,
     /// Whether a watch on the platform is open.
@@ -192,6 +194,7 @@
             superseded: false,
             leaving: leaving_record::LeavingRecord::default(),
             leaving_since: now,
+            started: now,
             retries: retry_budget::RetryBudget::default(),
             watching: false,
             control: status_report::ControlCounts::default(),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -27,6 +27,8 @@
 pub mod leaving_flow;
 pub mod leaving_record;
 pub mod live_feed;
+pub mod opening_flow;
+pub mod opening_record;
 pub mod peer_flow;
 pub mod peer_message;
 pub mod peer_table;
--- /dev/null
+++ b/src/core/opening_flow.rs
@@ -0,0 +1,96 @@
+//! Opens the shares of a new configuration once no host can serve under an older one.
+
+use std::time::Duration;
+
+use crate::core::call_purpose;
+use crate::core::clock_time;
+use crate::core::core_context;
+use crate::core::core_tuning;
+use crate::core::opening_record;
+use crate::core::platform_flow;
+use crate::core::platform_message;
+use crate::core::share_ledger;
+
+/// The version of a fleet's first configuration: no host can hold a share from before it.
+const FIRST_VERSION: u64 = 1;
+/// Time after which a note of the opened version that did not take is written again.
+const NOTE_AGAIN: Duration = Duration::from_millis(2_000);
+
+/// Opens the shares dealt under the configuration in force as soon as that is safe.
+///
+/// It is safe at once where the record or the version tells that no older configuration can be
+/// served; else once a majority of data centres was heard under this one and evidence of any older
+/// one has aged.
+pub fn open_shares(ctx: &mut core_context::CoreContext) {
+    if ctx.config.head.is_none() {
+        return;
+    }
+    if !ctx.config.attested {
+        attest(ctx);
+    }
+    note_opened(ctx);
+}
+
+/// Takes up the live record.
+pub fn on_live_entry(ctx: &mut core_context::CoreContext, key: &str) {
+    if key != opening_record::record_key() {
+        return;
+    }
+    let Some(entry) = ctx.feed.entry(key) else { return };
+    match rmp_serde::from_slice::<opening_record::OpeningRecord>(&entry.value) {
+        Ok(record) => ctx.config.opened_version = record.version,
+        Err(error) => return log::error!("the record of opened shares is malformed: {error}"),
+    }
+    open_shares(ctx);
+}
+
+fn attest(ctx: &mut core_context::CoreContext) {
+    let version = ctx.config.version();
+    let now = ctx.now;
+    if version == FIRST_VERSION || ctx.config.opened_version == version {
+        // What the process before this one had lent lapses first.
+        let loans = share_ledger::LOAN_TTL + share_ledger::LOAN_MARGIN;
+        let opens = now.max(ctx.started.after(loans));
+        log::info!("shares of version {version} open at once: no older version is served");
+        return set_opening(ctx, opens, |_| opens);
+    }
+    if !ctx.majority_heard(ctx.config.adopted) {
+        return;
+    }
+    let hold =
+        core_tuning::CoreTuning::millis(ctx.tuning.fresh_for_ms) + core_tuning::SHARE_HOLD_MARGIN;
+    let opens = |grace_ms: u64| now.after(hold + core_tuning::CoreTuning::millis(grace_ms));
+    let longest = ctx.accounts.values().map(|account| account.hold_ms).max().unwrap_or_default();
+    set_opening(ctx, opens(longest), opens);
+}
+
+/// Sets when each account's share opens, by the longest grace of its configurations.
+fn set_opening(
+    ctx: &mut core_context::CoreContext,
+    all: clock_time::ClockTime,
+    opens: impl Fn(u64) -> clock_time::ClockTime,
+) {
+    ctx.config.attested = true;
+    ctx.config.opened_at = all;
+    for account in ctx.accounts.values_mut() {
+        account.ledger.open_at(opens(account.hold_ms));
+    }
+}
+
+/// Writes down that all shares of the version in force are open; the hosts that watch the platform
+/// do so for the others.
+fn note_opened(ctx: &mut core_context::CoreContext) {
+    let version = ctx.config.version();
+    let due = ctx.config.attested && ctx.now >= ctx.config.opened_at.max(ctx.config.note_after);
+    if !due || ctx.config.opened_version >= version || !platform_flow::should_watch(ctx) {
+        return;
+    }
+    let record = opening_record::OpeningRecord { version };
+    let Ok(value) = rmp_serde::to_vec(&record) else { return };
+    let key = opening_record::record_key();
+    let expected = ctx.feed.revision(&key);
+    ctx.config.note_after = ctx.now.after(ctx.spread(NOTE_AGAIN));
+    // A swap that loses or is lost shows in the feed; it is made again if it is still needed.
+    let request = platform_message::PlatformRequest::CompareSwap { key, expected, value };
+    ctx.call_platform(call_purpose::CallPurpose::OpeningSwap, request);
+}
--- a/src/core/peer_flow.rs
+++ b/src/core/peer_flow.rs
@@ -9,6 +9,7 @@
 use crate::core::core_tuning;
 use crate::core::drain_flow;
 use crate::core::failover_flow;
+use crate::core::opening_flow;
 use crate::core::peer_message;
 use crate::core::platform_flow;
 use crate::core::platform_message;
@@ -23,7 +24,7 @@
 /// Exchanges pulses with a few hosts.
 pub fn on_timer(ctx: &mut core_context::CoreContext) {
     spread(ctx);
-    share_flow::open_shares(ctx);
+    opening_flow::open_shares(ctx);
     let interval = ctx.spread(core_tuning::CoreTuning::millis(ctx.tuning.pulse_interval_ms));
     ctx.wake_after(interval, timer_queue::TimerKind::Pulse);
 }
@@ -92,7 +93,7 @@
     if pulse.version == ctx.config.version() {
         note_evidence(ctx, sent, &pulse);
     }
-    share_flow::open_shares(ctx);
+    opening_flow::open_shares(ctx);
 }
 
 /// Stops taking work when a later process runs under this host's name.
--- a/src/core/platform_flow.rs
+++ b/src/core/platform_flow.rs
@@ -8,6 +8,7 @@
 use crate::core::failover_flow;
 use crate::core::group_record;
 use crate::core::leaving_flow;
+use crate::core::opening_flow;
 use crate::core::peer_flow;
 use crate::core::platform_message;
 use crate::core::rendezvous_rank;
@@ -72,6 +73,7 @@
     for key in changed {
         config_flow::on_live_entry(ctx, &key, from);
         leaving_flow::on_live_entry(ctx, &key);
+        opening_flow::on_live_entry(ctx, &key);
         on_group_entry(ctx, &key);
     }
 }
--- a/src/core/request_verdict.rs
+++ b/src/core/request_verdict.rs
@@ -29,6 +29,8 @@
     },
     /// The account is over its rate and burst.
     OverRate,
+    /// This host's share of the account's rate is closed: others may still use it.
+    ShareClosed,
     /// This host cannot confirm that its configuration is current.
     ConfigStale,
     /// No configuration is in force on this host yet.
@@ -105,6 +107,7 @@
             (VerdictCause::KeyRejected, _) => "28P01",
             (VerdictCause::RuleDenied { .. }, _) => "42501",
             (VerdictCause::OverRate | VerdictCause::QueueFull, _) => "53400",
+            (VerdictCause::ShareClosed, _) => "57P03",
             (VerdictCause::ConfigStale | VerdictCause::ConfigMissing, _) => "57P03",
             (VerdictCause::NoPrimary | VerdictCause::NoEndpoint, _) => "57P03",
             (VerdictCause::Draining | VerdictCause::CallerEnded, _) => "57P01",
@@ -126,6 +129,9 @@
             VerdictCause::KeyRejected => "unknown account or key".to_owned(),
             VerdictCause::RuleDenied { detail } => format!("no rule allows this: {detail}"),
             VerdictCause::OverRate => "the account is over its rate".to_owned(),
+            VerdictCause::ShareClosed => {
+                "the account's share of its rate is not open on this host yet".to_owned()
+            }
             VerdictCause::ConfigStale => "this host cannot confirm its configuration".to_owned(),
             VerdictCause::ConfigMissing => "this host has no configuration yet".to_owned(),
             VerdictCause::NoPrimary => "the group has no primary at present".to_owned(),
--- a/src/core/share_flow.rs
+++ b/src/core/share_flow.rs
@@ -74,25 +74,6 @@
     state.ledger.open_at(now);
 }
 
-/// Opens the shares dealt under the configuration in force once no host can serve under an older
-/// one: a majority of data centres was heard under it, and evidence of any older one has aged.
-pub fn open_shares(ctx: &mut core_context::CoreContext) {
-    if ctx.config.attested || ctx.config.head.is_none() {
-        return;
-    }
-    if !ctx.majority_heard(ctx.config.adopted) {
-        return;
-    }
-    ctx.config.attested = true;
-    let now = ctx.now;
-    let hold =
-        core_tuning::CoreTuning::millis(ctx.tuning.fresh_for_ms) + core_tuning::SHARE_HOLD_MARGIN;
-    for account in ctx.accounts.values_mut() {
-        let opens = now.after(hold + core_tuning::CoreTuning::millis(account.hold_ms));
-        account.ledger.open_at(opens);
-    }
-}
-
 /// Charges a statement to its account's share: it goes on, waits for a share, or is refused.
 pub fn charge(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     let now = ctx.now;
@@ -217,11 +198,13 @@
 fn refuse(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     let now = ctx.now;
     let account = ctx.statements[statement].account;
-    let wait = ctx.accounts[account].ledger.wait_for_token(now);
-    let verdict = request_verdict::RequestVerdict::not_run(
-        request_verdict::VerdictCause::OverRate,
-        Some(wait),
-    );
+    let ledger = &mut ctx.accounts[account].ledger;
+    let wait = ledger.wait_for_token(now);
+    let cause = match ledger.closed() {
+        true => request_verdict::VerdictCause::ShareClosed,
+        false => request_verdict::VerdictCause::OverRate,
+    };
+    let verdict = request_verdict::RequestVerdict::not_run(cause, Some(wait));
     statement_flow::finish(ctx, statement, verdict, endpoint_message::AnswerBody::default());
 }
 
--- a/src/core/share_ledger.rs
+++ b/src/core/share_ledger.rs
@@ -22,6 +22,8 @@
 const PASS_TTL: Duration = Duration::from_millis(100);
 /// Demand below this many statements a second counts as none.
 const DEMAND_IDLE: f64 = 0.01;
+/// What callers wait while it is not known when a share opens: two rounds of pulses.
+const OPENING_UNKNOWN_RETRY: Duration = Duration::from_millis(1_000);
 /// A time that no clock reaches.
 const NEVER: clock_time::ClockTime = clock_time::ClockTime::from_micros(u64::MAX);
 /// Part of an unused share that one loan may take.
@@ -294,6 +296,11 @@
         Some(ShareGrant { part, tokens, ttl_ms: ttl.as_millis() as u64 })
     }
 
+    /// Whether nothing may be used here until a share that was dealt opens.
+    pub fn closed(&self) -> bool {
+        self.usable.rate <= 0.0 && self.next_home.is_some_and(|(home, _)| home.rate > 0.0)
+    }
+
     /// Returns the hosts that hold most of what this one has lent, the greatest part first.
     pub fn holders(&self, most: usize) -> Vec<String> {
         let mut held: BTreeMap<&str, f64> = BTreeMap::new();
@@ -328,8 +335,13 @@
     /// Returns the time after which one token will be there at the present rate.
     pub fn wait_for_token(&mut self, now: clock_time::ClockTime) -> Duration {
         self.refill(now);
-        let rate = self.current().rate.max(LOAN_LEAST);
-        Duration::from_secs_f64(((1.0 - self.tokens) / rate).clamp(0.001, 60.0))
+        let (rate, closed) = match (self.closed(), self.next_home) {
+            (true, Some((_, NEVER))) => return OPENING_UNKNOWN_RETRY,
+            (true, Some((home, opens))) => (home.rate, opens.since(now)),
+            _ => (self.current().rate, Duration::ZERO),
+        };
+        let accrual = ((1.0 - self.tokens) / rate.max(LOAN_LEAST)).clamp(0.001, 60.0);
+        closed + Duration::from_secs_f64(accrual)
     }
 
     /// Gives what is wanted out of the home share, and the rest out of loans taken, the longest
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -50,6 +50,7 @@
     replaced_primary,
     shares,
     silent_connections,
+    starting_with_nothing,
     stated_age,
     transactions,
 }
@@ -86,8 +87,8 @@
         let fleet = self.fleet.as_mut().expect("start with `fleet`");
         match case.directive.as_str() {
             "run" => fleet.run_ms(case.number("ms", 1_000)),
-            "kill" => fleet.kill(&case.text("name")),
-            "start" => fleet.start(&case.text("name")),
+            "kill" => case.args["name"].iter().for_each(|name| fleet.kill(name)),
+            "start" => case.args["name"].iter().for_each(|name| fleet.start(name)),
             "pause" => fleet.pause(&case.text("name")),
             "resume" => fleet.resume(&case.text("name")),
             "cut" => fleet.cut(&case.text("from"), &case.text("to")),
@@ -255,7 +256,15 @@
     let limit = case.number("limit_ms", ANSWER_LIMIT_MS);
     let answer = fleet.ask(&case.text("caller"), case.input.trim(), limit);
     let passed = fleet.now.since(started).as_millis() as u64;
+    let retry = answer.as_ref().and_then(|(verdict, _)| verdict.retry_after);
     let mut text = show_answer(fleet, &case.text("caller"), answer);
+    if let Some(most) = case.find("retry_most_ms") {
+        let most: u128 = most.parse().unwrap();
+        let told = retry.map_or(0, |wait| wait.as_millis());
+        if told == 0 || told > most {
+            text += &format!("told to come back after {told} ms, not within {most}\n");
+        }
+    }
     if let Some(limit) = case.find("within_ms") {
         let limit: u64 = limit.parse().unwrap();
         if passed > limit {
