feat(proxy): few witnesses in a large fleet, chosen by rendezvous

Each host also pinged each primary, asked every host for tokens, and kept links for 40 s where an endpoint has fewer than there are hosts. Ruled out: slower pulses for all (words would lapse before they are renewed); a random few asked each time (no two majorities meet). Change: up to nine hosts all are witnesses, of more five are, taken from the data centres in turn. Words count only between hosts that go by the same set and know the store as of their enrolment; an earlier set counts for the fence until most of its hosts have moved on, which replaces the 30 s that were argued and not shown. Hosts are struck off only if most witnesses do not hear them. An overtaken pulse is ignored.

--- a/src/proxy/duty_flow.rs
+++ b/src/proxy/duty_flow.rs
@@ -6,9 +6,11 @@
 
 use crate::core::rendezvous_rank;
 use crate::proxy::change_record;
+use crate::proxy::fence_policy;
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 use crate::proxy::store_session;
+use crate::proxy::witness_policy;
 
 /// Time between the turns of hosts that may claim a vacant duty.
 const TURN: Duration = Duration::from_millis(150);
@@ -30,7 +32,9 @@
         None => {
             let present = ctx.members.values().filter(|member| member.gone.is_none());
             let names = present.map(|member| member.record.host.as_str());
-            let ranked = rendezvous_rank::rank("duty", names);
+            let mut ranked = rendezvous_rank::rank("duty", names);
+            // Witnesses come first: they see all primaries.
+            ranked.sort_by_key(|host| !ctx.witnesses.hosts.iter().any(|other| other == host));
             let turn = ranked.iter().position(|host| *host == ctx.identity.host);
             let turn = turn.unwrap_or(ranked.len()) as u32;
             if ctx.now.since(ctx.duty.vacant) >= TURN * turn {
@@ -47,8 +51,11 @@
     }
     let kept = ctx.tuning.share_kept;
     let absent = |host: &String| {
-        let member = ctx.members.get(host);
-        member.is_some_and(|member| member.gone.is_some_and(|gone| ctx.now.since(gone) >= kept))
+        let gone = ctx.members.get(host).and_then(|member| member.gone);
+        let span = gone.map_or(Duration::ZERO, |gone| ctx.now.since(gone));
+        // Hosts that cannot reach the store may serve on by each other's words.
+        let alone = || fence_policy::by_most(ctx, |other| fence_policy::unheard(ctx, other, host));
+        (span >= kept && alone()) || span >= witness_policy::LOST_FOR_GOOD
     };
     let gone = ctx.roster.iter().find(|(host, _)| absent(host));
     let Some((host, revision)) = gone.map(|(host, revision)| (host.clone(), *revision)) else {
--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::core::arena_keys;
 use crate::core::chart_cursor;
@@ -23,7 +24,11 @@
 use crate::proxy::store_message;
 use crate::proxy::store_session;
 use crate::proxy::tenure_flow;
+use crate::proxy::witness_policy;
 
+/// Pause before the next watch of a large fleet after one that told only of members: many may come
+/// at once, and each would wake all hosts.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(100);
 /// Doublings of the pause between calls to the store that fail.
 const PAUSE_DOUBLINGS_MAX: u32 = 2;
 
@@ -166,6 +171,7 @@
     ctx.store.revision = Some(first);
     take_all(ctx, vanished);
     take_all(ctx, reading.items);
+    witness_policy::settle(ctx);
     quota_flow::deal(ctx);
     change_flow::drive_all(ctx);
 }
@@ -176,7 +182,11 @@
         store_message::StoreReply::Changed { items, revision } => {
             ctx.store.revision = Some(revision.max(ctx.store.revision.unwrap_or(0)));
             if !items.is_empty() {
+                if !ctx.all_witnesses() && items.iter().all(|item| item.subject.of_membership()) {
+                    ctx.store.next_read = ctx.now.after(MEMBERS_PAUSE);
+                }
                 take_all(ctx, items);
+                witness_policy::settle(ctx);
                 quota_flow::deal(ctx);
                 change_flow::drive_all(ctx);
             }
@@ -254,6 +264,7 @@
             let account = ctx.accounts.insert(proxy_context::AccountView {
                 name: name.clone(),
                 object: None,
+                homes: Vec::new(),
                 ledger: share_ledger::ShareLedger::new(now),
                 waiting: Default::default(),
                 asked: now,
@@ -369,6 +380,5 @@
         member_view::MemberView { gone: None, ..member_view::MemberView::absent(record, now) };
     ctx.members.insert(host.to_owned(), view);
     // The newcomer learns at once what this host says of itself.
-    ctx.pulsed = Default::default();
-    member_flow::on_tick(ctx);
+    member_flow::greet(ctx, host);
 }
--- a/src/proxy/fence_policy.rs
+++ b/src/proxy/fence_policy.rs
@@ -4,9 +4,9 @@
 use crate::proxy::member_flow;
 use crate::proxy::proxy_context;
 
-/// Whether no host can have the word of most hosts for an epoch before the record's.
+/// Whether no host can have the word of most witnesses for an epoch before the record's.
 ///
-/// That is so once most hosts have known the new epoch for as long as such words last.
+/// That is so once most witnesses have known the new epoch for as long as such words last.
 pub fn fence(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) -> bool {
     let held = by_most(ctx, |host| knows_epoch(ctx, group, host));
     let now = ctx.now;
@@ -19,28 +19,30 @@
     now.since(since) >= ctx.tuning.quorum_word + ctx.tuning.lease_margin
 }
 
-/// Whether most hosts know the record's epoch and have not heard `target` for as long as words
+/// Whether most witnesses know the record's epoch and have not heard `target` for as long as words
 /// last: it has nobody's word for an older epoch, and will get none.
 pub fn unheard_by_most(
     ctx: &proxy_context::ProxyContext,
     group: arena_keys::GroupKey,
     target: &String,
 ) -> bool {
-    by_most(ctx, |host| {
-        let unheard = match ctx.members.get(host) {
-            _ if *host == ctx.identity.host => member_flow::silent_hosts(ctx).contains(target),
-            Some(member) => member.silent.contains(target),
-            None => false,
-        };
-        unheard && knows_epoch(ctx, group, host)
-    })
+    by_most(ctx, |host| unheard(ctx, host, target) && knows_epoch(ctx, group, host))
 }
 
-/// Whether something holds for most hosts, in every set of hosts that one of them which was cut off
-/// may still go by.
-fn by_most(ctx: &proxy_context::ProxyContext, holds: impl Fn(&String) -> bool) -> bool {
+/// Whether `host` has not heard `target` for as long as words last.
+pub fn unheard(ctx: &proxy_context::ProxyContext, host: &String, target: &String) -> bool {
+    match ctx.members.get(host) {
+        _ if host == &ctx.identity.host => member_flow::silent_hosts(ctx).contains(target),
+        Some(member) => member.silent.contains(target),
+        None => false,
+    }
+}
+
+/// Whether something holds for most witnesses, in every set of them that a host which was cut off may
+/// still go by.
+pub fn by_most(ctx: &proxy_context::ProxyContext, holds: impl Fn(&String) -> bool) -> bool {
     let most = |hosts: &[String]| hosts.iter().filter(|host| holds(host)).count() * 2 > hosts.len();
-    most(&ctx.kept_hosts()) && ctx.past_hosts.iter().all(|(_, hosts)| most(hosts))
+    most(&ctx.witnesses.hosts) && ctx.witnesses.past.iter().all(|set| most(&set.hosts))
 }
 
 fn knows_epoch(
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -71,6 +71,11 @@
         self.record.as_ref().filter(|record| record.phase == change_record::ChangePhase::Serving)
     }
 
+    /// Whether the primary is being replaced.
+    pub fn changing(&self) -> bool {
+        self.record.is_some() && self.serving().is_none()
+    }
+
     /// Returns the record's epoch, 0 for none.
     pub fn epoch(&self) -> u64 {
         self.record.as_ref().map_or(0, |record| record.epoch)
--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -23,6 +23,12 @@
 const PREPARED_MAX: usize = 256;
 /// Time after which a link at rest is closed.
 const REST_LIMIT: Duration = Duration::from_secs(40);
+/// Time after which a link at rest is closed where connections are scarce: an endpoint takes some 100
+/// statements a second from all hosts, and holds some 40 connections.
+const REST_SCARCE: Duration = Duration::from_millis(200);
+/// Links of one host to an endpoint with fewer connections than there are hosts: one that runs and
+/// one that opens.
+const LINKS_SCARCE: usize = 2;
 /// Part of an endpoint's connections that the hosts share out: the rest is for hosts that start
 /// again while the endpoint still holds the connections of their predecessors.
 const LINKS_USED: usize = 2;
@@ -69,10 +75,25 @@
     let name = &ctx.groups[group].name;
     let object = ctx.config.as_ref().and_then(|config| config.groups.get(name));
     let most = object.map_or(1, |object| object.max_links) as usize;
-    if ctx.started_together() && ctx.now.since(ctx.started) < LINKS_LINGER {
+    if ctx.now.since(ctx.started) < LINKS_LINGER && ctx.started_together() {
         return 1;
     }
-    (most * LINKS_USED / LINKS_ALL / ctx.dealing.hosts.len().max(1)).max(1)
+    match most * LINKS_USED / LINKS_ALL / ctx.dealing.hosts.len().max(1) {
+        0 => LINKS_SCARCE,
+        share => share,
+    }
+}
+
+/// Returns the time after which a link at rest is closed: soon, where the hosts are more than an
+/// endpoint's connections and each must leave them to others.
+fn rest_limit(ctx: &proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) -> Duration {
+    let group = ctx.endpoints[endpoint].group;
+    let object = ctx.config.as_ref().and_then(|config| config.groups.get(&ctx.groups[group].name));
+    let most = object.map_or(1, |object| object.max_links) as usize;
+    let scarce = most * LINKS_USED / LINKS_ALL < ctx.dealing.hosts.len();
+    // A witness keeps one link to each primary, to ping it.
+    let kept = ctx.is_witness() && ctx.endpoints[endpoint].links.len() == 1;
+    if scarce && !kept { REST_SCARCE } else { REST_LIMIT }
 }
 
 /// Whether the endpoint lately had more links than it takes, so that none is opened.
@@ -302,15 +323,18 @@
         );
         if silent && own {
             on_ended(ctx, link, false);
-        } else if view.idle() && ctx.now.since(view.idle_since) >= REST_LIMIT {
+        } else if view.idle() && ctx.now.since(view.idle_since) >= rest_limit(ctx, endpoint) {
             close(ctx, link, "discarded");
         }
     }
 }
 
 /// Pings primaries that have not answered for a while: that shows whether they run, and how far
-/// their logs have grown.
+/// their logs have grown. Witnesses do so for all hosts.
 pub fn ping_primaries(ctx: &mut proxy_context::ProxyContext) {
+    if !ctx.is_witness() {
+        return;
+    }
     let groups: Vec<arena_keys::GroupKey> = ctx.groups.keys().collect();
     for group in groups {
         let Some(endpoint) = ctx.usable_primary(group) else { continue };
--- a/src/proxy/member_flow.rs
+++ b/src/proxy/member_flow.rs
@@ -30,50 +30,90 @@
     }
 }
 
-/// Sends a pulse to all hosts when one is due.
+/// Sends the pulses that are due.
+///
+/// Witnesses tell each other how they are. Any other host asks one witness after the other, and all
+/// of them while it needs their words. While a primary is being replaced all tell who waits for it.
 pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
-    if ctx.now.since(ctx.pulsed) >= ctx.tuning.pulse {
-        pulse_all(ctx);
+    if ctx.now.since(ctx.pulsed) < ctx.tuning.pulse {
+        return;
+    }
+    ctx.pulsed = ctx.now;
+    let unsettled = !ctx.dealing.attested;
+    let changing = ctx.groups.values().any(|group| group.changing());
+    if changing {
+        return pulse_all(ctx);
+    }
+    let witnesses = ctx.witnesses.hosts.clone();
+    if ctx.is_witness() || ctx.needs_words() || unsettled {
+        let hello = unsettled || !ctx.is_witness();
+        return pulse_each(ctx, &witnesses, hello);
+    }
+    let turn = ctx.witnesses.turn;
+    ctx.witnesses.turn = turn.wrapping_add(1);
+    if let Some(host) = witnesses.get(turn % witnesses.len().max(1)) {
+        pulse_one(ctx, host, true);
     }
 }
 
-/// Sends a pulse to all hosts at once.
+/// Tells the witnesses and the holder of the duty at once how this host is.
 pub fn pulse_all(ctx: &mut proxy_context::ProxyContext) {
-    let hello = !ctx.dealing.attested;
     ctx.pulsed = ctx.now;
+    let mut hosts = ctx.witnesses.hosts.clone();
+    let holder = ctx.duty.record.as_ref().map(|(record, _)| record.host.clone());
+    hosts.extend(holder.filter(|holder| !hosts.contains(holder)));
+    let hello = !ctx.dealing.attested || !ctx.is_witness();
+    pulse_each(ctx, &hosts, hello);
+}
+
+/// Tells a host that has come how this one is.
+pub fn greet(ctx: &mut proxy_context::ProxyContext, host: &str) {
+    if host != ctx.identity.host && (ctx.is_witness() || ctx.witnesses.hosts.is_empty()) {
+        pulse_one(ctx, host, !ctx.dealing.attested);
+    }
+}
+
+fn pulse_each(ctx: &mut proxy_context::ProxyContext, hosts: &[String], hello: bool) {
     // A host whose record vanished may be cut off from the store alone.
-    let others: Vec<String> =
-        ctx.kept_hosts().into_iter().filter(|host| *host != ctx.identity.host).collect();
-    for host in others {
-        pulse_one(ctx, &host, hello);
+    for host in hosts {
+        if *host != ctx.identity.host {
+            pulse_one(ctx, host, hello);
+        }
     }
 }
 
-/// Whether most of the hosts heard lately, this one included, get no answer from a primary.
+/// Whether most of the witnesses heard lately get no answer from a primary; this host neither, if it
+/// is one.
 pub fn most_fail(ctx: &proxy_context::ProxyContext, group: &str) -> bool {
-    let own = own_failing(ctx, group);
-    let mut heard = 1;
-    let mut failing = usize::from(own);
-    for member in ctx.members.values() {
+    let own = ctx.is_witness();
+    let own_fails = own && own_failing(ctx, group);
+    let mut heard = usize::from(own);
+    let mut failing = usize::from(own_fails);
+    for host in ctx.witnesses.hosts.iter().filter(|host| **host != ctx.identity.host) {
+        let Some(member) = ctx.members.get(host) else { continue };
         let fresh = member.heard.is_some_and(|heard| ctx.now.since(heard) < WORD_LASTS);
-        if member.record.host == ctx.identity.host || member.gone.is_some() || !fresh {
+        if member.gone.is_some() || !fresh {
             continue;
         }
         heard += 1;
         failing += usize::from(member.sights.get(group).is_some_and(|sight| sight.failing));
     }
-    own && failing * 2 > heard
+    (own_fails || !own) && failing * 2 > heard
 }
 
 fn on_pulse(ctx: &mut proxy_context::ProxyContext, pulse: peer_datagram::HostPulse) {
     let now = ctx.now;
     let Some(member) = ctx.members.get_mut(&pulse.host) else { return };
-    if member.record.incarnation != pulse.incarnation {
+    // Datagrams may overtake each other: an older one must not bring back what no longer holds.
+    if member.record.incarnation != pulse.incarnation || pulse.stamp < member.stamp {
         return;
     }
     member.heard = Some(now);
+    member.witnesses = pulse.witnesses;
+    member.feed = member.feed.max(pulse.feed);
     member.dealing = pulse.dealing;
-    member.stamp = member.stamp.max(pulse.stamp);
+    member.settled = pulse.settled;
+    member.stamp = pulse.stamp;
     let valid = pulse.echo > 0 && pulse.echo_incarnation == ctx.identity.incarnation;
     let spoken = valid.then(|| clock_time::ClockTime::from_micros(pulse.echo));
     if let Some(spoken) = spoken {
@@ -142,7 +182,10 @@
     let pulse = peer_datagram::HostPulse {
         host: ctx.identity.host.clone(),
         incarnation: ctx.identity.incarnation,
+        witnesses: ctx.witnesses.number,
+        feed: ctx.store.revision.unwrap_or(0),
         dealing: ctx.dealing.number,
+        settled: ctx.dealing.attested,
         sights: sights.collect(),
         silent: silent_hosts(ctx),
         stamp: ctx.now.as_micros(),
@@ -153,15 +196,18 @@
     quota_flow::tell(ctx, address, peer_datagram::PeerDatagram::Pulse(pulse));
 }
 
-/// Returns the hosts that this host has not heard for as long as words count.
+/// Returns the witnesses and the hosts without a member record that this host has not heard for as
+/// long as words count.
 pub fn silent_hosts(ctx: &proxy_context::ProxyContext) -> Vec<String> {
     let since = ctx.now.before(ctx.tuning.quorum_word);
-    let unheard = |host: &String| {
-        let member = ctx.members.get(host);
-        *host != ctx.identity.host
-            && member.is_none_or(|member| member.heard.is_none_or(|heard| heard < since))
+    let unheard = |host: &&String| {
+        let member = ctx.members.get(*host);
+        let gone = member.is_none_or(|member| member.gone.is_some());
+        let told = gone || ctx.witnesses.hosts.contains(host);
+        let heard = member.and_then(|member| member.heard);
+        told && **host != ctx.identity.host && heard.is_none_or(|heard| heard < since)
     };
-    ctx.kept_hosts().into_iter().filter(unheard).collect()
+    ctx.roster.keys().filter(unheard).cloned().collect()
 }
 
 fn own_failing(ctx: &proxy_context::ProxyContext, group: &str) -> bool {
--- a/src/proxy/member_view.rs
+++ b/src/proxy/member_view.rs
@@ -19,8 +19,14 @@
     pub stamp: u64,
     /// When this host spoke last of what the other is known to have heard.
     pub echoed: Option<clock_time::ClockTime>,
+    /// Identifies the witnesses that it goes by.
+    pub witnesses: u64,
+    /// Revision of the store up to which it knows it.
+    pub feed: u64,
     /// The dealing of shares that it goes by.
     pub dealing: u64,
+    /// Whether it knows that all hosts go by that dealing.
+    pub settled: bool,
     /// Hosts that it does not hear.
     pub silent: BTreeSet<String>,
     /// Its views of groups, by group.
@@ -36,7 +42,10 @@
             heard: None,
             stamp: 0,
             echoed: None,
+            witnesses: 0,
+            feed: 0,
             dealing: 0,
+            settled: false,
             silent: BTreeSet::new(),
             sights: BTreeMap::new(),
         }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -38,3 +38,4 @@
 pub mod store_message;
 pub mod store_session;
 pub mod tenure_flow;
+pub mod witness_policy;
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -25,18 +25,25 @@
     pub sample: Option<(endpoint_message::LogPoint, u64)>,
 }
 
-/// One host's state, told to all its peers.
+/// One host's state, told to its peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostPulse {
     /// Host.
     pub host: String,
     /// Greater for each process that runs under this name.
     pub incarnation: u64,
+    /// Identifies the witnesses that the sender goes by.
+    pub witnesses: u64,
+    /// Revision of the store up to which the sender knows it.
+    pub feed: u64,
     /// Identifies the hosts and the configuration that shares are dealt by.
     pub dealing: u64,
+    /// Whether the sender knows that all hosts go by that dealing.
+    pub settled: bool,
     /// Views of all groups.
     pub sights: Vec<PrimarySight>,
-    /// Hosts whose word the sender has not heard for as long as such words last.
+    /// Hosts whose word the sender has not heard for as long as such words last: witnesses, and
+    /// hosts whose member record has vanished.
     pub silent: Vec<String>,
     /// The sender's clock in microseconds.
     pub stamp: u64,
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -29,6 +29,7 @@
 use crate::proxy::session_state;
 use crate::proxy::store_message;
 use crate::proxy::store_session;
+use crate::proxy::witness_policy;
 
 const CHANGE_CHART: &str = include_str!("../../charts/primary_change.yaml");
 const LINK_CHART: &str = include_str!("../../charts/endpoint_connection.yaml");
@@ -92,6 +93,8 @@
     pub name: String,
     /// Its object; `None` once the configuration lacks it.
     pub object: Option<proxy_config::AccountObject>,
+    /// The hosts that hold shares of its rate and burst.
+    pub homes: Vec<String>,
     /// This host's share of its rate and burst.
     pub ledger: share_ledger::ShareLedger,
     /// Jobs that wait for a share.
@@ -178,8 +181,8 @@
     pub roster: BTreeMap<String, u64>,
     /// All hosts, by name.
     pub members: BTreeMap<String, member_view::MemberView>,
-    /// Sets of hosts that were in force until lately, with the time at which each was superseded.
-    pub past_hosts: VecDeque<(clock_time::ClockTime, Vec<String>)>,
+    /// Hosts whose words count while the store is silent.
+    pub witnesses: witness_policy::WitnessState,
     /// When the last pulse was sent.
     pub pulsed: clock_time::ClockTime,
     /// The duty of changing primaries.
@@ -256,7 +259,7 @@
             appointments: HashMap::new(),
             roster: BTreeMap::new(),
             members: BTreeMap::new(),
-            past_hosts: VecDeque::new(),
+            witnesses: witness_policy::WitnessState::default(),
             pulsed: clock_time::ClockTime::default(),
             duty: DutyState::default(),
             dealing: DealingState::default(),
@@ -312,7 +315,7 @@
     }
 
     /// Whether this host may rely on the group's record that it knows: either its own lease runs,
-    /// or most hosts have said lately that they know of no newer record.
+    /// or most witnesses have said lately that they know of no newer record.
     ///
     /// A replacement of a primary waits until no host can be in either state.
     pub fn permitted(&self, group: arena_keys::GroupKey) -> bool {
@@ -323,27 +326,49 @@
         self.store.tenured(self.now) || self.quorum(view)
     }
 
-    /// Whether the store or most hosts were heard within `span`: without either, this host will soon
+    /// Whether the store or most witnesses were heard within `span`: without either, this host will soon
     /// have nothing to rely on.
     pub fn in_touch(&self, span: Duration) -> bool {
         let since = self.now.before(span);
-        let heard = self.roster.keys().filter(|host| {
-            let member = self.members.get(*host);
-            let heard = member.and_then(|member| member.heard);
-            **host == self.identity.host || heard.is_some_and(|heard| heard > since)
-        });
-        self.store.answered > since || heard.count() * 2 > self.roster.len()
+        let heard = |host: &String| {
+            let heard = self.members.get(host).and_then(|member| member.heard);
+            *host == self.identity.host || heard.is_some_and(|heard| heard > since)
+        };
+        self.store.answered > since || self.most_witnesses(heard)
     }
 
     fn quorum(&self, view: &group_view::GroupView) -> bool {
         let since = self.now.before(self.tuning.quorum_word);
-        let agreeing = self.roster.keys().filter(|host| {
-            let Some(member) = self.members.get(*host) else { return false };
+        let agrees = |host: &String| {
+            let Some(member) = self.members.get(host) else { return false };
             let known = member.sights.get(&view.name).map_or(0, |sight| sight.known_epoch);
             let heard = member.echoed.is_some_and(|echoed| echoed > since);
-            **host == self.identity.host || (heard && known <= view.epoch())
-        });
-        self.store.enrolled && agreeing.count() * 2 > self.roster.len()
+            let same = member.witnesses == self.witnesses.number;
+            *host == self.identity.host || (heard && same && known <= view.epoch())
+        };
+        let others = self.witnesses.hosts.len() > 1;
+        others && self.store.settled_in() && self.most_witnesses(agrees)
+    }
+
+    fn most_witnesses(&self, holds: impl Fn(&String) -> bool) -> bool {
+        let hosts = &self.witnesses.hosts;
+        hosts.iter().filter(|host| holds(host)).count() * 2 > hosts.len()
+    }
+
+    /// Whether this host is a witness.
+    pub fn is_witness(&self) -> bool {
+        self.witnesses.hosts.contains(&self.identity.host)
+    }
+
+    /// Whether the fleet is so small that every host is a witness.
+    pub fn all_witnesses(&self) -> bool {
+        self.witnesses.hosts.len() == self.roster.len()
+    }
+
+    /// Whether this host's lease in the store will soon have run out, so that it needs the words of
+    /// witnesses.
+    pub fn needs_words(&self) -> bool {
+        !self.store.tenured(self.now.after(self.tuning.quorum_word / 2))
     }
 
     /// Returns the endpoint that may be used as the group's primary now.
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -19,6 +19,7 @@
 use crate::proxy::quota_flow;
 use crate::proxy::session_flow;
 use crate::proxy::shutdown_flow;
+use crate::proxy::witness_policy;
 
 /// Time in which the store or most hosts must have been heard; two renewals of the lease fit in.
 const TOUCH_SPAN: Duration = Duration::from_millis(700);
@@ -134,13 +135,7 @@
         quota_flow::attest(ctx);
         duty_flow::on_tick(ctx);
         change_flow::drive_all(ctx);
-        while ctx
-            .past_hosts
-            .front()
-            .is_some_and(|(at, _)| ctx.now.since(*at) >= ctx.tuning.share_kept)
-        {
-            ctx.past_hosts.pop_front();
-        }
+        witness_policy::forget_past(ctx);
         if ctx.in_touch(TOUCH_SPAN) {
             ctx.touched = ctx.now;
         }
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -51,6 +51,10 @@
     pub stop_writes: Duration,
     /// Times that a statement which surely did not run is sent to an endpoint.
     pub attempts_max: u32,
+    /// Hosts up to which all are witnesses.
+    pub witnesses_all: usize,
+    /// Witnesses of a larger fleet: two of them may be lost, or a data centre of three.
+    pub witnesses: usize,
 }
 
 impl Default for ProxyTuning {
@@ -79,6 +83,8 @@
             share_kept: Duration::from_millis(30_000),
             stop_writes: Duration::from_millis(300),
             attempts_max: 4,
+            witnesses_all: 9,
+            witnesses: 5,
         }
     }
 }
--- a/src/proxy/quota_flow.rs
+++ b/src/proxy/quota_flow.rs
@@ -13,6 +13,7 @@
 use crate::core::request_verdict;
 use crate::core::share_ledger;
 use crate::proxy::job_state;
+use crate::proxy::member_view;
 use crate::proxy::operation_flow;
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_config;
@@ -31,6 +32,9 @@
 const DRY_FOR: Duration = Duration::from_millis(30);
 /// Burst that makes a host's share useful, in tokens; smaller accounts have fewer home hosts.
 const HOME_BURST: f64 = 2.0;
+/// Most home hosts of one account: each may lose its part when a host dies, and more of them are
+/// harder to find tokens at.
+const HOMES_MAX: usize = 12;
 /// Time for which a host counts as reachable after it was heard.
 const HEARD_FOR: Duration = Duration::from_millis(2_000);
 /// Time after which hosts that are not heard no longer keep a dealing from opening.
@@ -54,10 +58,6 @@
     }
     let now = ctx.now;
     let own = &ctx.identity.host;
-    let past = std::mem::take(&mut ctx.dealing.hosts);
-    if !past.is_empty() && past != hosts {
-        ctx.past_hosts.push_back((now, past));
-    }
     ctx.dealing = proxy_context::DealingState {
         number,
         hosts: hosts.clone(),
@@ -70,11 +70,11 @@
         if object != account.object {
             log::info!("event=account_limit account={} limit={object:?}", account.name);
         }
-        account.object = object;
-        let part = account
-            .object
+        account.homes = object.as_ref().map_or(Vec::new(), |object| homes_of(object, &hosts));
+        let part = object
             .as_ref()
-            .map_or(share_ledger::SharePart::default(), |object| share_of(object, &hosts, own));
+            .map_or_else(Default::default, |object| share_of(object, &account.homes, own));
+        account.object = object;
         account.ledger.deal(now, part);
     }
     log::info!(
@@ -85,19 +85,25 @@
     attest(ctx);
 }
 
+/// Returns the hosts that hold shares of an account: as many as its burst feeds, within bounds.
+fn homes_of(object: &proxy_config::AccountObject, hosts: &[String]) -> Vec<String> {
+    let most = hosts.len().clamp(1, HOMES_MAX);
+    let homes = ((object.burst / HOME_BURST) as usize).clamp(1, most);
+    let ranked = rendezvous_rank::rank(&object.name, hosts.iter().map(String::as_str));
+    ranked.into_iter().take(homes).map(str::to_owned).collect()
+}
+
 /// Returns a host's share of an account: equal parts for its homes, nothing for other hosts.
 fn share_of(
     object: &proxy_config::AccountObject,
-    hosts: &[String],
-    host: &str,
+    homes: &[String],
+    host: &String,
 ) -> share_ledger::SharePart {
-    let homes = ((object.burst / HOME_BURST) as usize).clamp(1, hosts.len());
-    let ranked = rendezvous_rank::rank(&object.name, hosts.iter().map(String::as_str));
-    if !ranked[..homes].contains(&host) {
+    if !homes.contains(host) {
         return share_ledger::SharePart::default();
     }
-    let homes = homes as f64;
-    share_ledger::SharePart { rate: object.rate / homes, burst: object.burst / homes }
+    let count = homes.len() as f64;
+    share_ledger::SharePart { rate: object.rate / count, burst: object.burst / count }
 }
 
 /// Opens the shares dealt last once all hosts go by the same dealing.
@@ -105,15 +111,7 @@
     if ctx.dealing.attested || ctx.dealing.number == 0 {
         return;
     }
-    let patient = ctx.now.since(ctx.dealing.since) < ATTEST_LIMIT;
-    let own = &ctx.identity.host;
-    let same = ctx.members.values().filter(|member| member.gone.is_none()).all(|member| {
-        let heard = member.heard.is_some_and(|heard| ctx.now.since(heard) < HEARD_FOR);
-        member.record.host == *own
-            || (heard && member.dealing == ctx.dealing.number)
-            || (!heard && !patient)
-    });
-    if !same {
+    if !all_go_by(ctx) {
         return;
     }
     ctx.dealing.attested = true;
@@ -130,6 +128,30 @@
     log::info!("event=shares_open dealing={:x}", ctx.dealing.number);
 }
 
+/// Whether every host that runs goes by the dealing in force here; hosts that are not heard keep it
+/// closed for a while only.
+///
+/// Witnesses hear all hosts. Any other host takes their word, and goes by itself without them.
+fn all_go_by(ctx: &proxy_context::ProxyContext) -> bool {
+    let patient = ctx.now.since(ctx.dealing.since) < ATTEST_LIMIT;
+    let heard = |member: &member_view::MemberView| {
+        member.heard.is_some_and(|heard| ctx.now.since(heard) < HEARD_FOR)
+    };
+    if !ctx.is_witness() {
+        let witnesses = ctx.witnesses.hosts.iter().filter_map(|host| ctx.members.get(host));
+        let settled = |member: &member_view::MemberView| {
+            member.settled && member.dealing == ctx.dealing.number
+        };
+        return witnesses.clone().any(settled) || (!patient && !witnesses.clone().any(heard));
+    }
+    let own = &ctx.identity.host;
+    ctx.members.values().filter(|member| member.gone.is_none()).all(|member| {
+        member.record.host == *own
+            || (heard(member) && member.dealing == ctx.dealing.number)
+            || (!heard(member) && !patient)
+    })
+}
+
 /// Charges a request to its account's share: it goes on, waits for a peer's token, or is refused.
 pub fn charge(ctx: &mut proxy_context::ProxyContext, job: arena_keys::StatementKey) {
     let now = ctx.now;
@@ -172,7 +194,7 @@
 pub fn on_given(ctx: &mut proxy_context::ProxyContext, account: &str, count: u32) {
     let Some(account) = ctx.account_names.get(account).copied() else { return };
     let now = ctx.now;
-    let peers = reachable_peers(ctx).len();
+    let peers = reachable_homes(ctx, account).len();
     let view = &mut ctx.accounts[account];
     if count > 0 {
         view.ledger.take_passes(now, count);
@@ -237,7 +259,7 @@
         return;
     }
     let waiting = view.waiting.len();
-    let peers = reachable_peers(ctx);
+    let peers = reachable_homes(ctx, account);
     if peers.is_empty() {
         return;
     }
@@ -267,11 +289,18 @@
     ((rate * wait.as_secs_f64() / 2.0).ceil() as usize).clamp(1, WAITING_MAX)
 }
 
-fn reachable_peers(ctx: &proxy_context::ProxyContext) -> Vec<String> {
+/// Returns the addresses of the account's other homes that run; where all hosts hear each other, of
+/// those heard lately.
+fn reachable_homes(
+    ctx: &proxy_context::ProxyContext,
+    account: arena_keys::AccountKey,
+) -> Vec<String> {
     let own = &ctx.identity.host;
-    let reachable = ctx.members.values().filter(|member| {
+    let mesh = ctx.all_witnesses();
+    let homes = ctx.accounts[account].homes.iter().filter(|host| *host != own);
+    let reachable = homes.filter_map(|host| ctx.members.get(host)).filter(|member| {
         let heard = member.heard.is_some_and(|heard| ctx.now.since(heard) < HEARD_FOR);
-        heard && member.gone.is_none() && member.record.host != *own
+        member.gone.is_none() && (heard || !mesh)
     });
     reachable.map(|member| member.record.address.clone()).collect()
 }
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -95,8 +95,8 @@
     pub lease: Option<u64>,
     /// Whether the member record was written under the lease, and at which revision.
     pub registered: Option<u64>,
-    /// Whether the member record was ever written by this process.
-    pub enrolled: bool,
+    /// Revision of the first member record that this process wrote.
+    pub enrolled: Option<u64>,
     /// Whether a call about the lease or the record is under way.
     pub lease_open: bool,
     /// When the next such call may be sent.
@@ -106,6 +106,12 @@
 }
 
 impl StoreSession {
+    /// Whether this host knows the store as of its enrolment, so that its roster counts it and all
+    /// that came before.
+    pub fn settled_in(&self) -> bool {
+        self.enrolled.is_some_and(|enrolled| self.revision >= Some(enrolled))
+    }
+
     /// Whether this host may rely on the groups' records that it knows.
     ///
     /// A replacement of a primary waits for every host whose member record stands. This host's
--- a/src/proxy/tenure_flow.rs
+++ b/src/proxy/tenure_flow.rs
@@ -88,7 +88,7 @@
         store_message::StoreReply::Written { revision } if ctx.store.lease == Some(lease) => {
             log::info!("event=registered lease={lease} revision={revision}");
             ctx.store.registered = Some(*revision);
-            ctx.store.enrolled = true;
+            ctx.store.enrolled.get_or_insert(*revision);
             let renewal = ctx.tuning.host_renewal;
             ctx.store.next_lease = ctx.now.after(renewal);
         }
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -116,6 +116,29 @@
     next_wake: u64,
     /// What its clock is behind by, in microseconds.
     behind: u64,
+    /// Until when it neither hears nor does anything, though its clock runs on.
+    frozen_until: u64,
+    /// How much later than others it hears, in microseconds.
+    slow: u64,
+    /// Whether the store turns its calls away at once.
+    denied: bool,
+}
+
+impl FakeHost {
+    fn new(core: proxy_core::ProxyCore, life: u64, behind: u64) -> Self {
+        Self {
+            core,
+            life,
+            alive: true,
+            ready: false,
+            stopped: false,
+            next_wake: u64::MAX,
+            behind,
+            frozen_until: 0,
+            slow: 0,
+            denied: false,
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -185,6 +208,16 @@
     /// A fleet of `hosts` hosts before one group of three databases; accounts as given by name,
     /// rate and burst. The key of an account is its name.
     pub(crate) fn new(hosts: usize, accounts: &[(&str, f64, f64)], seed: u64) -> Self {
+        Self::with_tuning(hosts, accounts, seed, proxy_tuning::ProxyTuning::default())
+    }
+
+    /// A fleet with bounds of its own.
+    pub(crate) fn with_tuning(
+        hosts: usize,
+        accounts: &[(&str, f64, f64)],
+        seed: u64,
+        tuning: proxy_tuning::ProxyTuning,
+    ) -> Self {
         let mut fleet = Self {
             now: 10_000_000,
             store: fake_store::FakeStore::default(),
@@ -210,7 +243,7 @@
             next_caller: 1,
             next_request: 1,
             rng: SmallRng::seed_from_u64(seed),
-            tuning: proxy_tuning::ProxyTuning::default(),
+            tuning,
         };
         for number in 0..3 {
             let id = format!("db{number}");
@@ -235,6 +268,12 @@
         fleet
     }
 
+    /// Datagrams that the hosts which run have sent so far.
+    pub(crate) fn datagrams(&self) -> u64 {
+        let running = self.hosts.iter().filter(|host| host.alive);
+        running.map(|host| host.core.context().counts.datagrams).sum()
+    }
+
     /// Lets time pass.
     pub(crate) fn run(&mut self, span: Duration) {
         let until = self.now + span.as_micros() as u64;
@@ -282,18 +321,37 @@
         let seed = self.rng.random();
         let behind = behind.as_micros() as u64;
         let core = build_core(host, life, self.now - behind, &self.tuning, seed);
-        self.hosts[host] = FakeHost {
-            core,
-            life,
-            alive: true,
-            ready: false,
-            stopped: false,
-            next_wake: u64::MAX,
-            behind,
-        };
+        self.hosts[host] = FakeHost::new(core, life, behind);
         self.push(self.now, Step::Wake { host, life });
     }
 
+    /// Freezes a host for a span; what reaches it meanwhile waits.
+    pub(crate) fn freeze_host(&mut self, host: usize, span: Duration) {
+        self.hosts[host].frozen_until = self.now + span.as_micros() as u64;
+    }
+
+    /// Makes a host hear everything later by a span.
+    pub(crate) fn slow_host(&mut self, host: usize, span: Duration) {
+        self.hosts[host].slow = span.as_micros() as u64;
+    }
+
+    /// Has the store turn a host's calls away, or serve them again.
+    pub(crate) fn deny_host(&mut self, host: usize, denied: bool) {
+        self.hosts[host].denied = denied;
+    }
+
+    /// Resets all connections of a host to databases.
+    pub(crate) fn reset_links(&mut self, host: usize) {
+        let life = self.hosts[host].life;
+        let own = |key: &&(usize, u64, arena_keys::ConnectionKey)| key.0 == host && key.1 == life;
+        let links: Vec<_> = self.links.keys().filter(own).copied().collect();
+        for (_, _, link) in links {
+            self.links.remove(&(host, life, link));
+            let event = proxy_message::ProxyEvent::LinkEnded { link, refused: false };
+            self.push(self.now + NEAR_US, Step::Event { host, life, event });
+        }
+    }
+
     /// Asks a host to stop.
     pub(crate) fn stop_host(&mut self, host: usize) {
         self.give(host, proxy_message::ProxyEvent::StopAsked);
@@ -496,20 +554,17 @@
     fn add_host(&mut self, number: usize) {
         let seed = self.rng.random();
         let core = build_core(number, 1, self.now, &self.tuning, seed);
-        self.hosts.push(FakeHost {
-            core,
-            life: 1,
-            alive: true,
-            ready: false,
-            stopped: false,
-            next_wake: u64::MAX,
-            behind: 0,
-        });
+        self.hosts.push(FakeHost::new(core, 1, 0));
         let spread = number as u64 * 30_000;
         self.push(self.now + spread, Step::Wake { host: number, life: 1 });
     }
 
     fn push(&mut self, at: u64, step: Step) {
+        let late = match &step {
+            Step::Event { host, .. } => self.hosts[*host].slow,
+            _ => 0,
+        };
+        let at = at + late;
         self.queue.insert((at, self.next_step), step);
         self.next_step += 1;
     }
@@ -549,6 +604,13 @@
     }
 
     fn step(&mut self, step: Step) {
+        if let Step::Wake { host, life } | Step::Event { host, life, .. } = &step
+            && self.hosts[*host].life == *life
+            && self.hosts[*host].frozen_until > self.now
+        {
+            let thaw = self.hosts[*host].frozen_until;
+            return self.push(thaw, step);
+        }
         match step {
             Step::Wake { host, life } => {
                 if self.hosts[host].life == life && self.hosts[host].next_wake >= self.now {
@@ -587,7 +649,10 @@
                 let reachable = self.reach(&Place::Host(host), &Place::Store);
                 if self.hosts[host].life == life && reachable {
                     let now = self.now;
-                    let answers = self.store.take(now, host, call, request);
+                    let answers = match self.hosts[host].denied {
+                        true => vec![(host, call, store_message::StoreReply::Refused)],
+                        false => self.store.take(now, host, call, request),
+                    };
                     self.deliver(answers);
                 }
             }
--- a/tests/proxy_properties.rs
+++ b/tests/proxy_properties.rs
@@ -11,6 +11,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use proxy_fakes::fake_store;
 use proxy_fakes::{Place, ProxyFleet, read, write};
+use quetzaldeal::proxy::proxy_tuning;
 use quetzaldeal::proxy::session_request;
 
 const HOSTS: usize = 5;
@@ -37,6 +38,12 @@
     LoseAnswers { part: f64 },
     Reconfigure,
     KillAll { back_ms: u64 },
+    FreezeHost { host: usize, millis: u64 },
+    SlowHost { host: usize, millis: u64 },
+    DenyHost { host: usize, denied: bool },
+    ResetLinks { host: usize },
+    SlowDatabase { database: usize, millis: u64 },
+    Limit { part: f64 },
     Pause { millis: u64 },
 }
 
@@ -49,8 +56,17 @@
         host.clone().prop_map(|host| FaultStep::StopHost { host }),
         host.clone().prop_map(|host| FaultStep::CutHostFromStore { host }),
         host.clone().prop_map(|host| FaultStep::CutHostFromPeers { host }),
-        (host, database.clone())
+        (host.clone(), database.clone())
             .prop_map(|(host, database)| FaultStep::CutHostFromDatabase { host, database }),
+        (host.clone(), 200..6_000_u64)
+            .prop_map(|(host, millis)| FaultStep::FreezeHost { host, millis }),
+        (host.clone(), 0..400_u64).prop_map(|(host, millis)| FaultStep::SlowHost { host, millis }),
+        (host.clone(), any::<bool>())
+            .prop_map(|(host, denied)| FaultStep::DenyHost { host, denied }),
+        host.prop_map(|host| FaultStep::ResetLinks { host }),
+        (database.clone(), 1..900_u64)
+            .prop_map(|(database, millis)| FaultStep::SlowDatabase { database, millis }),
+        (0.3..1.0_f64).prop_map(|part| FaultStep::Limit { part }),
         Just(FaultStep::Heal),
         (database.clone(), any::<bool>())
             .prop_map(|(database, lapse)| FaultStep::CrashDatabase { database, lapse }),
@@ -82,9 +98,9 @@
 }
 
 impl LoadedFleet {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, tuning: &proxy_tuning::ProxyTuning) -> Self {
         let accounts = [("large", 1_000.0, 1_000.0), ("small", SMALL_RATE, SMALL_RATE)];
-        let mut fleet = ProxyFleet::new(HOSTS, &accounts, seed);
+        let mut fleet = ProxyFleet::with_tuning(HOSTS, &accounts, seed, tuning.clone());
         fleet.run(Duration::from_millis(1_500));
         let mut loaded = Self { fleet, callers: Vec::new(), round: 0 };
         loaded.open_callers();
@@ -181,13 +197,38 @@
                 self.fleet
                     .reconfigure(|config| config.idle_transaction += Duration::from_millis(1));
             }
+            FaultStep::FreezeHost { host, millis } => {
+                self.fleet.freeze_host(host, Duration::from_millis(millis));
+            }
+            FaultStep::SlowHost { host, millis } => {
+                self.fleet.slow_host(host, Duration::from_millis(millis));
+            }
+            FaultStep::DenyHost { host, denied } => self.fleet.deny_host(host, denied),
+            FaultStep::ResetLinks { host } => self.fleet.reset_links(host),
+            FaultStep::SlowDatabase { database, millis } => {
+                if let Some(database) = self.fleet.databases.get_mut(&format!("db{database}")) {
+                    database.work = millis * 1_000;
+                }
+            }
+            FaultStep::Limit { part } => {
+                self.fleet.reconfigure(|config| {
+                    if let Some(account) = config.accounts.get_mut("small") {
+                        account.rate = SMALL_RATE * part;
+                        account.burst = SMALL_RATE * part;
+                    }
+                });
+            }
             FaultStep::Pause { millis } => self.run(millis),
         }
     }
 }
 
-fn play(seed: u64, steps: &[FaultStep]) -> Result<(), TestCaseError> {
-    let mut loaded = LoadedFleet::new(seed);
+fn play(
+    seed: u64,
+    steps: &[FaultStep],
+    tuning: &proxy_tuning::ProxyTuning,
+) -> Result<(), TestCaseError> {
+    let mut loaded = LoadedFleet::new(seed, tuning);
     for step in steps {
         loaded.take(step);
         loaded.run(300);
@@ -204,11 +245,31 @@
     Ok(())
 }
 
+/// Names each property with the bounds that its fleet goes by.
+macro_rules! properties {
+    ($($name:ident: $tuning:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                hold_promises(&$tuning);
+            }
+        )*
+    };
+}
+
+properties! {
+    promises_hold_under_random_faults: proxy_tuning::ProxyTuning::default();
+    promises_hold_with_few_witnesses: proxy_tuning::ProxyTuning {
+        witnesses_all: 2,
+        witnesses: 3,
+        ..Default::default()
+    };
+}
+
 /// Whatever fails, in whatever order: no stale read, no acknowledgement that is not kept, no
 /// refusal that is not true, nothing twice, no statement in a foreign session, no account over its
 /// rate.
-#[test]
-fn promises_hold_under_random_faults() {
+fn hold_promises(tuning: &proxy_tuning::ProxyTuning) {
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     let seed = number("PROPERTY_SEED").unwrap_or(1);
     let cases = number("PROPERTY_CASES").map_or(CASES_IN_CI, |cases| cases as u32);
@@ -218,7 +279,7 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let histories = (any::<u64>(), prop::collection::vec(fault_step(), 1..12));
-    let outcome = runner.run(&histories, |(seed, steps)| play(seed, &steps));
+    let outcome = runner.run(&histories, |(seed, steps)| play(seed, &steps, tuning));
     if let Err(error) = outcome {
         panic!("{error}");
     }
