fix(proxy): tokens are asked for again, by an account's own shares

Ruled out: more homes asked at a time (more datagrams in calm times). Change: the next home is asked after 12 ms, one that did not answer is left out for 0.5 s; shares are identified by account, rate, burst and homes; without a share and a home in reach a request is refused at once, and says so; the time to come back is that of one home. Hosts of a large fleet pause 0.1 s after any news before the next watch. Tests: four in tests/proxy_scale.rs, two of which failed before.

--- a/src/core/request_verdict.rs
+++ b/src/core/request_verdict.rs
@@ -29,7 +29,7 @@
     },
     /// The account is over its rate and burst.
     OverRate,
-    /// This host's share of the account's rate is closed: others may still use it.
+    /// This host has no share of the account's rate now, nor reaches one that has.
     ShareClosed,
     /// This host cannot confirm that its configuration is current.
     ConfigStale,
@@ -130,7 +130,7 @@
             VerdictCause::RuleDenied { detail } => format!("no rule allows this: {detail}"),
             VerdictCause::OverRate => "the account is over its rate".to_owned(),
             VerdictCause::ShareClosed => {
-                "the account's share of its rate is not open on this host yet".to_owned()
+                "this host has no share of the account's rate at present".to_owned()
             }
             VerdictCause::ConfigStale => "this host cannot confirm its configuration".to_owned(),
             VerdictCause::ConfigMissing => "this host has no configuration yet".to_owned(),
--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -26,9 +26,9 @@
 use crate::proxy::tenure_flow;
 use crate::proxy::witness_policy;
 
-/// Pause before the next watch of a large fleet after one that told only of members: many may come
-/// at once, and each would wake all hosts.
-const MEMBERS_PAUSE: Duration = Duration::from_millis(100);
+/// Pause of a large fleet's host before its next watch after one that brought news: changes come in
+/// groups, and each alone would wake all hosts.
+const NEWS_PAUSE: Duration = Duration::from_millis(100);
 /// Doublings of the pause between calls to the store that fail.
 const PAUSE_DOUBLINGS_MAX: u32 = 2;
 
@@ -182,8 +182,8 @@
         store_message::StoreReply::Changed { items, revision } => {
             ctx.store.revision = Some(revision.max(ctx.store.revision.unwrap_or(0)));
             if !items.is_empty() {
-                if !ctx.all_witnesses() && items.iter().all(|item| item.subject.of_membership()) {
-                    ctx.store.next_read = ctx.now.after(MEMBERS_PAUSE);
+                if !ctx.all_witnesses() {
+                    ctx.store.next_read = ctx.now.after(NEWS_PAUSE);
                 }
                 take_all(ctx, items);
                 witness_policy::settle(ctx);
@@ -265,9 +265,11 @@
                 name: name.clone(),
                 object: None,
                 homes: Vec::new(),
+                dealing: 0,
                 ledger: share_ledger::ShareLedger::new(now),
                 waiting: Default::default(),
                 asked: now,
+                unanswered: Vec::new(),
                 turn: 0,
                 vain: 0,
                 dry_until: clock_time::ClockTime::default(),
--- a/src/proxy/member_flow.rs
+++ b/src/proxy/member_flow.rs
@@ -24,8 +24,8 @@
         peer_datagram::PeerDatagram::TokenAsk { host, account, dealing, count } => {
             quota_flow::on_ask(ctx, &host, account, dealing, count);
         }
-        peer_datagram::PeerDatagram::TokenGiven { account, count } => {
-            quota_flow::on_given(ctx, &account, count);
+        peer_datagram::PeerDatagram::TokenGiven { host, account, count } => {
+            quota_flow::on_given(ctx, &host, &account, count);
         }
     }
 }
--- a/src/proxy/member_view.rs
+++ b/src/proxy/member_view.rs
@@ -27,6 +27,8 @@
     pub dealing: u64,
     /// Whether it knows that all hosts go by that dealing.
     pub settled: bool,
+    /// Until when it is not asked for tokens, since it did not answer.
+    pub shunned_until: clock_time::ClockTime,
     /// Hosts that it does not hear.
     pub silent: BTreeSet<String>,
     /// Its views of groups, by group.
@@ -46,6 +48,7 @@
             feed: 0,
             dealing: 0,
             settled: false,
+            shunned_until: clock_time::ClockTime::default(),
             silent: BTreeSet::new(),
             sights: BTreeMap::new(),
         }
--- a/src/proxy/operation_flow.rs
+++ b/src/proxy/operation_flow.rs
@@ -300,7 +300,8 @@
     let wait = match &cause {
         request_verdict::VerdictCause::OverRate => job
             .and_then(|job| ctx.jobs[job].account)
-            .map(|account| ctx.accounts[account].ledger.wait_for_token(ctx.now)),
+            .map(|account| quota_flow::retry_after(ctx, account)),
+        request_verdict::VerdictCause::ShareClosed => Some(quota_flow::SHUNNED_FOR),
         request_verdict::VerdictCause::NoPrimary => Some(PRIMARY_RETRY),
         request_verdict::VerdictCause::NoEndpoint
         | request_verdict::VerdictCause::QueueFull
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -66,13 +66,15 @@
         host: String,
         /// Account.
         account: String,
-        /// Identifies the dealing that the asking host goes by.
+        /// Identifies the shares of the account that the asking host goes by.
         dealing: u64,
         /// Tokens wanted.
         count: u32,
     },
     /// Answers the asking for tokens.
     TokenGiven {
+        /// Who answers.
+        host: String,
         /// Account.
         account: String,
         /// Tokens spent for the receiver.
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -95,12 +95,16 @@
     pub object: Option<proxy_config::AccountObject>,
     /// The hosts that hold shares of its rate and burst.
     pub homes: Vec<String>,
+    /// Identifies these hosts, the rate and the burst.
+    pub dealing: u64,
     /// This host's share of its rate and burst.
     pub ledger: share_ledger::ShareLedger,
     /// Jobs that wait for a share.
     pub waiting: VecDeque<arena_keys::StatementKey>,
     /// When peers were last asked for tokens.
     pub asked: clock_time::ClockTime,
+    /// Peers that were asked and have not answered.
+    pub unanswered: Vec<String>,
     /// The peer that is asked next, by its place among those in reach.
     pub turn: usize,
     /// Answers in a row that brought nothing.
--- a/src/proxy/quota_flow.rs
+++ b/src/proxy/quota_flow.rs
@@ -26,10 +26,16 @@
 const ASK_GAP: Duration = Duration::from_millis(1);
 /// Most requests of one account that wait for a token.
 const WAITING_MAX: usize = 64;
+/// Time after which an asked peer counts as not answering: some round trips between data centres.
+const ANSWER_LIMIT: Duration = Duration::from_millis(12);
+/// Time for which such a peer is not asked again.
+pub const SHUNNED_FOR: Duration = Duration::from_millis(500);
 /// Pause between rounds in which all peers were asked.
 const ROUND_PAUSE: Duration = Duration::from_millis(10);
 /// Time for which requests are refused at once after no peer had a token to spare.
 const DRY_FOR: Duration = Duration::from_millis(30);
+/// Longest time to come back that a refusal tells.
+const RETRY_MAX: Duration = Duration::from_secs(60);
 /// Burst that makes a host's share useful, in tokens; smaller accounts have fewer home hosts.
 const HOME_BURST: f64 = 2.0;
 /// Most home hosts of one account: each may lose its part when a host dies, and more of them are
@@ -71,6 +77,12 @@
             log::info!("event=account_limit account={} limit={object:?}", account.name);
         }
         account.homes = object.as_ref().map_or(Vec::new(), |object| homes_of(object, &hosts));
+        let dealing = number_of(object.as_ref(), &account.homes);
+        if dealing == account.dealing {
+            // The same share of the same whole: what was lent and saved up stays.
+            continue;
+        }
+        account.dealing = dealing;
         let part = object
             .as_ref()
             .map_or_else(Default::default, |object| share_of(object, &account.homes, own));
@@ -93,6 +105,20 @@
     ranked.into_iter().take(homes).map(str::to_owned).collect()
 }
 
+/// Identifies an account's rate and burst and the hosts that share them.
+fn number_of(object: Option<&proxy_config::AccountObject>, homes: &[String]) -> u64 {
+    let mut hasher = xxh3::Xxh3::new();
+    if let Some(object) = object {
+        hasher.update(&object.rate.to_le_bytes());
+        hasher.update(&object.burst.to_le_bytes());
+    }
+    for name in homes {
+        hasher.update(name.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.digest()
+}
+
 /// Returns a host's share of an account: equal parts for its homes, nothing for other hosts.
 fn share_of(
     object: &proxy_config::AccountObject,
@@ -164,6 +190,10 @@
     if view.waiting.len() >= WAITING_MAX || dry {
         return operation_flow::refuse(ctx, job, request_verdict::VerdictCause::OverRate);
     }
+    let home = ctx.accounts[account].homes.contains(&ctx.identity.host);
+    if !home && reachable_homes(ctx, account).is_empty() {
+        return operation_flow::refuse(ctx, job, request_verdict::VerdictCause::ShareClosed);
+    }
     let until = now.after(ctx.tuning.share_wait.min(ctx.jobs[job].route.target / 2));
     ctx.accounts[account].waiting.push_back(job);
     ctx.jobs[job].phase = job_state::JobPhase::AwaitShare { until };
@@ -183,17 +213,21 @@
         return;
     };
     let now = ctx.now;
-    let same = dealing == ctx.dealing.number;
     let view = ctx.account_names.get(&account).and_then(|key| ctx.accounts.get_mut(*key));
-    let view = view.filter(|view| same && view.waiting.is_empty());
+    let view = view.filter(|view| view.dealing == dealing && view.waiting.is_empty());
     let count = view.map_or(0, |view| view.ledger.spend_for_peer(now, count));
-    tell(ctx, address, peer_datagram::PeerDatagram::TokenGiven { account, count });
+    let host = ctx.identity.host.clone();
+    tell(ctx, address, peer_datagram::PeerDatagram::TokenGiven { host, account, count });
 }
 
 /// Takes up tokens that a peer has spent for requests that wait here.
-pub fn on_given(ctx: &mut proxy_context::ProxyContext, account: &str, count: u32) {
+pub fn on_given(ctx: &mut proxy_context::ProxyContext, host: &str, account: &str, count: u32) {
     let Some(account) = ctx.account_names.get(account).copied() else { return };
     let now = ctx.now;
+    if let Some(member) = ctx.members.get_mut(host) {
+        member.shunned_until = now;
+    }
+    ctx.accounts[account].unanswered.retain(|asked| asked != host);
     let peers = reachable_homes(ctx, account).len();
     let view = &mut ctx.accounts[account];
     if count > 0 {
@@ -212,6 +246,7 @@
     }
     // Some wait on for the next tokens to accrue; the others would wait behind them in vain.
     view.vain = 0;
+    view.asked = now;
     view.dry_until = now.after(DRY_FOR);
     let keep = patience(view, ctx.tuning.share_wait).min(view.waiting.len());
     let hopeless = view.waiting.split_off(keep);
@@ -224,7 +259,17 @@
 /// Lets requests go on whose tokens have accrued meanwhile, and asks peers again for the others.
 pub fn on_timer(ctx: &mut proxy_context::ProxyContext, account: arena_keys::AccountKey) {
     pump(ctx, account);
-    if !ctx.accounts[account].waiting.is_empty() {
+    if ctx.now.since(ctx.accounts[account].asked) >= ANSWER_LIMIT {
+        let until = ctx.now.after(SHUNNED_FOR);
+        for host in std::mem::take(&mut ctx.accounts[account].unanswered) {
+            if let Some(member) = ctx.members.get_mut(&host) {
+                member.shunned_until = until;
+            }
+        }
+    }
+    let view = &ctx.accounts[account];
+    // Each asking has a timer of its own; only the last one goes on.
+    if !view.waiting.is_empty() && ctx.now.since(view.asked) >= ROUND_PAUSE {
         ask_peers(ctx, account);
     }
 }
@@ -264,24 +309,41 @@
         return;
     }
     let count = waiting.clamp(1, PEERS_ASKED).min(peers.len());
+    ctx.timers.push(now.after(ANSWER_LIMIT), proxy_context::ProxyTimer::Share(account));
     let view = &mut ctx.accounts[account];
     view.asked = now;
     let first = view.turn;
     view.turn = (first + count) % peers.len();
-    let name = view.name.clone();
+    let (name, dealing) = (view.name.clone(), view.dealing);
     let wanted = waiting.div_ceil(count) as u32;
     for step in 0..count {
-        let address = peers[(first + step) % peers.len()].clone();
+        let (host, address) = peers[(first + step) % peers.len()].clone();
+        ctx.accounts[account].unanswered.push(host);
         let message = peer_datagram::PeerDatagram::TokenAsk {
             host: ctx.identity.host.clone(),
             account: name.clone(),
-            dealing: ctx.dealing.number,
+            dealing,
             count: wanted,
         };
         tell(ctx, address, message);
     }
 }
 
+/// Returns when a caller whose request found no token may come back: when the next one accrues here,
+/// or at any one home if this host is none.
+pub fn retry_after(
+    ctx: &mut proxy_context::ProxyContext,
+    account: arena_keys::AccountKey,
+) -> Duration {
+    let now = ctx.now;
+    let view = &mut ctx.accounts[account];
+    let rate = view.object.as_ref().map_or(0.0, |object| object.rate);
+    if view.homes.contains(&ctx.identity.host) || rate <= 0.0 {
+        return view.ledger.wait_for_token(now);
+    }
+    Duration::from_secs_f64(view.homes.len() as f64 / rate).min(RETRY_MAX)
+}
+
 /// Returns how many requests may wait here for tokens that the whole account accrues meanwhile; half
 /// of them are left to other hosts.
 fn patience(view: &proxy_context::AccountView, wait: Duration) -> usize {
@@ -289,18 +351,21 @@
     ((rate * wait.as_secs_f64() / 2.0).ceil() as usize).clamp(1, WAITING_MAX)
 }
 
-/// Returns the addresses of the account's other homes that run; where all hosts hear each other, of
-/// those heard lately.
+/// Returns the account's other homes that run, with their addresses; where all hosts hear each
+/// other, those heard lately. Homes that did not answer lately are left out.
 fn reachable_homes(
     ctx: &proxy_context::ProxyContext,
     account: arena_keys::AccountKey,
-) -> Vec<String> {
+) -> Vec<(String, String)> {
     let own = &ctx.identity.host;
     let mesh = ctx.all_witnesses();
     let homes = ctx.accounts[account].homes.iter().filter(|host| *host != own);
     let reachable = homes.filter_map(|host| ctx.members.get(host)).filter(|member| {
         let heard = member.heard.is_some_and(|heard| ctx.now.since(heard) < HEARD_FOR);
-        member.gone.is_none() && (heard || !mesh)
+        member.gone.is_none() && (heard || !mesh) && ctx.now >= member.shunned_until
     });
-    reachable.map(|member| member.record.address.clone()).collect()
+    let named = |member: &member_view::MemberView| {
+        (member.record.host.clone(), member.record.address.clone())
+    };
+    reachable.map(named).collect()
 }
--- a/src/proxy/store_message.rs
+++ b/src/proxy/store_message.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::proxy::change_record;
 use crate::proxy::proxy_config;
 
 /// What an item of the store is about.
@@ -21,14 +20,6 @@
     Other(String),
 }
 
-impl FeedSubject {
-    /// Whether the item tells who takes part, and nothing else.
-    pub fn of_membership(&self) -> bool {
-        let prefixes = [change_record::MEMBER_PREFIX, change_record::ROSTER_PREFIX];
-        matches!(self, Self::Record(key) if prefixes.iter().any(|prefix| key.starts_with(prefix)))
-    }
-}
-
 /// An endpoint's registration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointEntry {
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -181,6 +181,8 @@
     pub(crate) ran: BTreeMap<String, Vec<u64>>,
     /// Part of the databases' answers that is lost.
     pub(crate) lost_answers: f64,
+    /// Part of the hosts' datagrams that is lost.
+    pub(crate) lost_datagrams: f64,
     config: proxy_config::ProxyConfig,
     hosts: Vec<FakeHost>,
     cuts: BTreeSet<(Place, Place)>,
@@ -225,6 +227,7 @@
             faults: Vec::new(),
             ran: BTreeMap::new(),
             lost_answers: 0.0,
+            lost_datagrams: 0.0,
             config: build_config(accounts),
             hosts: Vec::new(),
             cuts: BTreeSet::new(),
@@ -720,7 +723,9 @@
             proxy_message::ProxyAction::TellPeer { address, message } => {
                 let peer = (0..self.hosts.len()).find(|peer| peer_address(*peer) == address);
                 let Some(peer) = peer else { return };
-                if self.reach(&Place::Host(host), &Place::Host(peer)) {
+                let lost =
+                    self.lost_datagrams > 0.0 && self.rng.random::<f64>() < self.lost_datagrams;
+                if !lost && self.reach(&Place::Host(host), &Place::Host(peer)) {
                     let life = self.hosts[peer].life;
                     let event = proxy_message::ProxyEvent::PeerSaid { message };
                     self.push(self.now + NEAR_US, Step::Event { host: peer, life, event });
--- a/tests/proxy_scale.rs
+++ b/tests/proxy_scale.rs
@@ -13,6 +13,9 @@
 /// Hosts of the fleet: more than are all witnesses.
 const HOSTS: usize = 24;
 
+/// Rate and burst of the account that is held below its rate.
+const MEDIUM_RATE: f64 = 240.0;
+
 /// Names each case and runs it on a settled fleet.
 macro_rules! cases {
     ($($name:ident: $body:expr;)*) => {
@@ -29,7 +32,8 @@
 }
 
 fn settled(hosts: usize) -> ProxyFleet {
-    let accounts = [("large", 2_000.0, 2_000.0), ("small", 20.0, 20.0)];
+    let accounts =
+        [("large", 2_000.0, 2_000.0), ("medium", MEDIUM_RATE, MEDIUM_RATE), ("small", 20.0, 20.0)];
     let mut fleet = ProxyFleet::new(hosts, &accounts, 1);
     fleet.run(Duration::from_millis(2_500));
     fleet
@@ -58,6 +62,32 @@
     (0..HOSTS).map(|host| fleet.open(host, "large", "strict")).collect()
 }
 
+/// Sends reads of one account at 200 a second, spread over the hosts; returns how many were sent and
+/// how many of them were not run.
+fn load_medium(fleet: &mut ProxyFleet, hosts: &[usize], seconds: u64) -> (usize, usize) {
+    let callers: Vec<(usize, u64)> = (0..6)
+        .flat_map(|_| hosts.to_vec())
+        .map(|host| (host, fleet.open(host, "medium", "aged")))
+        .collect();
+    let (mut sent, mut refused) = (0, 0);
+    for _ in 0..seconds * 50 {
+        for _ in 0..4 {
+            let (host, caller) = callers[sent % callers.len()];
+            fleet.send(host, caller, read());
+            sent += 1;
+        }
+        fleet.run(millis(20));
+    }
+    fleet.run(millis(500));
+    for (host, caller) in callers {
+        while let Some(answer) = fleet.take_answer(host, caller) {
+            let ran = answer.answer.verdict.fate == request_verdict::RequestFate::Ran;
+            refused += usize::from(!ran);
+        }
+    }
+    (sent, refused)
+}
+
 fn witnesses(fleet: &ProxyFleet) -> Vec<usize> {
     (0..HOSTS).filter(|host| fleet.core(*host).context().is_witness()).collect()
 }
@@ -139,6 +169,65 @@
         assert_ne!(fleet.leader(), "db0");
         assert_eq!(unserved(fleet, &[other], &callers), 0);
     };
+    an_account_below_its_rate_is_served_though_datagrams_get_lost: |fleet| {
+        fleet.lost_datagrams = 0.02;
+        let hosts: Vec<usize> = (0..HOSTS).collect();
+        let (sent, refused) = load_medium(fleet, &hosts, 20);
+        assert!(refused * 1_000 < sent, "{refused} of {sent} refused");
+    };
+    an_account_below_its_rate_is_served_while_some_hosts_hear_of_no_change: |fleet| {
+        let all = witnesses(fleet);
+        let plain: Vec<usize> = (0..HOSTS).filter(|host| !all.contains(host)).collect();
+        for host in &plain[..6] {
+            fleet.deny_host(*host, true);
+        }
+        fleet.reconfigure(|config| config.idle_transaction += millis(1));
+        let hosts: Vec<usize> = (0..HOSTS).collect();
+        let (sent, refused) = load_medium(fleet, &hosts, 5);
+        assert!(refused * 1_000 < sent, "{refused} of {sent} refused");
+    };
+    an_account_below_its_rate_is_served_while_homes_are_cut_off: |fleet| {
+        let homes = fleet.core(0).context().accounts.values();
+        let homes = homes.filter(|account| account.name == "medium");
+        let homes: Vec<String> = homes.flat_map(|account| account.homes.clone()).collect();
+        assert_eq!(homes.len(), 12);
+        let number = |name: &String| {
+            (0..HOSTS).find(|host| fleet.core(*host).context().identity.host == *name)
+        };
+        let cut: Vec<usize> = homes[..2].iter().filter_map(number).collect();
+        for host in &cut {
+            for peer in (0..HOSTS).filter(|peer| peer != host) {
+                fleet.cut(Place::Host(*host), Place::Host(peer));
+            }
+        }
+        let others: Vec<usize> = (0..HOSTS).filter(|host| !cut.contains(host)).collect();
+        // Ten of twelve shares are left for five sixths of the rate.
+        let (sent, refused) = load_medium(fleet, &others, 5);
+        assert!(refused * 20 < sent, "{refused} of {sent} refused");
+    };
+    a_refusal_by_a_host_without_a_share_says_when_a_token_comes: |fleet| {
+        let homes = fleet.core(0).context().accounts.values();
+        let homes = homes.filter(|account| account.name == "small");
+        let homes: Vec<String> = homes.flat_map(|account| account.homes.clone()).collect();
+        let named = |host: &usize| homes.contains(&fleet.core(*host).context().identity.host);
+        let host = (0..HOSTS).find(|host| !named(host)).unwrap();
+        let callers: Vec<u64> = (0..60).map(|_| fleet.open(host, "small", "strict")).collect();
+        for caller in &callers {
+            fleet.send(host, *caller, read());
+        }
+        fleet.run(millis(500));
+        let mut told = 0;
+        for caller in callers {
+            let Some(answer) = fleet.take_answer(host, caller) else { continue };
+            let verdict = answer.answer.verdict;
+            if verdict.fate == request_verdict::RequestFate::NotRun {
+                let wait = verdict.retry_after.unwrap();
+                assert!(wait >= millis(50) && wait <= millis(1_500), "{wait:?}");
+                told += 1;
+            }
+        }
+        assert!(told > 20, "{told} refused");
+    };
     a_small_account_is_served_at_any_host: |fleet| {
         let callers: Vec<u64> = (0..HOSTS).map(|host| fleet.open(host, "small", "strict")).collect();
         fleet.run(millis(1_000));
