feat(proxy): start with a part of the tolerated excess; wait for full endpoints

An endpoint with too many connections turned all waiting requests away, also what no other can run; homes that the store turns away were not asked though they run. Ruled out: a full bucket at the start (what the processes before spent is not known); keeping what was spent in the store (a write a second and account). Change: homes start with a quarter of what the bounds of the settings let an account exceed its limit by. A full endpoint is tried again after 80 ms, its reads move to replicas that fit, the rest waits for its turn within the target. Homes without a member record are asked, too.

--- a/src/core/share_ledger.rs
+++ b/src/core/share_ledger.rs
@@ -180,6 +180,11 @@
         self.credit = (self.dealt().rate * span.as_secs_f64()).min(self.dealt().burst);
     }
 
+    /// Adds tokens that are there as soon as the share dealt last opens.
+    pub fn grant(&mut self, tokens: f64) {
+        self.credit = (self.credit + tokens).min(self.dealt().burst);
+    }
+
     /// Returns the home share dealt last, open or not.
     pub fn dealt(&self) -> SharePart {
         self.next_home.map_or(self.home, |(home, _)| home)
--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -36,8 +36,8 @@
 const LINKS_ALL: usize = 3;
 /// Time for which endpoints may still hold the connections of hosts that ended without a word.
 const LINKS_LINGER: Duration = Duration::from_millis(3_300);
-/// Pause before the next link to an endpoint that had too many.
-const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before the next link to an endpoint that had too many: some statements' time.
+const FULL_PAUSE: Duration = Duration::from_millis(80);
 /// Weight of a new answer in the mean of an endpoint's latency.
 const LATENCY_WEIGHT: f64 = 0.1;
 
@@ -147,10 +147,13 @@
         ctx.note(|| line);
         if matches!(fault, endpoint_command::EndpointFault::TooManyLinks) {
             let pause = ctx.spread(FULL_PAUSE);
-            ctx.endpoints[endpoint].full_until = ctx.now.after(pause);
-        } else {
-            note_failure(ctx, endpoint);
+            let until = ctx.now.after(pause);
+            ctx.endpoints[endpoint].full_until = until;
+            ctx.timers.push(until, proxy_context::ProxyTimer::Endpoint(endpoint));
+            close(ctx, link, "failed");
+            return move_reads(ctx, endpoint);
         }
+        note_failure(ctx, endpoint);
         close(ctx, link, "failed");
         return turn_queue_away(ctx, endpoint);
     }
@@ -354,6 +357,24 @@
     view.failing.get_or_insert(now);
 }
 
+/// Sends reads that wait at an endpoint with too many links to others; what only this endpoint can
+/// run waits until a link may be opened again, or its time is up.
+fn move_reads(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
+    for job in ctx.endpoints[endpoint].queue.clone() {
+        if placement_policy::needs_primary(ctx, job) {
+            continue;
+        }
+        ctx.jobs[job].avoided.push(endpoint);
+        match placement_policy::choose(ctx, job) {
+            Ok(_) => {
+                ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != job);
+                operation_flow::place(ctx, job);
+            }
+            Err(_) => drop(ctx.jobs[job].avoided.pop()),
+        }
+    }
+}
+
 fn turn_queue_away(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
     let usable = ctx.endpoints[endpoint].links.iter().any(|link| !ctx.links[*link].opening());
     if usable {
@@ -443,8 +464,8 @@
 }
 
 /// Opens links for queued jobs whose account has none on the way; links at rest make room.
-fn open_for_queue(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
-    if is_full(ctx, endpoint) {
+pub fn open_for_queue(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
+    if !ctx.endpoints.contains_key(endpoint) || is_full(ctx, endpoint) {
         return;
     }
     let queue = ctx.endpoints[endpoint].queue.clone();
--- a/src/proxy/placement_policy.rs
+++ b/src/proxy/placement_policy.rs
@@ -25,6 +25,8 @@
 const REPLACE_COST_MS: f64 = 20.0;
 /// Cost of waiting for a busy link, in milliseconds.
 const WAIT_COST_MS: f64 = 40.0;
+/// Cost of waiting until an endpoint with too many links takes one, in milliseconds.
+const FULL_COST_MS: f64 = 80.0;
 /// Cost of leaving the data centre, in milliseconds: two mean reads, for links between data centres
 /// are shared and dear.
 const CENTRE_COST_MS: f64 = 40.0;
@@ -89,7 +91,7 @@
     let group = ctx.jobs[job].group;
     let primary = ctx.usable_primary(group).filter(|endpoint| {
         let open = ctx.endpoints[*endpoint].open(ctx.now);
-        open && !ctx.jobs[job].avoided.contains(endpoint) && has_way(ctx, *endpoint)
+        open && !ctx.jobs[job].avoided.contains(endpoint)
     });
     if needs_primary(ctx, job) {
         return primary.ok_or(request_verdict::VerdictCause::NoPrimary);
@@ -119,16 +121,10 @@
     let view = &ctx.endpoints[endpoint];
     let Some(point) = point else { return false };
     view.takes_reads(ctx.now)
-        && has_way(ctx, endpoint)
         && !ctx.jobs[job].avoided.contains(&endpoint)
         && (view.position >= point || ctx.now >= view.lagging_until)
 }
 
-/// Whether a link to the endpoint is open, or may be opened.
-fn has_way(ctx: &proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) -> bool {
-    !ctx.endpoints[endpoint].links.is_empty() || !link_flow::is_full(ctx, endpoint)
-}
-
 fn cost(
     ctx: &proxy_context::ProxyContext,
     job: arena_keys::StatementKey,
@@ -147,6 +143,7 @@
         let room = view.links.len() < link_flow::link_limit(ctx, view.group);
         let resting = links.clone().any(|link| link.idle());
         cost += match (link_flow::is_full(ctx, endpoint), room, resting) {
+            (true, _, _) if view.links.is_empty() => FULL_COST_MS,
             (false, true, _) => OPEN_COST_MS,
             (false, false, true) => REPLACE_COST_MS,
             _ => WAIT_COST_MS,
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -59,6 +59,8 @@
     Job(arena_keys::StatementKey),
     /// Requests may go on that wait for tokens.
     Share(arena_keys::AccountKey),
+    /// Links may be opened again to an endpoint that had too many.
+    Endpoint(arena_keys::EndpointKey),
     /// A change of primary may go on.
     Change(arena_keys::GroupKey),
     /// Everything that time alone changes is due for a look.
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -117,6 +117,9 @@
             match timer {
                 proxy_context::ProxyTimer::Job(job) => operation_flow::on_timer(ctx, job),
                 proxy_context::ProxyTimer::Share(account) => quota_flow::on_timer(ctx, account),
+                proxy_context::ProxyTimer::Endpoint(endpoint) => {
+                    link_flow::open_for_queue(ctx, endpoint);
+                }
                 proxy_context::ProxyTimer::Change(_) => change_flow::drive_all(ctx),
                 proxy_context::ProxyTimer::Tick => Self::tick(ctx),
             }
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Spans and bounds of the proxy core.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ProxyTuning {
     /// Time between looks at everything that time alone changes.
     pub tick: Duration,
@@ -19,8 +19,13 @@
     pub duty_renewal: Duration,
     /// Taken off every lease, for the time between a check and what it allows.
     pub lease_margin: Duration,
-    /// Longest wait of a watch on the store; one that the store forgot is noticed after it.
+    /// Longest wait of a watch on the store by the hosts that look after it for all; a watch that
+    /// the store forgot is noticed after it.
     pub watch_wait: Duration,
+    /// Longest wait of the others' watches: each costs a call.
+    pub watch_rest: Duration,
+    /// Time for which a host may know less than its peers before it opens its watch again.
+    pub watch_lag: Duration,
     /// Pause before a call to the store that failed is made again; doubled up to eight times it.
     pub store_pause: Duration,
     /// Time between pulses to peers.
@@ -51,6 +56,12 @@
     pub stop_writes: Duration,
     /// Times that a statement which surely did not run is sent to an endpoint.
     pub attempts_max: u32,
+    /// Span over which an account's operations are counted against its limit.
+    pub limit_window: Duration,
+    /// Part by which an account may exceed its limit over that span.
+    pub limit_over: f64,
+    /// Operations by which it may exceed its limit besides.
+    pub limit_slack: f64,
     /// Hosts up to which all are witnesses.
     pub witnesses_all: usize,
     /// Witnesses of a larger fleet: two of them may be lost, or a data centre of three.
@@ -68,6 +79,8 @@
             duty_renewal: Duration::from_millis(400),
             lease_margin: Duration::from_millis(150),
             watch_wait: Duration::from_millis(1_500),
+            watch_rest: Duration::from_millis(20_000),
+            watch_lag: Duration::from_millis(400),
             store_pause: Duration::from_millis(100),
             pulse: Duration::from_millis(250),
             ping_after: Duration::from_millis(300),
@@ -83,6 +96,9 @@
             share_kept: Duration::from_millis(30_000),
             stop_writes: Duration::from_millis(300),
             attempts_max: 4,
+            limit_window: Duration::from_secs(5),
+            limit_over: 0.1,
+            limit_slack: 20.0,
             witnesses_all: 9,
             witnesses: 5,
         }
--- a/src/proxy/quota_flow.rs
+++ b/src/proxy/quota_flow.rs
@@ -19,6 +19,7 @@
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
+use crate::proxy::proxy_tuning;
 
 /// Peers asked for tokens at a time.
 const PEERS_ASKED: usize = 3;
@@ -38,6 +39,9 @@
 const RETRY_MAX: Duration = Duration::from_secs(60);
 /// Burst that makes a host's share useful, in tokens; smaller accounts have fewer home hosts.
 const HOME_BURST: f64 = 2.0;
+/// Part of the tolerated excess that one start of all hosts may use: room for a second start in the
+/// same span, and for tokens on their way.
+const START_PART: f64 = 0.25;
 /// Most home hosts of one account: each may lose its part when a host dies, and more of them are
 /// harder to find tokens at.
 const HOMES_MAX: usize = 12;
@@ -147,13 +151,24 @@
     ctx.dealing.opened = true;
     for account in ctx.accounts.values_mut() {
         account.ledger.open_at(opens);
-        if let Some(span) = unspent {
+        if let (Some(span), Some(object)) = (unspent, &account.object) {
             account.ledger.credit(span);
+            account.ledger.grant(start_tokens(object, &ctx.tuning) / account.homes.len() as f64);
         }
     }
     log::info!("event=shares_open dealing={:x}", ctx.dealing.number);
 }
 
+/// Returns the tokens of a whole account that its homes start with, so that callers who come back
+/// after a loss of all hosts are not turned away until tokens accrue.
+///
+/// What the processes before had spent is not known, so this is a part of what the account may exceed
+/// its limit by.
+fn start_tokens(object: &proxy_config::AccountObject, tuning: &proxy_tuning::ProxyTuning) -> f64 {
+    let limit = object.rate * tuning.limit_window.as_secs_f64() + object.burst;
+    (limit * tuning.limit_over + tuning.limit_slack) * START_PART
+}
+
 /// Whether every host that runs goes by the dealing in force here; hosts that are not heard keep it
 /// closed for a while only.
 ///
@@ -351,8 +366,9 @@
     ((rate * wait.as_secs_f64() / 2.0).ceil() as usize).clamp(1, WAITING_MAX)
 }
 
-/// Returns the account's other homes that run, with their addresses; where all hosts hear each
-/// other, those heard lately. Homes that did not answer lately are left out.
+/// Returns the account's other homes with their addresses; where all hosts hear each other, those
+/// heard lately. Homes that did not answer lately are left out; a home without a member record may
+/// only be out of the store's reach.
 fn reachable_homes(
     ctx: &proxy_context::ProxyContext,
     account: arena_keys::AccountKey,
@@ -362,7 +378,7 @@
     let homes = ctx.accounts[account].homes.iter().filter(|host| *host != own);
     let reachable = homes.filter_map(|host| ctx.members.get(host)).filter(|member| {
         let heard = member.heard.is_some_and(|heard| ctx.now.since(heard) < HEARD_FOR);
-        member.gone.is_none() && (heard || !mesh) && ctx.now >= member.shunned_until
+        (heard || !mesh) && ctx.now >= member.shunned_until
     });
     let named = |member: &member_view::MemberView| {
         (member.record.host.clone(), member.record.address.clone())
--- a/tests/proxy_scale.rs
+++ b/tests/proxy_scale.rs
@@ -205,6 +205,38 @@
         let (sent, refused) = load_medium(fleet, &others, 5);
         assert!(refused * 20 < sent, "{refused} of {sent} refused");
     };
+    callers_who_come_back_after_all_hosts_died_find_tokens: |fleet| {
+        let hosts: Vec<usize> = (0..HOSTS).collect();
+        load_medium(fleet, &hosts, 2);
+        for host in &hosts {
+            fleet.kill_host(*host);
+        }
+        fleet.run(millis(1_000));
+        for host in &hosts {
+            fleet.start_host(*host, Duration::ZERO);
+        }
+        while !hosts.iter().all(|host| fleet.ready(*host)) {
+            fleet.run(millis(10));
+        }
+        // All come at once.
+        let callers: Vec<(usize, u64)> = (0..8)
+            .flat_map(|_| &hosts)
+            .map(|host| (*host, fleet.open(*host, "medium", "strict")))
+            .collect();
+        for (host, caller) in &callers {
+            fleet.send(*host, *caller, read());
+        }
+        fleet.run(millis(600));
+        let mut served = 0;
+        for (host, caller) in callers {
+            let answer = fleet.take_answer(host, caller);
+            served += usize::from(answer.is_some_and(|answer| {
+                answer.answer.verdict.fate == request_verdict::RequestFate::Ran
+            }));
+        }
+        // What accrues at the rate from the start of the hosts until the answers.
+        assert!(served >= 168, "{served} served");
+    };
     a_refusal_by_a_host_without_a_share_says_when_a_token_comes: |fleet| {
         let homes = fleet.core(0).context().accounts.values();
         let homes = homes.filter(|account| account.name == "small");
