feat(proxy): few hosts keep short watches, and calm pulses are rare and small

Bytes between data centres were next: a host at rest sent its view of all groups four times a second, though nobody relies on it. Ruled out: no watch on hosts that are no witnesses (each change would still be one call); the renewal of leases less often (one lost answer would then end a lease). Change: three witnesses keep short watches, a third of the time that a configuration may take; the others wait 20 s. Pulses tell up to which revision a host knows the store; a host that is behind its peers for 0.15 s opens its watch anew. A host that is no witness asks twice a second, and tells its views only while a primary is being replaced.

--- a/src/proxy/feed_flow.rs
+++ b/src/proxy/feed_flow.rs
@@ -10,6 +10,7 @@
 use crate::core::arena_keys;
 use crate::core::chart_cursor;
 use crate::core::clock_time;
+use crate::core::rendezvous_rank;
 use crate::core::share_ledger;
 use crate::proxy::change_flow;
 use crate::proxy::change_record;
@@ -26,6 +27,8 @@
 use crate::proxy::tenure_flow;
 use crate::proxy::witness_policy;
 
+/// Witnesses whose watches are short: one of them may be cut off from the store, and another die.
+const WATCHERS: usize = 3;
 /// Pause of a large fleet's host before its next watch after one that brought news: changes come in
 /// groups, and each alone would wake all hosts.
 const NEWS_PAUSE: Duration = Duration::from_millis(100);
@@ -34,6 +37,7 @@
 
 /// Makes the calls to the store that are due.
 pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
+    renew_watch(ctx);
     if !ctx.store.reading_open && ctx.now >= ctx.store.next_read {
         read_on(ctx);
     }
@@ -106,6 +110,35 @@
     }
 }
 
+/// Notes up to which revision a peer knows the store.
+pub fn note_peer(ctx: &mut proxy_context::ProxyContext, revision: u64) {
+    if ctx.store.revision.is_some_and(|known| known < revision) {
+        let now = ctx.now;
+        ctx.store.behind.get_or_insert(now);
+    }
+}
+
+/// Opens a watch again that stays silent while peers have news.
+fn renew_watch(ctx: &mut proxy_context::ProxyContext) {
+    let Some(since) = ctx.store.behind else { return };
+    let watch = store_session::StorePurpose::Watch;
+    let old = ctx.store_calls.values().any(|call| call.purpose == watch && call.sent < since);
+    if old && ctx.now.since(since) >= ctx.tuning.watch_lag {
+        log::info!("event=watch_behind revision={:?}", ctx.store.revision);
+        drop_watch(ctx);
+    }
+}
+
+/// Whether this host is one of the few whose watches are short.
+fn looks_after_watch(ctx: &proxy_context::ProxyContext) -> bool {
+    let own = &ctx.identity.host;
+    let present = |host: &&str| ctx.members.get(*host).is_some_and(|member| member.gone.is_none());
+    let hosts = ctx.witnesses.hosts.iter().map(String::as_str).filter(present);
+    let ranked = rendezvous_rank::rank("watch", hosts);
+    let first = ranked.iter().take(WATCHERS).any(|host| host == own);
+    first || (ranked.is_empty() && !ctx.is_witness())
+}
+
 fn reply_name(reply: &store_message::StoreReply) -> &'static str {
     match reply {
         store_message::StoreReply::Unanswered => "unanswered",
@@ -126,7 +159,8 @@
     ctx.store.reading_open = true;
     let (purpose, request) = match (&ctx.store.reading, ctx.store.revision) {
         (None, Some(after)) => {
-            let wait = ctx.tuning.watch_wait;
+            let patient = ctx.store.behind.is_none() && !looks_after_watch(ctx);
+            let wait = if patient { ctx.tuning.watch_rest } else { ctx.tuning.watch_wait };
             let request = store_message::StoreRequest::Watch { after, wait };
             (store_session::StorePurpose::Watch, request)
         }
@@ -169,6 +203,7 @@
         .collect();
     log::info!("event=store_read items={} revision={first}", reading.items.len());
     ctx.store.revision = Some(first);
+    ctx.store.behind = None;
     take_all(ctx, vanished);
     take_all(ctx, reading.items);
     witness_policy::settle(ctx);
@@ -180,6 +215,7 @@
     ctx.store.reading_open = false;
     match reply {
         store_message::StoreReply::Changed { items, revision } => {
+            ctx.store.behind = None;
             ctx.store.revision = Some(revision.max(ctx.store.revision.unwrap_or(0)));
             if !items.is_empty() {
                 if !ctx.all_witnesses() {
--- a/src/proxy/member_flow.rs
+++ b/src/proxy/member_flow.rs
@@ -5,6 +5,7 @@
 
 use crate::core::clock_time;
 use crate::proxy::change_flow;
+use crate::proxy::feed_flow;
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_context;
 use crate::proxy::quota_flow;
@@ -35,24 +36,27 @@
 /// Witnesses tell each other how they are. Any other host asks one witness after the other, and all
 /// of them while it needs their words. While a primary is being replaced all tell who waits for it.
 pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
-    if ctx.now.since(ctx.pulsed) < ctx.tuning.pulse {
+    let passed = ctx.now.since(ctx.pulsed);
+    if passed < ctx.tuning.pulse {
         return;
     }
-    ctx.pulsed = ctx.now;
-    let unsettled = !ctx.dealing.attested;
-    let changing = ctx.groups.values().any(|group| group.changing());
-    if changing {
+    if ctx.groups.values().any(|group| group.changing()) {
         return pulse_all(ctx);
     }
+    let unsettled = !ctx.dealing.attested;
     let witnesses = ctx.witnesses.hosts.clone();
     if ctx.is_witness() || ctx.needs_words() || unsettled {
+        ctx.pulsed = ctx.now;
         let hello = unsettled || !ctx.is_witness();
         return pulse_each(ctx, &witnesses, hello);
     }
-    let turn = ctx.witnesses.turn;
-    ctx.witnesses.turn = turn.wrapping_add(1);
-    if let Some(host) = witnesses.get(turn % witnesses.len().max(1)) {
-        pulse_one(ctx, host, true);
+    // Samples in the answers are young enough for reads at half the pace.
+    if passed >= ctx.tuning.pulse * 2 {
+        ctx.pulsed = ctx.now;
+        ctx.witnesses.turn = ctx.witnesses.turn.wrapping_add(1);
+        if let Some(host) = witnesses.get(ctx.witnesses.turn % witnesses.len().max(1)) {
+            pulse_one(ctx, host, true);
+        }
     }
 }
 
@@ -129,6 +133,7 @@
     if pulse.hello {
         pulse_one(ctx, &pulse.host, false);
     }
+    feed_flow::note_peer(ctx, pulse.feed);
     quota_flow::attest(ctx);
     change_flow::drive_all(ctx);
 }
@@ -163,12 +168,16 @@
     let Some(member) = ctx.members.get(host) else { return };
     let (address, echo) = (member.record.address.clone(), member.stamp);
     let echo_incarnation = member.record.incarnation;
-    let sights = ctx.groups.values().filter(|group| group.record.is_some()).map(|group| {
+    // Nobody relies on what a host that is no witness sees of a group at rest.
+    let told = ctx.is_witness() || ctx.groups.values().any(|group| group.changing());
+    let groups = ctx.groups.values().filter(|group| told && group.record.is_some());
+    let sights = groups.map(|group| {
         let sample = group
             .samples
             .last()
             .map(|sample| (sample.point, ctx.now.since(sample.asked).as_micros() as u64));
         let held = member.sights.get(&group.name).map_or(0, |sight| sight.revision);
+        let held = held.max(member.feed);
         peer_datagram::PrimarySight {
             group: group.name.clone(),
             known_epoch: group.epoch().max(group.peer_epoch),
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -87,6 +87,8 @@
     pub lost: bool,
     /// Failures in a row, for pauses.
     pub failures: u32,
+    /// Since when peers know a later revision than this host does.
+    pub behind: Option<clock_time::ClockTime>,
     /// When the next reading or watch may be sent.
     pub next_read: clock_time::ClockTime,
     /// Whether a reading or watch is under way.
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -277,6 +277,12 @@
         running.map(|host| host.core.context().counts.datagrams).sum()
     }
 
+    /// Calls to the store that the hosts which run have made so far.
+    pub(crate) fn store_calls(&self) -> u64 {
+        let running = self.hosts.iter().filter(|host| host.alive);
+        running.map(|host| host.core.context().counts.store_calls).sum()
+    }
+
     /// Lets time pass.
     pub(crate) fn run(&mut self, span: Duration) {
         let until = self.now + span.as_micros() as u64;
--- a/tests/proxy_scale.rs
+++ b/tests/proxy_scale.rs
@@ -237,6 +237,35 @@
         // What accrues at the rate from the start of the hosts until the answers.
         assert!(served >= 168, "{served} served");
     };
+    watches_that_the_store_forgot_are_opened_again: |fleet| {
+        fleet.run(millis(1_000));
+        fleet.store.forget_watches();
+        fleet.reconfigure(|config| config.keys.clear());
+        // The configuration has to be in force within 3 s.
+        fleet.run(millis(2_900));
+        for host in 0..HOSTS {
+            let caller = fleet.open(host, "large", "aged");
+            assert!(fleet.greeting(host, caller).is_some(), "host {host}");
+        }
+    };
+    a_host_whose_own_watch_is_forgotten_learns_from_peers_that_it_is_behind: |fleet| {
+        let all = witnesses(fleet);
+        let plain = (0..HOSTS).find(|host| !all.contains(host)).unwrap();
+        fleet.run(millis(1_000));
+        fleet.store.forget_host(plain);
+        fleet.reconfigure(|config| config.keys.clear());
+        fleet.run(millis(2_000));
+        let caller = fleet.open(plain, "large", "aged");
+        assert!(fleet.greeting(plain, caller).is_some());
+    };
+    hosts_at_rest_call_the_store_for_their_leases_alone: |fleet| {
+        fleet.run(millis(5_000));
+        let before = fleet.store_calls();
+        fleet.run(millis(10_000));
+        let rate = (fleet.store_calls() - before) as f64 / 10.0 / HOSTS as f64;
+        // A renewal each 350 ms; three short watches and the duty's renewal are shared by all.
+        assert!(rate < 1.0 / 0.35 + 0.3, "{rate} calls a second and host");
+    };
     a_refusal_by_a_host_without_a_share_says_when_a_token_comes: |fleet| {
         let homes = fleet.core(0).context().accounts.values();
         let homes = homes.filter(|account| account.name == "small");
