--- a/src/daemon/latency_book.rs
+++ b/src/daemon/latency_book.rs
@@ -1,4 +1,4 @@
-//! Latency histograms for each client account.
+//! Latency histograms by name: of client accounts, or of kinds of requests.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
@@ -10,7 +10,7 @@
 const LATENCY_MAX_US: u64 = 60_000_000;
 const SIGNIFICANT_DIGITS: u8 = 2;
 
-/// Latency quantiles of one account, in microseconds.
+/// Latency quantiles under one name, in microseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct LatencyQuantiles {
     /// Median.
@@ -21,32 +21,32 @@
     pub p999_us: u64,
 }
 
-/// Latency histograms for each client account.
+/// Latency histograms by name.
 #[derive(Debug, Default)]
 pub struct LatencyBook {
     histograms: Mutex<HashMap<String, Histogram<u64>>>,
 }
 
 impl LatencyBook {
-    /// Records the latency of one statement.
-    pub fn record(&self, account: &str, latency: Duration) {
+    /// Records the latency of one statement under a name.
+    pub fn record(&self, name: &str, latency: Duration) {
         let mut histograms = self.histograms.lock().unwrap_or_else(PoisonError::into_inner);
-        if !histograms.contains_key(account) {
+        if !histograms.contains_key(name) {
             let Ok(histogram) = Histogram::new_with_bounds(1, LATENCY_MAX_US, SIGNIFICANT_DIGITS)
             else {
                 return;
             };
-            histograms.insert(account.to_owned(), histogram);
+            histograms.insert(name.to_owned(), histogram);
         }
-        if let Some(histogram) = histograms.get_mut(account) {
+        if let Some(histogram) = histograms.get_mut(name) {
             histogram.saturating_record(latency.as_micros() as u64);
         }
     }
 
-    /// Returns an account's quantiles.
-    pub fn quantiles(&self, account: &str) -> LatencyQuantiles {
+    /// Returns the quantiles under a name.
+    pub fn quantiles(&self, name: &str) -> LatencyQuantiles {
         let histograms = self.histograms.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(histogram) = histograms.get(account) else { return LatencyQuantiles::default() };
+        let Some(histogram) = histograms.get(name) else { return LatencyQuantiles::default() };
         LatencyQuantiles {
             p50_us: histogram.value_at_quantile(0.5),
             p99_us: histogram.value_at_quantile(0.99),
--- a/src/proxy/job_state.rs
+++ b/src/proxy/job_state.rs
@@ -27,6 +27,18 @@
     Commit,
 }
 
+impl JobKind {
+    /// Returns what the job does in one word, for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Begin { .. } => "begin",
+            Self::Statement { kind: session_request::StatementKind::Read, .. } => "read",
+            Self::Statement { kind: session_request::StatementKind::Write, .. } => "write",
+            Self::Commit => "commit",
+        }
+    }
+}
+
 /// Where a job stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobPhase {
--- a/src/proxy/operation_flow.rs
+++ b/src/proxy/operation_flow.rs
@@ -493,7 +493,11 @@
     let account = state.account.map(|account| ctx.accounts[account].name.clone());
     let account = account.unwrap_or_default();
     if verdict.fate == request_verdict::RequestFate::Ran {
-        ctx.latencies.record(&account, ctx.now.since(state.arrived));
+        let latency = ctx.now.since(state.arrived);
+        ctx.latencies.record(&account, latency);
+        let (route, request) = (state.route.kind.name(), state.kind.name());
+        ctx.kind_latencies.record(&format!("{route} {request}"), latency);
+        *ctx.counts.served_kinds.entry((route, request)).or_default() += 1;
         *ctx.counts.served.entry(account).or_default() += 1;
         return;
     }
--- a/src/proxy/proxy_config.rs
+++ b/src/proxy/proxy_config.rs
@@ -23,6 +23,15 @@
 }
 
 impl RouteKind {
+    /// Returns the kind's name, for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Primary => "primary",
+            Self::BoundedAge { .. } => "bounded_age",
+            Self::ReadYourWrites { .. } => "read_your_writes",
+        }
+    }
+
     /// Returns the age that reads may have; `None` when they need the primary.
     pub fn max_age(self) -> Option<Duration> {
         match self {
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -72,6 +72,8 @@
 pub struct ProxyCounts {
     /// Requests answered with success, by account.
     pub served: BTreeMap<String, u64>,
+    /// Requests answered with success, by the route's kind and what the request does.
+    pub served_kinds: BTreeMap<(&'static str, &'static str), u64>,
     /// Requests refused or failed, by account and cause.
     pub unserved: BTreeMap<(String, String), u64>,
     /// Reads that ran on replicas.
@@ -172,6 +174,8 @@
     pub counts: ProxyCounts,
     /// Latencies of served requests by account.
     pub latencies: latency_book::LatencyBook,
+    /// Latencies of served requests by the route's kind and what the request does.
+    pub kind_latencies: latency_book::LatencyBook,
     /// The configuration in force.
     pub config: Option<Arc<proxy_config::ProxyConfig>>,
     /// Data centres under evacuation, and since when that is known.
@@ -258,6 +262,7 @@
             decisions: decision_log::DecisionLog::new(now),
             counts: ProxyCounts::default(),
             latencies: latency_book::LatencyBook::default(),
+            kind_latencies: latency_book::LatencyBook::default(),
             config: None,
             evacuations: BTreeMap::new(),
             store: store_session::StoreSession::default(),
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -85,6 +85,20 @@
             assert!(ran(fleet, host, caller, read()));
         }
     };
+    served_requests_are_counted_by_what_they_do: |fleet| {
+        let caller = fleet.open(0, "large", "strict");
+        let begin = session_request::SessionRequest::Begin { read_only: false };
+        for request in [begin, write(), read(), session_request::SessionRequest::Commit, read()] {
+            assert!(ran(fleet, 0, caller, request));
+        }
+        let context = fleet.core(0).context();
+        let count = |request| context.counts.served_kinds.get(&("primary", request)).copied();
+        assert_eq!(count("begin"), Some(1));
+        assert_eq!(count("write"), Some(1));
+        assert_eq!(count("read"), Some(2));
+        assert_eq!(count("commit"), Some(1));
+        assert!(context.kind_latencies.quantiles("primary write").p50_us >= 5_000);
+    };
     a_session_reads_its_own_writes_on_replicas: |fleet| {
         let caller = fleet.open(1, "large", "own");
         for _ in 0..20 {
