feat(experiments): a table and a page of where requests were lost

Change: quetzaldeal-losses counts request_unserved lines by cause, account, database and second, with the time held, and draws losses a second above what hosts believed.

--- /dev/null
+++ b/stand-ins/src/bin/quetzaldeal-losses.rs
@@ -0,0 +1,54 @@
+//! Tells from hosts' logs where requests were lost.
+
+use std::fs;
+use std::io::{self, BufRead, Write};
+use std::path::PathBuf;
+
+use anyhow::{Context, Result};
+use clap::{Arg, ArgAction, Command, value_parser};
+use stand_ins::loss_plot;
+use stand_ins::loss_table;
+
+fn main() -> Result<()> {
+    let matches = Command::new("quetzaldeal-losses")
+        .about("Counts refused and failed requests by cause, account, database and second")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(
+            Arg::new("log")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of hosts; without any, standard input is read"),
+        )
+        .arg(
+            Arg::new("svg")
+                .long("svg")
+                .value_parser(value_parser!(PathBuf))
+                .help("Draws losses and events over time into this file"),
+        )
+        .get_matches();
+    let mut table = loss_table::LossTable::default();
+    let paths: Vec<&PathBuf> = matches.get_many("log").into_iter().flatten().collect();
+    for path in &paths {
+        let file = fs::File::open(path).with_context(|| format!("{}", path.display()))?;
+        read(&mut table, io::BufReader::new(file))
+            .with_context(|| format!("{}", path.display()))?;
+    }
+    if paths.is_empty() {
+        read(&mut table, io::stdin().lock()).context("standard input")?;
+    }
+    if let Some(path) = matches.get_one::<PathBuf>("svg") {
+        loss_plot::draw(&table, path)?;
+    }
+    io::stdout().write_all(table.render().as_bytes())?;
+    Ok(())
+}
+
+/// Reads lines; bytes that are no text are replaced, so that one bad line hides no other.
+fn read(table: &mut loss_table::LossTable, mut reader: impl BufRead) -> Result<()> {
+    let mut bytes = Vec::new();
+    while reader.read_until(b'\n', &mut bytes)? > 0 {
+        table.take(&String::from_utf8_lossy(&bytes));
+        bytes.clear();
+    }
+    Ok(())
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod fault_message;
 pub mod load_plan;
 pub mod load_run;
+pub mod loss_plot;
+pub mod loss_table;
 pub mod path_cost;
 pub mod platform_model;
 pub mod platform_program;
--- /dev/null
+++ b/stand-ins/tests/losses.rs
@@ -0,0 +1,54 @@
+//! The table of losses, from log lines to counts and a page.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+use stand_ins::loss_plot;
+use stand_ins::loss_table;
+
+const LINES: [&str; 6] = [
+    "2026-01-02T23:59:59.5Z [INFO] event=started host=a1",
+    "2026-01-02T23:59:59.9Z [INFO] event=request_unserved request=1 account=desk database=orders \
+     phase=waiting attempts=0 age_ms=120 fate=NotRun cause=OverRate retry_ms=90",
+    "0.1 a1 2026-01-03T00:00:00.5Z [INFO] event=request_unserved request=2 account=desk \
+     database=orders age_ms=80 fate=NotRun cause=OverRate retry_ms=90",
+    "2026-01-03T00:00:01.5Z [INFO] event=request_unserved request=3 account=club database=stock \
+     age_ms=900 fate=MayHaveRun cause=ConnectionLost retry_ms=0",
+    "2026-01-03T00:00:02.5Z [WARN] event=store_lost last_answer_ms=900",
+    "a line of another program, event=request_unserved",
+];
+
+fn table() -> loss_table::LossTable {
+    let mut table = loss_table::LossTable::default();
+    LINES.iter().for_each(|line| table.take(line));
+    table
+}
+
+#[test]
+fn losses_are_counted_by_cause_and_second_across_midnight() {
+    let table = table();
+    assert_eq!(table.lost.len(), 3);
+    assert_eq!(table.span(), 3.0);
+    let causes = table.by_second();
+    assert_eq!(causes["OverRate"].iter().collect::<Vec<_>>(), [(&0, &1), (&1, &1)]);
+    let text = table.render();
+    assert!(text.contains("       2    100 ms  OverRate, not run\n"), "{text}");
+    assert!(text.contains("       1    900 ms  ConnectionLost, may have run\n"), "{text}");
+    assert!(text.contains("       2    100 ms  OverRate desk\n"), "{text}");
+}
+
+#[test]
+fn the_page_names_causes_and_events() {
+    let path = std::env::temp_dir().join(format!("losses-{}.svg", std::process::id()));
+    loss_plot::draw(&table(), &path).unwrap();
+    let page = std::fs::read_to_string(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    for name in ["OverRate", "ConnectionLost", "store_lost"] {
+        assert!(page.contains(name), "{name}");
+    }
+}
+
+#[test]
+fn a_page_that_cannot_be_written_is_named() {
+    let error = loss_plot::draw(&table(), std::path::Path::new("/nowhere/losses.svg"));
+    assert!(format!("{:#}", error.unwrap_err()).contains("/nowhere/losses.svg"));
+}
