fix(proxy): while a primary is replaced hosts tell the holder alone

Ruled out: fewer witnesses (two of them may be lost). Change: a host that is no witness tells the holder of the duty, and only of groups that change; it goes on asking one witness at a time. At 100 hosts bytes are still the dearest price.

--- a/src/proxy/member_flow.rs
+++ b/src/proxy/member_flow.rs
@@ -6,6 +6,7 @@
 use crate::core::clock_time;
 use crate::proxy::change_flow;
 use crate::proxy::feed_flow;
+use crate::proxy::group_view;
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_context;
 use crate::proxy::quota_flow;
@@ -40,19 +41,18 @@
     if passed < ctx.tuning.pulse {
         return;
     }
-    if ctx.groups.values().any(|group| group.changing()) {
-        return pulse_all(ctx);
-    }
     let unsettled = !ctx.dealing.attested;
     let witnesses = ctx.witnesses.hosts.clone();
     if ctx.is_witness() || ctx.needs_words() || unsettled {
         ctx.pulsed = ctx.now;
+        tell_holder(ctx, &witnesses);
         let hello = unsettled || !ctx.is_witness();
         return pulse_each(ctx, &witnesses, hello);
     }
     // Samples in the answers are young enough for reads at half the pace.
     if passed >= ctx.tuning.pulse * 2 {
         ctx.pulsed = ctx.now;
+        tell_holder(ctx, &[]);
         ctx.witnesses.turn = ctx.witnesses.turn.wrapping_add(1);
         if let Some(host) = witnesses.get(ctx.witnesses.turn % witnesses.len().max(1)) {
             pulse_one(ctx, host, true);
@@ -60,14 +60,24 @@
     }
 }
 
+/// Tells the holder of the duty where this host stands while a primary is being replaced, unless it
+/// is among the hosts `told` anyway: a holder may be new, and a datagram may be lost.
+fn tell_holder(ctx: &mut proxy_context::ProxyContext, told: &[String]) {
+    if !ctx.groups.values().any(|group| group.changing()) {
+        return;
+    }
+    let holder = ctx.duty.record.as_ref().map(|(record, _)| record.host.clone());
+    if let Some(holder) = holder.filter(|holder| !told.contains(holder)) {
+        pulse_each(ctx, &[holder], false);
+    }
+}
+
 /// Tells the witnesses and the holder of the duty at once how this host is.
 pub fn pulse_all(ctx: &mut proxy_context::ProxyContext) {
     ctx.pulsed = ctx.now;
-    let mut hosts = ctx.witnesses.hosts.clone();
-    let holder = ctx.duty.record.as_ref().map(|(record, _)| record.host.clone());
-    hosts.extend(holder.filter(|holder| !hosts.contains(holder)));
-    let hello = !ctx.dealing.attested || !ctx.is_witness();
-    pulse_each(ctx, &hosts, hello);
+    let hosts = ctx.witnesses.hosts.clone();
+    pulse_each(ctx, &hosts, false);
+    tell_holder(ctx, &hosts);
 }
 
 /// Tells a host that has come how this one is.
@@ -169,8 +179,9 @@
     let (address, echo) = (member.record.address.clone(), member.stamp);
     let echo_incarnation = member.record.incarnation;
     // Nobody relies on what a host that is no witness sees of a group at rest.
-    let told = ctx.is_witness() || ctx.groups.values().any(|group| group.changing());
-    let groups = ctx.groups.values().filter(|group| told && group.record.is_some());
+    let all = ctx.is_witness();
+    let told = |group: &&group_view::GroupView| all || group.changing();
+    let groups = ctx.groups.values().filter(|group| group.record.is_some()).filter(told);
     let sights = groups.map(|group| {
         let sample = group
             .samples
