--- a/src/core/call_purpose.rs
+++ b/src/core/call_purpose.rs
@@ -67,10 +67,8 @@
     },
     /// The platform's list of hosts is read.
     HostList,
-    /// The record of leaving hosts is to be swapped.
-    LeavingSwap,
-    /// The record of opened shares is to be swapped.
-    OpeningSwap,
+    /// A live record is to be swapped; the feed tells whether it was.
+    LiveSwap,
     /// A group's record is to be swapped.
     SwapRecord {
         /// The group.
--- a/src/core/leaving_flow.rs
+++ b/src/core/leaving_flow.rs
@@ -39,12 +39,7 @@
     if record == ctx.leaving {
         return;
     }
-    let Ok(value) = rmp_serde::to_vec(&record) else { return };
-    let key = leaving_record::record_key();
-    let expected = ctx.feed.revision(&key);
-    // A swap that is lost or loses is made again after the next read, if it is still needed.
-    let request = platform_message::PlatformRequest::CompareSwap { key, expected, value };
-    ctx.call_platform(call_purpose::CallPurpose::LeavingSwap, request);
+    platform_flow::swap_record(ctx, leaving_record::record_key(), &record);
 }
 
 /// Takes up the live record.
--- a/src/core/opening_flow.rs
+++ b/src/core/opening_flow.rs
@@ -2,13 +2,11 @@
 
 use std::time::Duration;
 
-use crate::core::call_purpose;
 use crate::core::clock_time;
 use crate::core::core_context;
 use crate::core::core_tuning;
 use crate::core::opening_record;
 use crate::core::platform_flow;
-use crate::core::platform_message;
 use crate::core::share_ledger;
 
 /// The version of a fleet's first configuration: no host can hold a share from before it.
@@ -85,12 +83,7 @@
     if !due || ctx.config.opened_version >= version || !platform_flow::should_watch(ctx) {
         return;
     }
-    let record = opening_record::OpeningRecord { version };
-    let Ok(value) = rmp_serde::to_vec(&record) else { return };
-    let key = opening_record::record_key();
-    let expected = ctx.feed.revision(&key);
     ctx.config.note_after = ctx.now.after(ctx.spread(NOTE_AGAIN));
-    // A swap that loses or is lost shows in the feed; it is made again if it is still needed.
-    let request = platform_message::PlatformRequest::CompareSwap { key, expected, value };
-    ctx.call_platform(call_purpose::CallPurpose::OpeningSwap, request);
+    let record = opening_record::OpeningRecord { version };
+    platform_flow::swap_record(ctx, opening_record::record_key(), &record);
 }
--- a/src/core/platform_flow.rs
+++ b/src/core/platform_flow.rs
@@ -78,6 +78,19 @@
     }
 }
 
+/// Swaps a live record for what this host knows of it. A swap that loses or is lost shows in the
+/// feed; it is made again by its caller if it is still needed.
+pub fn swap_record(
+    ctx: &mut core_context::CoreContext,
+    key: String,
+    record: &impl serde::Serialize,
+) {
+    let Ok(value) = rmp_serde::to_vec(record) else { return };
+    let expected = ctx.feed.revision(&key);
+    let request = platform_message::PlatformRequest::CompareSwap { key, expected, value };
+    ctx.call_platform(call_purpose::CallPurpose::LiveSwap, request);
+}
+
 /// Notes that the newest head known here was the platform's at `at`.
 pub fn note_confirmed(ctx: &mut core_context::CoreContext, at: clock_time::ClockTime) {
     if ctx.config.pending.is_some() {
--- a/src/core/rendezvous_rank.rs
+++ b/src/core/rendezvous_rank.rs
@@ -24,6 +24,14 @@
     ranked
 }
 
+/// Adds names to a digest, in their order and kept apart.
+pub fn add_names(hasher: &mut xxh3::Xxh3, names: &[String]) {
+    for name in names {
+        hasher.update(name.as_bytes());
+        hasher.update(&[0]);
+    }
+}
+
 /// The hosts in service by data centre: what home shares are dealt to.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct HomeMap {
--- a/src/proxy/fence_policy.rs
+++ b/src/proxy/fence_policy.rs
@@ -3,6 +3,7 @@
 use crate::core::arena_keys;
 use crate::proxy::member_flow;
 use crate::proxy::proxy_context;
+use crate::proxy::witness_policy;
 
 /// Whether no host can have the word of most witnesses for an epoch before the record's.
 ///
@@ -32,7 +33,7 @@
 /// Whether `host` has not heard `target` for as long as words last.
 pub fn unheard(ctx: &proxy_context::ProxyContext, host: &String, target: &String) -> bool {
     match ctx.members.get(host) {
-        _ if host == &ctx.identity.host => member_flow::silent_hosts(ctx).contains(target),
+        _ if host == &ctx.identity.host => member_flow::is_silent(ctx, target),
         Some(member) => member.silent.contains(target),
         None => false,
     }
@@ -41,8 +42,8 @@
 /// Whether something holds for most witnesses, in every set of them that a host which was cut off may
 /// still go by.
 pub fn by_most(ctx: &proxy_context::ProxyContext, holds: impl Fn(&String) -> bool) -> bool {
-    let most = |hosts: &[String]| hosts.iter().filter(|host| holds(host)).count() * 2 > hosts.len();
-    most(&ctx.witnesses.hosts) && ctx.witnesses.past.iter().all(|set| most(&set.hosts))
+    let past = ctx.witnesses.past.iter().map(|set| &set.hosts);
+    past.chain([&ctx.witnesses.hosts]).all(|hosts| witness_policy::most(hosts, &holds))
 }
 
 fn knows_epoch(
--- a/src/proxy/link_flow.rs
+++ b/src/proxy/link_flow.rs
@@ -72,25 +72,27 @@
 ///
 /// A host that vanished may still hold its links, so they count as taken for as long as its share.
 pub fn link_limit(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> usize {
-    let name = &ctx.groups[group].name;
-    let object = ctx.config.as_ref().and_then(|config| config.groups.get(name));
-    let most = object.map_or(1, |object| object.max_links) as usize;
     if ctx.now.since(ctx.started) < LINKS_LINGER && ctx.started_together() {
         return 1;
     }
-    match most * LINKS_USED / LINKS_ALL / ctx.dealing.hosts.len().max(1) {
+    match links_dealt(ctx, group) / ctx.dealing.hosts.len().max(1) {
         0 => LINKS_SCARCE,
         share => share,
     }
 }
 
+/// Returns the links to one endpoint of the group that all hosts share out.
+fn links_dealt(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> usize {
+    let name = &ctx.groups[group].name;
+    let object = ctx.config.as_ref().and_then(|config| config.groups.get(name));
+    let most = object.map_or(1, |object| object.max_links) as usize;
+    most * LINKS_USED / LINKS_ALL
+}
+
 /// Returns the time after which a link at rest is closed: soon, where the hosts are more than an
 /// endpoint's connections and each must leave them to others.
 fn rest_limit(ctx: &proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) -> Duration {
-    let group = ctx.endpoints[endpoint].group;
-    let object = ctx.config.as_ref().and_then(|config| config.groups.get(&ctx.groups[group].name));
-    let most = object.map_or(1, |object| object.max_links) as usize;
-    let scarce = most * LINKS_USED / LINKS_ALL < ctx.dealing.hosts.len();
+    let scarce = links_dealt(ctx, ctx.endpoints[endpoint].group) < ctx.dealing.hosts.len();
     // A witness keeps one link to each primary, to ping it.
     let kept = ctx.is_witness() && ctx.endpoints[endpoint].links.len() == 1;
     if scarce && !kept { REST_SCARCE } else { REST_LIMIT }
@@ -366,9 +368,11 @@
         }
         ctx.jobs[job].avoided.push(endpoint);
         match placement_policy::choose(ctx, job) {
-            Ok(_) => {
+            Ok(other) => {
                 ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != job);
-                operation_flow::place(ctx, job);
+                if let Err(cause) = acquire(ctx, other, job) {
+                    operation_flow::refuse(ctx, job, cause);
+                }
             }
             Err(_) => drop(ctx.jobs[job].avoided.pop()),
         }
--- a/src/proxy/member_flow.rs
+++ b/src/proxy/member_flow.rs
@@ -216,18 +216,20 @@
     quota_flow::tell(ctx, address, peer_datagram::PeerDatagram::Pulse(pulse));
 }
 
-/// Returns the witnesses and the hosts without a member record that this host has not heard for as
-/// long as words count.
-pub fn silent_hosts(ctx: &proxy_context::ProxyContext) -> Vec<String> {
+/// Returns the hosts that this host says it does not hear.
+fn silent_hosts(ctx: &proxy_context::ProxyContext) -> Vec<String> {
+    ctx.roster.keys().filter(|host| is_silent(ctx, host)).cloned().collect()
+}
+
+/// Whether a host is a witness or without a member record, and was not heard for as long as words
+/// count.
+pub fn is_silent(ctx: &proxy_context::ProxyContext, host: &String) -> bool {
     let since = ctx.now.before(ctx.tuning.quorum_word);
-    let unheard = |host: &&String| {
-        let member = ctx.members.get(*host);
-        let gone = member.is_none_or(|member| member.gone.is_some());
-        let told = gone || ctx.witnesses.hosts.contains(host);
-        let heard = member.and_then(|member| member.heard);
-        told && **host != ctx.identity.host && heard.is_none_or(|heard| heard < since)
-    };
-    ctx.roster.keys().filter(unheard).cloned().collect()
+    let member = ctx.members.get(host);
+    let gone = member.is_none_or(|member| member.gone.is_some());
+    let told = gone || ctx.witnesses.hosts.contains(host);
+    let heard = member.and_then(|member| member.heard);
+    told && *host != ctx.identity.host && heard.is_none_or(|heard| heard < since)
 }
 
 fn own_failing(ctx: &proxy_context::ProxyContext, group: &str) -> bool {
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -345,7 +345,7 @@
             let heard = self.members.get(host).and_then(|member| member.heard);
             *host == self.identity.host || heard.is_some_and(|heard| heard > since)
         };
-        self.store.answered > since || self.most_witnesses(heard)
+        self.store.answered > since || witness_policy::most(&self.witnesses.hosts, heard)
     }
 
     fn quorum(&self, view: &group_view::GroupView) -> bool {
@@ -358,12 +358,7 @@
             *host == self.identity.host || (heard && same && known <= view.epoch())
         };
         let others = self.witnesses.hosts.len() > 1;
-        others && self.store.settled_in() && self.most_witnesses(agrees)
-    }
-
-    fn most_witnesses(&self, holds: impl Fn(&String) -> bool) -> bool {
-        let hosts = &self.witnesses.hosts;
-        hosts.iter().filter(|host| holds(host)).count() * 2 > hosts.len()
+        others && self.store.settled_in() && witness_policy::most(&self.witnesses.hosts, agrees)
     }
 
     /// Whether this host is a witness.
--- a/src/proxy/quota_flow.rs
+++ b/src/proxy/quota_flow.rs
@@ -1,8 +1,8 @@
 //! Shares of accounts' rates and bursts: dealing them out, charging requests, lending.
 //!
-//! All hosts whose member record stands, or vanished not long ago, hold equal shares. A share that
-//! grows opens once every host goes by the same dealing, so the sum stays within the account's
-//! rate; what a host does not use it lends to those that ask.
+//! The home hosts of an account, chosen from the roster, hold equal shares. A share that grows opens
+//! once every host goes by the same dealing, so the sum stays within the account's rate; a home that
+//! has a token spends it for a host that asks.
 
 use std::time::Duration;
 
@@ -58,10 +58,7 @@
     let mut hasher = xxh3::Xxh3::new();
     hasher.update(&config.version.to_le_bytes());
     let hosts = ctx.kept_hosts();
-    for name in &hosts {
-        hasher.update(name.as_bytes());
-        hasher.update(&[0]);
-    }
+    rendezvous_rank::add_names(&mut hasher, &hosts);
     let number = hasher.digest();
     if number == ctx.dealing.number || hosts.is_empty() {
         return;
@@ -116,10 +113,7 @@
         hasher.update(&object.rate.to_le_bytes());
         hasher.update(&object.burst.to_le_bytes());
     }
-    for name in homes {
-        hasher.update(name.as_bytes());
-        hasher.update(&[0]);
-    }
+    rendezvous_rank::add_names(&mut hasher, homes);
     hasher.digest()
 }
 
@@ -206,7 +200,7 @@
         return operation_flow::refuse(ctx, job, request_verdict::VerdictCause::OverRate);
     }
     let home = ctx.accounts[account].homes.contains(&ctx.identity.host);
-    if !home && reachable_homes(ctx, account).is_empty() {
+    if !home && reachable_homes(ctx, account).next().is_none() {
         return operation_flow::refuse(ctx, job, request_verdict::VerdictCause::ShareClosed);
     }
     let until = now.after(ctx.tuning.share_wait.min(ctx.jobs[job].route.target / 2));
@@ -243,7 +237,7 @@
         member.shunned_until = now;
     }
     ctx.accounts[account].unanswered.retain(|asked| asked != host);
-    let peers = reachable_homes(ctx, account).len();
+    let peers = reachable_homes(ctx, account).count();
     let view = &mut ctx.accounts[account];
     if count > 0 {
         view.ledger.take_passes(now, count);
@@ -319,7 +313,10 @@
         return;
     }
     let waiting = view.waiting.len();
-    let peers = reachable_homes(ctx, account);
+    let named = |member: &member_view::MemberView| {
+        (member.record.host.clone(), member.record.address.clone())
+    };
+    let peers: Vec<(String, String)> = reachable_homes(ctx, account).map(named).collect();
     if peers.is_empty() {
         return;
     }
@@ -366,22 +363,17 @@
     ((rate * wait.as_secs_f64() / 2.0).ceil() as usize).clamp(1, WAITING_MAX)
 }
 
-/// Returns the account's other homes with their addresses; where all hosts hear each other, those
-/// heard lately. Homes that did not answer lately are left out; a home without a member record may
+/// Returns the account's other homes; where all hosts hear each other, those heard lately. Homes that did not answer lately are left out; a home without a member record may
 /// only be out of the store's reach.
 fn reachable_homes(
     ctx: &proxy_context::ProxyContext,
     account: arena_keys::AccountKey,
-) -> Vec<(String, String)> {
+) -> impl Iterator<Item = &member_view::MemberView> {
     let own = &ctx.identity.host;
     let mesh = ctx.all_witnesses();
-    let homes = ctx.accounts[account].homes.iter().filter(|host| *host != own);
-    let reachable = homes.filter_map(|host| ctx.members.get(host)).filter(|member| {
+    let homes = ctx.accounts[account].homes.iter().filter(move |host| *host != own);
+    homes.filter_map(|host| ctx.members.get(host)).filter(move |member| {
         let heard = member.heard.is_some_and(|heard| ctx.now.since(heard) < HEARD_FOR);
         (heard || !mesh) && ctx.now >= member.shunned_until
-    });
-    let named = |member: &member_view::MemberView| {
-        (member.record.host.clone(), member.record.address.clone())
-    };
-    reachable.map(named).collect()
+    })
 }
--- a/src/proxy/witness_policy.rs
+++ b/src/proxy/witness_policy.rs
@@ -56,10 +56,7 @@
     }
     log::info!("event=witnesses hosts={} of={}", chosen.join(","), hosts.len());
     let mut hasher = xxh3::Xxh3::new();
-    for name in &chosen {
-        hasher.update(name.as_bytes());
-        hasher.update(&[0]);
-    }
+    rendezvous_rank::add_names(&mut hasher, &chosen);
     ctx.witnesses.number = hasher.digest();
     let hosts = std::mem::replace(&mut ctx.witnesses.hosts, chosen);
     // One host has nobody's word but its own, which does not count.
@@ -81,13 +78,12 @@
     let lasts = ctx.tuning.quorum_word + ctx.tuning.lease_margin;
     let mut past = std::mem::take(&mut ctx.witnesses.past);
     past.retain_mut(|set| {
-        let moved = |host: &&String| match ctx.members.get(*host) {
-            _ if **host == ctx.identity.host => true,
+        let moved = |host: &String| match ctx.members.get(host) {
+            _ if *host == ctx.identity.host => true,
             Some(member) => member.feed >= set.until,
             None => false,
         };
-        if set.left_since.is_none() && set.hosts.iter().filter(moved).count() * 2 > set.hosts.len()
-        {
+        if set.left_since.is_none() && most(&set.hosts, moved) {
             set.left_since = Some(ctx.now);
         }
         let left = set.left_since.is_some_and(|since| ctx.now.since(since) >= lasts);
@@ -96,6 +92,11 @@
     ctx.witnesses.past = past;
 }
 
+/// Whether something holds for more than half of the hosts.
+pub fn most(hosts: &[String], holds: impl Fn(&String) -> bool) -> bool {
+    hosts.iter().filter(|host| holds(host)).count() * 2 > hosts.len()
+}
+
 /// Returns the witnesses among hosts with their data centres, sorted by name.
 ///
 /// Up to `all` hosts all are witnesses. Of more, `count` are, taken from the data centres in turn;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use proxy_fakes::fake_store;
-use proxy_fakes::{Place, ProxyFleet, read, write};
+use proxy_fakes::{Place, ProxyFleet, millis, read, write};
 use quetzaldeal::core::endpoint_message;
 use quetzaldeal::core::request_verdict;
 use quetzaldeal::proxy::change_record;
@@ -38,10 +38,6 @@
     fleet
 }
 
-fn millis(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
 fn ran(
     fleet: &mut ProxyFleet,
     host: usize,
@@ -50,7 +46,7 @@
 ) -> bool {
     let answer = fleet.ask(host, caller, request);
     let answer = answer.unwrap_or_else(|| panic!("no answer for 3 s at host {host}"));
-    answer.answer.verdict.fate == request_verdict::RequestFate::Ran
+    answer.ran()
 }
 
 /// Whether some host knows that a primary is being appointed.
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -17,6 +17,7 @@
 use quetzaldeal::proxy::change_record;
 use quetzaldeal::proxy::endpoint_command;
 use quetzaldeal::proxy::proxy_config;
+use quetzaldeal::proxy::proxy_context;
 use quetzaldeal::proxy::proxy_core;
 use quetzaldeal::proxy::proxy_message;
 use quetzaldeal::proxy::proxy_tuning;
@@ -54,6 +55,13 @@
     pub(crate) answer: proxy_message::CallerAnswer,
 }
 
+impl TimedAnswer {
+    /// Whether the request ran.
+    pub(crate) fn ran(&self) -> bool {
+        self.answer.verdict.fate == request_verdict::RequestFate::Ran
+    }
+}
+
 #[derive(Debug)]
 enum Step {
     Wake {
@@ -271,16 +279,10 @@
         fleet
     }
 
-    /// Datagrams that the hosts which run have sent so far.
-    pub(crate) fn datagrams(&self) -> u64 {
-        let running = self.hosts.iter().filter(|host| host.alive);
-        running.map(|host| host.core.context().counts.datagrams).sum()
-    }
-
-    /// Calls to the store that the hosts which run have made so far.
-    pub(crate) fn store_calls(&self) -> u64 {
+    /// Adds up one of the counts of the hosts that run.
+    pub(crate) fn sum(&self, count: impl Fn(&proxy_context::ProxyCounts) -> u64) -> u64 {
         let running = self.hosts.iter().filter(|host| host.alive);
-        running.map(|host| host.core.context().counts.store_calls).sum()
+        running.map(|host| count(&host.core.context().counts)).sum()
     }
 
     /// Lets time pass.
@@ -974,6 +976,11 @@
     }
 }
 
+/// A span in milliseconds.
+pub(crate) fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
 /// A request that reads.
 pub(crate) fn read() -> session_request::SessionRequest {
     let kind = session_request::StatementKind::Read;
--- a/tests/proxy_scale.rs
+++ b/tests/proxy_scale.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use proxy_fakes::fake_store;
-use proxy_fakes::{Place, ProxyFleet, read, write};
+use proxy_fakes::{Place, ProxyFleet, millis, read, write};
 use quetzaldeal::core::request_verdict;
 use quetzaldeal::proxy::witness_policy;
 
@@ -39,20 +39,13 @@
     fleet
 }
 
-fn millis(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
 /// Asks every host for a write and a read; returns how many of the answers were no success.
 fn unserved(fleet: &mut ProxyFleet, hosts: &[usize], callers: &[u64]) -> usize {
     let mut count = 0;
     for host in hosts {
         for request in [write(), read()] {
             let answer = fleet.ask(*host, callers[*host], request);
-            let ran = answer.is_some_and(|answer| {
-                answer.answer.verdict.fate == request_verdict::RequestFate::Ran
-            });
-            count += usize::from(!ran);
+            count += usize::from(!answer.is_some_and(|answer| answer.ran()));
         }
     }
     count
@@ -81,8 +74,7 @@
     fleet.run(millis(500));
     for (host, caller) in callers {
         while let Some(answer) = fleet.take_answer(host, caller) {
-            let ran = answer.answer.verdict.fate == request_verdict::RequestFate::Ran;
-            refused += usize::from(!ran);
+            refused += usize::from(!answer.ran());
         }
     }
     (sent, refused)
@@ -92,6 +84,17 @@
     (0..HOSTS).filter(|host| fleet.core(*host).context().is_witness()).collect()
 }
 
+/// Returns the hosts that are no witnesses.
+fn plain_hosts(fleet: &ProxyFleet) -> Vec<usize> {
+    (0..HOSTS).filter(|host| !fleet.core(*host).context().is_witness()).collect()
+}
+
+/// Returns the names of an account's home hosts.
+fn homes(fleet: &ProxyFleet, account: &str) -> Vec<String> {
+    let context = fleet.core(0).context();
+    context.accounts[context.account_names[account]].homes.clone()
+}
+
 /// Time until a write is served again at a host, by asking every 20 ms.
 fn gap(fleet: &mut ProxyFleet, host: usize, caller: u64) -> Duration {
     let start = fleet.now;
@@ -125,8 +128,7 @@
     };
     a_host_that_the_store_alone_turns_away_serves_on: |fleet| {
         let callers = open_all(fleet);
-        let all = witnesses(fleet);
-        let plain = (0..HOSTS).find(|host| !all.contains(host)).unwrap();
+        let plain = plain_hosts(fleet)[0];
         assert_eq!(unserved(fleet, &[plain], &callers), 0);
         fleet.cut(Place::Host(plain), Place::Store);
         fleet.run(millis(3_000));
@@ -138,10 +140,9 @@
     };
     a_crashed_primary_is_replaced_though_two_witnesses_die_with_it: |fleet| {
         let callers = open_all(fleet);
-        let all = witnesses(fleet);
-        let plain = (0..HOSTS).find(|host| !all.contains(host)).unwrap();
+        let plain = plain_hosts(fleet)[0];
         assert_eq!(unserved(fleet, &[plain], &callers), 0);
-        for host in &all[..2] {
+        for host in &witnesses(fleet)[..2] {
             fleet.kill_host(*host);
         }
         fleet.crash("db0", true);
@@ -151,9 +152,8 @@
     };
     a_host_cut_off_from_all_stops_using_a_replaced_primary: |fleet| {
         let callers = open_all(fleet);
-        let all = witnesses(fleet);
-        let plain = (0..HOSTS).find(|host| !all.contains(host)).unwrap();
-        let other = (0..HOSTS).rev().find(|host| !all.contains(host)).unwrap();
+        let plain = plain_hosts(fleet)[0];
+        let other = *plain_hosts(fleet).last().unwrap();
         fleet.cut(Place::Host(plain), Place::Store);
         for peer in (0..HOSTS).filter(|peer| *peer != plain) {
             fleet.cut(Place::Host(plain), Place::Host(peer));
@@ -176,9 +176,7 @@
         assert!(refused * 1_000 < sent, "{refused} of {sent} refused");
     };
     an_account_below_its_rate_is_served_while_some_hosts_hear_of_no_change: |fleet| {
-        let all = witnesses(fleet);
-        let plain: Vec<usize> = (0..HOSTS).filter(|host| !all.contains(host)).collect();
-        for host in &plain[..6] {
+        for host in &plain_hosts(fleet)[..6] {
             fleet.deny_host(*host, true);
         }
         fleet.reconfigure(|config| config.idle_transaction += millis(1));
@@ -187,9 +185,7 @@
         assert!(refused * 1_000 < sent, "{refused} of {sent} refused");
     };
     an_account_below_its_rate_is_served_while_homes_are_cut_off: |fleet| {
-        let homes = fleet.core(0).context().accounts.values();
-        let homes = homes.filter(|account| account.name == "medium");
-        let homes: Vec<String> = homes.flat_map(|account| account.homes.clone()).collect();
+        let homes = homes(fleet, "medium");
         assert_eq!(homes.len(), 12);
         let number = |name: &String| {
             (0..HOSTS).find(|host| fleet.core(*host).context().identity.host == *name)
@@ -230,9 +226,7 @@
         let mut served = 0;
         for (host, caller) in callers {
             let answer = fleet.take_answer(host, caller);
-            served += usize::from(answer.is_some_and(|answer| {
-                answer.answer.verdict.fate == request_verdict::RequestFate::Ran
-            }));
+            served += usize::from(answer.is_some_and(|answer| answer.ran()));
         }
         // What accrues at the rate from the start of the hosts until the answers.
         assert!(served >= 168, "{served} served");
@@ -249,8 +243,7 @@
         }
     };
     a_host_whose_own_watch_is_forgotten_learns_from_peers_that_it_is_behind: |fleet| {
-        let all = witnesses(fleet);
-        let plain = (0..HOSTS).find(|host| !all.contains(host)).unwrap();
+        let plain = plain_hosts(fleet)[0];
         fleet.run(millis(1_000));
         fleet.store.forget_host(plain);
         fleet.reconfigure(|config| config.keys.clear());
@@ -260,16 +253,14 @@
     };
     hosts_at_rest_call_the_store_for_their_leases_alone: |fleet| {
         fleet.run(millis(5_000));
-        let before = fleet.store_calls();
+        let before = fleet.sum(|counts| counts.store_calls);
         fleet.run(millis(10_000));
-        let rate = (fleet.store_calls() - before) as f64 / 10.0 / HOSTS as f64;
+        let rate = (fleet.sum(|counts| counts.store_calls) - before) as f64 / 10.0 / HOSTS as f64;
         // A renewal each 350 ms; three short watches and the duty's renewal are shared by all.
         assert!(rate < 1.0 / 0.35 + 0.3, "{rate} calls a second and host");
     };
     a_refusal_by_a_host_without_a_share_says_when_a_token_comes: |fleet| {
-        let homes = fleet.core(0).context().accounts.values();
-        let homes = homes.filter(|account| account.name == "small");
-        let homes: Vec<String> = homes.flat_map(|account| account.homes.clone()).collect();
+        let homes = homes(fleet, "small");
         let named = |host: &usize| homes.contains(&fleet.core(*host).context().identity.host);
         let host = (0..HOSTS).find(|host| !named(host)).unwrap();
         let callers: Vec<u64> = (0..60).map(|_| fleet.open(host, "small", "strict")).collect();
@@ -304,9 +295,9 @@
     let at_rest = |hosts: usize| {
         let mut fleet = settled(hosts);
         fleet.run(millis(3_000));
-        let before = fleet.datagrams();
+        let before = fleet.sum(|counts| counts.datagrams);
         fleet.run(millis(4_000));
-        (fleet.datagrams() - before) as f64 / 4.0 / hosts as f64
+        (fleet.sum(|counts| counts.datagrams) - before) as f64 / 4.0 / hosts as f64
     };
     let (fewer, more) = (at_rest(24), at_rest(48));
     // A question and its answer four times a second, and what witnesses tell each other besides.
