feat(proxy): few hosts watch the store, all others learn of changes from them

Cause: each host of a large fleet held a watch over the store, and each change woke all of them. Ruled out: longer pauses between watches alone (changes would come late on all hosts); full configurations between hosts (a datagram holds no 250 kB, and 59 copies fill a link of 20 Mbit/s). Change: in a fleet with more hosts than witnesses, one host of each data centre (two from 16 hosts on) watches the store. The others request changes from them in turn and get later ones as they come, with the age of the knowledge counted from their own request. Configurations travel as patches. A host watches the store itself until it knows its own registration, when its knowledge is older than 0.6 of the time in which a configuration has to be in force, or when no peer can deliver what it lacks. sync_source decides, change_history keeps what can be delivered. The fake store now ends watches after their wait, as the real one does; without that, an idle watcher looked stale.

--- /dev/null
+++ b/src/proxy/change_history.rs
@@ -0,0 +1,141 @@
+//! The latest changes of the store that this host knows, kept for hosts that do not watch it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::proxy::config_patch;
+use crate::proxy::peer_datagram;
+use crate::proxy::proxy_config;
+use crate::proxy::store_message;
+
+/// Most items that are kept; older ones are dropped.
+const ITEMS_MAX: usize = 2_048;
+/// Most items in one datagram.
+const DATAGRAM_ITEMS_MAX: usize = 200;
+/// Largest configuration patch that is sent to peers, in encoded bytes. A receiver that needs a
+/// larger one reads the store.
+const PATCH_BYTES_MAX: usize = 30_000;
+/// Most versions of the configuration that are kept to compute patches from.
+const CONFIGS_MAX: usize = 6;
+
+/// The changes of one reply of the store. They are delivered together, because the store may leave
+/// out a change that a later one in the same reply replaces.
+#[derive(Debug)]
+struct ChangeBlock {
+    after: u64,
+    revision: u64,
+    items: Vec<store_message::StoreItem>,
+}
+
+/// The latest changes of the store that this host knows.
+#[derive(Debug, Default)]
+pub struct ChangeHistory {
+    blocks: VecDeque<ChangeBlock>,
+    items: usize,
+    configs: VecDeque<Arc<proxy_config::ProxyConfig>>,
+}
+
+impl ChangeHistory {
+    /// Adds the changes after one revision up to another.
+    pub fn add(&mut self, after: u64, revision: u64, items: &[store_message::StoreItem]) {
+        if revision <= after {
+            return;
+        }
+        let contiguous = self.blocks.back().is_none_or(|last| last.revision >= after);
+        if !contiguous || items.len() > DATAGRAM_ITEMS_MAX {
+            self.blocks.clear();
+            self.items = 0;
+        }
+        if items.len() > DATAGRAM_ITEMS_MAX {
+            return;
+        }
+        self.items += items.len();
+        self.blocks.push_back(ChangeBlock { after, revision, items: items.to_vec() });
+        while self.items > ITEMS_MAX || self.blocks.len() > ITEMS_MAX {
+            let Some(oldest) = self.blocks.pop_front() else { break };
+            self.items -= oldest.items.len();
+        }
+    }
+
+    /// Keeps a version of the configuration to compute patches from.
+    pub fn add_config(&mut self, config: Arc<proxy_config::ProxyConfig>) {
+        self.configs.push_back(config);
+        if self.configs.len() > CONFIGS_MAX {
+            self.configs.pop_front();
+        }
+    }
+
+    /// Returns the changes after `revision` in parts that fit into datagrams, oldest first, for a
+    /// host with version `config` of the configuration. Each part is the revision after which it
+    /// applies, the revision that it leads to, and its changes.
+    ///
+    /// Returns `None` if this history does not reach back to `revision` or cannot express the
+    /// change of the configuration.
+    pub fn parts_after(
+        &self,
+        revision: u64,
+        config: u64,
+    ) -> Option<Vec<(u64, u64, Vec<peer_datagram::RelayedItem>)>> {
+        let mut parts: Vec<(u64, u64, Vec<peer_datagram::RelayedItem>)> = Vec::new();
+        let mut known = revision;
+        let mut config_known = config;
+        for block in self.blocks.iter().filter(|block| block.revision > revision) {
+            if block.after > known {
+                return None;
+            }
+            let mut items = Vec::with_capacity(block.items.len());
+            for item in block.items.iter().filter(|item| item.revision > revision) {
+                items.push(self.relayed(item, &mut config_known)?);
+            }
+            match parts.last_mut() {
+                Some((_, end, earlier)) if earlier.len() + items.len() <= DATAGRAM_ITEMS_MAX => {
+                    *end = block.revision;
+                    earlier.extend(items);
+                }
+                _ => parts.push((known, block.revision, items)),
+            }
+            known = block.revision;
+        }
+        Some(parts)
+    }
+
+    /// Returns an item in the form for datagrams. A configuration becomes a patch of the version
+    /// `config_known`, which is then advanced.
+    fn relayed(
+        &self,
+        item: &store_message::StoreItem,
+        config_known: &mut u64,
+    ) -> Option<peer_datagram::RelayedItem> {
+        let content = match &item.body {
+            None => None,
+            Some(store_message::ItemContent::Config(config)) => {
+                let old = self.configs.iter().find(|old| old.version == *config_known)?;
+                let patch = config_patch::ConfigPatch::between(old, config);
+                if rmp_serde::to_vec(&patch).map_or(usize::MAX, |bytes| bytes.len())
+                    > PATCH_BYTES_MAX
+                {
+                    return None;
+                }
+                *config_known = config.version;
+                Some(peer_datagram::RelayedContent::Config(Box::new(patch)))
+            }
+            Some(store_message::ItemContent::Endpoint(entry)) => {
+                Some(peer_datagram::RelayedContent::Endpoint(entry.clone()))
+            }
+            Some(store_message::ItemContent::Evacuation) => {
+                Some(peer_datagram::RelayedContent::Evacuation)
+            }
+            Some(store_message::ItemContent::Record(bytes)) => {
+                Some(peer_datagram::RelayedContent::Record(bytes.clone()))
+            }
+            Some(store_message::ItemContent::Unusable { detail }) => {
+                Some(peer_datagram::RelayedContent::Unusable(detail.clone()))
+            }
+        };
+        Some(peer_datagram::RelayedItem {
+            subject: item.subject.clone(),
+            revision: item.revision,
+            content,
+        })
+    }
+}
--- /dev/null
+++ b/src/proxy/change_relay.rs
@@ -0,0 +1,285 @@
+//! Passes changes of the store from the few hosts that watch it to all others.
+//!
+//! In a large fleet two hosts of each data centre watch the store. The others request changes from
+//! them in turn and get later ones as they come. A host knows how old its knowledge is from the
+//! time at which it sent the request that was answered, so silence is never taken for "no change".
+//! Answers the load of changes on hundreds of hosts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::core::clock_time;
+use crate::core::rendezvous_rank;
+use crate::proxy::failover_flow;
+use crate::proxy::peer_datagram;
+use crate::proxy::proxy_context;
+use crate::proxy::rate_limiter;
+use crate::proxy::store_message;
+use crate::proxy::store_sync;
+use crate::proxy::sync_source;
+
+/// Running hosts of a data centre from which on two of them watch the store, so that one may be lost
+/// without a delay. Below, one does, and watchers of other data centres take over from it.
+const SECOND_WATCHER_FROM: usize = 16;
+/// Interval between requests while peers are known to have later changes or knowledge is old.
+const REQUEST_INTERVAL_LATE: Duration = Duration::from_millis(150);
+/// How long a host gets changes as they come after its last request.
+const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Most changes sent between two ticks to all hosts together, so that a burst of registrations does
+/// not fill the link. A host that gets no reply requests again, or reads the store.
+const ITEMS_PER_TICK_MAX: usize = 400;
+/// Most changes that are sent to a host without a request.
+const ITEMS_UNREQUESTED_MAX: usize = 32;
+
+/// A host that requests changes from this one.
+#[derive(Debug, Clone, Copy)]
+pub struct Follower {
+    /// Its latest request: revision, version of the configuration, sending time on its clock, and
+    /// incarnation.
+    request: (u64, u64, u64, u64),
+    /// When that request arrived.
+    arrived_at: clock_time::ClockTime,
+}
+
+/// State of the relay at this host.
+#[derive(Debug, Default)]
+pub struct RelayState {
+    /// Hosts that request changes from this one.
+    pub followers: BTreeMap<String, Follower>,
+    /// When changes were last requested.
+    pub requested_at: clock_time::ClockTime,
+    /// Number of requests sent, which determines the peer that gets the next one.
+    pub requests: usize,
+    /// Whether a peer could not deliver the changes that this host lacks. Cleared by the next reply
+    /// of the store.
+    pub changes_missing: bool,
+    /// Number of changes sent since the last tick.
+    pub items_sent: usize,
+}
+
+/// Returns whether this host is one of those of its data centre that watch the store.
+pub fn is_watcher(ctx: &proxy_context::ProxyContext) -> bool {
+    watchers(ctx, &ctx.identity.data_centre).contains(&ctx.identity.host)
+}
+
+/// Requests changes from peers when that is due.
+pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
+    let now = ctx.now;
+    ctx.relay.items_sent = 0;
+    ctx.relay.followers.retain(|_, follower| now.since(follower.arrived_at) < FOLLOWER_TIMEOUT);
+    if ctx.all_witnesses() || ctx.store.revision.is_none() || ctx.stopped {
+        return;
+    }
+    let age = now.since(ctx.store.synced_at);
+    let age_limit = sync_source::local_age_limit(ctx.tuning.watch_wait_short);
+    if is_watcher(ctx) && age < age_limit {
+        return;
+    }
+    let late = ctx.store.behind_since.is_some() || age >= age_limit;
+    let interval = if late { REQUEST_INTERVAL_LATE } else { ctx.tuning.watch_wait_short };
+    if now.since(ctx.relay.requested_at) < interval {
+        return;
+    }
+    ctx.relay.requested_at = now;
+    ctx.relay.requests = ctx.relay.requests.wrapping_add(1);
+    let mut peers = match age >= age_limit {
+        false => watchers(ctx, &ctx.identity.data_centre),
+        true if ctx.relay.requests.is_multiple_of(2) => all_watchers(ctx),
+        // All watchers may be cut off from the store, while other hosts are not.
+        true => running_hosts(ctx),
+    };
+    peers.retain(|host| *host != ctx.identity.host);
+    let Some(host) = peers.get((ctx.relay.requests / 2) % peers.len().max(1)) else { return };
+    let Some(member) = ctx.members.get(host) else { return };
+    let address = member.record.address.clone();
+    let request = peer_datagram::ChangesRequest {
+        host: ctx.identity.host.clone(),
+        incarnation: ctx.identity.incarnation,
+        revision: ctx.store.revision.unwrap_or(0),
+        config_version: ctx.config.as_ref().map_or(0, |config| config.version),
+        sent_at_us: now.as_micros(),
+    };
+    let message = peer_datagram::PeerDatagram::ChangesRequest(request);
+    rate_limiter::send_datagram(ctx, address, message);
+}
+
+/// Handles a request for changes.
+pub fn on_request(ctx: &mut proxy_context::ProxyContext, request: &peer_datagram::ChangesRequest) {
+    if ctx.store.revision.is_none() {
+        return;
+    }
+    let follower = Follower {
+        request: (
+            request.revision,
+            request.config_version,
+            request.sent_at_us,
+            request.incarnation,
+        ),
+        arrived_at: ctx.now,
+    };
+    ctx.relay.followers.insert(request.host.clone(), follower);
+    store_sync::note_peer_revision(ctx, request.revision);
+    send_changes(ctx, &request.host, follower, ITEMS_PER_TICK_MAX);
+}
+
+/// Sends new changes to all hosts that requested changes lately.
+pub fn notify_followers(ctx: &mut proxy_context::ProxyContext) {
+    for (host, follower) in ctx.relay.followers.clone() {
+        send_changes(ctx, &host, follower, ITEMS_UNREQUESTED_MAX);
+    }
+}
+
+/// Applies changes from a peer.
+pub fn on_changes(ctx: &mut proxy_context::ProxyContext, changes: peer_datagram::RelayedChanges) {
+    let Some(known) = ctx.store.revision else { return };
+    let Some(items) = changes.items else {
+        if changes.revision > known {
+            log::info!(
+                "event=changes_missing peer={} revision={known} peer_revision={}",
+                changes.host,
+                changes.revision
+            );
+            ctx.relay.changes_missing = true;
+        }
+        return;
+    };
+    // Changes in between may be lost or still under way; the next request gets them again.
+    if changes.after > known {
+        return;
+    }
+    if changes.revision > known {
+        let Some(items) = decode(ctx, items) else {
+            ctx.relay.changes_missing = true;
+            return;
+        };
+        ctx.counts.relayed_changes += items.len() as u64;
+        ctx.store.behind_since = None;
+        store_sync::apply_changes(ctx, changes.after, changes.revision, items);
+    }
+    let own = changes.echo_incarnation == ctx.identity.incarnation;
+    if changes.complete && own {
+        let echoed_at = clock_time::ClockTime::from_micros(changes.echoed_us);
+        let synced_at = echoed_at.before(Duration::from_micros(changes.age_us));
+        ctx.store.synced_at = ctx.store.synced_at.max(synced_at);
+    }
+    failover_flow::advance_all(ctx);
+}
+
+/// Returns the watchers of a data centre: its first running hosts in an order that all hosts share.
+fn watchers(ctx: &proxy_context::ProxyContext, data_centre: &str) -> Vec<String> {
+    let running = ctx
+        .members
+        .values()
+        .filter(|member| member.removed_at.is_none() && member.record.data_centre == data_centre);
+    let names = running.map(|member| member.record.host.as_str());
+    let ranked = rendezvous_rank::rank("watch", names);
+    let count = if ranked.len() >= SECOND_WATCHER_FROM { 2 } else { 1 };
+    ranked.into_iter().take(count).map(str::to_owned).collect()
+}
+
+fn running_hosts(ctx: &proxy_context::ProxyContext) -> Vec<String> {
+    let running = ctx.members.values().filter(|member| member.removed_at.is_none());
+    let names = running.map(|member| member.record.host.as_str());
+    rendezvous_rank::rank(&ctx.identity.host, names).into_iter().map(str::to_owned).collect()
+}
+
+fn all_watchers(ctx: &proxy_context::ProxyContext) -> Vec<String> {
+    let centres: BTreeSet<&String> =
+        ctx.members.values().map(|member| &member.record.data_centre).collect();
+    centres.into_iter().flat_map(|centre| watchers(ctx, centre)).collect()
+}
+
+/// Sends the changes that a host lacks, unless they are more than `items_max` or than this host
+/// still sends before the next tick.
+fn send_changes(
+    ctx: &mut proxy_context::ProxyContext,
+    host: &str,
+    follower: Follower,
+    items_max: usize,
+) {
+    let Some(revision) = ctx.store.revision else { return };
+    let Some(member) = ctx.members.get(host) else { return };
+    let address = member.record.address.clone();
+    let (known, config, echoed_us, echo_incarnation) = follower.request;
+    let message = |after, revision, items, complete| peer_datagram::RelayedChanges {
+        host: ctx.identity.host.clone(),
+        after,
+        revision,
+        items,
+        complete,
+        age_us: ctx.now.since(ctx.store.synced_at).as_micros() as u64,
+        echoed_us,
+        echo_incarnation,
+    };
+    let parts = ctx.history.parts_after(known, config);
+    let count = parts.iter().flatten().map(|(_, _, items)| items.len()).sum::<usize>();
+    if count > items_max.min(ITEMS_PER_TICK_MAX.saturating_sub(ctx.relay.items_sent)) {
+        return;
+    }
+    let mut messages = Vec::new();
+    match parts {
+        Some(parts) => {
+            let mut end = known;
+            let last = parts.len();
+            for (number, (after, until, items)) in parts.into_iter().enumerate() {
+                end = until;
+                let complete = number + 1 == last && until >= revision;
+                messages.push(message(after, until, Some(items), complete));
+            }
+            match end {
+                _ if end < revision => messages.push(message(end, revision, None, false)),
+                _ if messages.is_empty() => {
+                    messages.push(message(known, revision, Some(Vec::new()), true));
+                }
+                _ => {}
+            }
+        }
+        None => messages.push(message(known, revision, None, false)),
+    }
+    ctx.relay.items_sent += count;
+    for changes in messages {
+        let message = peer_datagram::PeerDatagram::RelayedChanges(changes);
+        rate_limiter::send_datagram(ctx, address.clone(), message);
+    }
+}
+
+/// Returns the items as the store would have sent them; `None` if one is a patch of a version of
+/// the configuration that this host does not have.
+fn decode(
+    ctx: &proxy_context::ProxyContext,
+    items: Vec<peer_datagram::RelayedItem>,
+) -> Option<Vec<store_message::StoreItem>> {
+    let mut config = ctx.config.clone();
+    let mut decoded = Vec::with_capacity(items.len());
+    for item in items {
+        let body = match item.content {
+            None => None,
+            Some(peer_datagram::RelayedContent::Config(patch)) => {
+                let current = config.as_ref()?;
+                if current.version < patch.version {
+                    config = Some(Arc::new(patch.apply(current)?));
+                }
+                config.clone().map(store_message::ItemContent::Config)
+            }
+            Some(peer_datagram::RelayedContent::Endpoint(entry)) => {
+                Some(store_message::ItemContent::Endpoint(entry))
+            }
+            Some(peer_datagram::RelayedContent::Evacuation) => {
+                Some(store_message::ItemContent::Evacuation)
+            }
+            Some(peer_datagram::RelayedContent::Record(bytes)) => {
+                Some(store_message::ItemContent::Record(bytes))
+            }
+            Some(peer_datagram::RelayedContent::Unusable(detail)) => {
+                Some(store_message::ItemContent::Unusable { detail })
+            }
+        };
+        decoded.push(store_message::StoreItem {
+            subject: item.subject,
+            revision: item.revision,
+            body,
+        });
+    }
+    Some(decoded)
+}
--- a/src/proxy/heartbeat_flow.rs
+++ b/src/proxy/heartbeat_flow.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::core::clock_time;
+use crate::proxy::change_relay;
 use crate::proxy::failover_flow;
 use crate::proxy::group_view;
 use crate::proxy::peer_datagram;
@@ -31,6 +32,12 @@
         peer_datagram::PeerDatagram::TokenGiven { host, account, count } => {
             rate_limiter::on_token_reply(ctx, &host, &account, count);
         }
+        peer_datagram::PeerDatagram::ChangesRequest(request) => {
+            change_relay::on_request(ctx, &request);
+        }
+        peer_datagram::PeerDatagram::RelayedChanges(changes) => {
+            change_relay::on_changes(ctx, changes);
+        }
     }
 }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -5,6 +5,9 @@
 //! threads. An adapter converts a platform's wire formats to and from the typed messages of
 //! `proxy_message`, `store_message` and `endpoint_command`.
 
+pub mod change_history;
+pub mod change_relay;
+pub mod config_patch;
 pub mod connection_flow;
 pub mod connection_state;
 pub mod coordinator_election;
@@ -39,4 +42,5 @@
 pub mod store_record;
 pub mod store_session;
 pub mod store_sync;
+pub mod sync_source;
 pub mod witness_selection;
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::endpoint_message;
+use crate::proxy::config_patch;
+use crate::proxy::store_message;
 use crate::proxy::store_record;
 
 /// One host's observation of one group's primary.
@@ -58,8 +60,70 @@
     pub reply_requested: bool,
 }
 
-/// A datagram between hosts.
+/// Content of an item in the store, passed on to a peer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum RelayedContent {
+    /// A configuration, as the difference from the version that the receiver has.
+    Config(Box<config_patch::ConfigPatch>),
+    /// The registration of an endpoint.
+    Endpoint(store_message::EndpointRegistration),
+    /// The data centre is under evacuation.
+    Evacuation,
+    /// An encoded record of the proxy.
+    Record(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Content that the sender could not decode, and why.
+    Unusable(String),
+}
+
+/// A changed item in the store, passed on to a peer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayedItem {
+    /// What the item describes.
+    pub subject: store_message::ItemSubject,
+    /// Revision of the change.
+    pub revision: u64,
+    /// Content of the item; `None` when it was removed.
+    pub content: Option<RelayedContent>,
+}
+
+/// Asks a peer for the changes of the store that the sender lacks, and for later ones as they come.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangesRequest {
+    /// Name of the sender.
+    pub host: String,
+    /// Identifies the sender's process; later processes have higher numbers.
+    pub incarnation: u64,
+    /// Store revision up to which the sender knows all changes.
+    pub revision: u64,
+    /// Version of the sender's configuration; 0 for none.
+    pub config_version: u64,
+    /// Sending time in microseconds on the sender's clock.
+    pub sent_at_us: u64,
+}
+
+/// Changes of the store, from a peer that knows them.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayedChanges {
+    /// Name of the sender.
+    pub host: String,
+    /// Revision after which the changes apply.
+    pub after: u64,
+    /// Revision up to which the receiver knows all changes once it has applied them.
+    pub revision: u64,
+    /// The changes; `None` if the sender cannot deliver them.
+    pub items: Option<Vec<RelayedItem>>,
+    /// Whether these changes are all that the sender knows. Only then do the times below hold.
+    pub complete: bool,
+    /// Age of the sender's knowledge of the store in microseconds.
+    pub age_us: u64,
+    /// Sending time of the request that this answers, on the receiver's clock.
+    pub echoed_us: u64,
+    /// Incarnation of the receiver's process that sent the request.
+    pub echo_incarnation: u64,
+}
+
+/// A datagram between hosts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerDatagram {
     /// The state of the sender.
     #[serde(rename = "Pulse")]
@@ -84,4 +148,8 @@
         /// Number of tokens spent on the receiver's requests.
         count: u32,
     },
+    /// Asks for changes of the store.
+    ChangesRequest(ChangesRequest),
+    /// Changes of the store.
+    RelayedChanges(RelayedChanges),
 }
--- a/src/proxy/proxy_config.rs
+++ b/src/proxy/proxy_config.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
 /// Freshness that a route guarantees to reads.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// All reads and writes run on the primary.
     Primary,
@@ -43,7 +44,7 @@
 }
 
 /// A database name that callers connect to, and how its requests are served.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteObject {
     /// Name that callers connect with.
     pub database: String,
@@ -62,7 +63,7 @@
 }
 
 /// A group of databases.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupObject {
     /// Name of the group.
     pub name: String,
@@ -73,7 +74,7 @@
 }
 
 /// A client account.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AccountObject {
     /// Name of the account.
     pub name: String,
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -16,6 +16,8 @@
 use crate::core::state_chart;
 use crate::core::timer_queue;
 use crate::daemon::latency_histograms;
+use crate::proxy::change_history;
+use crate::proxy::change_relay;
 use crate::proxy::connection_state;
 use crate::proxy::endpoint_view;
 use crate::proxy::group_view;
@@ -93,6 +95,10 @@
     pub retries: u64,
     /// Requests to the store.
     pub store_calls: u64,
+    /// Replies of the store by purpose of the request and outcome.
+    pub store_replies: BTreeMap<(&'static str, &'static str), u64>,
+    /// Changes of the store that peers have delivered.
+    pub relayed_changes: u64,
     /// Datagrams sent to peers.
     pub datagrams: u64,
 }
@@ -190,6 +196,10 @@
     pub evacuations: BTreeMap<String, clock_time::ClockTime>,
     /// Store sync and membership of this host.
     pub store: store_session::StoreSession,
+    /// The latest changes of the store, for hosts that do not watch it.
+    pub history: change_history::ChangeHistory,
+    /// Relay of these changes between hosts.
+    pub relay: change_relay::RelayState,
     /// Pending store requests.
     pub store_calls: HashMap<core_message::CallId, store_session::StoreCall>,
     /// Pending promotions.
@@ -273,6 +283,8 @@
             config: None,
             evacuations: BTreeMap::new(),
             store: store_session::StoreSession::default(),
+            history: change_history::ChangeHistory::default(),
+            relay: change_relay::RelayState::default(),
             store_calls: HashMap::new(),
             promotions: HashMap::new(),
             roster: BTreeMap::new(),
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -5,6 +5,7 @@
 use anyhow::Result;
 
 use crate::core::clock_time;
+use crate::proxy::change_relay;
 use crate::proxy::connection_flow;
 use crate::proxy::coordinator_election;
 use crate::proxy::endpoint_flow;
@@ -132,6 +133,7 @@
         let next = ctx.now.after(ctx.tuning.tick);
         ctx.timers.push(next, proxy_context::ProxyTimer::Tick);
         store_sync::on_tick(ctx);
+        change_relay::on_tick(ctx);
         endpoint_flow::remove_deregistered(ctx);
         connection_flow::on_tick(ctx);
         connection_flow::probe_primaries(ctx);
@@ -161,15 +163,23 @@
         let refused: u64 = refused.values().sum();
         let served: Vec<String> =
             ctx.counts.served.iter().map(|(name, count)| format!("{name}:{count}")).collect();
+        let store_replies: Vec<String> = ctx
+            .counts
+            .store_replies
+            .iter()
+            .map(|((purpose, outcome), count)| format!("{purpose}/{outcome}:{count}"))
+            .collect();
         log::info!(
             "event=counts sessions={} connections={} replica_reads={} primary_reads={} connections_opened={} \
-             store_calls={} datagrams={} unserved={refused} served={}",
+             store_calls={} store_replies={} relayed_changes={} datagrams={} unserved={refused} served={}",
             ctx.sessions.len(),
             ctx.connections.len(),
             ctx.counts.replica_reads,
             ctx.counts.primary_reads,
             ctx.counts.connections_opened,
             ctx.counts.store_calls,
+            store_replies.join(","),
+            ctx.counts.relayed_changes,
             ctx.counts.datagrams,
             served.join(",")
         );
--- a/src/proxy/store_message.rs
+++ b/src/proxy/store_message.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::proxy::proxy_config;
 
 /// What an item in the store describes.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum ItemSubject {
     /// The operators' configuration.
     Config,
@@ -21,7 +23,7 @@
 }
 
 /// Registration of an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRegistration {
     /// Id of the endpoint.
     pub id: String,
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -14,7 +14,10 @@
     /// Reads one page of all items, for the first read or after the store's history was compacted.
     List,
     /// Waits for changes.
-    Watch,
+    Watch {
+        /// Revision after which changes are requested.
+        after: u64,
+    },
     /// Obtains the membership lease.
     MembershipLease,
     /// Writes this host's member record.
@@ -46,6 +49,25 @@
     IgnoreReply,
 }
 
+impl StorePurpose {
+    /// Returns the label of the purpose on the metrics page and in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Watch { .. } => "watch",
+            Self::MembershipLease => "membership_lease",
+            Self::MemberRecord { .. } => "member_record",
+            Self::RosterRecord => "roster_record",
+            Self::MembershipRenewal { .. } => "membership_renewal",
+            Self::CoordinatorLease => "coordinator_lease",
+            Self::CoordinatorRecord => "coordinator_record",
+            Self::CoordinatorRenewal => "coordinator_renewal",
+            Self::GroupRecord { .. } => "group_record",
+            Self::IgnoreReply => "other",
+        }
+    }
+}
+
 /// A pending store request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreCall {
@@ -68,6 +90,8 @@
 pub struct FullReading {
     /// Items of the pages read so far.
     pub items: Vec<store_message::StoreItem>,
+    /// When the first page was requested.
+    pub started_at: Option<clock_time::ClockTime>,
     /// Revision of the first page. The pages are not a snapshot, so changes are watched from this
     /// revision.
     pub revision: Option<u64>,
@@ -80,6 +104,8 @@
     pub revision: Option<u64>,
     /// The full read in progress.
     pub reading: Option<FullReading>,
+    /// Time up to which this host is certain to know all changes.
+    pub synced_at: clock_time::ClockTime,
     /// Revisions of the known items.
     pub known: BTreeMap<store_message::ItemSubject, u64>,
     /// When the store last replied.
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -12,6 +12,7 @@
 use crate::core::clock_time;
 use crate::core::rendezvous_rank;
 use crate::core::share_ledger;
+use crate::proxy::change_relay;
 use crate::proxy::coordinator_election;
 use crate::proxy::endpoint_flow;
 use crate::proxy::failover_flow;
@@ -25,6 +26,7 @@
 use crate::proxy::store_message;
 use crate::proxy::store_record;
 use crate::proxy::store_session;
+use crate::proxy::sync_source;
 use crate::proxy::witness_selection;
 
 /// Number of witnesses that keep short watches. With three, one may be cut off from the store and
@@ -35,6 +37,9 @@
 const CHANGES_PAUSE: Duration = Duration::from_millis(100);
 /// Most doublings of the pause between failed store requests.
 const PAUSE_DOUBLINGS_MAX: u32 = 2;
+/// The same for hosts of a large fleet that do not watch the store. All of them make requests
+/// when the store is down.
+const PAUSE_DOUBLINGS_MAX_FOLLOWER: u32 = 3;
 
 /// Sends the store requests that are due.
 pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
@@ -54,10 +59,10 @@
     call: &store_session::StoreCall,
     reply: store_message::StoreReply,
 ) {
-    record_outcome(ctx, &reply);
+    record_outcome(ctx, call, &reply);
     match &call.purpose {
-        store_session::StorePurpose::List => on_listed(ctx, reply),
-        store_session::StorePurpose::Watch => on_changed(ctx, reply),
+        store_session::StorePurpose::List => on_listed(ctx, call, reply),
+        store_session::StorePurpose::Watch { .. } => on_changed(ctx, call, reply),
         store_session::StorePurpose::MembershipLease => {
             membership_flow::on_lease_reply(ctx, call, &reply)
         }
@@ -85,7 +90,12 @@
     on_tick(ctx);
 }
 
-fn record_outcome(ctx: &mut proxy_context::ProxyContext, reply: &store_message::StoreReply) {
+fn record_outcome(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    reply: &store_message::StoreReply,
+) {
+    *ctx.counts.store_replies.entry((call.purpose.name(), reply_name(reply))).or_default() += 1;
     let failed =
         matches!(reply, store_message::StoreReply::NoReply | store_message::StoreReply::Refused);
     let age = ctx.now.since(ctx.store.last_reply_at).as_millis();
@@ -109,10 +119,14 @@
     }
 }
 
+fn is_watch(call: &store_session::StoreCall) -> bool {
+    matches!(call.purpose, store_session::StorePurpose::Watch { .. })
+}
+
 /// Abandons the pending watch: after an outage the store may have forgotten it.
 fn abandon_watch(ctx: &mut proxy_context::ProxyContext) {
     let before = ctx.store_calls.len();
-    ctx.store_calls.retain(|_, call| call.purpose != store_session::StorePurpose::Watch);
+    ctx.store_calls.retain(|_, call| !is_watch(call));
     if ctx.store_calls.len() < before {
         ctx.store.read_pending = false;
         ctx.store.next_read = ctx.now;
@@ -131,8 +145,7 @@
 /// long.
 fn reopen_stale_watch(ctx: &mut proxy_context::ProxyContext) {
     let Some(since) = ctx.store.behind_since else { return };
-    let watch = store_session::StorePurpose::Watch;
-    let old = ctx.store_calls.values().any(|call| call.purpose == watch && call.sent < since);
+    let old = ctx.store_calls.values().any(|call| is_watch(call) && call.sent < since);
     if old && ctx.now.since(since) >= ctx.tuning.watch_lag_limit {
         log::info!("event=watch_behind revision={:?}", ctx.store.revision);
         abandon_watch(ctx);
@@ -160,21 +173,22 @@
 
 /// Returns when a store request may be retried after a failure.
 pub fn retry_time(ctx: &mut proxy_context::ProxyContext) -> clock_time::ClockTime {
-    let doublings = ctx.store.failures.min(PAUSE_DOUBLINGS_MAX);
+    let follower = !ctx.all_witnesses() && !change_relay::is_watcher(ctx);
+    let doublings_max = if follower { PAUSE_DOUBLINGS_MAX_FOLLOWER } else { PAUSE_DOUBLINGS_MAX };
+    let doublings = ctx.store.failures.min(doublings_max);
     let delay = ctx.tuning.store_pause * (1 << doublings);
     let delay = ctx.with_jitter(delay);
     ctx.now.after(delay)
 }
 
 fn continue_reading(ctx: &mut proxy_context::ProxyContext) {
-    ctx.store.read_pending = true;
     let (purpose, request) = match (&ctx.store.reading, ctx.store.revision) {
         (None, Some(after)) => {
-            let long_wait = ctx.store.behind_since.is_none() && !keeps_short_watch(ctx);
-            let wait =
-                if long_wait { ctx.tuning.watch_wait_long } else { ctx.tuning.watch_wait_short };
+            let sync_source::SyncSource::Store(wait) = sync_source::choose(sync_inputs(ctx)) else {
+                return;
+            };
             let request = store_message::StoreRequest::Watch { after, wait };
-            (store_session::StorePurpose::Watch, request)
+            (store_session::StorePurpose::Watch { after }, request)
         }
         _ => {
             ctx.store.reading = Some(store_session::FullReading::default());
@@ -182,16 +196,37 @@
             (store_session::StorePurpose::List, request)
         }
     };
+    ctx.store.read_pending = true;
     ctx.call_store(purpose, request);
 }
 
-fn on_listed(ctx: &mut proxy_context::ProxyContext, reply: store_message::StoreReply) {
+fn sync_inputs(ctx: &proxy_context::ProxyContext) -> sync_source::SyncInputs {
+    let all_watch = ctx.all_witnesses();
+    sync_source::SyncInputs {
+        all_watch,
+        watcher: !all_watch && change_relay::is_watcher(ctx),
+        short_watch: all_watch && keeps_short_watch(ctx),
+        registration_known: ctx.store.knows_own_registration(),
+        age: ctx.now.since(ctx.store.synced_at),
+        behind_for: ctx.store.behind_since.map(|since| ctx.now.since(since)),
+        changes_missing: ctx.relay.changes_missing,
+        wait_short: ctx.tuning.watch_wait_short,
+        wait_long: ctx.tuning.watch_wait_long,
+    }
+}
+
+fn on_listed(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    reply: store_message::StoreReply,
+) {
     ctx.store.read_pending = false;
     let store_message::StoreReply::Listed { items, next, revision } = reply else {
         ctx.store.next_read = retry_time(ctx);
         return;
     };
     let reading = ctx.store.reading.get_or_insert_default();
+    let started_at = *reading.started_at.get_or_insert(call.sent);
     reading.items.extend(items);
     let first = *reading.revision.get_or_insert(revision);
     if next.is_some() {
@@ -214,30 +249,59 @@
         })
         .collect();
     log::info!("event=store_read items={} revision={first}", reading.items.len());
-    ctx.store.revision = Some(first);
     ctx.store.behind_since = None;
-    apply_items(ctx, removed);
-    apply_items(ctx, reading.items);
+    ctx.relay.changes_missing = false;
+    ctx.store.synced_at = ctx.store.synced_at.max(started_at);
+    let Some(known) = ctx.store.revision else {
+        ctx.store.revision = Some(first);
+        return apply_and_advance(ctx, reading.items);
+    };
+    let changed = reading.items.into_iter().filter(|item| item.revision > known);
+    let items: Vec<store_message::StoreItem> = removed.into_iter().chain(changed).collect();
+    apply_changes(ctx, known, first, items);
+}
+
+/// Records the changes after one revision up to another, passes them on to the hosts that requested
+/// them, and applies them.
+pub fn apply_changes(
+    ctx: &mut proxy_context::ProxyContext,
+    after: u64,
+    revision: u64,
+    items: Vec<store_message::StoreItem>,
+) {
+    let known = ctx.store.revision.unwrap_or(0);
+    ctx.history.add(after.max(known), revision, &items);
+    ctx.store.revision = Some(revision.max(known));
+    if items.is_empty() {
+        return;
+    }
+    change_relay::notify_followers(ctx);
+    apply_and_advance(ctx, items);
+}
+
+fn apply_and_advance(ctx: &mut proxy_context::ProxyContext, items: Vec<store_message::StoreItem>) {
+    apply_items(ctx, items);
     witness_selection::update_witnesses(ctx);
     rate_limiter::allocate_shares(ctx);
     failover_flow::advance_all(ctx);
 }
 
-fn on_changed(ctx: &mut proxy_context::ProxyContext, reply: store_message::StoreReply) {
+fn on_changed(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    reply: store_message::StoreReply,
+) {
     ctx.store.read_pending = false;
     match reply {
         store_message::StoreReply::Changed { items, revision } => {
             ctx.store.behind_since = None;
-            ctx.store.revision = Some(revision.max(ctx.store.revision.unwrap_or(0)));
-            if !items.is_empty() {
-                if !ctx.all_witnesses() {
-                    ctx.store.next_read = ctx.now.after(CHANGES_PAUSE);
-                }
-                apply_items(ctx, items);
-                witness_selection::update_witnesses(ctx);
-                rate_limiter::allocate_shares(ctx);
-                failover_flow::advance_all(ctx);
+            ctx.relay.changes_missing = false;
+            ctx.store.synced_at = ctx.store.synced_at.max(call.sent);
+            if !items.is_empty() && !ctx.all_witnesses() {
+                ctx.store.next_read = ctx.now.after(CHANGES_PAUSE);
             }
+            let store_session::StorePurpose::Watch { after } = call.purpose else { return };
+            apply_changes(ctx, after, revision, items);
         }
         store_message::StoreReply::HistoryCompacted => {
             log::warn!("event=store_history_compacted revision={:?}", ctx.store.revision);
@@ -325,6 +389,7 @@
             ctx.account_names.insert(name.clone(), account);
         }
     }
+    ctx.history.add_config(config.clone());
     ctx.config = Some(config);
 }
 
--- a/tests/proxy_fakes/fake_store.rs
+++ b/tests/proxy_fakes/fake_store.rs
@@ -29,6 +29,7 @@
     host: usize,
     call: core_message::CallId,
     after: u64,
+    expires_at: u64,
 }
 
 /// A fake store.
@@ -86,7 +87,7 @@
         closed.into_iter().map(|watch| (watch.host, watch.call, reply.clone())).collect()
     }
 
-    /// Ends the leases that have expired by `now`, in microseconds.
+    /// Ends the leases and the watches that have expired by `now`, in microseconds.
     pub(crate) fn expire(&mut self, now: u64) -> Vec<AddressedReply> {
         let expired: Vec<u64> = self
             .leases
@@ -97,7 +98,20 @@
         for lease in expired {
             self.end_lease(lease);
         }
-        if self.mode == StoreMode::Up { self.reply_to_watches() } else { Vec::new() }
+        if self.mode != StoreMode::Up {
+            return Vec::new();
+        }
+        let mut replies = self.reply_to_watches();
+        let revision = self.revision;
+        self.watches.retain(|watch| {
+            if watch.expires_at > now {
+                return true;
+            }
+            let reply = store_message::StoreReply::Changed { items: Vec::new(), revision };
+            replies.push((watch.host, watch.call, reply));
+            false
+        });
+        replies
     }
 
     /// Handles a call. A watch gets its reply once there is a change to report.
@@ -124,8 +138,9 @@
                 let items = items.collect();
                 store_message::StoreReply::Listed { items, next: None, revision: self.revision }
             }
-            store_message::StoreRequest::Watch { after, .. } => {
-                self.watches.push(FakeWatch { host, call, after });
+            store_message::StoreRequest::Watch { after, wait } => {
+                let expires_at = now + wait.as_micros() as u64;
+                self.watches.push(FakeWatch { host, call, after, expires_at });
                 return self.reply_to_watches();
             }
             store_message::StoreRequest::GrantLease { ttl } => {
@@ -179,6 +194,11 @@
         vec![(host, call, reply)]
     }
 
+    /// Returns the revision of the last change.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Drops all watches without a reply.
     pub(crate) fn drop_watches(&mut self) {
         self.watches.clear();
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -15,6 +15,7 @@
 use quetzaldeal::core::core_message;
 use quetzaldeal::core::request_verdict;
 use quetzaldeal::proxy::endpoint_command;
+use quetzaldeal::proxy::peer_datagram;
 use quetzaldeal::proxy::proxy_config;
 use quetzaldeal::proxy::proxy_context;
 use quetzaldeal::proxy::proxy_core;
@@ -193,6 +194,9 @@
     pub(crate) response_loss: f64,
     /// Fraction of the datagrams between hosts that is lost.
     pub(crate) datagram_loss: f64,
+    /// Hosts that run the build without a relay of changes: they neither send nor understand its
+    /// datagrams.
+    pub(crate) hosts_without_relay: BTreeSet<usize>,
     config: proxy_config::ProxyConfig,
     hosts: Vec<FakeHost>,
     partitions: BTreeSet<(PartitionSide, PartitionSide)>,
@@ -239,6 +243,7 @@
             executions: BTreeMap::new(),
             response_loss: 0.0,
             datagram_loss: 0.0,
+            hosts_without_relay: BTreeSet::new(),
             config: build_config(accounts),
             hosts: Vec::new(),
             partitions: BTreeSet::new(),
@@ -461,6 +466,21 @@
         &self.hosts[host].core
     }
 
+    /// Returns a host's clock at a virtual time in microseconds.
+    pub(crate) fn host_clock(&self, host: usize, at: u64) -> clock_time::ClockTime {
+        clock_time::ClockTime::from_micros(at.saturating_sub(self.hosts[host].clock_lag_us))
+    }
+
+    /// Returns the configuration as last published.
+    pub(crate) fn published(&self) -> &proxy_config::ProxyConfig {
+        &self.config
+    }
+
+    /// Returns whether the process of a host runs.
+    pub(crate) fn alive(&self, host: usize) -> bool {
+        self.hosts[host].alive
+    }
+
     /// Returns whether a host reports that it is ready for new callers.
     pub(crate) fn ready(&self, host: usize) -> bool {
         self.hosts[host].ready
@@ -778,8 +798,15 @@
             proxy_message::ProxyAction::SendDatagram { address, message } => {
                 let peer = (0..self.hosts.len()).find(|peer| peer_address(*peer) == address);
                 let Some(peer) = peer else { return };
-                let lost =
-                    self.datagram_loss > 0.0 && self.rng.random::<f64>() < self.datagram_loss;
+                let relay = matches!(
+                    message,
+                    peer_datagram::PeerDatagram::ChangesRequest(_)
+                        | peer_datagram::PeerDatagram::RelayedChanges(_)
+                );
+                let unknown = relay
+                    && [host, peer].iter().any(|side| self.hosts_without_relay.contains(side));
+                let lost = unknown
+                    || (self.datagram_loss > 0.0 && self.rng.random::<f64>() < self.datagram_loss);
                 if !lost && self.can_reach(&PartitionSide::Host(host), &PartitionSide::Host(peer)) {
                     let incarnation = self.hosts[peer].incarnation;
                     let event = proxy_message::ProxyEvent::DatagramReceived { message };
