fix(proxy): a coordinator that is no witness notices an unresponsive primary

Cause: a failover begins only if the coordinator's own observation agrees with the witnesses', and only witnesses probed primaries. A host that took the role before a witness had registered, and sent the primary no statements, never replaced it: no service of the group until the role changed hands. Ruled out: relying on the witnesses alone; their reports may be about another path. Change: the coordinator probes primaries, too. Failed first: coordinator_that_is_no_witness_replaces_a_crashed_primary (no write within 30 s).

--- a/src/proxy/connection_flow.rs
+++ b/src/proxy/connection_flow.rs
@@ -365,7 +365,8 @@
 /// Probes primaries that have not responded for a while, which shows whether they run and how far
 /// their logs have grown. Witnesses do so for all hosts.
 pub fn probe_primaries(ctx: &mut proxy_context::ProxyContext) {
-    if !ctx.is_witness() {
+    // The coordinator needs an observation of its own to begin a failover.
+    if !ctx.is_witness() && ctx.fencing_token().is_none() {
         return;
     }
     let groups: Vec<arena_keys::GroupKey> = ctx.groups.keys().collect();
--- a/tests/proxy_scale.rs
+++ b/tests/proxy_scale.rs
@@ -161,6 +161,27 @@
         assert!(outage < Duration::from_secs(17), "{outage:?}");
         assert_ne!(fleet.primary_id(), "db0");
     };
+    // Guards against a crashed primary that is not replaced because the coordinator is no witness and
+    // has not observed it: such a host takes the role while no witness has registered yet.
+    coordinator_that_is_no_witness_replaces_a_crashed_primary: |fleet| {
+        let witnesses = witnesses(fleet);
+        for host in &witnesses {
+            fleet.partition(PartitionSide::Host(*host), PartitionSide::Store);
+        }
+        fleet.run(millis(4_000));
+        let coordinator = (0..HOSTS).find(|host| fleet.core(*host).context().fencing_token().is_some());
+        let coordinator = coordinator.expect("no host has the coordinator role");
+        assert!(!witnesses.contains(&coordinator));
+        fleet.heal_partitions();
+        fleet.run(millis(1_000));
+        // The coordinator itself serves no callers.
+        let other = (0..HOSTS).find(|host| *host != coordinator && !witnesses.contains(host)).unwrap();
+        let caller = fleet.open(other, "large", "strict");
+        fleet.crash("db0", false);
+        let outage = write_outage(fleet, other, caller);
+        assert!(outage < Duration::from_secs(17), "{outage:?}");
+        assert_ne!(fleet.primary_id(), "db0");
+    };
     // Guards against lost writes and stale reads through a host that does not learn of a failover:
     // it reaches only the old primary, which no other host reaches, and its leases have to stop it.
     isolated_host_stops_using_replaced_primary: |fleet| {
