perf(proxy): fewer renewals, claims and reads of the store in a large fleet

Change: the membership lease is renewed every 0.55 s instead of 0.35 s in a fleet with more hosts than witnesses, counted from the request; its duration stays. The first watch waits until the host is registered; a host that gets changes from peers pauses 0.4 s after changes that it had to read itself, and is told when a peer has more than it sends unasked. Claims begin 0.3 s after the registration, in turn. Being reachable is judged by two renewals, as before.

--- a/src/proxy/change_relay.rs
+++ b/src/proxy/change_relay.rs
@@ -144,9 +144,9 @@
         }
         return;
     };
-    // Changes in between may be lost or still under way; the next request gets them again.
+    // Changes in between were lost or not sent yet; the next request gets them.
     if changes.after > known {
-        return;
+        return store_sync::note_peer_revision(ctx, changes.after);
     }
     if changes.revision > known {
         let Some(items) = decode(ctx, items) else {
@@ -213,26 +213,25 @@
         echo_incarnation,
     };
     let parts = ctx.history.parts_after(known, config);
-    let count = parts.iter().flatten().map(|(_, _, items)| items.len()).sum::<usize>();
-    if count > items_max.min(ITEMS_PER_TICK_MAX.saturating_sub(ctx.relay.items_sent)) {
-        return;
-    }
+    let mut count = parts.iter().flatten().map(|(_, _, items)| items.len()).sum::<usize>();
     let mut messages = Vec::new();
     match parts {
+        _ if count > items_max.min(ITEMS_PER_TICK_MAX.saturating_sub(ctx.relay.items_sent)) => {
+            // Only announces the revision, so that the receiver requests the changes soon.
+            count = 0;
+            messages.push(message(revision, revision, Some(Vec::new()), false));
+        }
         Some(parts) => {
-            let mut end = known;
             let last = parts.len();
+            let end = parts.last().map_or(known, |(_, until, _)| *until);
             for (number, (after, until, items)) in parts.into_iter().enumerate() {
-                end = until;
                 let complete = number + 1 == last && until >= revision;
                 messages.push(message(after, until, Some(items), complete));
             }
-            match end {
-                _ if end < revision => messages.push(message(end, revision, None, false)),
-                _ if messages.is_empty() => {
-                    messages.push(message(known, revision, Some(Vec::new()), true));
-                }
-                _ => {}
+            if end < revision {
+                messages.push(message(end, revision, None, false));
+            } else if messages.is_empty() {
+                messages.push(message(known, revision, Some(Vec::new()), true));
             }
         }
         None => messages.push(message(known, revision, None, false)),
--- a/src/proxy/coordinator_election.rs
+++ b/src/proxy/coordinator_election.rs
@@ -15,6 +15,9 @@
 
 /// Delay between the hosts' turns to claim a vacant coordinator role.
 const CLAIM_TURN: Duration = Duration::from_millis(150);
+/// How long a host has been registered before it claims the role, so that it knows the hosts that
+/// start with it; otherwise, all would claim at once.
+const CLAIM_SETTLING: Duration = Duration::from_millis(300);
 /// Pause after a failed claim.
 const CLAIM_PAUSE: Duration = Duration::from_millis(400);
 
@@ -29,7 +32,10 @@
     if !ctx.store.membership_valid(ctx.now) {
         return;
     }
+    let registered_at = ctx.store.first_registered_at.unwrap_or(ctx.now);
+    let settled_at = registered_at.after(CLAIM_SETTLING);
     match &ctx.coordinator.record {
+        None if ctx.now < settled_at => {}
         Some((record, _)) if record.host != ctx.identity.host => {}
         Some((record, _)) if record.incarnation == ctx.identity.incarnation => renew(ctx),
         Some(_) => claim(ctx),
@@ -41,7 +47,8 @@
             ranked.sort_by_key(|host| !ctx.witnesses.hosts.iter().any(|other| other == host));
             let turn = ranked.iter().position(|host| *host == ctx.identity.host);
             let turn = turn.unwrap_or(ranked.len()) as u32;
-            if ctx.now.since(ctx.coordinator.vacant_since) >= CLAIM_TURN * turn {
+            let since = ctx.coordinator.vacant_since.max(settled_at);
+            if ctx.now.since(since) >= CLAIM_TURN * turn {
                 claim(ctx);
             }
         }
--- a/src/proxy/membership_flow.rs
+++ b/src/proxy/membership_flow.rs
@@ -93,8 +93,8 @@
             log::info!("event=registered lease={lease} revision={revision}");
             ctx.store.registered = Some(*revision);
             ctx.store.first_registered.get_or_insert(*revision);
-            let renewal = ctx.tuning.host_renewal;
-            ctx.store.next_lease = ctx.now.after(renewal);
+            ctx.store.first_registered_at.get_or_insert(ctx.now);
+            ctx.store.next_lease = ctx.now.after(ctx.host_renewal());
         }
         store_message::StoreReply::LeaseExpired => {
             ctx.store.lease = None;
@@ -119,8 +119,8 @@
         store_message::StoreReply::LeaseGranted { ttl, .. } => {
             let until = call.lease_end(*ttl, ctx.tuning.lease_margin);
             ctx.store.lease_until = ctx.store.lease_until.max(until);
-            let renewal = ctx.tuning.host_renewal;
-            ctx.store.next_lease = ctx.now.after(renewal);
+            // Counted from the request, so that slow replies do not shorten what is left.
+            ctx.store.next_lease = call.sent.after(ctx.host_renewal());
         }
         store_message::StoreReply::LeaseExpired => {
             log::warn!("event=membership_lost lease={lease}");
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -398,6 +398,14 @@
         self.witnesses.hosts.len() == self.roster.len()
     }
 
+    /// Returns the interval between renewals of the membership lease.
+    pub fn host_renewal(&self) -> Duration {
+        match self.all_witnesses() {
+            true => self.tuning.host_renewal,
+            false => self.tuning.host_renewal_large,
+        }
+    }
+
     /// Returns whether the membership lease is about to expire, so that this host needs a quorum
     /// lease.
     pub fn needs_quorum(&self) -> bool {
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -22,9 +22,9 @@
 use crate::proxy::store_sync;
 use crate::proxy::witness_selection;
 
-/// How recently the store or most witnesses must have replied for the host to count as connected.
-/// Covers two renewals of the membership lease.
-const REACHABLE_WITHIN: Duration = Duration::from_millis(700);
+/// Renewals of the membership lease within which the store or most witnesses must have replied for
+/// the host to count as connected.
+const REACHABLE_RENEWALS: u32 = 2;
 /// Time without the store and without a quorum after which the host reports itself not ready for
 /// new callers.
 const UNREACHABLE_GRACE: Duration = Duration::from_millis(100);
@@ -143,7 +143,7 @@
         coordinator_election::on_tick(ctx);
         failover_flow::advance_all(ctx);
         witness_selection::expire_past_sets(ctx);
-        if ctx.store_or_quorum_reachable(REACHABLE_WITHIN) {
+        if ctx.store_or_quorum_reachable(ctx.host_renewal() * REACHABLE_RENEWALS) {
             ctx.last_reachable = ctx.now;
         }
         Self::end_idle_transactions(ctx);
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -15,6 +15,9 @@
     pub quorum_lease: Duration,
     /// Interval between renewals of the membership lease.
     pub host_renewal: Duration,
+    /// The same in a fleet with more hosts than witnesses, where renewals are most of the requests
+    /// to the store.
+    pub host_renewal_large: Duration,
     /// Duration of the coordinator lease.
     pub coordinator_lease: Duration,
     /// Interval between renewals of the coordinator lease.
@@ -81,6 +84,7 @@
             host_lease: Duration::from_millis(1_300),
             quorum_lease: Duration::from_millis(900),
             host_renewal: Duration::from_millis(350),
+            host_renewal_large: Duration::from_millis(550),
             coordinator_lease: Duration::from_millis(1_500),
             coordinator_renewal: Duration::from_millis(400),
             lease_margin: Duration::from_millis(150),
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -102,6 +102,8 @@
 pub struct StoreSession {
     /// Revision up to which this host knows all changes; `None` before the first full read.
     pub revision: Option<u64>,
+    /// When the first full read was complete.
+    pub listed_at: Option<clock_time::ClockTime>,
     /// The full read in progress.
     pub reading: Option<FullReading>,
     /// Time up to which this host is certain to know all changes.
@@ -127,6 +129,8 @@
     pub registered: Option<u64>,
     /// Revision of the first member record that this process wrote.
     pub first_registered: Option<u64>,
+    /// When that record was written.
+    pub first_registered_at: Option<clock_time::ClockTime>,
     /// Whether a request about the lease, the roster entry or the member record is pending.
     pub lease_call_pending: bool,
     /// When the next such request may be sent.
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -35,6 +35,11 @@
 /// Pause before the next watch after one that returned changes, in fleets where not every host is a
 /// witness. Changes come in groups, and each one alone would wake all hosts.
 const CHANGES_PAUSE: Duration = Duration::from_millis(100);
+/// The same for hosts that get changes from peers.
+const CHANGES_PAUSE_FOLLOWER: Duration = Duration::from_millis(400);
+/// How long the first watch waits until this host is registered, so that it returns the changes up
+/// to the registration at once.
+const REGISTRATION_WAIT: Duration = Duration::from_millis(300);
 /// Most doublings of the pause between failed store requests.
 const PAUSE_DOUBLINGS_MAX: u32 = 2;
 /// The same for hosts of a large fleet that do not watch the store. All of them make requests
@@ -182,6 +187,10 @@
 }
 
 fn continue_reading(ctx: &mut proxy_context::ProxyContext) {
+    let registering = ctx.store.first_registered.is_none() && ctx.stopping.is_none();
+    if registering && ctx.store.listed_at.is_some_and(|at| ctx.now.since(at) < REGISTRATION_WAIT) {
+        return;
+    }
     let (purpose, request) = match (&ctx.store.reading, ctx.store.revision) {
         (None, Some(after)) => {
             let sync_source::SyncSource::Store(wait) = sync_source::choose(sync_inputs(ctx)) else {
@@ -254,6 +263,7 @@
     ctx.store.synced_at = ctx.store.synced_at.max(started_at);
     let Some(known) = ctx.store.revision else {
         ctx.store.revision = Some(first);
+        ctx.store.listed_at = Some(ctx.now);
         return apply_and_advance(ctx, reading.items);
     };
     let changed = reading.items.into_iter().filter(|item| item.revision > known);
@@ -298,7 +308,10 @@
             ctx.relay.changes_missing = false;
             ctx.store.synced_at = ctx.store.synced_at.max(call.sent);
             if !items.is_empty() && !ctx.all_witnesses() {
-                ctx.store.next_read = ctx.now.after(CHANGES_PAUSE);
+                let follower = ctx.store.knows_own_registration() && !change_relay::is_watcher(ctx);
+                let pause = if follower { CHANGES_PAUSE_FOLLOWER } else { CHANGES_PAUSE };
+                let pause = ctx.with_jitter(pause);
+                ctx.store.next_read = ctx.now.after(pause);
             }
             let store_session::StorePurpose::Watch { after } = call.purpose else { return };
             apply_changes(ctx, after, revision, items);
