fix(limit): searches for tokens of an account over its rate grow apart

Cause: a host whose callers wait for a token asks all home hosts, and again 10 ms after all had none. Of an account far over its rate every host does so, about 900 requests a second and host. Ruled out: heartbeats as the cause (at most 33 kB/s in the same fleet after losses, configurations and outages: five new checks). Change: the pause after a fruitless search doubles up to 0.32 s, until a token is found. A request that would wait longer than it may for the next search is refused at once. Failed first: account_far_over_its_rate_fills_no_link (130,325 bytes per second, at most a third of 2 Mbit/s allowed); it also checks that the account still gets nine tenths of its rate.

--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -127,6 +127,10 @@
     pub next_peer: usize,
     /// Consecutive replies without tokens.
     pub empty_replies: usize,
+    /// Consecutive searches of all home hosts that found no token.
+    pub fruitless_searches: u32,
+    /// When the next search may begin.
+    pub next_search: clock_time::ClockTime,
     /// Until when all peers are assumed to be out of tokens.
     pub exhausted_until: clock_time::ClockTime,
 }
--- a/src/proxy/rate_limiter.rs
+++ b/src/proxy/rate_limiter.rs
@@ -33,8 +33,11 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(12);
 /// How long no token requests are sent to an unresponsive peer.
 pub const SKIP_DURATION: Duration = Duration::from_millis(500);
-/// Pause after a round in which no peer had tokens.
-const FRUITLESS_ROUND_PAUSE: Duration = Duration::from_millis(10);
+/// Pause after the first search in which no home host had a token; doubled with each further one.
+/// Hundreds of hosts would otherwise fill the links of the home hosts of an account over its rate.
+const FRUITLESS_SEARCH_PAUSE: Duration = Duration::from_millis(10);
+/// Most doublings of that pause.
+const FRUITLESS_DOUBLINGS_MAX: u32 = 5;
 /// How long an account counts as exhausted after a round without tokens. During that time only as
 /// many requests as `waiting_allowance` returns may wait; others are refused at once.
 const EXHAUSTED_FOR: Duration = Duration::from_millis(30);
@@ -213,12 +216,15 @@
     if view.waiting.len() >= WAITING_MAX || exhausted {
         return request_flow::refuse(ctx, request, request_verdict::VerdictCause::OverRate);
     }
+    let until =
+        now.after(ctx.tuning.token_wait.min(ctx.requests[request].route.target_latency / 2));
     let home = ctx.accounts[account].homes.contains(&ctx.identity.host);
+    if !home && ctx.accounts[account].next_search > until {
+        return request_flow::refuse(ctx, request, request_verdict::VerdictCause::OverRate);
+    }
     if !home && reachable_homes(ctx, account).next().is_none() {
         return request_flow::refuse(ctx, request, request_verdict::VerdictCause::ShareClosed);
     }
-    let until =
-        now.after(ctx.tuning.token_wait.min(ctx.requests[request].route.target_latency / 2));
     ctx.accounts[account].waiting.push_back(request);
     ctx.requests[request].phase = pending_request::RequestPhase::AwaitingShare { until };
     ctx.timers.push(until, proxy_context::ProxyTimer::Request(request));
@@ -262,6 +268,7 @@
     if count > 0 {
         view.ledger.add_prepaid_tokens(now, count);
         view.empty_replies = 0;
+        view.fruitless_searches = 0;
     } else {
         view.empty_replies += 1;
     }
@@ -277,10 +284,13 @@
     // they got one.
     view.empty_replies = 0;
     view.requested_at = now;
-    view.exhausted_until = now.after(EXHAUSTED_FOR);
+    let doublings = view.fruitless_searches.min(FRUITLESS_DOUBLINGS_MAX);
+    view.fruitless_searches += 1;
+    view.next_search = now.after(FRUITLESS_SEARCH_PAUSE * (1 << doublings));
+    view.exhausted_until = now.after(EXHAUSTED_FOR).max(view.next_search);
     let keep = waiting_allowance(view, ctx.tuning.token_wait).min(view.waiting.len());
     let refused = view.waiting.split_off(keep);
-    ctx.timers.push(now.after(FRUITLESS_ROUND_PAUSE), proxy_context::ProxyTimer::Share(account));
+    ctx.timers.push(view.next_search, proxy_context::ProxyTimer::Share(account));
     for request in refused {
         request_flow::refuse(ctx, request, request_verdict::VerdictCause::OverRate);
     }
@@ -300,7 +310,7 @@
     }
     let view = &ctx.accounts[account];
     // Each round sets its own timer; only that of the latest round has an effect.
-    if !view.waiting.is_empty() && ctx.now.since(view.requested_at) >= FRUITLESS_ROUND_PAUSE {
+    if !view.waiting.is_empty() && ctx.now.since(view.requested_at) >= FRUITLESS_SEARCH_PAUSE {
         request_tokens(ctx, account);
     }
 }
@@ -332,7 +342,7 @@
 fn request_tokens(ctx: &mut proxy_context::ProxyContext, account: arena_keys::AccountKey) {
     let now = ctx.now;
     let view = &ctx.accounts[account];
-    if now.since(view.requested_at) < ROUND_INTERVAL_MIN {
+    if now.since(view.requested_at) < ROUND_INTERVAL_MIN || now < view.next_search {
         return;
     }
     let waiting = view.waiting.len();
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -397,6 +397,8 @@
                 pending_peers: Vec::new(),
                 next_peer: 0,
                 empty_replies: 0,
+                fruitless_searches: 0,
+                next_search: clock_time::ClockTime::default(),
                 exhausted_until: clock_time::ClockTime::default(),
             });
             ctx.account_names.insert(name.clone(), account);
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -194,6 +194,8 @@
     pub(crate) response_loss: f64,
     /// Fraction of the datagrams between hosts that is lost.
     pub(crate) datagram_loss: f64,
+    /// Bytes of the datagrams that each host has sent.
+    pub(crate) datagram_bytes: BTreeMap<usize, usize>,
     /// Hosts that run the build without a relay of changes: they neither send nor understand its
     /// datagrams.
     pub(crate) hosts_without_relay: BTreeSet<usize>,
@@ -243,6 +245,7 @@
             executions: BTreeMap::new(),
             response_loss: 0.0,
             datagram_loss: 0.0,
+            datagram_bytes: BTreeMap::new(),
             hosts_without_relay: BTreeSet::new(),
             config: build_config(accounts),
             hosts: Vec::new(),
@@ -798,6 +801,8 @@
             proxy_message::ProxyAction::SendDatagram { address, message } => {
                 let peer = (0..self.hosts.len()).find(|peer| peer_address(*peer) == address);
                 let Some(peer) = peer else { return };
+                let bytes = rmp_serde::to_vec(&message).map_or(0, |bytes| bytes.len());
+                *self.datagram_bytes.entry(host).or_default() += bytes;
                 let relay = matches!(
                     message,
                     peer_datagram::PeerDatagram::ChangesRequest(_)
--- a/tests/proxy_scale.rs
+++ b/tests/proxy_scale.rs
@@ -405,3 +405,96 @@
     // One read of all items and two watches, and those of the three watchers in 2.5 s.
     assert!(reads <= 60 * 3 + 3 * 25, "{reads} reads");
 }
+
+/// Hosts of a fleet large enough that messages which name every absent host would fill a link.
+const LARGE_FLEET: usize = 120;
+/// A third of a link of 2 Mbit/s, in bytes per second. The rest is for requests of callers.
+const DATAGRAM_BYTES_MAX: usize = 83_000;
+
+/// Returns the bytes per second of datagrams that the busiest host sends in 3 s.
+fn busiest_datagram_rate(fleet: &mut ProxyFleet) -> usize {
+    fleet.datagram_bytes.clear();
+    fleet.run(millis(3_000));
+    fleet.datagram_bytes.values().max().copied().unwrap_or(0) / 3
+}
+
+/// Declares a test for each name, which checks the datagrams of the busiest host in a large fleet
+/// after something happened.
+macro_rules! datagram_loads {
+    ($($name:ident: $event:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut fleet = start_fleet(LARGE_FLEET);
+                fleet.run(millis(4_000));
+                let event: fn(&mut ProxyFleet) = $event;
+                event(&mut fleet);
+                let rate = busiest_datagram_rate(&mut fleet);
+                assert!(rate <= DATAGRAM_BYTES_MAX, "{rate} bytes per second");
+            }
+        )*
+    };
+}
+
+datagram_loads! {
+    datagrams_of_a_calm_fleet_fit_a_small_link: |_| {};
+    datagrams_after_the_loss_of_a_data_centre_fit_a_small_link: |fleet| {
+        for host in (0..LARGE_FLEET).filter(|host| host % 3 == 0) {
+            fleet.kill_host(host);
+        }
+        fleet.run(millis(1_500));
+    };
+    datagrams_after_a_configuration_fit_a_small_link: |fleet| {
+        fleet.reconfigure(|config| {
+            config.accounts.get_mut("small").unwrap().rate = 30.0;
+        });
+    };
+    datagrams_during_an_outage_of_the_store_fit_a_small_link: |fleet| {
+        fleet.store.mode = fake_store::StoreMode::Unresponsive;
+        fleet.run(millis(1_500));
+    };
+    datagrams_after_a_loss_and_a_configuration_fit_a_small_link: |fleet| {
+        for host in (0..LARGE_FLEET).filter(|host| host % 3 == 0) {
+            fleet.kill_host(host);
+        }
+        fleet.run(millis(500));
+        fleet.reconfigure(|config| {
+            config.accounts.get_mut("small").unwrap().rate = 30.0;
+        });
+    };
+}
+
+/// Guards against hosts that keep asking for tokens which no host has: every host is sent far more
+/// requests of an account than its rate allows. The account still gets its rate, and the searches
+/// leave room on the link of the busiest home host.
+#[test]
+fn account_far_over_its_rate_fills_no_link() {
+    let mut fleet = start_fleet(LARGE_FLEET);
+    fleet.run(millis(4_000));
+    let callers: Vec<(usize, u64)> = (0..LARGE_FLEET)
+        .flat_map(|host| [host; 3])
+        .map(|host| (host, fleet.open(host, "medium", "aged")))
+        .collect();
+    let (mut sent, mut served) = (0, 0);
+    let seconds = 4;
+    fleet.datagram_bytes.clear();
+    for _ in 0..seconds * 50 {
+        // Five times the rate.
+        for _ in 0..(MEDIUM_RATE as usize / 10) {
+            let (host, caller) = callers[sent % callers.len()];
+            fleet.send(host, caller, read());
+            sent += 1;
+        }
+        fleet.run(millis(20));
+        for (host, caller) in &callers {
+            while let Some(received) = fleet.take_response(*host, *caller) {
+                served += usize::from(received.ran());
+            }
+        }
+    }
+    let busiest = fleet.datagram_bytes.values().max().copied().unwrap_or(0) / seconds;
+    assert!(busiest <= DATAGRAM_BYTES_MAX, "{busiest} bytes per second");
+    let rate = MEDIUM_RATE as usize * seconds;
+    assert!(served * 10 >= rate * 9, "{served} of {rate} requests within the rate served");
+    assert!(fleet.violations.is_empty(), "{:#?}", fleet.violations);
+}
