perf(placement): reads leave the primary to writes in a large fleet

Hosts in a primary's data centre preferred it for reads (15 ms of cost against 40 ms for another data centre), and each sends it 0.3 statements a second, too few to notice its load. Change: in a fleet with more hosts than witnesses the primary costs a read 45 ms, more than the way to another data centre. Small fleets stay as they are. The fake databases have slots and handshakes for it.

--- a/src/proxy/placement_policy.rs
+++ b/src/proxy/placement_policy.rs
@@ -34,6 +34,9 @@
 const DATA_CENTRE_COST_MS: f64 = 40.0;
 /// Cost of using the primary for a read that a replica can serve, in milliseconds.
 const PRIMARY_COST_MS: f64 = 15.0;
+/// The same in a fleet with more hosts than witnesses. There, a host sends the primary too few
+/// statements to know its load, and a replica in another data centre is the better choice.
+const PRIMARY_COST_LARGE_MS: f64 = 45.0;
 /// Cost of a replica whose last known log position is behind the required point, in milliseconds.
 const LAGGING_COST_MS: f64 = 8.0;
 /// Maximum random part of a cost, in milliseconds, so that hosts do not all choose the same
@@ -165,7 +168,7 @@
         cost += DATA_CENTRE_COST_MS;
     }
     if is_primary {
-        cost += PRIMARY_COST_MS;
+        cost += if ctx.all_witnesses() { PRIMARY_COST_MS } else { PRIMARY_COST_LARGE_MS };
     } else if point.is_some_and(|point| view.position < point) {
         cost += LAGGING_COST_MS;
     }
--- a/tests/proxy_fakes/fake_database.rs
+++ b/tests/proxy_fakes/fake_database.rs
@@ -64,8 +64,15 @@
     pub(crate) execution_us: u64,
     /// Delay of the replication to this database, in microseconds.
     pub(crate) replication_lag_us: u64,
+    /// Until when each of its slots is busy, in microseconds; empty if it runs everything at once.
+    pub(crate) slots: Vec<u64>,
 }
 
+/// Time for which a new connection occupies a slot, in microseconds.
+const HANDSHAKE_US: u64 = 12_000;
+/// Commands that wait for a slot; any more are rejected.
+const SLOT_QUEUE_MAX: u64 = 24;
+
 impl FakeDatabase {
     /// Returns the end of the log.
     pub(crate) fn position(&self) -> endpoint_message::LogPoint {
@@ -73,6 +80,26 @@
         last.unwrap_or(endpoint_message::LogPoint { term: 1, position: 0 })
     }
 
+    /// Occupies the slot that is free first for the handshake of a new connection.
+    pub(crate) fn occupy_for_handshake(&mut self, now: u64) {
+        if let Some(slot) = self.slots.iter_mut().min() {
+            *slot = now.max(*slot) + HANDSHAKE_US;
+        }
+    }
+
+    /// Occupies the slot that is free first for a command. Returns when the command is done; `None`
+    /// if too many commands wait.
+    pub(crate) fn occupy_for_command(&mut self, now: u64) -> Option<u64> {
+        let (count, execution_us) = (self.slots.len() as u64, self.execution_us);
+        let Some(slot) = self.slots.iter_mut().min() else { return Some(now + execution_us) };
+        let start = now.max(*slot);
+        if (start - now) * count > execution_us * SLOT_QUEUE_MAX {
+            return None;
+        }
+        *slot = start + execution_us;
+        Some(*slot)
+    }
+
     /// Returns whether the log holds `point`.
     pub(crate) fn holds(&self, point: endpoint_message::LogPoint) -> bool {
         point.position == 0 || self.log.iter().any(|entry| entry.point == point)
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -277,6 +277,7 @@
                 term: 1,
                 log: Vec::new(),
                 execution_us: 5_000,
+                slots: Vec::new(),
                 replication_lag_us: 20_000,
             };
             fleet.databases.insert(id.clone(), database);
@@ -484,6 +485,14 @@
         self.hosts[host].alive
     }
 
+    /// Gives every database `slots` slots and lets each command of a caller take `execution`.
+    pub(crate) fn limit_databases(&mut self, slots: usize, execution: Duration) {
+        for database in self.databases.values_mut() {
+            database.slots = vec![0; slots];
+            database.execution_us = execution.as_micros() as u64;
+        }
+    }
+
     /// Returns whether a host reports that it is ready for new callers.
     pub(crate) fn ready(&self, host: usize) -> bool {
         self.hosts[host].ready
@@ -842,7 +851,8 @@
         {
             return;
         }
-        let Some(database) = self.databases.get(endpoint) else { return };
+        let Some(database) = self.databases.get_mut(endpoint) else { return };
+        database.occupy_for_handshake(self.now);
         let event = if database.up {
             let response = endpoint_command::EndpointResponse {
                 rows: Vec::new(),
@@ -876,11 +886,25 @@
         {
             return;
         }
-        let execution_us =
-            if command.is_from_caller() { self.databases[&fake.endpoint].execution_us } else { 0 };
+        let done = match self.databases.get_mut(&fake.endpoint) {
+            Some(database) if command.is_from_caller() => database.occupy_for_command(self.now),
+            _ => Some(self.now),
+        };
+        if let Some(done) = done {
+            let step = ScheduledStep::ExecuteCommand { host, incarnation, connection, command };
+            return self.push(done, step);
+        }
+        let response = endpoint_command::EndpointResponse {
+            rows: Vec::new(),
+            outcome: Err(endpoint_command::EndpointFault::Busy),
+            phase: endpoint_command::SessionPhase::Idle,
+            position: None,
+            report: None,
+        };
+        let event = proxy_message::ProxyEvent::ResponseReceived { connection, response };
         self.push(
-            self.now + execution_us,
-            ScheduledStep::ExecuteCommand { host, incarnation, connection, command },
+            self.now + HOST_LATENCY_US,
+            ScheduledStep::DeliverEvent { host, incarnation, event },
         );
     }
 
--- a/tests/proxy_scale.rs
+++ b/tests/proxy_scale.rs
@@ -498,3 +498,48 @@
     assert!(served * 10 >= rate * 9, "{served} of {rate} requests within the rate served");
     assert!(fleet.violations.is_empty(), "{:#?}", fleet.violations);
 }
+
+/// Answers the load of a busy group: writes need the primary, and reads can run elsewhere. Reads of
+/// hosts in the primary's data centre filled its slots, although each of these hosts sent too few to
+/// notice. Nearly all writes have to be served, and in time.
+#[test]
+fn reads_leave_the_primary_of_a_busy_group_to_writes() {
+    let mut fleet = start_fleet(LARGE_FLEET);
+    fleet.run(millis(4_000));
+    fleet.limit_databases(3, millis(18));
+    let sessions = |fleet: &mut ProxyFleet, database: &str| -> Vec<(usize, u64)> {
+        let hosts = (0..LARGE_FLEET * 2).map(|number| number % LARGE_FLEET);
+        hosts.map(|host| (host, fleet.open(host, "large", database))).collect()
+    };
+    let readers = sessions(&mut fleet, "aged");
+    let writers = sessions(&mut fleet, "strict");
+    fleet.run(millis(100));
+    let (mut reads, mut writes, mut served, mut in_time) = (0, 0, 0, 0);
+    let mut sent_at = std::collections::BTreeMap::new();
+    for round in 0..10 * 50 {
+        // 150 reads and 75 writes a second. With a new connection for each, all three databases
+        // together run 300.
+        for _ in 0..3 {
+            let (host, caller) = readers[reads % readers.len()];
+            fleet.send(host, caller, read());
+            reads += 1;
+        }
+        for _ in 0..1 + round % 2 {
+            let (host, caller) = writers[writes % writers.len()];
+            sent_at.insert((host, caller), fleet.now);
+            fleet.send(host, caller, write());
+            writes += 1;
+        }
+        fleet.run(millis(20));
+        for (host, caller) in &writers {
+            while let Some(received) = fleet.take_response(*host, *caller) {
+                served += usize::from(received.ran());
+                let waited = received.at - sent_at[&(*host, *caller)];
+                in_time += usize::from(received.ran() && waited <= 150_000);
+            }
+        }
+    }
+    assert!(served * 100 >= writes * 99, "{served} of {writes} writes served");
+    assert!(in_time * 100 >= writes * 97, "{in_time} of {writes} writes in time");
+    assert!(fleet.violations.is_empty(), "{:#?}", fleet.violations);
+}
