perf(proxy): hundreds of hosts that start at once cost the store less

Cause: in a fleet of 300 hosts before a store that takes 400 writes a second, registering took 2.3 s: leases of 1.3 s were obtained first and ran out while the roster entry and the member record were refused, and each host watched the registrations of all others every 0.1 s meanwhile. Change: the roster entry is written before the lease is obtained; a host does not watch before it is registered, for 2 s at most; a page of a full read that did not arrive in 1.2 s may take up to 4.8 s, and the read goes on with that page instead of the first.

--- a/src/proxy/membership_flow.rs
+++ b/src/proxy/membership_flow.rs
@@ -16,7 +16,9 @@
             let request = store_message::StoreRequest::RenewLease { lease };
             ctx.call_store(store_session::StorePurpose::MembershipRenewal { lease }, request);
         }
-        (Some(_), None) if !stopping && !ctx.roster.contains_key(&ctx.identity.host) => {
+        // The roster entry comes first: the lease has to last only until the member record is
+        // written, also where the store refuses requests because hundreds of hosts start at once.
+        (_, None) if !stopping && !ctx.roster.contains_key(&ctx.identity.host) => {
             write_roster_entry(ctx)
         }
         (Some(lease), None) if !stopping => write_member_record(ctx, lease),
--- a/src/proxy/store_message.rs
+++ b/src/proxy/store_message.rs
@@ -79,6 +79,8 @@
     List {
         /// Key after which the page begins; `None` for the first page.
         after: Option<String>,
+        /// Longest time to wait for the page.
+        limit: Duration,
     },
     /// Waits for changes.
     Watch {
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -88,6 +88,8 @@
 /// A read of all items, page by page.
 #[derive(Debug, Default)]
 pub struct FullReading {
+    /// Key after which the next page begins; `None` for the first page.
+    pub next: Option<String>,
     /// Items of the pages read so far.
     pub items: Vec<store_message::StoreItem>,
     /// When the first page was requested.
@@ -108,6 +110,8 @@
     pub reading: Option<FullReading>,
     /// Time up to which this host is certain to know all changes.
     pub synced_at: clock_time::ClockTime,
+    /// Consecutive pages of full reads that did not arrive.
+    pub list_failures: u32,
     /// Revisions of the known items.
     pub known: BTreeMap<store_message::ItemSubject, u64>,
     /// When the store last replied.
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -39,7 +39,11 @@
 const CHANGES_PAUSE_FOLLOWER: Duration = Duration::from_millis(400);
 /// How long the first watch waits until this host is registered, so that it returns the changes up
 /// to the registration at once.
-const REGISTRATION_WAIT: Duration = Duration::from_millis(300);
+const REGISTRATION_WAIT: Duration = Duration::from_millis(2_000);
+/// Longest wait for one page of a full read; doubled after each page that did not arrive.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Most doublings of that wait.
+const LIST_DOUBLINGS_MAX: u32 = 2;
 /// Most doublings of the pause between failed store requests.
 const PAUSE_DOUBLINGS_MAX: u32 = 2;
 /// The same for hosts of a large fleet that do not watch the store. All of them make requests
@@ -200,15 +204,24 @@
             (store_session::StorePurpose::Watch { after }, request)
         }
         _ => {
-            ctx.store.reading = Some(store_session::FullReading::default());
-            let request = store_message::StoreRequest::List { after: None };
-            (store_session::StorePurpose::List, request)
+            let after = ctx.store.reading.get_or_insert_default().next.clone();
+            (store_session::StorePurpose::List, list_request(ctx, after))
         }
     };
     ctx.store.read_pending = true;
     ctx.call_store(purpose, request);
 }
 
+/// Returns the request for the page after a key. Where pages did not arrive in time, as when hundreds
+/// of hosts read over one link, the next ones may take longer; a repeated read adds to the load.
+fn list_request(
+    ctx: &proxy_context::ProxyContext,
+    after: Option<String>,
+) -> store_message::StoreRequest {
+    let doublings = ctx.store.list_failures.min(LIST_DOUBLINGS_MAX);
+    store_message::StoreRequest::List { after, limit: LIST_TIMEOUT * (1 << doublings) }
+}
+
 fn sync_inputs(ctx: &proxy_context::ProxyContext) -> sync_source::SyncInputs {
     let all_watch = ctx.all_witnesses();
     sync_source::SyncInputs {
@@ -231,6 +244,7 @@
 ) {
     ctx.store.read_pending = false;
     let store_message::StoreReply::Listed { items, next, revision } = reply else {
+        ctx.store.list_failures = ctx.store.list_failures.saturating_add(1);
         ctx.store.next_read = retry_time(ctx);
         return;
     };
@@ -239,10 +253,12 @@
     reading.items.extend(items);
     let first = *reading.revision.get_or_insert(revision);
     if next.is_some() {
+        reading.next = next.clone();
         ctx.store.read_pending = true;
-        let request = store_message::StoreRequest::List { after: next };
+        let request = list_request(ctx, next);
         return ctx.call_store(store_session::StorePurpose::List, request);
     }
+    ctx.store.list_failures = 0;
     let reading = ctx.store.reading.take().unwrap_or_default();
     let listed: BTreeSet<&store_message::ItemSubject> =
         reading.items.iter().map(|item| &item.subject).collect();
