fix(proxy): relayed changes of strangers and with impossible times are rejected

Cause: a datagram on the peer port could name any host, a revision of the far future or a request that was never sent; the receiver would have taken its knowledge for complete and for fresh. Change: only members of the fleet are answered and believed; changes that lead backwards or answer a request from the future are rejected with a line. Failed first: changes_of_an_unknown_host_are_ignored, changes_that_answer_a_future_request_are_ignored. The two other strange datagrams were harmless without the checks, too.

--- a/src/proxy/change_relay.rs
+++ b/src/proxy/change_relay.rs
@@ -106,7 +106,7 @@
 
 /// Handles a request for changes.
 pub fn on_request(ctx: &mut proxy_context::ProxyContext, request: &peer_datagram::ChangesRequest) {
-    if ctx.store.revision.is_none() {
+    if ctx.store.revision.is_none() || !ctx.members.contains_key(&request.host) {
         return;
     }
     let follower = Follower {
@@ -133,6 +133,15 @@
 /// Applies changes from a peer.
 pub fn on_changes(ctx: &mut proxy_context::ProxyContext, changes: peer_datagram::RelayedChanges) {
     let Some(known) = ctx.store.revision else { return };
+    // A process of another fleet, or one whose message is malformed, must not be believed.
+    let from_member = ctx.members.contains_key(&changes.host);
+    if !from_member || changes.echoed_us > ctx.now.as_micros() || changes.after > changes.revision {
+        let line = format!(
+            "event=changes_rejected peer={} known={from_member} after={} revision={} echoed_us={}",
+            changes.host, changes.after, changes.revision, changes.echoed_us
+        );
+        return ctx.log_limited(|| line);
+    }
     let Some(items) = changes.items else {
         if changes.revision > known {
             log::info!(
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -485,6 +485,11 @@
         self.hosts[host].alive
     }
 
+    /// Hands a datagram to a host, as if a process had sent it.
+    pub(crate) fn deliver_datagram(&mut self, host: usize, message: peer_datagram::PeerDatagram) {
+        self.handle_event(host, proxy_message::ProxyEvent::DatagramReceived { message });
+    }
+
     /// Gives every database `slots` slots and lets each command of a caller take `execution`.
     pub(crate) fn limit_databases(&mut self, slots: usize, execution: Duration) {
         for database in self.databases.values_mut() {
--- a/tests/store_relay.rs
+++ b/tests/store_relay.rs
@@ -192,6 +192,64 @@
     };
 }
 
+/// Returns changes as a peer could send them, with times as given.
+fn changes_from(host: &str, revision: u64, echoed_us: u64) -> peer_datagram::RelayedChanges {
+    peer_datagram::RelayedChanges {
+        host: host.to_owned(),
+        after: 1,
+        revision,
+        items: Some(Vec::new()),
+        complete: true,
+        age_us: 0,
+        echoed_us,
+        echo_incarnation: 1,
+    }
+}
+
+/// Declares a test for each name: a host gets a datagram that no peer would send, and must neither
+/// take its content over nor end.
+macro_rules! strange_datagrams {
+    ($($name:ident: $message:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut fleet = start_fleet(HOSTS);
+                let before = fleet.core(5).context().store.revision;
+                let message: peer_datagram::PeerDatagram = $message;
+                fleet.deliver_datagram(5, message);
+                let context = fleet.core(5).context();
+                assert_eq!(context.store.revision, before);
+                assert!(context.store.synced_at <= context.now);
+                assert!(context.relay.followers.len() < HOSTS);
+                assert_withdrawn_in_time(&mut fleet, &[]);
+                assert!(fleet.violations.is_empty(), "{:#?}", fleet.violations);
+            }
+        )*
+    };
+}
+
+strange_datagrams! {
+    changes_of_an_unknown_host_are_ignored:
+        peer_datagram::PeerDatagram::RelayedChanges(changes_from("stranger", u64::MAX, 0));
+    changes_that_answer_a_future_request_are_ignored:
+        peer_datagram::PeerDatagram::RelayedChanges(changes_from("host1", u64::MAX, u64::MAX));
+    changes_that_lead_backwards_are_ignored:
+        peer_datagram::PeerDatagram::RelayedChanges(peer_datagram::RelayedChanges {
+            after: u64::MAX,
+            revision: 0,
+            age_us: u64::MAX,
+            ..changes_from("host1", 0, 0)
+        });
+    request_of_an_unknown_host_is_ignored:
+        peer_datagram::PeerDatagram::ChangesRequest(peer_datagram::ChangesRequest {
+            host: "stranger".to_owned(),
+            incarnation: u64::MAX,
+            revision: u64::MAX,
+            config_version: u64::MAX,
+            sent_at_us: u64::MAX,
+        });
+}
+
 /// Declares a test of the choice of the source for each name.
 macro_rules! choices {
     ($($name:ident: $change:expr => $expected:expr;)*) => {
