test(proxy): failures of others looked for at the relay of changes

Cause: the users ask whether what went wrong for operators of similar systems can happen here. Change: four scenarios at 24 hosts: a hand-over of the watch at a planned stop, a restarted host whose peers hold an older view of a key or of an endpoint, a transaction on a host that the store refuses.

--- a/tests/store_relay.rs
+++ b/tests/store_relay.rs
@@ -11,12 +11,13 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use proxy_fakes::fake_store;
-use proxy_fakes::{PartitionSide, ProxyFleet, millis, read};
+use proxy_fakes::{PartitionSide, ProxyFleet, millis, read, write};
 use quetzaldeal::proxy::change_history;
 use quetzaldeal::proxy::change_relay;
 use quetzaldeal::proxy::config_patch;
 use quetzaldeal::proxy::peer_datagram;
 use quetzaldeal::proxy::proxy_config;
+use quetzaldeal::proxy::session_request;
 use quetzaldeal::proxy::store_message;
 use quetzaldeal::proxy::sync_source;
 
@@ -154,6 +155,68 @@
         }
         assert_withdrawn_in_time(fleet, &[]);
     };
+    // The watchers stop as planned at the moment of the change; others take the watch over.
+    key_is_withdrawn_in_time_during_a_hand_over_of_the_watch: |fleet| {
+        let watchers = watchers(fleet);
+        for host in &watchers {
+            fleet.stop_host(*host);
+        }
+        fleet.run(millis(20));
+        assert_withdrawn_in_time(fleet, &watchers);
+    };
+    // A restarted host must not take an older view over from peers that the store refuses.
+    restarted_host_refuses_a_key_that_its_peers_still_accept: |fleet| {
+        for host in 1..HOSTS {
+            fleet.deny_host(host, true);
+        }
+        fleet.kill_host(0);
+        withdraw_keys(fleet);
+        fleet.run(millis(500));
+        fleet.start_host(0, Duration::ZERO);
+        for _ in 0..40 {
+            fleet.run(millis(50));
+            if fleet.core(0).context().config.is_some() {
+                assert_eq!(accepting(fleet, &[0]), Vec::<usize>::new());
+            }
+        }
+    };
+    // The same for an endpoint that left.
+    restarted_host_does_not_use_an_endpoint_that_its_peers_still_list: |fleet| {
+        for host in 1..HOSTS {
+            fleet.deny_host(host, true);
+        }
+        fleet.kill_host(0);
+        fleet.unregister("db2");
+        fleet.run(millis(500));
+        fleet.start_host(0, Duration::ZERO);
+        for _ in 0..40 {
+            fleet.run(millis(50));
+            let context = fleet.core(0).context();
+            let used = context.endpoint_names.get("db2").map(|endpoint| &context.endpoints[*endpoint]);
+            assert!(used.is_none_or(|endpoint| endpoint.connections.is_empty()));
+        }
+    };
+    // A host that the store refuses is only silent there: its open transaction goes on.
+    silent_host_keeps_its_transaction: |fleet| {
+        let host = (0..HOSTS).find(|host| !watchers(fleet).contains(host)).unwrap();
+        let caller = fleet.open(host, "large", "strict");
+        let begun = fleet.send_and_wait(
+            host,
+            caller,
+            session_request::SessionRequest::Begin { read_only: false },
+        );
+        assert!(begun.is_some_and(|received| received.ran()));
+        assert!(fleet.send_and_wait(host, caller, write()).is_some_and(|received| received.ran()));
+        fleet.deny_host(host, true);
+        // Longer than the membership lease.
+        for _ in 0..8 {
+            fleet.run(millis(250));
+            let received = fleet.send_and_wait(host, caller, write());
+            assert!(received.is_some_and(|received| received.ran()));
+        }
+        let committed = fleet.send_and_wait(host, caller, session_request::SessionRequest::Commit);
+        assert!(committed.is_some_and(|received| received.ran()));
+    };
     // A rolling restart from the build without the relay: its hosts ignore the new datagrams.
     key_is_withdrawn_in_time_beside_hosts_of_the_build_before: |fleet| {
         fleet.hosts_without_relay = watchers(fleet).into_iter().collect();
