fix(proxy): a watcher that is behind its follower still confirms what it knows

Cause: reading the change as a newcomer: the check on strangers' changes rejected the answer of a watcher that knew less than the host that asked, as after a change that came to the asking host first. The age of the host's knowledge then grew until the next request. Answers to the process before a restart were reported as rejected. Change: such an answer names the sender's own revision; times are checked for answers to this process only. The followers and parts of the history have types with named fields, the state of the relay a file of its own. Failed first: watcher_behind_its_follower_confirms_its_knowledge.

--- a/src/proxy/change_history.rs
+++ b/src/proxy/change_history.rs
@@ -27,6 +27,17 @@
     items: Vec<store_message::StoreItem>,
 }
 
+/// Changes that fit into one datagram.
+#[derive(Debug)]
+pub struct HistoryPart {
+    /// Revision after which they apply.
+    pub after: u64,
+    /// Revision that they lead to.
+    pub revision: u64,
+    /// The changes.
+    pub items: Vec<peer_datagram::RelayedItem>,
+}
+
 /// The latest changes of the store that this host knows.
 #[derive(Debug, Default)]
 pub struct ChangeHistory {
@@ -66,17 +77,12 @@
     }
 
     /// Returns the changes after `revision` in parts that fit into datagrams, oldest first, for a
-    /// host with version `config` of the configuration. Each part is the revision after which it
-    /// applies, the revision that it leads to, and its changes.
+    /// host with version `config` of the configuration.
     ///
     /// Returns `None` if this history does not reach back to `revision` or cannot express the
     /// change of the configuration.
-    pub fn parts_after(
-        &self,
-        revision: u64,
-        config: u64,
-    ) -> Option<Vec<(u64, u64, Vec<peer_datagram::RelayedItem>)>> {
-        let mut parts: Vec<(u64, u64, Vec<peer_datagram::RelayedItem>)> = Vec::new();
+    pub fn parts_after(&self, revision: u64, config: u64) -> Option<Vec<HistoryPart>> {
+        let mut parts: Vec<HistoryPart> = Vec::new();
         let mut known = revision;
         let mut config_known = config;
         for block in self.blocks.iter().filter(|block| block.revision > revision) {
@@ -88,11 +94,11 @@
                 items.push(self.relayed(item, &mut config_known)?);
             }
             match parts.last_mut() {
-                Some((_, end, earlier)) if earlier.len() + items.len() <= DATAGRAM_ITEMS_MAX => {
-                    *end = block.revision;
-                    earlier.extend(items);
+                Some(part) if part.items.len() + items.len() <= DATAGRAM_ITEMS_MAX => {
+                    part.revision = block.revision;
+                    part.items.extend(items);
                 }
-                _ => parts.push((known, block.revision, items)),
+                _ => parts.push(HistoryPart { after: known, revision: block.revision, items }),
             }
             known = block.revision;
         }
--- a/src/proxy/change_relay.rs
+++ b/src/proxy/change_relay.rs
@@ -1,20 +1,22 @@
 //! Passes changes of the store from the few hosts that watch it to all others.
 //!
-//! In a large fleet two hosts of each data centre watch the store. The others request changes from
-//! them in turn and get later ones as they come. A host knows how old its knowledge is from the
+//! In a large fleet one or two hosts of each data centre watch the store. The others request changes
+//! from them in turn and get later ones as they come. A host knows how old its knowledge is from the
 //! time at which it sent the request that was answered, so silence is never taken for "no change".
 //! Answers the load of changes on hundreds of hosts.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::core::clock_time;
 use crate::core::rendezvous_rank;
 use crate::proxy::failover_flow;
+use crate::proxy::member_view;
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_context;
 use crate::proxy::rate_limiter;
+use crate::proxy::relay_state;
 use crate::proxy::store_message;
 use crate::proxy::store_sync;
 use crate::proxy::sync_source;
@@ -32,32 +34,6 @@
 /// Most changes that are sent to a host without a request.
 const ITEMS_UNREQUESTED_MAX: usize = 32;
 
-/// A host that requests changes from this one.
-#[derive(Debug, Clone, Copy)]
-pub struct Follower {
-    /// Its latest request: revision, version of the configuration, sending time on its clock, and
-    /// incarnation.
-    request: (u64, u64, u64, u64),
-    /// When that request arrived.
-    arrived_at: clock_time::ClockTime,
-}
-
-/// State of the relay at this host.
-#[derive(Debug, Default)]
-pub struct RelayState {
-    /// Hosts that request changes from this one.
-    pub followers: BTreeMap<String, Follower>,
-    /// When changes were last requested.
-    pub requested_at: clock_time::ClockTime,
-    /// Number of requests sent, which determines the peer that gets the next one.
-    pub requests: usize,
-    /// Whether a peer could not deliver the changes that this host lacks. Cleared by the next reply
-    /// of the store.
-    pub changes_missing: bool,
-    /// Number of changes sent since the last tick.
-    pub items_sent: usize,
-}
-
 /// Returns whether this host is one of those of its data centre that watch the store.
 pub fn is_watcher(ctx: &proxy_context::ProxyContext) -> bool {
     watchers(ctx, &ctx.identity.data_centre).contains(&ctx.identity.host)
@@ -87,7 +63,11 @@
         false => watchers(ctx, &ctx.identity.data_centre),
         true if ctx.relay.requests.is_multiple_of(2) => all_watchers(ctx),
         // All watchers may be cut off from the store, while other hosts are not.
-        true => running_hosts(ctx),
+        true => {
+            let running = running_members(ctx).map(|member| member.record.host.as_str());
+            let ranked = rendezvous_rank::rank(&ctx.identity.host, running);
+            ranked.into_iter().map(str::to_owned).collect()
+        }
     };
     peers.retain(|host| *host != ctx.identity.host);
     let Some(host) = peers.get((ctx.relay.requests / 2) % peers.len().max(1)) else { return };
@@ -105,39 +85,35 @@
 }
 
 /// Handles a request for changes.
-pub fn on_request(ctx: &mut proxy_context::ProxyContext, request: &peer_datagram::ChangesRequest) {
+pub fn on_request(ctx: &mut proxy_context::ProxyContext, request: peer_datagram::ChangesRequest) {
     if ctx.store.revision.is_none() || !ctx.members.contains_key(&request.host) {
         return;
     }
-    let follower = Follower {
-        request: (
-            request.revision,
-            request.config_version,
-            request.sent_at_us,
-            request.incarnation,
-        ),
-        arrived_at: ctx.now,
-    };
-    ctx.relay.followers.insert(request.host.clone(), follower);
     store_sync::note_peer_revision(ctx, request.revision);
-    send_changes(ctx, &request.host, follower, ITEMS_PER_TICK_MAX);
+    send_changes(ctx, &request, ITEMS_PER_TICK_MAX);
+    let arrived_at = ctx.now;
+    let host = request.host.clone();
+    ctx.relay.followers.insert(host, relay_state::FollowerView { request, arrived_at });
 }
 
 /// Sends new changes to all hosts that requested changes lately.
 pub fn notify_followers(ctx: &mut proxy_context::ProxyContext) {
-    for (host, follower) in ctx.relay.followers.clone() {
-        send_changes(ctx, &host, follower, ITEMS_UNREQUESTED_MAX);
+    let followers: Vec<_> = ctx.relay.followers.values().cloned().collect();
+    for follower in followers {
+        send_changes(ctx, &follower.request, ITEMS_UNREQUESTED_MAX);
     }
 }
 
 /// Applies changes from a peer.
 pub fn on_changes(ctx: &mut proxy_context::ProxyContext, changes: peer_datagram::RelayedChanges) {
     let Some(known) = ctx.store.revision else { return };
-    // A process of another fleet, or one whose message is malformed, must not be believed.
+    // Answers to the process before this one may carry times of a clock that has started anew.
+    let own = changes.echo_incarnation == ctx.identity.incarnation;
+    let from_future = own && changes.echoed_us > ctx.now.as_micros();
     let from_member = ctx.members.contains_key(&changes.host);
-    if !from_member || changes.echoed_us > ctx.now.as_micros() || changes.after > changes.revision {
+    if !from_member || from_future || changes.after > changes.revision {
         let line = format!(
-            "event=changes_rejected peer={} known={from_member} after={} revision={} echoed_us={}",
+            "event=changes_rejected peer={} member={from_member} after={} revision={} echoed_us={}",
             changes.host, changes.after, changes.revision, changes.echoed_us
         );
         return ctx.log_limited(|| line);
@@ -166,7 +142,6 @@
         ctx.store.behind_since = None;
         store_sync::apply_changes(ctx, changes.after, changes.revision, items);
     }
-    let own = changes.echo_incarnation == ctx.identity.incarnation;
     if changes.complete && own {
         let echoed_at = clock_time::ClockTime::from_micros(changes.echoed_us);
         let synced_at = echoed_at.before(Duration::from_micros(changes.age_us));
@@ -177,40 +152,35 @@
 
 /// Returns the watchers of a data centre: its first running hosts in an order that all hosts share.
 fn watchers(ctx: &proxy_context::ProxyContext, data_centre: &str) -> Vec<String> {
-    let running = ctx
-        .members
-        .values()
-        .filter(|member| member.removed_at.is_none() && member.record.data_centre == data_centre);
-    let names = running.map(|member| member.record.host.as_str());
-    let ranked = rendezvous_rank::rank("watch", names);
+    let running = running_members(ctx).filter(|member| member.record.data_centre == data_centre);
+    let ranked = rendezvous_rank::rank("watch", running.map(|member| member.record.host.as_str()));
     let count = if ranked.len() >= SECOND_WATCHER_FROM { 2 } else { 1 };
     ranked.into_iter().take(count).map(str::to_owned).collect()
 }
 
-fn running_hosts(ctx: &proxy_context::ProxyContext) -> Vec<String> {
-    let running = ctx.members.values().filter(|member| member.removed_at.is_none());
-    let names = running.map(|member| member.record.host.as_str());
-    rendezvous_rank::rank(&ctx.identity.host, names).into_iter().map(str::to_owned).collect()
-}
-
 fn all_watchers(ctx: &proxy_context::ProxyContext) -> Vec<String> {
     let centres: BTreeSet<&String> =
         ctx.members.values().map(|member| &member.record.data_centre).collect();
     centres.into_iter().flat_map(|centre| watchers(ctx, centre)).collect()
 }
 
-/// Sends the changes that a host lacks, unless they are more than `items_max` or than this host
-/// still sends before the next tick.
+fn running_members(
+    ctx: &proxy_context::ProxyContext,
+) -> impl Iterator<Item = &member_view::MemberView> {
+    ctx.members.values().filter(|member| member.removed_at.is_none())
+}
+
+/// Sends the changes that a host lacks by its latest request. If they are more than `items_max`, or
+/// than this host still sends before the next tick, it only announces them.
 fn send_changes(
     ctx: &mut proxy_context::ProxyContext,
-    host: &str,
-    follower: Follower,
+    request: &peer_datagram::ChangesRequest,
     items_max: usize,
 ) {
     let Some(revision) = ctx.store.revision else { return };
-    let Some(member) = ctx.members.get(host) else { return };
+    let Some(member) = ctx.members.get(&request.host) else { return };
     let address = member.record.address.clone();
-    let (known, config, echoed_us, echo_incarnation) = follower.request;
+    let known = request.revision;
     let message = |after, revision, items, complete| peer_datagram::RelayedChanges {
         host: ctx.identity.host.clone(),
         after,
@@ -218,34 +188,35 @@
         items,
         complete,
         age_us: ctx.now.since(ctx.store.synced_at).as_micros() as u64,
-        echoed_us,
-        echo_incarnation,
+        echoed_us: request.sent_at_us,
+        echo_incarnation: request.incarnation,
     };
-    let parts = ctx.history.parts_after(known, config);
-    let mut count = parts.iter().flatten().map(|(_, _, items)| items.len()).sum::<usize>();
+    let parts = ctx.history.parts_after(known, request.config_version);
+    let count: usize = parts.iter().flatten().map(|part| part.items.len()).sum();
+    let allowed = items_max.min(ITEMS_PER_TICK_MAX.saturating_sub(ctx.relay.items_sent));
     let mut messages = Vec::new();
     match parts {
-        _ if count > items_max.min(ITEMS_PER_TICK_MAX.saturating_sub(ctx.relay.items_sent)) => {
-            // Only announces the revision, so that the receiver requests the changes soon.
-            count = 0;
-            messages.push(message(revision, revision, Some(Vec::new()), false));
+        // The receiver then requests the changes soon.
+        _ if count > allowed => messages.push(message(revision, revision, Some(Vec::new()), false)),
+        None => messages.push(message(known, revision, None, false)),
+        // The receiver may know more than this host; what this host knows is still confirmed.
+        Some(parts) if parts.is_empty() && known >= revision => {
+            messages.push(message(revision, revision, Some(Vec::new()), true));
         }
         Some(parts) => {
-            let last = parts.len();
-            let end = parts.last().map_or(known, |(_, until, _)| *until);
-            for (number, (after, until, items)) in parts.into_iter().enumerate() {
-                let complete = number + 1 == last && until >= revision;
-                messages.push(message(after, until, Some(items), complete));
+            let end = parts.last().map_or(known, |part| part.revision);
+            for part in parts {
+                let complete = part.revision >= revision;
+                messages.push(message(part.after, part.revision, Some(part.items), complete));
             }
             if end < revision {
                 messages.push(message(end, revision, None, false));
-            } else if messages.is_empty() {
-                messages.push(message(known, revision, Some(Vec::new()), true));
             }
         }
-        None => messages.push(message(known, revision, None, false)),
     }
-    ctx.relay.items_sent += count;
+    if count <= allowed {
+        ctx.relay.items_sent += count;
+    }
     for changes in messages {
         let message = peer_datagram::PeerDatagram::RelayedChanges(changes);
         rate_limiter::send_datagram(ctx, address.clone(), message);
--- a/src/proxy/heartbeat_flow.rs
+++ b/src/proxy/heartbeat_flow.rs
@@ -33,7 +33,7 @@
             rate_limiter::on_token_reply(ctx, &host, &account, count);
         }
         peer_datagram::PeerDatagram::ChangesRequest(request) => {
-            change_relay::on_request(ctx, &request);
+            change_relay::on_request(ctx, request);
         }
         peer_datagram::PeerDatagram::RelayedChanges(changes) => {
             change_relay::on_changes(ctx, changes);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -32,6 +32,7 @@
 pub mod proxy_message;
 pub mod proxy_tuning;
 pub mod rate_limiter;
+pub mod relay_state;
 pub mod request_flow;
 pub mod response_flow;
 pub mod session_flow;
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -17,7 +17,6 @@
 use crate::core::timer_queue;
 use crate::daemon::latency_histograms;
 use crate::proxy::change_history;
-use crate::proxy::change_relay;
 use crate::proxy::connection_state;
 use crate::proxy::endpoint_view;
 use crate::proxy::group_view;
@@ -27,6 +26,7 @@
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_message;
 use crate::proxy::proxy_tuning;
+use crate::proxy::relay_state;
 use crate::proxy::session_state;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
@@ -203,7 +203,7 @@
     /// The latest changes of the store, for hosts that do not watch it.
     pub history: change_history::ChangeHistory,
     /// Relay of these changes between hosts.
-    pub relay: change_relay::RelayState,
+    pub relay: relay_state::RelayState,
     /// Pending store requests.
     pub store_calls: HashMap<core_message::CallId, store_session::StoreCall>,
     /// Pending promotions.
@@ -288,7 +288,7 @@
             evacuations: BTreeMap::new(),
             store: store_session::StoreSession::default(),
             history: change_history::ChangeHistory::default(),
-            relay: change_relay::RelayState::default(),
+            relay: relay_state::RelayState::default(),
             store_calls: HashMap::new(),
             promotions: HashMap::new(),
             roster: BTreeMap::new(),
--- a/tests/store_relay.rs
+++ b/tests/store_relay.rs
@@ -217,6 +217,24 @@
         let committed = fleet.send_and_wait(host, caller, session_request::SessionRequest::Commit);
         assert!(committed.is_some_and(|received| received.ran()));
     };
+    // A watcher that is behind its follower still confirms the age of what it knows.
+    watcher_behind_its_follower_confirms_its_knowledge: |fleet| {
+        let watcher = watchers(fleet)[0];
+        let follower = (0..HOSTS).find(|host| *host != watcher && host % 3 == watcher % 3).unwrap();
+        let context = fleet.core(follower).context();
+        let request = peer_datagram::ChangesRequest {
+            host: context.identity.host.clone(),
+            incarnation: context.identity.incarnation,
+            revision: context.store.revision.unwrap() + 5,
+            config_version: fleet.published().version,
+            sent_at_us: context.now.as_micros(),
+        };
+        let before = context.store.synced_at;
+        let message = peer_datagram::PeerDatagram::ChangesRequest(request);
+        fleet.deliver_datagram(watcher, message);
+        fleet.run(millis(5));
+        assert!(fleet.core(follower).context().store.synced_at > before);
+    };
     // A rolling restart from the build without the relay: its hosts ignore the new datagrams.
     key_is_withdrawn_in_time_beside_hosts_of_the_build_before: |fleet| {
         fleet.hosts_without_relay = watchers(fleet).into_iter().collect();
@@ -368,8 +386,8 @@
     }
 }
 
-fn revisions(parts: &[(u64, u64, Vec<peer_datagram::RelayedItem>)]) -> Vec<u64> {
-    parts.iter().flat_map(|(_, _, items)| items.iter().map(|item| item.revision)).collect()
+fn revisions(parts: &[change_history::HistoryPart]) -> Vec<u64> {
+    parts.iter().flat_map(|part| part.items.iter().map(|item| item.revision)).collect()
 }
 
 #[test]
@@ -379,7 +397,7 @@
     history.add(12, 15, &[record_item("a", 14)]);
     let parts = history.parts_after(11, 0).unwrap();
     assert_eq!(revisions(&parts), [12, 14]);
-    assert_eq!((parts[0].0, parts.last().unwrap().1), (11, 15));
+    assert_eq!((parts[0].after, parts.last().unwrap().revision), (11, 15));
     assert!(history.parts_after(15, 0).unwrap().is_empty());
     assert!(history.parts_after(9, 0).is_none(), "the history begins after revision 10");
 }
@@ -406,8 +424,8 @@
     let parts = history.parts_after(0, 0).unwrap();
     assert!(parts.len() > 1);
     for pair in parts.windows(2) {
-        assert_eq!(pair[0].1, pair[1].0);
-        assert_eq!(pair[0].1 % 50, 0);
+        assert_eq!(pair[0].revision, pair[1].after);
+        assert_eq!(pair[0].revision % 50, 0);
     }
     assert_eq!(revisions(&parts), (1..=1_000).collect::<Vec<_>>());
 }
