test(proxy): the behind watcher's answer is looked for when it can be told

Change: it waits until the watcher's knowledge is 0.2 s younger. Measured: passes on the mended code, fails with the answer as it was.

--- a/tests/store_relay.rs
+++ b/tests/store_relay.rs
@@ -221,6 +221,13 @@
     watcher_behind_its_follower_confirms_its_knowledge: |fleet| {
         let watcher = watchers(fleet)[0];
         let follower = (0..HOSTS).find(|host| *host != watcher && host % 3 == watcher % 3).unwrap();
+        let age = |fleet: &ProxyFleet, host: usize| {
+            let context = fleet.core(host).context();
+            context.now.since(context.store.synced_at)
+        };
+        while age(fleet, follower) < age(fleet, watcher) + millis(200) {
+            fleet.run(millis(20));
+        }
         let context = fleet.core(follower).context();
         let request = peer_datagram::ChangesRequest {
             host: context.identity.host.clone(),
