--- a/src/proxy/endpoint_command.rs
+++ b/src/proxy/endpoint_command.rs
@@ -1,10 +1,12 @@
 //! Commands that this host sends to an endpoint on a connection, and the endpoint's responses.
 
+use serde::{Deserialize, Serialize};
+
 use crate::core::endpoint_message;
 use crate::proxy::session_request;
 
 /// Statement that an endpoint runs.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StatementBody {
     /// Text of the statement, as the caller sent it.
     Text(String),
@@ -18,7 +20,7 @@
 }
 
 /// A command to an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointCommand {
     /// Sets a session setting.
     Set {
@@ -78,7 +80,7 @@
 }
 
 /// Why an endpoint did not complete a command.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointFault {
     /// It is at capacity; nothing ran.
     Busy,
@@ -102,7 +104,7 @@
 }
 
 /// Transaction state of a session after a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SessionPhase {
     /// Outside a transaction.
     Idle,
@@ -113,7 +115,7 @@
 }
 
 /// A complete response of an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointResponse {
     /// Rows, as the endpoint sent them.
     pub rows: Vec<String>,
@@ -128,7 +130,7 @@
 }
 
 /// Status that an endpoint reports of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointStatus {
     /// Whether it is the primary.
     pub primary: bool,
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -11,6 +11,8 @@
 use crate::proxy::endpoint_flow;
 use crate::proxy::failover_flow;
 use crate::proxy::heartbeat_flow;
+use crate::proxy::pool_client;
+use crate::proxy::pool_server;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
 use crate::proxy::proxy_tuning;
@@ -109,6 +111,18 @@
             proxy_message::ProxyEvent::DatagramReceived { message } => {
                 heartbeat_flow::on_datagram(ctx, message);
             }
+            proxy_message::ProxyEvent::PoolReplyReceived { address, reply } => {
+                pool_client::on_reply(ctx, &address, reply);
+            }
+            proxy_message::ProxyEvent::PoolLinkLost { address } => {
+                pool_client::on_link_lost(ctx, &address);
+            }
+            proxy_message::ProxyEvent::PoolRequestReceived { link, request } => {
+                pool_server::on_request(ctx, link, request);
+            }
+            proxy_message::ProxyEvent::PoolLinkClosed { link } => {
+                pool_server::on_link_closed(ctx, link);
+            }
             proxy_message::ProxyEvent::TuningChanged { tuning } => ctx.tuning = *tuning,
             proxy_message::ProxyEvent::ShutdownRequested => shutdown_flow::start(ctx),
             proxy_message::ProxyEvent::TimerFired => {}
@@ -137,6 +151,8 @@
         endpoint_flow::remove_deregistered(ctx);
         connection_flow::on_tick(ctx);
         connection_flow::probe_primaries(ctx);
+        pool_client::on_tick(ctx);
+        pool_server::on_tick(ctx);
         heartbeat_flow::on_tick(ctx);
         rate_limiter::allocate_shares(ctx);
         rate_limiter::confirm_allocation(ctx);
--- a/src/proxy/proxy_message.rs
+++ b/src/proxy/proxy_message.rs
@@ -8,6 +8,7 @@
 use crate::core::request_verdict;
 use crate::proxy::endpoint_command;
 use crate::proxy::peer_datagram;
+use crate::proxy::pool_message;
 use crate::proxy::proxy_tuning;
 use crate::proxy::session_request;
 use crate::proxy::store_message;
@@ -89,6 +90,30 @@
         /// The decoded datagram.
         message: peer_datagram::PeerDatagram,
     },
+    /// A serving host replied on the link that this host opened to it.
+    PoolReplyReceived {
+        /// IP address and port of the serving host.
+        address: String,
+        /// The decoded reply.
+        reply: pool_message::PoolReply,
+    },
+    /// The link to a serving host could not be opened, or ended.
+    PoolLinkLost {
+        /// IP address and port of the serving host.
+        address: String,
+    },
+    /// A host sent a request on a link that it opened to this serving host.
+    PoolRequestReceived {
+        /// Identifier of the link.
+        link: pool_message::LinkId,
+        /// The decoded request.
+        request: pool_message::PoolRequest,
+    },
+    /// A link that a host opened to this serving host ended.
+    PoolLinkClosed {
+        /// Identifier of the link.
+        link: pool_message::LinkId,
+    },
     /// The settings changed.
     TuningChanged {
         /// Settings that apply from now on.
@@ -191,6 +216,25 @@
         /// The datagram to send.
         message: peer_datagram::PeerDatagram,
     },
+    /// Sends a request to a serving host, on the link to it; opens the link if there is none.
+    SendPoolRequest {
+        /// IP address and port of the serving host.
+        address: String,
+        /// The request to send.
+        request: pool_message::PoolRequest,
+    },
+    /// Closes the link to a serving host; no further replies on it are handled.
+    ClosePoolLink {
+        /// IP address and port of the serving host.
+        address: String,
+    },
+    /// Sends a reply on a link that a host opened to this serving host.
+    SendPoolReply {
+        /// Identifier of the link.
+        link: pool_message::LinkId,
+        /// The reply to send.
+        reply: pool_message::PoolReply,
+    },
     /// Reports whether this host accepts new callers.
     SetReadiness {
         /// Whether it does.
--- a/src/proxy/session_request.rs
+++ b/src/proxy/session_request.rs
@@ -1,7 +1,9 @@
 //! Requests that a caller sends in its session.
 
+use serde::{Deserialize, Serialize};
+
 /// Whether a statement reads or writes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum StatementKind {
     /// It only reads.
     Read,
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -835,6 +835,9 @@
                     );
                 }
             }
+            proxy_message::ProxyAction::SendPoolRequest { .. }
+            | proxy_message::ProxyAction::ClosePoolLink { .. }
+            | proxy_message::ProxyAction::SendPoolReply { .. } => {}
             proxy_message::ProxyAction::SetReadiness { ready } => self.hosts[host].ready = ready,
             proxy_message::ProxyAction::Stop => {
                 self.hosts[host].stopped = true;
