feat(pool): lease connections from serving hosts over links of their own

Cause: where more hosts and accounts than connections meet, nearly every request opens a connection. Change: queued requests ask the endpoint's serving host for a lease instead of opening a connection; links with length-prefixed frames, pings and suspicion of silent hosts; links in the simulated fleet.

--- a/src/core/arena_keys.rs
+++ b/src/core/arena_keys.rs
@@ -11,6 +11,8 @@
     pub struct EndpointKey;
     /// Key of a database group known to this host.
     pub struct GroupKey;
+    /// Key of a link from this host to a serving host.
+    pub struct LinkKey;
     /// Key of a client account known to this host.
     pub struct AccountKey;
 }
--- a/src/proxy/connection_flow.rs
+++ b/src/proxy/connection_flow.rs
@@ -3,7 +3,7 @@
 //!
 //! A connection names its account in the start-up message, so it serves one account only. Where the
 //! connection limit is reached, an idle connection of one account is closed to open one for
-//! another.
+//! another. Where serving hosts hold the connections, one is leased for each request instead.
 
 use std::time::Duration;
 
@@ -15,11 +15,13 @@
 use crate::proxy::failover_flow;
 use crate::proxy::pending_request;
 use crate::proxy::placement_policy;
+use crate::proxy::pool_client;
 use crate::proxy::position_history;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
 use crate::proxy::request_flow;
 use crate::proxy::response_flow;
+use crate::proxy::serving_hosts;
 
 /// Prepared statements kept on one connection; more are dropped together with the session settings.
 const PREPARED_MAX: usize = 256;
@@ -42,6 +44,9 @@
 /// Pause before the next connection to an endpoint that refused one at its connection limit. It is
 /// the time of a few statements.
 const CONNECTION_LIMIT_BACKOFF: Duration = Duration::from_millis(80);
+/// Time without a reply of a serving host after which commands without a response on its
+/// connections say nothing about the endpoint. Pings are sent more often.
+const SERVING_HOST_HEARD: Duration = Duration::from_millis(400);
 /// Weight of a new measurement in the moving average of an endpoint's latency.
 const LATENCY_WEIGHT: f64 = 0.1;
 
@@ -55,6 +60,7 @@
     endpoint: arena_keys::EndpointKey,
     request: arena_keys::StatementKey,
 ) -> Result<(), request_verdict::VerdictCause> {
+    pool_client::withdraw(ctx, request);
     if let Some(connection) = choose_idle(ctx, endpoint, request) {
         dispatch(ctx, connection, request);
         return Ok(());
@@ -88,20 +94,29 @@
 }
 
 /// Returns the number of connections to one endpoint of the group that all hosts share.
-fn connections_shared(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> usize {
+pub fn connections_shared(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> usize {
     let name = &ctx.groups[group].name;
     let object = ctx.config.as_ref().and_then(|config| config.groups.get(name));
     let accepted = object.map_or(1, |object| object.max_connections) as usize;
     accepted * SHARED_NUMERATOR / SHARED_DENOMINATOR
 }
 
+/// Returns the connections to the endpoint that this host holds itself.
+pub fn own_connections(
+    ctx: &proxy_context::ProxyContext,
+    endpoint: arena_keys::EndpointKey,
+) -> impl Iterator<Item = arena_keys::ConnectionKey> {
+    let connections = ctx.endpoints[endpoint].connections.iter().copied();
+    connections.filter(|connection| !ctx.connections[*connection].leased())
+}
+
 /// Returns the time after which an idle connection is closed. It is short where there are more
 /// hosts than connections, so that other hosts can use the endpoint.
 fn idle_timeout(ctx: &proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) -> Duration {
     let scarce =
         connections_shared(ctx, ctx.endpoints[endpoint].group) < ctx.allocation.hosts.len();
     // A witness keeps one connection to the endpoint for probes.
-    let probe_connection = ctx.is_witness() && ctx.endpoints[endpoint].connections.len() == 1;
+    let probe_connection = ctx.is_witness() && own_connections(ctx, endpoint).count() == 1;
     if scarce && !probe_connection { IDLE_TIMEOUT_SCARCE } else { IDLE_TIMEOUT }
 }
 
@@ -132,6 +147,7 @@
         request_flow::retry_elsewhere(ctx, request, endpoint, cause);
         return false;
     }
+    pool_client::withdraw(ctx, request);
     let commands = plan_commands(ctx, connection, request);
     let group = ctx.endpoints[endpoint].group;
     let primary = ctx.usable_primary(group) == Some(endpoint);
@@ -167,6 +183,9 @@
             ctx.endpoints[endpoint].connection_limit_until = until;
             ctx.timers.push(until, proxy_context::ProxyTimer::Endpoint(endpoint));
             close(ctx, connection, "failed");
+            if serving_hosts::needed(ctx, ctx.endpoints[endpoint].group) {
+                return;
+            }
             return reroute_reads(ctx, endpoint);
         }
         record_failure(ctx, endpoint);
@@ -271,7 +290,8 @@
 /// command is in flight.
 pub fn roll_back(ctx: &mut proxy_context::ProxyContext, connection: arena_keys::ConnectionKey) {
     let Some(view) = ctx.connections.get_mut(connection) else { return };
-    if view.in_flight.is_some() {
+    // The serving host rolls back when the lease is released.
+    if view.in_flight.is_some() || view.leased() {
         return close(ctx, connection, "discarded");
     }
     view.pinned = None;
@@ -280,17 +300,34 @@
     send_next(ctx, connection);
 }
 
-/// Closes a connection; late responses on it are ignored. `event` is the event of its chart.
+/// Closes a connection, or releases its lease; late responses on it are ignored. `event` is the
+/// event of its chart.
 pub fn close(
     ctx: &mut proxy_context::ProxyContext,
     connection: arena_keys::ConnectionKey,
     event: &str,
 ) {
-    let Some(mut view) = ctx.connections.remove(connection) else { return };
+    if let Some(endpoint) = remove(ctx, connection, event) {
+        open_for_queue(ctx, endpoint);
+    }
+}
+
+/// Does the same as [`close`], but opens no connection for queued requests. Returns the endpoint of
+/// the connection.
+pub fn remove(
+    ctx: &mut proxy_context::ProxyContext,
+    connection: arena_keys::ConnectionKey,
+    event: &str,
+) -> Option<arena_keys::EndpointKey> {
+    let mut view = ctx.connections.remove(connection)?;
+    let granted = !view.opening();
     view.cursor.fire(event);
     ctx.endpoints[view.endpoint].connections.retain(|open| *open != connection);
-    ctx.actions.push(proxy_message::ProxyAction::CloseConnection { connection });
-    open_for_queue(ctx, view.endpoint);
+    match view.lease {
+        Some(lease) => pool_client::release(ctx, connection, view.endpoint, lease, granted),
+        None => ctx.actions.push(proxy_message::ProxyAction::CloseConnection { connection }),
+    }
+    Some(view.endpoint)
 }
 
 /// Sends a command for a failover or a probe on an idle connection. Without one it opens a
@@ -302,17 +339,18 @@
     user: connection_state::ConnectionUser,
     command: endpoint_command::EndpointCommand,
 ) {
-    let connections = &ctx.endpoints[endpoint].connections;
-    let in_progress = connections.iter().any(|connection| {
-        let view = &ctx.connections[*connection];
+    let in_progress = own_connections(ctx, endpoint).any(|connection| {
+        let view = &ctx.connections[connection];
         view.user == Some(user) || (view.account.is_none() && view.opening())
     });
     if in_progress {
         return;
     }
-    let Some(connection) =
-        connections.iter().copied().find(|connection| ctx.connections[*connection].idle())
-    else {
+    let mut idle =
+        own_connections(ctx, endpoint).filter(|connection| ctx.connections[*connection].idle());
+    let first = idle.next();
+    drop(idle);
+    let Some(connection) = first else {
         if ctx.endpoints[endpoint].circuit.may_probe(ctx.now) && !at_connection_limit(ctx, endpoint)
         {
             make_room(ctx, endpoint);
@@ -335,14 +373,18 @@
         let elapsed = ctx.now.since(view.sent);
         let endpoint = view.endpoint;
         if view.opening() {
-            if elapsed >= ctx.tuning.connect_timeout {
+            // The wait for a lease says nothing about the endpoint.
+            if !view.leased() && elapsed >= ctx.tuning.connect_timeout {
                 on_closed(ctx, connection, false);
             }
             continue;
         }
         let unresponsive = view.in_flight.is_some() && elapsed >= ctx.tuning.unresponsive_after;
         let responded = ctx.endpoints[endpoint].last_response_at > view.sent;
-        if unresponsive && !responded {
+        let reached = view
+            .lease
+            .is_none_or(|lease| pool_client::is_heard(ctx, lease.link, SERVING_HOST_HEARD));
+        if unresponsive && !responded && reached {
             let now = ctx.now;
             ctx.endpoints[endpoint].unresponsive_since.get_or_insert(now);
         }
@@ -417,6 +459,7 @@
         return;
     }
     for request in std::mem::take(&mut ctx.endpoints[endpoint].queue) {
+        pool_client::withdraw(ctx, request);
         request_flow::retry_elsewhere(
             ctx,
             request,
@@ -469,20 +512,25 @@
         ctx.requests[request].phase =
             pending_request::RequestPhase::Running { connection, sent: true };
     }
-    ctx.actions.push(proxy_message::ProxyAction::SendCommand { connection, command });
+    match ctx.connections[connection].lease {
+        Some(lease) => pool_client::send_command(ctx, connection, lease.link, command),
+        None => {
+            ctx.actions.push(proxy_message::ProxyAction::SendCommand { connection, command });
+        }
+    }
 }
 
 /// Makes a connection idle and starts a queued request on it. Closes it if this host holds more
-/// connections than it may.
-fn set_idle(ctx: &mut proxy_context::ProxyContext, connection: arena_keys::ConnectionKey) {
+/// connections than it may, or if it is leased and no queued request can use it.
+pub fn set_idle(ctx: &mut proxy_context::ProxyContext, connection: arena_keys::ConnectionKey) {
     let now = ctx.now;
     let Some(view) = ctx.connections.get_mut(connection) else { return };
     view.user = None;
     view.in_flight = None;
     view.idle_since = now;
-    let (endpoint, account) = (view.endpoint, view.account);
+    let (endpoint, account, leased) = (view.endpoint, view.account, view.leased());
     let group = ctx.endpoints[endpoint].group;
-    if ctx.endpoints[endpoint].connections.len() > connection_limit(ctx, group) {
+    if !leased && own_connections(ctx, endpoint).count() > connection_limit(ctx, group) {
         return close(ctx, connection, "discarded");
     }
     while let Some(request) = dequeue(ctx, endpoint, account) {
@@ -490,6 +538,9 @@
             return;
         }
     }
+    if leased {
+        return close(ctx, connection, "discarded");
+    }
     open_for_queue(ctx, endpoint);
 }
 
@@ -506,28 +557,40 @@
     Some(ctx.endpoints[endpoint].queue.remove(matching))
 }
 
-/// Opens connections for queued requests whose account has none opening. Closes idle connections
-/// where the limit is reached.
+/// Asks for a lease for each queued request where serving hosts hold the connections. Otherwise
+/// opens connections for queued requests whose account has none opening, and closes idle
+/// connections where the limit is reached.
 pub fn open_for_queue(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
-    if !ctx.endpoints.contains_key(endpoint) || at_connection_limit(ctx, endpoint) {
+    let Some(view) = ctx.endpoints.get(endpoint) else { return };
+    let group = view.group;
+    if view.queue.is_empty() {
+        return;
+    }
+    if serving_hosts::needed(ctx, group) && pool_client::lease_for_queue(ctx, endpoint) {
+        return;
+    }
+    if at_connection_limit(ctx, endpoint) {
         return;
     }
     let queue = ctx.endpoints[endpoint].queue.clone();
     let mut covered: Vec<Option<arena_keys::AccountKey>> = Vec::new();
-    for connection in &ctx.endpoints[endpoint].connections {
-        let view = &ctx.connections[*connection];
+    for connection in own_connections(ctx, endpoint) {
+        let view = &ctx.connections[connection];
         if view.opening() {
             covered.push(view.account);
         }
     }
-    let limit = connection_limit(ctx, ctx.endpoints[endpoint].group);
+    let limit = connection_limit(ctx, group);
     for request in queue {
+        if ctx.requests[request].lease.is_some() {
+            continue;
+        }
         let account = ctx.requests[request].account;
         if let Some(position) = covered.iter().position(|other| *other == account) {
             covered.swap_remove(position);
             continue;
         }
-        let full = ctx.endpoints[endpoint].connections.len() >= limit;
+        let full = own_connections(ctx, endpoint).count() >= limit;
         if full && !make_room(ctx, endpoint) {
             return;
         }
@@ -539,20 +602,16 @@
 /// are used up. Returns whether one more may be opened.
 fn make_room(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) -> bool {
     let limit = connection_limit(ctx, ctx.endpoints[endpoint].group);
-    if ctx.endpoints[endpoint].connections.len() < limit {
+    if own_connections(ctx, endpoint).count() < limit {
         return true;
     }
-    let idle = ctx.endpoints[endpoint].connections.iter().copied();
-    let idle = idle.filter(|connection| ctx.connections[*connection].idle());
+    let idle =
+        own_connections(ctx, endpoint).filter(|connection| ctx.connections[*connection].idle());
     let Some(connection) = idle.min_by_key(|connection| ctx.connections[*connection].idle_since)
     else {
         return false;
     };
-    let Some(mut view) = ctx.connections.remove(connection) else { return false };
-    view.cursor.fire("discarded");
-    ctx.endpoints[endpoint].connections.retain(|open| *open != connection);
-    ctx.actions.push(proxy_message::ProxyAction::CloseConnection { connection });
-    true
+    remove(ctx, connection, "discarded").is_some()
 }
 
 fn open(
@@ -564,6 +623,7 @@
         endpoint,
         account,
         cursor: chart_cursor::ChartCursor::new(ctx.connection_chart.clone()),
+        lease: None,
         values: Default::default(),
         prepared: Default::default(),
         pinned: None,
--- a/src/proxy/connection_state.rs
+++ b/src/proxy/connection_state.rs
@@ -5,6 +5,7 @@
 use crate::core::arena_keys;
 use crate::core::chart_cursor;
 use crate::core::clock_time;
+use crate::proxy::asked_lease;
 use crate::proxy::endpoint_command;
 
 /// What a connection's pending commands are for.
@@ -29,6 +30,8 @@
     pub account: Option<arena_keys::AccountKey>,
     /// Current state in the chart `endpoint_connection`.
     pub cursor: chart_cursor::ChartCursor,
+    /// Its lease, if a serving host holds the connection; `None` if this host does.
+    pub lease: Option<asked_lease::AskedLease>,
     /// Session settings in effect on the connection, by name.
     pub values: BTreeMap<String, String>,
     /// Names of the statements prepared on the connection.
@@ -53,7 +56,12 @@
         self.cursor.state() == "idle"
     }
 
-    /// Whether the connection is still being opened.
+    /// Whether a serving host holds the connection.
+    pub fn leased(&self) -> bool {
+        self.lease.is_some()
+    }
+
+    /// Whether the connection is still being opened, or its lease asked for.
     pub fn opening(&self) -> bool {
         self.cursor.state() == "opening"
     }
--- a/src/proxy/endpoint_flow.rs
+++ b/src/proxy/endpoint_flow.rs
@@ -53,6 +53,7 @@
             connections_refused_since: None,
             report: None,
             latency_ms: INITIAL_LATENCY_MS,
+            lease_wait: Default::default(),
         });
         ctx.endpoint_names.insert(id, endpoint);
         ctx.groups[group].endpoints.push(endpoint);
@@ -99,6 +100,12 @@
 
 fn close_connections(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
     for connection in ctx.endpoints[endpoint].connections.clone() {
+        // The serving host keeps its queue of leases.
+        let asked =
+            ctx.connections.get(connection).is_some_and(|view| view.leased() && view.opening());
+        if asked {
+            continue;
+        }
         connection_flow::on_closed(ctx, connection, false);
     }
     ctx.endpoints[endpoint].circuit.succeed();
--- a/src/proxy/endpoint_view.rs
+++ b/src/proxy/endpoint_view.rs
@@ -7,6 +7,7 @@
 use crate::core::clock_time;
 use crate::core::endpoint_message;
 use crate::proxy::endpoint_command;
+use crate::proxy::lease_wait;
 use crate::proxy::proxy_tuning;
 use crate::proxy::store_message;
 
@@ -47,6 +48,8 @@
     pub report: Option<(clock_time::ClockTime, endpoint_command::EndpointStatus)>,
     /// Moving average of the time that a statement takes, in milliseconds.
     pub latency_ms: f64,
+    /// Wait for a lease of a connection to it, as lately seen.
+    pub lease_wait: lease_wait::LeaseWait,
 }
 
 impl EndpointView {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 //! threads. An adapter converts a platform's wire formats to and from the typed messages of
 //! `proxy_message`, `store_message` and `endpoint_command`.
 
+pub mod asked_lease;
 pub mod change_history;
 pub mod change_relay;
 pub mod config_patch;
@@ -18,6 +19,9 @@
 pub mod failover_flow;
 pub mod group_view;
 pub mod heartbeat_flow;
+pub mod host_suspicion;
+pub mod lease_book;
+pub mod lease_wait;
 pub mod log_limiter;
 pub mod member_view;
 pub mod membership_flow;
@@ -38,6 +42,8 @@
 pub mod relay_state;
 pub mod request_flow;
 pub mod response_flow;
+pub mod serving_hosts;
+pub mod serving_link;
 pub mod session_flow;
 pub mod session_request;
 pub mod session_state;
--- a/src/proxy/pending_request.rs
+++ b/src/proxy/pending_request.rs
@@ -98,6 +98,8 @@
     pub attempts: u32,
     /// Endpoints that are not tried again for it.
     pub avoided: Vec<arena_keys::EndpointKey>,
+    /// Connection whose lease was asked for it while it waits.
+    pub lease: Option<arena_keys::ConnectionKey>,
     /// Epoch of the group when it was sent to the primary; `None` if it was sent to a replica.
     pub primary_epoch: Option<u64>,
     /// Its progress.
--- a/src/proxy/placement_policy.rs
+++ b/src/proxy/placement_policy.rs
@@ -4,7 +4,8 @@
 //! other read goes to the endpoint with the lowest estimated cost in milliseconds. The estimate
 //! weighs the endpoint's recent latency, the requests that this host has in progress there, whether
 //! a connection of the account is idle, the data centre, and that the primary also has work that no
-//! other endpoint can do.
+//! other endpoint can do. Where serving hosts hold the connections, it weighs the wait for a lease
+//! instead of the connections.
 
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use crate::proxy::connection_flow;
 use crate::proxy::pending_request;
 use crate::proxy::proxy_context;
+use crate::proxy::serving_hosts;
 
 /// Subtracted from a route's maximum age to cover the time between placing a read and sending it,
 /// in milliseconds.
@@ -108,14 +110,15 @@
     }
     let point = required_read_point(ctx, request);
     let members = ctx.groups[group].endpoints.clone();
+    let leased = serving_hosts::needed(ctx, group);
     let mut best: Option<(f64, arena_keys::EndpointKey)> = None;
     for endpoint in members {
         let is_primary = primary == Some(endpoint);
         if !is_primary && !replica_eligible(ctx, request, endpoint, point) {
             continue;
         }
-        let cost =
-            cost(ctx, request, endpoint, is_primary, point) + ctx.random_fraction() * JITTER_MS;
+        let cost = cost(ctx, request, endpoint, is_primary, point, leased)
+            + ctx.random_fraction() * JITTER_MS;
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, endpoint));
         }
@@ -142,6 +145,7 @@
     endpoint: arena_keys::EndpointKey,
     is_primary: bool,
     point: Option<endpoint_message::LogPoint>,
+    leased: bool,
 ) -> f64 {
     let view = &ctx.endpoints[endpoint];
     let state: &pending_request::PendingRequest = &ctx.requests[request];
@@ -150,12 +154,15 @@
         + view.queue.len();
     let slots = f64::from(view.entry.slots.max(1));
     let mut cost = view.latency_ms.max(LATENCY_MIN_MS) * (1.0 + busy as f64 / slots);
-    let has_idle = connections
-        .clone()
-        .any(|connection| connection.idle() && connection.account == state.account);
-    if !has_idle {
-        let below_limit =
-            view.connections.len() < connection_flow::connection_limit(ctx, view.group);
+    let has_idle = || {
+        let mut connections = connections.clone();
+        connections.any(|connection| connection.idle() && connection.account == state.account)
+    };
+    if leased {
+        cost += view.lease_wait.expected_ms(ctx.now);
+    } else if !has_idle() {
+        let below_limit = connection_flow::own_connections(ctx, endpoint).count()
+            < connection_flow::connection_limit(ctx, view.group);
         let any_idle = connections.clone().any(|connection| connection.idle());
         cost += match (connection_flow::at_connection_limit(ctx, endpoint), below_limit, any_idle) {
             (true, _, _) if view.connections.is_empty() => LIMIT_COST_MS,
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -20,6 +20,7 @@
 use crate::proxy::connection_state;
 use crate::proxy::endpoint_view;
 use crate::proxy::group_view;
+use crate::proxy::lease_book;
 use crate::proxy::log_limiter;
 use crate::proxy::member_view;
 use crate::proxy::pending_request;
@@ -58,6 +59,8 @@
     "transaction_begun",
 ];
 
+/// Name of the only histogram in `lease_waits`.
+pub const LEASE_WAITS: &str = "lease";
 /// Hosts whose starts lie within this interval count as started together.
 const STARTED_TOGETHER: Duration = Duration::from_secs(3);
 
@@ -101,6 +104,12 @@
     pub relayed_changes: u64,
     /// Datagrams sent to peers.
     pub datagrams: u64,
+    /// Leases that this host has asked serving hosts for.
+    pub leases_asked: u64,
+    /// Leases that serving hosts have refused, by cause.
+    pub lease_refusals: BTreeMap<&'static str, u64>,
+    /// Links to serving hosts that were lost.
+    pub pool_links_lost: u64,
 }
 
 /// One client account on this host.
@@ -194,6 +203,8 @@
     pub latencies: latency_histograms::LatencyHistograms,
     /// Latencies of successful requests by kind of route and kind of request.
     pub kind_latencies: latency_histograms::LatencyHistograms,
+    /// Time that requests waited for a lease, under the name of [`LEASE_WAITS`].
+    pub lease_waits: latency_histograms::LatencyHistograms,
     /// The active configuration.
     pub config: Option<Arc<proxy_config::ProxyConfig>>,
     /// Data centres under evacuation, and when this host read of each.
@@ -232,6 +243,8 @@
     pub endpoints: SlotMap<arena_keys::EndpointKey, endpoint_view::EndpointView>,
     /// Endpoints by id.
     pub endpoint_names: BTreeMap<String, arena_keys::EndpointKey>,
+    /// Links to serving hosts.
+    pub leases: lease_book::LeaseBook,
     /// Connections to endpoints.
     pub connections: SlotMap<arena_keys::ConnectionKey, connection_state::ConnectionState>,
     /// Sessions of callers.
@@ -284,6 +297,7 @@
             counts: ProxyCounts::default(),
             latencies: latency_histograms::LatencyHistograms::default(),
             kind_latencies: latency_histograms::LatencyHistograms::default(),
+            lease_waits: latency_histograms::LatencyHistograms::default(),
             config: None,
             evacuations: BTreeMap::new(),
             store: store_session::StoreSession::default(),
@@ -303,6 +317,7 @@
             group_names: BTreeMap::new(),
             endpoints: SlotMap::with_key(),
             endpoint_names: BTreeMap::new(),
+            leases: lease_book::LeaseBook::default(),
             connections: SlotMap::with_key(),
             sessions: SlotMap::with_key(),
             callers: HashMap::new(),
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -69,6 +69,7 @@
         ctx.now = ctx.now.max(now);
         Self::dispatch(ctx, event);
         Self::run_timers(ctx);
+        pool_client::deliver_own(ctx);
         std::mem::take(&mut ctx.actions)
     }
 
@@ -187,12 +188,16 @@
             .collect();
         log::info!(
             "event=counts sessions={} connections={} replica_reads={} primary_reads={} connections_opened={} \
+             leases_asked={} lease_refusals={} pool_links_lost={} \
              store_calls={} store_replies={} relayed_changes={} datagrams={} unserved={refused} served={}",
             ctx.sessions.len(),
             ctx.connections.len(),
             ctx.counts.replica_reads,
             ctx.counts.primary_reads,
             ctx.counts.connections_opened,
+            ctx.counts.leases_asked,
+            ctx.counts.lease_refusals.values().sum::<u64>(),
+            ctx.counts.pool_links_lost,
             ctx.counts.store_calls,
             store_replies.join(","),
             ctx.counts.relayed_changes,
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -75,6 +75,9 @@
     /// Number of witnesses in a larger fleet. With five, two may be lost, or one data centre of
     /// three.
     pub witnesses: usize,
+    /// Number of connections to an endpoint for each host below which serving hosts hold the
+    /// endpoint's connections; 0 for never.
+    pub serving_below: f64,
 }
 
 impl Default for ProxyTuning {
@@ -111,6 +114,7 @@
             quota_slack: 20.0,
             witnesses_all: 9,
             witnesses: 5,
+            serving_below: 2.0,
         }
     }
 }
--- a/src/proxy/request_flow.rs
+++ b/src/proxy/request_flow.rs
@@ -9,6 +9,7 @@
 use crate::proxy::endpoint_command;
 use crate::proxy::pending_request;
 use crate::proxy::placement_policy;
+use crate::proxy::pool_client;
 use crate::proxy::proxy_context;
 use crate::proxy::rate_limiter;
 use crate::proxy::session_flow;
@@ -73,6 +74,7 @@
         deadline,
         attempts: 0,
         avoided: Vec::new(),
+        lease: None,
         primary_epoch: None,
         phase: pending_request::RequestPhase::AwaitingShare { until: ctx.now },
     });
@@ -139,6 +141,20 @@
 pub fn on_connection_lost(
     ctx: &mut proxy_context::ProxyContext,
     request: arena_keys::StatementKey,
+) {
+    end_or_retry(ctx, request, false);
+}
+
+/// Handles the loss of the link to the serving host whose connection a request was using. It has
+/// the same outcome, but the endpoint is still there to retry the request.
+pub fn on_link_lost(ctx: &mut proxy_context::ProxyContext, request: arena_keys::StatementKey) {
+    end_or_retry(ctx, request, true);
+}
+
+fn end_or_retry(
+    ctx: &mut proxy_context::ProxyContext,
+    request: arena_keys::StatementKey,
+    endpoint_usable: bool,
 ) {
     let Some(state) = ctx.requests.get(request) else { return };
     let sent = state.sent();
@@ -166,7 +182,7 @@
             let verdict = request_verdict::RequestVerdict::may_have_run(cause);
             finish(ctx, request, Vec::new(), None, verdict);
         }
-        _ => retry_or_refuse(ctx, request, cause),
+        _ => retry_or_refuse(ctx, request, cause, endpoint_usable),
     }
 }
 
@@ -180,7 +196,7 @@
 ) {
     let Some(state) = ctx.requests.get_mut(request) else { return };
     state.avoided.push(endpoint);
-    retry_or_refuse(ctx, request, cause);
+    retry_or_refuse(ctx, request, cause, false);
 }
 
 /// Checks whether the request's wait or deadline has passed, and moves it, refuses it or times it
@@ -194,7 +210,7 @@
         }
         pending_request::RequestPhase::Queued { endpoint, until } if now >= until => {
             if now < state.deadline && state.attempts + 1 < ctx.tuning.attempts_max {
-                ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != request);
+                leave_queue(ctx, request);
                 ctx.requests[request].attempts += 1;
                 return retry_elsewhere(
                     ctx,
@@ -272,6 +288,26 @@
     cause: request_verdict::VerdictCause,
 ) {
     let verdict = not_run_verdict(ctx, Some(request), cause);
+    refuse_with(ctx, request, verdict);
+}
+
+/// Does the same as [`refuse`] with a known time after which the caller may retry.
+pub fn refuse_until(
+    ctx: &mut proxy_context::ProxyContext,
+    request: arena_keys::StatementKey,
+    cause: request_verdict::VerdictCause,
+    retry_after: Duration,
+) {
+    let wait = ctx.with_jitter(retry_after);
+    let verdict = request_verdict::RequestVerdict::not_run(cause, Some(wait));
+    refuse_with(ctx, request, verdict);
+}
+
+fn refuse_with(
+    ctx: &mut proxy_context::ProxyContext,
+    request: arena_keys::StatementKey,
+    verdict: request_verdict::RequestVerdict,
+) {
     let session = ctx.requests[request].session;
     if ctx.sessions[session].open_transaction().is_some() {
         let state = state_after_failure(ctx, request);
@@ -389,18 +425,21 @@
     }
 }
 
+/// `endpoint_usable` tells whether the endpoint that the request was placed on may run it yet.
 fn retry_or_refuse(
     ctx: &mut proxy_context::ProxyContext,
     request: arena_keys::StatementKey,
     cause: request_verdict::VerdictCause,
+    endpoint_usable: bool,
 ) {
+    pool_client::withdraw(ctx, request);
     let Some(state) = ctx.requests.get_mut(request) else { return };
     state.phase = pending_request::RequestPhase::AwaitingShare { until: ctx.now };
     if state.attempts >= ctx.tuning.attempts_max || ctx.now >= state.deadline {
         return refuse(ctx, request, cause);
     }
     let needs_primary = placement_policy::needs_primary(ctx, request);
-    if needs_primary {
+    if needs_primary && !endpoint_usable {
         // Only the primary can run it, and the primary has just refused it.
         return refuse(ctx, request, cause);
     }
@@ -456,6 +495,15 @@
     session_flow::respond(ctx, state.session, rows, signature, verdict);
 }
 
+/// Removes a request from the queue of its endpoint and withdraws its request for a lease.
+pub fn leave_queue(ctx: &mut proxy_context::ProxyContext, request: arena_keys::StatementKey) {
+    let Some(state) = ctx.requests.get(request) else { return };
+    if let pending_request::RequestPhase::Queued { endpoint, .. } = state.phase {
+        ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != request);
+    }
+    pool_client::withdraw(ctx, request);
+}
+
 fn remove_from_queues(ctx: &mut proxy_context::ProxyContext, request: arena_keys::StatementKey) {
     let Some(state) = ctx.requests.get(request) else { return };
     match state.phase {
@@ -469,6 +517,7 @@
         }
         pending_request::RequestPhase::Running { .. } => {}
     }
+    pool_client::withdraw(ctx, request);
 }
 
 /// Records what a fault shows about the endpoint: a lagging replica gets a back-off, and a primary
--- /dev/null
+++ b/src/proxy/serving_link.rs
@@ -0,0 +1,20 @@
+//! Link from this host to a serving host.
+
+use crate::core::clock_time;
+
+/// Link from this host to a serving host.
+#[derive(Debug)]
+pub struct ServingLink {
+    /// Name of the serving host.
+    pub host: String,
+    /// IP address and port in the host's member record.
+    pub member_address: String,
+    /// IP address and port of the link.
+    pub address: String,
+    /// Leases on the link, those that are asked for included.
+    pub leases: usize,
+    /// When a reply last arrived, or the first of the leases was asked for.
+    pub heard_at: clock_time::ClockTime,
+    /// When a ping was sent that no reply followed, and the periodic checks since.
+    pub pinged: Option<(clock_time::ClockTime, u32)>,
+}
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -4,6 +4,7 @@
 //! each violated guarantee is added to `violations`.
 
 pub(crate) mod fake_database;
+pub(crate) mod fake_link;
 pub(crate) mod fake_store;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -16,11 +17,13 @@
 use quetzaldeal::core::request_verdict;
 use quetzaldeal::proxy::endpoint_command;
 use quetzaldeal::proxy::peer_datagram;
+use quetzaldeal::proxy::pool_message;
 use quetzaldeal::proxy::proxy_config;
 use quetzaldeal::proxy::proxy_context;
 use quetzaldeal::proxy::proxy_core;
 use quetzaldeal::proxy::proxy_message;
 use quetzaldeal::proxy::proxy_tuning;
+use quetzaldeal::proxy::serving_hosts;
 use quetzaldeal::proxy::session_request;
 use quetzaldeal::proxy::store_message;
 use quetzaldeal::proxy::store_record;
@@ -29,6 +32,10 @@
 
 /// One-way latency between a host and a database or a peer, in microseconds.
 const HOST_LATENCY_US: u64 = 1_000;
+/// Timeout for opening a link to a serving host, in microseconds.
+const LINK_TIMEOUT_US: u64 = 400_000;
+/// Time after which a link whose other side is dark ends, in microseconds.
+const LINK_DARK_US: u64 = 2_500_000;
 /// One-way latency between a host and the store, in microseconds.
 const STORE_LATENCY_US: u64 = 2_000;
 /// Time from the acceptance of a promotion until the endpoint is the primary, in microseconds.
@@ -115,6 +122,22 @@
         request: store_message::StoreRequest,
     },
     ExpireLeases,
+    /// Takes the oldest request on a link to the serving host.
+    ReceivePoolRequest {
+        link: pool_message::LinkId,
+    },
+    /// Takes the oldest reply on a link to the host that opened it.
+    ReceivePoolReply {
+        link: pool_message::LinkId,
+    },
+    /// Ends a link for the host that opened it.
+    LosePoolLink {
+        link: pool_message::LinkId,
+    },
+    /// Ends a link for the serving host.
+    ClosePoolLink {
+        link: pool_message::LinkId,
+    },
 }
 
 #[derive(Debug)]
@@ -199,6 +222,14 @@
     /// Hosts that run the build without a relay of changes: they neither send nor understand its
     /// datagrams.
     pub(crate) hosts_without_relay: BTreeSet<usize>,
+    /// Connections that each database has accepted.
+    pub(crate) connections_opened: BTreeMap<String, usize>,
+    /// Most connections that each database held at a time.
+    pub(crate) connections_most: BTreeMap<String, usize>,
+    /// Requests to serving hosts that were sent to other hosts.
+    pub(crate) pool_requests: usize,
+    links: BTreeMap<pool_message::LinkId, fake_link::FakeLink>,
+    next_link: pool_message::LinkId,
     config: proxy_config::ProxyConfig,
     hosts: Vec<FakeHost>,
     partitions: BTreeSet<(PartitionSide, PartitionSide)>,
@@ -247,6 +278,11 @@
             datagram_loss: 0.0,
             datagram_bytes: BTreeMap::new(),
             hosts_without_relay: BTreeSet::new(),
+            connections_opened: BTreeMap::new(),
+            connections_most: BTreeMap::new(),
+            pool_requests: 0,
+            links: BTreeMap::new(),
+            next_link: 1,
             config: build_config(accounts),
             hosts: Vec::new(),
             partitions: BTreeSet::new(),
@@ -324,9 +360,52 @@
         self.partitions.insert((other, one));
     }
 
-    /// Ends all partitions.
+    /// Ends all partitions. Links on which messages were lost are reset.
     pub(crate) fn heal_partitions(&mut self) {
         self.partitions.clear();
+        self.reset_links(|link| link.silent);
+    }
+
+    /// Resets all links that a host has opened and all that it serves.
+    pub(crate) fn reset_host_links(&mut self, host: usize) {
+        self.reset_links(|link| link.client.0 == host || link.server.0 == host);
+    }
+
+    /// Returns the hosts that the open links lead to, by number.
+    pub(crate) fn linked_hosts(&self) -> BTreeSet<usize> {
+        self.links.values().map(|link| link.server.0).collect()
+    }
+
+    fn reset_links(&mut self, chosen: impl Fn(&fake_link::FakeLink) -> bool) {
+        let reset = self.links.iter().filter(|(_, link)| chosen(link));
+        let reset: Vec<pool_message::LinkId> = reset.map(|(id, _)| *id).collect();
+        for link in reset {
+            self.push(self.now + HOST_LATENCY_US, ScheduledStep::LosePoolLink { link });
+            self.push(self.now + HOST_LATENCY_US, ScheduledStep::ClosePoolLink { link });
+        }
+    }
+
+    /// Ends the links of a process that has ended: the other sides learn of it, after a while if
+    /// they are cut off.
+    fn end_links(&mut self, host: usize, incarnation: u64) {
+        let process = (host, incarnation);
+        let ended: Vec<(pool_message::LinkId, usize, usize)> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.client == process || link.server == process)
+            .map(|(id, link)| (*id, link.client.0, link.server.0))
+            .collect();
+        for (link, client, server) in ended {
+            let reachable =
+                self.can_reach(&PartitionSide::Host(client), &PartitionSide::Host(server));
+            let at = self.now + if reachable { HOST_LATENCY_US } else { LINK_DARK_US };
+            if client == host {
+                self.push(at, ScheduledStep::ClosePoolLink { link });
+            }
+            if server == host {
+                self.push(at, ScheduledStep::LosePoolLink { link });
+            }
+        }
     }
 
     /// Kills the process of a host and drops its connections.
@@ -334,6 +413,7 @@
         self.hosts[host].alive = false;
         self.store.drop_host_watches(host);
         let incarnation = self.hosts[host].incarnation;
+        self.end_links(host, incarnation);
         self.connections.retain(|(other, lived, _), _| *other != host || *lived != incarnation);
         self.sessions.retain(|(other, _), _| *other != host);
     }
@@ -683,6 +763,12 @@
             let thaw = self.hosts[*host].frozen_until;
             return self.push(thaw, step);
         }
+        if let Some(host) = self.link_step_host(&step)
+            && self.hosts[host].frozen_until > self.now
+        {
+            let thaw = self.hosts[host].frozen_until;
+            return self.push(thaw, step);
+        }
         match step {
             ScheduledStep::FireTimer { host, incarnation } => {
                 if self.hosts[host].incarnation == incarnation
@@ -734,6 +820,29 @@
                     self.deliver_replies(replies);
                 }
             }
+            ScheduledStep::ReceivePoolRequest { link } => self.receive_pool_request(link),
+            ScheduledStep::ReceivePoolReply { link } => self.receive_pool_reply(link),
+            ScheduledStep::LosePoolLink { link } => {
+                let Some(ended) = self.links.get_mut(&link) else { return };
+                if std::mem::replace(&mut ended.client_left, true) {
+                    return;
+                }
+                let (client, server) = (ended.client, ended.server);
+                self.remove_left_link(link);
+                let address = pool_address(server.0);
+                let event = proxy_message::ProxyEvent::PoolLinkLost { address };
+                self.deliver_now(client, event);
+            }
+            ScheduledStep::ClosePoolLink { link } => {
+                let Some(ended) = self.links.get_mut(&link) else { return };
+                if std::mem::replace(&mut ended.server_left, true) {
+                    return;
+                }
+                let server = ended.server;
+                self.remove_left_link(link);
+                let event = proxy_message::ProxyEvent::PoolLinkClosed { link };
+                self.deliver_now(server, event);
+            }
             ScheduledStep::ExpireLeases => {
                 let replies = self.store.expire(self.now);
                 self.deliver_replies(replies);
@@ -835,16 +944,131 @@
                     );
                 }
             }
-            proxy_message::ProxyAction::SendPoolRequest { .. }
-            | proxy_message::ProxyAction::ClosePoolLink { .. }
-            | proxy_message::ProxyAction::SendPoolReply { .. } => {}
+            proxy_message::ProxyAction::SendPoolRequest { address, request } => {
+                self.send_pool_request(host, &address, request);
+            }
+            proxy_message::ProxyAction::ClosePoolLink { address } => {
+                let Some(link) = self.link_to(host, &address) else { return };
+                let Some(closed) = self.links.get_mut(&link) else { return };
+                closed.client_left = true;
+                let server = closed.server.0;
+                let reachable =
+                    self.can_reach(&PartitionSide::Host(host), &PartitionSide::Host(server));
+                let at = self.now + if reachable { HOST_LATENCY_US } else { LINK_DARK_US };
+                self.push(at, ScheduledStep::ClosePoolLink { link });
+            }
+            proxy_message::ProxyAction::SendPoolReply { link, reply } => {
+                let Some(open) = self.links.get_mut(&link) else { return };
+                let client = open.client.0;
+                open.replies.push_back(reply);
+                let at = self.now + HOST_LATENCY_US + self.hosts[client].event_delay_us;
+                self.push(at, ScheduledStep::ReceivePoolReply { link });
+            }
             proxy_message::ProxyAction::SetReadiness { ready } => self.hosts[host].ready = ready,
             proxy_message::ProxyAction::Stop => {
                 self.hosts[host].stopped = true;
+                self.end_links(host, incarnation);
             }
         }
     }
 
+    /// Returns the link that a host has opened to an address.
+    fn link_to(&self, host: usize, address: &str) -> Option<pool_message::LinkId> {
+        let client = (host, self.hosts[host].incarnation);
+        let found = self.links.iter().find(|(_, link)| {
+            link.client == client && !link.client_left && pool_address(link.server.0) == address
+        });
+        found.map(|(id, _)| *id)
+    }
+
+    /// Sends a request to a serving host; opens the link if there is none.
+    fn send_pool_request(
+        &mut self,
+        host: usize,
+        address: &str,
+        request: pool_message::PoolRequest,
+    ) {
+        self.pool_requests += 1;
+        let server = (0..self.hosts.len()).find(|server| pool_address(*server) == address);
+        let Some(server) = server else { return };
+        let link = self.link_to(host, address).unwrap_or_else(|| {
+            let link = self.next_link;
+            self.next_link += 1;
+            let client = (host, self.hosts[host].incarnation);
+            let server = (server, self.hosts[server].incarnation);
+            self.links.insert(link, fake_link::FakeLink::new(client, server));
+            link
+        });
+        let Some(open) = self.links.get_mut(&link) else { return };
+        let first = !std::mem::replace(&mut open.used, true);
+        open.requests.push_back(request);
+        let (side, other) = (PartitionSide::Host(host), PartitionSide::Host(server));
+        let running = self.hosts[server].alive && !self.hosts[server].stopped;
+        if first && !self.can_reach(&side, &other) {
+            self.push(self.now + LINK_TIMEOUT_US, ScheduledStep::LosePoolLink { link });
+        } else if first && !running {
+            self.push(self.now + 2 * HOST_LATENCY_US, ScheduledStep::LosePoolLink { link });
+        }
+        let at = self.now + HOST_LATENCY_US + self.hosts[server].event_delay_us;
+        self.push(at, ScheduledStep::ReceivePoolRequest { link });
+    }
+
+    fn receive_pool_request(&mut self, link: pool_message::LinkId) {
+        let Some(open) = self.links.get_mut(&link) else { return };
+        let Some(request) = open.requests.pop_front() else { return };
+        let (client, server) = (open.client, open.server);
+        let cut = !self.can_reach(&PartitionSide::Host(client.0), &PartitionSide::Host(server.0));
+        let Some(open) = self.links.get_mut(&link) else { return };
+        open.silent |= cut;
+        if !open.silent && !open.server_left {
+            let event = proxy_message::ProxyEvent::PoolRequestReceived { link, request };
+            self.deliver_now(server, event);
+        }
+    }
+
+    fn receive_pool_reply(&mut self, link: pool_message::LinkId) {
+        let Some(open) = self.links.get_mut(&link) else { return };
+        let Some(reply) = open.replies.pop_front() else { return };
+        let (client, server) = (open.client, open.server);
+        let cut = !self.can_reach(&PartitionSide::Host(server.0), &PartitionSide::Host(client.0));
+        let Some(open) = self.links.get_mut(&link) else { return };
+        open.silent |= cut;
+        if !open.silent && !open.client_left {
+            let address = pool_address(server.0);
+            let event = proxy_message::ProxyEvent::PoolReplyReceived { address, reply };
+            self.deliver_now(client, event);
+        }
+    }
+
+    /// Hands an event to a process of a host unless the process has ended.
+    fn deliver_now(&mut self, process: (usize, u64), event: proxy_message::ProxyEvent) {
+        let (host, incarnation) = process;
+        if self.hosts[host].incarnation == incarnation {
+            self.handle_event(host, event);
+        }
+    }
+
+    fn remove_left_link(&mut self, link: pool_message::LinkId) {
+        if self.links.get(&link).is_some_and(|link| link.client_left && link.server_left) {
+            self.links.remove(&link);
+        }
+    }
+
+    /// Returns the host whose suspension keeps it from taking a step on a link.
+    fn link_step_host(&self, step: &ScheduledStep) -> Option<usize> {
+        let (link, to_server) = match step {
+            ScheduledStep::ReceivePoolRequest { link } | ScheduledStep::ClosePoolLink { link } => {
+                (link, true)
+            }
+            ScheduledStep::ReceivePoolReply { link } | ScheduledStep::LosePoolLink { link } => {
+                (link, false)
+            }
+            _ => return None,
+        };
+        let link = self.links.get(link)?;
+        Some(if to_server { link.server.0 } else { link.client.0 })
+    }
+
     /// Opens a connection, or refuses it if the database is not running.
     fn connect(
         &mut self,
@@ -861,7 +1085,13 @@
         }
         let Some(database) = self.databases.get_mut(endpoint) else { return };
         database.occupy_for_handshake(self.now);
-        let event = if database.up {
+        let up = database.up;
+        let event = if up {
+            *self.connections_opened.entry(endpoint.to_owned()).or_default() += 1;
+            let held = self.connections.values().filter(|other| other.endpoint == endpoint);
+            let held = held.count();
+            let most = self.connections_most.entry(endpoint.to_owned()).or_default();
+            *most = held.max(*most);
             let response = endpoint_command::EndpointResponse {
                 rows: Vec::new(),
                 outcome: Ok(String::new()),
@@ -1219,6 +1449,10 @@
         .unwrap_or_else(|error| panic!("{error:#}"))
 }
 
+fn pool_address(host: usize) -> String {
+    serving_hosts::pool_address(&peer_address(host)).unwrap_or_default()
+}
+
 fn peer_address(host: usize) -> String {
     format!("10.1.0.{host}:1")
 }
