feat(pool): leases of an endpoint's connections, granted by a scheduler

Cause: more hosts and accounts than connections, so nearly every request opened one. Change: lease_scheduler decides the order of waiting requests and refuses at once what would not be granted in time; pool_server opens, leases and closes the connections.

--- a/src/core/arena_keys.rs
+++ b/src/core/arena_keys.rs
@@ -13,4 +13,6 @@
     pub struct GroupKey;
     /// Key of a client account known to this host.
     pub struct AccountKey;
+    /// Key of a lease that this host granted, or of a request for one.
+    pub struct LeaseKey;
 }
--- a/src/proxy/connection_flow.rs
+++ b/src/proxy/connection_flow.rs
@@ -15,6 +15,7 @@
 use crate::proxy::failover_flow;
 use crate::proxy::pending_request;
 use crate::proxy::placement_policy;
+use crate::proxy::pool_server;
 use crate::proxy::position_history;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
@@ -156,6 +157,9 @@
     if !ctx.connections.contains_key(connection) {
         return;
     }
+    if ctx.connections[connection].pooled() {
+        return pool_server::on_opened(ctx, connection, response);
+    }
     let endpoint = ctx.connections[connection].endpoint;
     if let Err(fault) = &response.outcome {
         let id = ctx.endpoints[endpoint].entry.id.clone();
@@ -187,6 +191,9 @@
 ) {
     let Some(view) = ctx.connections.get_mut(connection) else { return };
     let Some(command) = view.in_flight.take() else { return };
+    if view.pooled() {
+        return pool_server::on_response(ctx, connection, &command, response);
+    }
     let endpoint = view.endpoint;
     record_position(ctx, connection, &response);
     let (now, sent) = (ctx.now, ctx.connections[connection].sent);
@@ -212,6 +219,8 @@
             }
             send_next_or_release(ctx, connection);
         }
+        // Only pooled connections are leased.
+        connection_state::ConnectionUser::Lease(_) => {}
     }
 }
 
@@ -223,6 +232,9 @@
     refused: bool,
 ) {
     let Some(view) = ctx.connections.get(connection) else { return };
+    if view.pooled() {
+        return pool_server::on_closed(ctx, connection, refused);
+    }
     let (endpoint, opening) = (view.endpoint, view.opening());
     let busy = view.in_flight.is_some();
     let user = view.user;
@@ -332,6 +344,9 @@
     let keys: Vec<arena_keys::ConnectionKey> = ctx.connections.keys().collect();
     for connection in keys {
         let Some(view) = ctx.connections.get(connection) else { continue };
+        if view.pooled() {
+            continue;
+        }
         let elapsed = ctx.now.since(view.sent);
         let endpoint = view.endpoint;
         if view.opening() {
@@ -563,6 +578,7 @@
     let connection = ctx.connections.insert(connection_state::ConnectionState {
         endpoint,
         account,
+        pool_account: None,
         cursor: chart_cursor::ChartCursor::new(ctx.connection_chart.clone()),
         values: Default::default(),
         prepared: Default::default(),
@@ -667,7 +683,7 @@
 }
 
 /// Records the settings and prepared statements that a completed command left on the connection.
-fn record_session_state(
+pub fn record_session_state(
     ctx: &mut proxy_context::ProxyContext,
     connection: arena_keys::ConnectionKey,
     command: &endpoint_command::EndpointCommand,
--- a/src/proxy/connection_state.rs
+++ b/src/proxy/connection_state.rs
@@ -16,6 +16,8 @@
     Request(arena_keys::StatementKey),
     /// A probe of the primary.
     Probe,
+    /// A lease of the pool that this host serves to the fleet.
+    Lease(arena_keys::LeaseKey),
     /// A failover of the group, which requests the endpoint's status or gives it a command.
     Failover(arena_keys::GroupKey),
 }
@@ -27,6 +29,8 @@
     pub endpoint: arena_keys::EndpointKey,
     /// Account named in the start-up message; `None` for this host's own use.
     pub account: Option<arena_keys::AccountKey>,
+    /// Account that a pooled connection was opened for; `None` unless the connection is pooled.
+    pub pool_account: Option<String>,
     /// Current state in the chart `endpoint_connection`.
     pub cursor: chart_cursor::ChartCursor,
     /// Session settings in effect on the connection, by name.
@@ -53,6 +57,16 @@
         self.cursor.state() == "idle"
     }
 
+    /// Whether the connection belongs to the pool that this host serves to the fleet.
+    pub fn pooled(&self) -> bool {
+        self.pool_account.is_some()
+    }
+
+    /// Whether the connection waits for the next command of an open transaction.
+    pub fn in_transaction(&self) -> bool {
+        self.cursor.state() == "pinned"
+    }
+
     /// Whether the connection is still being opened.
     pub fn opening(&self) -> bool {
         self.cursor.state() == "opening"
--- a/src/proxy/endpoint_flow.rs
+++ b/src/proxy/endpoint_flow.rs
@@ -6,6 +6,7 @@
 use crate::core::circuit_breaker;
 use crate::proxy::connection_flow;
 use crate::proxy::endpoint_view;
+use crate::proxy::pool_server;
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 use crate::proxy::store_sync;
@@ -86,6 +87,7 @@
     }
     if restarted || moved {
         close_connections(ctx, endpoint);
+        pool_server::close_endpoint(ctx, endpoint, "endpoint_restarted");
     }
 }
 
--- /dev/null
+++ b/src/proxy/priority_class.rs
@@ -0,0 +1,124 @@
+//! Requests for leases of one priority, which accounts share by weighted fair queueing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::core::clock_time;
+use crate::proxy::waiting_lease;
+
+/// Accounts whose use is remembered. Beyond that number, fair queueing starts anew.
+const ACCOUNTS_MAX: usize = 1_024;
+
+/// Requests for leases of one priority, which accounts share by weighted fair queueing.
+#[derive(Debug, Default)]
+pub struct PriorityClass {
+    /// Waiting requests in the order of their arrival.
+    pub waiting: Vec<waiting_lease::WaitingLease>,
+    /// Grants to other priorities since the last grant to this one while a request waited here.
+    pub passed_over: u32,
+    virtual_time: f64,
+    /// Virtual time up to which each account has been served.
+    served: BTreeMap<String, f64>,
+}
+
+impl PriorityClass {
+    /// Returns the number of waiting requests of the account.
+    pub fn waiting_of(&self, account: &str) -> usize {
+        self.waiting.iter().filter(|waiting| waiting.account == account).count()
+    }
+
+    /// Forgets what accounts have used, as nothing is in use or waits any more.
+    pub fn reset(&mut self) {
+        self.virtual_time = 0.0;
+        self.served.clear();
+        self.passed_over = 0;
+    }
+
+    /// Returns the position of the request that is granted next. Only accounts in `ready` count
+    /// unless `any` is set. An account in `ready` may come before its order by one request.
+    pub fn next(
+        &self,
+        now: clock_time::ClockTime,
+        service: Duration,
+        ready: &BTreeSet<String>,
+        any: bool,
+    ) -> Option<usize> {
+        let candidates = || {
+            let waiting = self.waiting.iter().enumerate();
+            waiting.filter(|(_, waiting)| any || ready.contains(&waiting.account))
+        };
+        let start = |waiting: &waiting_lease::WaitingLease| self.start(&waiting.account);
+        let earliest = candidates().map(|(_, waiting)| start(waiting)).min_by(f64::total_cmp)?;
+        let order = |waiting: &waiting_lease::WaitingLease| {
+            let near =
+                ready.contains(&waiting.account) && start(waiting) <= earliest + waiting.cost();
+            (!near, start(waiting))
+        };
+        let compare = |left: &waiting_lease::WaitingLease, right: &waiting_lease::WaitingLease| {
+            let ((left_far, left_start), (right_far, right_start)) = (order(left), order(right));
+            left_far.cmp(&right_far).then(left_start.total_cmp(&right_start)).then_with(|| {
+                match left.account == right.account {
+                    true => left.urgency(now, service).cmp(&right.urgency(now, service)),
+                    false => std::cmp::Ordering::Equal,
+                }
+            })
+        };
+        candidates()
+            .min_by(|(_, left), (_, right)| compare(left, right))
+            .map(|(position, _)| position)
+    }
+
+    /// Removes the request at `position`, which is granted, and charges its account.
+    pub fn take(&mut self, position: usize) -> waiting_lease::WaitingLease {
+        let waiting = self.waiting.remove(position);
+        let start = self.start(&waiting.account);
+        self.virtual_time = self.virtual_time.max(start);
+        if self.served.len() >= ACCOUNTS_MAX && !self.served.contains_key(&waiting.account) {
+            let virtual_time = self.virtual_time;
+            self.served.retain(|_, served| *served > virtual_time);
+            if self.served.len() >= ACCOUNTS_MAX {
+                self.served.clear();
+            }
+        }
+        self.served.insert(waiting.account.clone(), start + waiting.cost());
+        waiting
+    }
+
+    /// Puts a request back that was taken and could not be granted, and cancels its charge.
+    pub fn put_back(&mut self, waiting: waiting_lease::WaitingLease) {
+        if let Some(served) = self.served.get_mut(&waiting.account) {
+            *served -= waiting.cost();
+        }
+        self.waiting.insert(0, waiting);
+    }
+
+    /// Returns how many waiting requests of this priority are granted before a new one.
+    pub fn ahead(
+        &self,
+        now: clock_time::ClockTime,
+        service: Duration,
+        request: &waiting_lease::WaitingLease,
+    ) -> usize {
+        let urgency = request.urgency(now, service);
+        let own = self.waiting.iter().filter(|waiting| {
+            waiting.account == request.account && waiting.urgency(now, service) <= urgency
+        });
+        let own = own.count();
+        let start = self.start(&request.account) + own as f64 * request.cost();
+        let mut others: BTreeMap<&str, (usize, f64)> = BTreeMap::new();
+        for waiting in self.waiting.iter().filter(|waiting| waiting.account != request.account) {
+            let (count, _) = others.entry(&waiting.account).or_insert((0, waiting.cost()));
+            *count += 1;
+        }
+        let others = others.into_iter().map(|(account, (count, cost))| {
+            let before = (start - self.start(account)) / cost;
+            // The same virtual time goes to the request that arrived first.
+            (before.floor() + 1.0).clamp(0.0, count as f64) as usize
+        });
+        own + others.sum::<usize>()
+    }
+
+    fn start(&self, account: &str) -> f64 {
+        self.served.get(account).copied().unwrap_or_default().max(self.virtual_time)
+    }
+}
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -23,6 +23,7 @@
 use crate::proxy::log_limiter;
 use crate::proxy::member_view;
 use crate::proxy::pending_request;
+use crate::proxy::pool_state;
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_message;
 use crate::proxy::proxy_tuning;
@@ -70,6 +71,8 @@
     Share(arena_keys::AccountKey),
     /// Opens connections to an endpoint that had reached its connection limit.
     Endpoint(arena_keys::EndpointKey),
+    /// Grants or refuses waiting requests for leases of an endpoint's connections.
+    Pool(arena_keys::EndpointKey),
     /// Advances a group's failover.
     Failover(arena_keys::GroupKey),
     /// Runs the periodic work.
@@ -101,6 +104,14 @@
     pub relayed_changes: u64,
     /// Datagrams sent to peers.
     pub datagrams: u64,
+    /// Leases granted to the fleet.
+    pub leases_granted: u64,
+    /// Refused requests for leases, by cause.
+    pub leases_refused: BTreeMap<&'static str, u64>,
+    /// Connections opened for leases.
+    pub pool_opened: u64,
+    /// Leases granted on a connection that another lease had used before.
+    pub pool_reused: u64,
 }
 
 /// One client account on this host.
@@ -234,6 +245,8 @@
     pub endpoint_names: BTreeMap<String, arena_keys::EndpointKey>,
     /// Connections to endpoints.
     pub connections: SlotMap<arena_keys::ConnectionKey, connection_state::ConnectionState>,
+    /// Connections that this host serves to the fleet, and their leases.
+    pub pool: pool_state::PoolState,
     /// Sessions of callers.
     pub sessions: SlotMap<arena_keys::CallerKey, session_state::SessionState>,
     /// Sessions by the listener's caller id.
@@ -304,6 +317,7 @@
             endpoints: SlotMap::with_key(),
             endpoint_names: BTreeMap::new(),
             connections: SlotMap::with_key(),
+            pool: pool_state::PoolState::default(),
             sessions: SlotMap::with_key(),
             callers: HashMap::new(),
             requests: SlotMap::with_key(),
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -137,6 +137,9 @@
                 proxy_context::ProxyTimer::Endpoint(endpoint) => {
                     connection_flow::open_for_queue(ctx, endpoint);
                 }
+                proxy_context::ProxyTimer::Pool(endpoint) => {
+                    pool_server::on_timer(ctx, endpoint);
+                }
                 proxy_context::ProxyTimer::Failover(_) => failover_flow::advance_all(ctx),
                 proxy_context::ProxyTimer::Tick => Self::tick(ctx),
             }
--- a/src/proxy/shutdown_flow.rs
+++ b/src/proxy/shutdown_flow.rs
@@ -79,7 +79,7 @@
     {
         end_transactions(ctx);
     }
-    let empty = elapsed >= READINESS_DELAY && ctx.sessions.is_empty();
+    let empty = elapsed >= READINESS_DELAY && ctx.sessions.is_empty() && !ctx.pool.in_use();
     if !ctx.stopped && (empty || elapsed >= ctx.tuning.shutdown_timeout) {
         ctx.stopped = true;
         if let Some(lease) = ctx.store.lease.take() {
