--- a/src/core/arena_keys.rs
+++ b/src/core/arena_keys.rs
@@ -15,4 +15,6 @@
     pub struct LinkKey;
     /// Key of a client account known to this host.
     pub struct AccountKey;
+    /// Key of a lease that this host granted, or of a request for one.
+    pub struct LeaseKey;
 }
--- a/src/proxy/pool_client.rs
+++ b/src/proxy/pool_client.rs
@@ -334,6 +334,7 @@
         endpoint,
         account,
         cursor: chart_cursor::ChartCursor::new(ctx.connection_chart.clone()),
+        pool_account: None,
         lease: Some(lease),
         values: Default::default(),
         prepared: Default::default(),
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -24,6 +24,7 @@
 use crate::proxy::log_limiter;
 use crate::proxy::member_view;
 use crate::proxy::pending_request;
+use crate::proxy::pool_state;
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_message;
 use crate::proxy::proxy_tuning;
@@ -73,6 +74,8 @@
     Share(arena_keys::AccountKey),
     /// Opens connections to an endpoint that had reached its connection limit.
     Endpoint(arena_keys::EndpointKey),
+    /// Grants or refuses waiting requests for leases of an endpoint's connections.
+    Pool(arena_keys::EndpointKey),
     /// Advances a group's failover.
     Failover(arena_keys::GroupKey),
     /// Runs the periodic work.
@@ -110,6 +113,14 @@
     pub lease_refusals: BTreeMap<&'static str, u64>,
     /// Links to serving hosts that were lost.
     pub pool_links_lost: u64,
+    /// Leases granted to the fleet.
+    pub leases_granted: u64,
+    /// Refused requests for leases, by cause.
+    pub leases_refused: BTreeMap<&'static str, u64>,
+    /// Connections opened for leases.
+    pub pool_opened: u64,
+    /// Leases granted on a connection that another lease had used before.
+    pub pool_reused: u64,
 }
 
 /// One client account on this host.
@@ -247,6 +258,8 @@
     pub leases: lease_book::LeaseBook,
     /// Connections to endpoints.
     pub connections: SlotMap<arena_keys::ConnectionKey, connection_state::ConnectionState>,
+    /// Connections that this host serves to the fleet, and their leases.
+    pub pool: pool_state::PoolState,
     /// Sessions of callers.
     pub sessions: SlotMap<arena_keys::CallerKey, session_state::SessionState>,
     /// Sessions by the listener's caller id.
@@ -319,6 +332,7 @@
             endpoint_names: BTreeMap::new(),
             leases: lease_book::LeaseBook::default(),
             connections: SlotMap::with_key(),
+            pool: pool_state::PoolState::default(),
             sessions: SlotMap::with_key(),
             callers: HashMap::new(),
             requests: SlotMap::with_key(),
