feat(pool): ping suspected serving hosts, and leave one that is cut off from an endpoint

A serving host that was cut off from its endpoint was asked again and again. Ruled out: longer pauses (a host that is back would be left out). Change: a link stays under watch until a reply; suspected hosts are pinged after each pause and used again after a reply; a command without a response for long moves later leases of that endpoint to the next host.

--- a/src/proxy/connection_flow.rs
+++ b/src/proxy/connection_flow.rs
@@ -403,6 +403,12 @@
             let now = ctx.now;
             ctx.endpoints[endpoint].unresponsive_since.get_or_insert(now);
         }
+        if let Some(lease) = view.lease {
+            if unresponsive && reached {
+                pool_client::on_unresponsive(ctx, endpoint, lease.link);
+            }
+            continue;
+        }
         let internal = matches!(
             view.user,
             Some(
--- a/src/proxy/lease_book.rs
+++ b/src/proxy/lease_book.rs
@@ -17,7 +17,7 @@
     pub links: SlotMap<arena_keys::LinkKey, serving_link::ServingLink>,
     /// Links by IP address and port.
     pub addresses: HashMap<String, arena_keys::LinkKey>,
-    /// Suspected hosts by name.
+    /// Suspected hosts by name. They are pinged after each pause, and used again after a reply.
     pub suspected: BTreeMap<String, host_suspicion::HostSuspicion>,
     /// Hosts by name that could not connect to an endpoint, and the endpoint.
     pub unreachable: BTreeMap<(arena_keys::EndpointKey, String), host_suspicion::HostSuspicion>,
@@ -51,9 +51,8 @@
         hosts.filter(|(_, suspicion)| suspicion.active(now)).count()
     }
 
-    /// Forgets suspicions that ended long ago.
+    /// Forgets endpoints that could not be reached long ago.
     pub fn expire_suspicions(&mut self, now: clock_time::ClockTime) {
-        self.suspected.retain(|_, suspicion| !suspicion.forgotten(now));
         self.unreachable.retain(|_, suspicion| !suspicion.forgotten(now));
     }
 }
--- a/src/proxy/pool_client.rs
+++ b/src/proxy/pool_client.rs
@@ -24,6 +24,7 @@
 use crate::proxy::request_flow;
 use crate::proxy::serving_hosts;
 use crate::proxy::serving_link;
+use crate::proxy::store_record;
 
 /// Identifier of the link of a serving host to itself, which needs no transport.
 pub const OWN_LINK: pool_message::LinkId = 0;
@@ -67,6 +68,7 @@
     let link = &mut ctx.leases.links[key];
     link.heard_at = now;
     link.pinged = None;
+    link.unheard = false;
     let refused_service = matches!(
         reply,
         pool_message::PoolReply::Refused { cause: pool_message::LeaseRefusal::NotServing, .. }
@@ -146,6 +148,7 @@
 pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
     let now = ctx.now;
     ctx.leases.expire_suspicions(now);
+    ping_suspected(ctx);
     let mut silent: Vec<String> = Vec::new();
     let mut idle: Vec<String> = Vec::new();
     let mut pings: Vec<String> = Vec::new();
@@ -154,8 +157,7 @@
             continue;
         }
         let quiet = now.since(link.heard_at);
-        if link.leases == 0 {
-            link.pinged = None;
+        if link.leases == 0 && !link.unheard {
             if quiet >= LINK_IDLE_TIMEOUT {
                 idle.push(link.address.clone());
             }
@@ -188,6 +190,26 @@
     }
 }
 
+/// Pings suspected hosts whose pause is over, so that no caller's request has to try them, and
+/// forgets those that do not run.
+fn ping_suspected(ctx: &mut proxy_context::ProxyContext) {
+    let now = ctx.now;
+    let due = ctx.leases.suspected.iter().filter(|(_, suspicion)| !suspicion.active(now));
+    let due: Vec<String> = due.map(|(host, _)| host.clone()).collect();
+    for host in due {
+        let running = ctx.members.get(&host).filter(|member| member.removed_at.is_none());
+        let record = running.map(|member| member.record.clone());
+        let Some(link) = record.and_then(|record| link_to(ctx, &record)) else {
+            ctx.leases.suspected.remove(&host);
+            continue;
+        };
+        if let Some(suspicion) = ctx.leases.suspected.get_mut(&host) {
+            suspicion.raise(now);
+        }
+        send(ctx, link, pool_message::PoolRequest::Ping);
+    }
+}
+
 /// Delivers the requests of this host to itself as serving host, and its replies.
 pub fn deliver_own(ctx: &mut proxy_context::ProxyContext) {
     loop {
@@ -257,6 +279,38 @@
     }
 }
 
+/// Handles a command on a leased connection that the endpoint has not responded to for long: the
+/// serving host may be cut off from the endpoint, so that the next one is asked for a while.
+pub fn on_unresponsive(
+    ctx: &mut proxy_context::ProxyContext,
+    endpoint: arena_keys::EndpointKey,
+    link: arena_keys::LinkKey,
+) {
+    let Some(host) = ctx.leases.links.get(link).map(|link| link.host.clone()) else { return };
+    if ctx.leases.is_suspected(&host, endpoint, ctx.now) {
+        return;
+    }
+    raise_unreachable(ctx, endpoint, host, "no_response");
+}
+
+fn raise_unreachable(
+    ctx: &mut proxy_context::ProxyContext,
+    endpoint: arena_keys::EndpointKey,
+    host: String,
+    cause: &str,
+) {
+    let now = ctx.now;
+    let id = ctx.endpoints[endpoint].entry.id.clone();
+    let line_host = host.clone();
+    let pause = ctx.leases.unreachable.entry((endpoint, host)).or_default().raise(now);
+    ctx.log_limited(|| {
+        format!(
+            "event=serving_host_suspected host={line_host} endpoint={id} cause={cause} for_ms={}",
+            pause.as_millis()
+        )
+    });
+}
+
 /// Whether the serving host of a leased connection has replied within the last `duration`, which
 /// it does at least to pings.
 pub fn is_heard(
@@ -290,7 +344,15 @@
     ctx: &mut proxy_context::ProxyContext,
     endpoint: arena_keys::EndpointKey,
 ) -> Option<arena_keys::LinkKey> {
-    let record = &serving_hosts::choose(ctx, endpoint)?.record;
+    let record = serving_hosts::choose(ctx, endpoint)?.record.clone();
+    link_to(ctx, &record)
+}
+
+/// Returns the link to a host, which is opened with the first request.
+fn link_to(
+    ctx: &mut proxy_context::ProxyContext,
+    record: &store_record::MemberRecord,
+) -> Option<arena_keys::LinkKey> {
     let known = ctx
         .leases
         .links
@@ -305,6 +367,7 @@
         member_address: record.address.clone(),
         address: address.clone(),
         leases: 0,
+        unheard: false,
         heard_at: ctx.now,
         pinged: None,
     };
@@ -356,9 +419,10 @@
         urgency,
     };
     let link = &mut ctx.leases.links[key];
-    if link.leases == 0 {
+    if link.leases == 0 && !link.unheard {
         link.heard_at = now;
     }
+    link.unheard = true;
     link.leases += 1;
     send(ctx, key, request);
 }
@@ -442,7 +506,7 @@
             connection_flow::open_for_queue(ctx, endpoint);
         }
         pool_message::LeaseRefusal::Unreachable => {
-            ctx.leases.unreachable.entry((endpoint, host)).or_default().raise(now);
+            raise_unreachable(ctx, endpoint, host, "unreachable");
             if ctx.leases.unreachable_count(endpoint, now) < UNREACHABLE_HOSTS {
                 return connection_flow::open_for_queue(ctx, endpoint);
             }
--- a/src/proxy/serving_link.rs
+++ b/src/proxy/serving_link.rs
@@ -13,7 +13,10 @@
     pub address: String,
     /// Leases on the link, those that are asked for included.
     pub leases: usize,
-    /// When a reply last arrived, or the first of the leases was asked for.
+    /// Whether a request was sent since the last reply, which a ping may have to settle even when
+    /// the request was withdrawn.
+    pub unheard: bool,
+    /// When a reply last arrived, or the first request was sent after a time without leases.
     pub heard_at: clock_time::ClockTime,
     /// When a ping was sent that no reply followed, and the periodic checks since.
     pub pinged: Option<(clock_time::ClockTime, u32)>,
