feat(losses): held time by percentile, losses by group and phase, unreadable logs end with code 2

Cause: a mean age hides whether refusals are told at once; a log that could not be read ended with code 1. Change: middle and 90th percentile of the age in each table, tables by cause and group and by cause and phase; one line and exit code 2 for a log that cannot be read. The test of the tables checks the new columns as well; the other checks are as before. Conclusion: what is held before a refusal shows by cause.

--- a/stand-ins/src/bin/quetzaldeal-losses.rs
+++ b/stand-ins/src/bin/quetzaldeal-losses.rs
@@ -3,15 +3,29 @@
 use std::fs;
 use std::io::{self, BufRead, Write};
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use anyhow::{Context, Result};
 use clap::{Arg, ArgAction, Command, value_parser};
 use stand_ins::loss_plot;
 use stand_ins::loss_table;
 
-fn main() -> Result<()> {
+/// Exit code for arguments or logs that cannot be used.
+const EXIT_BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("quetzaldeal-losses: {error:#}");
+            ExitCode::from(EXIT_BAD_INPUT)
+        }
+    }
+}
+
+fn run() -> Result<()> {
     let matches = Command::new("quetzaldeal-losses")
-        .about("Counts refused and failed requests by cause, account, database and second")
+        .about("Counts refused and failed requests by cause, account, database, group, phase and second")
         .version(env!("CARGO_PKG_VERSION"))
         .arg(
             Arg::new("log")
--- a/stand-ins/src/loss_table.rs
+++ b/stand-ins/src/loss_table.rs
@@ -16,6 +16,10 @@
     pub account: String,
     /// Database that the caller named.
     pub database: String,
+    /// Group that serves the database.
+    pub group: String,
+    /// How far the request had come.
+    pub phase: String,
     /// Cause that the host logged.
     pub cause: String,
     /// Whether the request is known not to have run.
@@ -69,6 +73,8 @@
                 at,
                 account: text("account"),
                 database: text("database"),
+                group: text("group"),
+                phase: text("phase"),
                 cause: text("cause"),
                 not_run: fields.get("fate") == Some(&"NotRun"),
                 age_ms: fields.get("age_ms").and_then(|age| age.parse().ok()).unwrap_or(0),
@@ -99,6 +105,12 @@
         self.write_list(&mut text, "cause and database", |lost| {
             format!("{} {}", lost.cause, lost.database)
         });
+        self.write_list(&mut text, "cause and group", |lost| {
+            format!("{} {}", lost.cause, lost.group)
+        });
+        self.write_list(&mut text, "cause and phase", |lost| {
+            format!("{} {}", lost.cause, lost.phase)
+        });
         self.write_list(&mut text, "second and cause", |lost| {
             format!("{:>5} s {}", lost.at.floor(), lost.cause)
         });
@@ -106,18 +118,19 @@
     }
 
     fn write_list(&self, text: &mut String, title: &str, key: impl Fn(&LostRequest) -> String) {
-        let mut rows: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+        let mut rows: BTreeMap<String, Vec<u64>> = BTreeMap::new();
         for lost in &self.lost {
-            let row = rows.entry(key(lost)).or_default();
-            row.0 += 1;
-            row.1 += lost.age_ms;
+            rows.entry(key(lost)).or_default().push(lost.age_ms);
         }
-        let mut rows: Vec<(String, (u64, u64))> = rows.into_iter().collect();
-        rows.sort_by_key(|(name, (count, _))| (std::cmp::Reverse(*count), name.clone()));
+        let mut rows: Vec<(String, Vec<u64>)> = rows.into_iter().collect();
+        rows.sort_by_key(|(name, ages)| (std::cmp::Reverse(ages.len()), name.clone()));
         // Writing to a string cannot fail.
-        let _ = writeln!(text, "\nby {title}: requests, mean age");
-        for (name, (count, total_age_ms)) in rows.iter().take(MAX_ROWS) {
-            let _ = writeln!(text, "{count:>8} {:>6} ms  {name}", total_age_ms / count);
+        let _ = writeln!(text, "\nby {title}: requests, mean, middle and 90th percentile of age");
+        for (name, ages) in rows.iter_mut().take(MAX_ROWS) {
+            ages.sort_unstable();
+            let mean = ages.iter().sum::<u64>() / ages.len() as u64;
+            let (middle, high) = (percentile(ages, 50), percentile(ages, 90));
+            let _ = writeln!(text, "{:>8} {mean:>6} {middle:>6} {high:>6} ms  {name}", ages.len());
         }
         if rows.len() > MAX_ROWS {
             let _ = writeln!(text, "         and {} more", rows.len() - MAX_ROWS);
@@ -142,6 +155,12 @@
     }
 }
 
+/// Returns the value at or above a percentage of the sorted values; 0 if there are none.
+fn percentile(sorted: &[u64], percent: usize) -> u64 {
+    let rank = (sorted.len() * percent).div_ceil(100);
+    sorted.get(rank.saturating_sub(1)).copied().unwrap_or(0)
+}
+
 /// Returns the seconds since midnight of a timestamp such as `2026-01-02T03:04:05.6Z`.
 fn seconds_of_day(word: &str) -> Option<f64> {
     let (_, time) = word.strip_suffix('Z')?.split_once('T')?;
--- a/stand-ins/tests/losses.rs
+++ b/stand-ins/tests/losses.rs
@@ -31,9 +31,23 @@
     let causes = table.by_second();
     assert_eq!(causes["OverRate"].iter().collect::<Vec<_>>(), [(&0, &1), (&1, &1)]);
     let text = table.render();
-    assert!(text.contains("       2    100 ms  OverRate, not run\n"), "{text}");
-    assert!(text.contains("       1    900 ms  ConnectionLost, may have run\n"), "{text}");
-    assert!(text.contains("       2    100 ms  OverRate desk\n"), "{text}");
+    assert!(text.contains("       2    100     80    120 ms  OverRate, not run\n"), "{text}");
+    assert!(
+        text.contains("       1    900    900    900 ms  ConnectionLost, may have run\n"),
+        "{text}"
+    );
+    assert!(text.contains("       2    100     80    120 ms  OverRate desk\n"), "{text}");
+    assert!(text.contains("       1    120    120    120 ms  OverRate waiting\n"), "{text}");
+}
+
+#[test]
+fn unreadable_log_ends_with_one_line_and_code_2() {
+    let program = env!("CARGO_BIN_EXE_quetzaldeal-losses");
+    let output = std::process::Command::new(program).arg("/nowhere/a1.log").output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(text.lines().count(), 1, "{text}");
+    assert!(text.contains("/nowhere/a1.log"), "{text}");
 }
 
 #[test]
