fix(daemon): HTTP listeners outlive SIGHUP

Cause: the HTTP library ends a server at SIGHUP, as at SIGTERM. A host whose settings changed no longer answered readiness checks and metrics, and a peer listener of quetzaldeald ended, though the process went on; no line said so. Change: the listener is bound once; after a hangup the next server accepts on it at once, and the one before completes its calls. Conclusion: hosts stay ready when settings change.

--- a/src/daemon/http_call.rs
+++ b/src/daemon/http_call.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use volo::net::Address;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use volo::net::incoming::DefaultIncoming;
 use volo_http::body::BodyConversion;
 use volo_http::client::{Client, ClientBuilder};
 use volo_http::http::StatusCode;
@@ -84,19 +86,36 @@
         .map_err(|error| (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()))
 }
 
-/// Serves the paths of `router` until the process receives a stop signal.
+/// Serves the paths of a router until the process receives a stop signal.
+///
+/// The library ends a server at SIGHUP as well, which here means changed settings. Another one then
+/// accepts on the same listener, while the first completes its calls.
 ///
 /// # Errors
 ///
 /// Fails when the address cannot be bound.
-pub async fn serve(address: &str, router: Router) -> Result<()> {
+pub async fn serve(address: &str, router: impl Fn() -> Router) -> Result<()> {
     let address: SocketAddr = address
         .parse()
         .with_context(|| format!("address {address:?}: expected an IP address and port"))?;
-    Server::new(router)
-        .run(Address::from(address))
-        .await
-        .map_err(|error| anyhow::anyhow!("failed to serve at {address}: {error}"))
+    let failed = || format!("failed to serve at {address}");
+    let listener = TcpListener::bind(address).await.with_context(failed)?;
+    let listener = listener.into_std().with_context(failed)?;
+    let mut hangups = signal(SignalKind::hangup()).with_context(failed)?;
+    loop {
+        let clone = listener.try_clone().with_context(failed)?;
+        let incoming = DefaultIncoming::from(TcpListener::from_std(clone).with_context(failed)?);
+        let server = tokio::spawn(Server::new(router()).run(incoming));
+        tokio::select! {
+            // A hangup ends the server, too, so it is looked for first.
+            biased;
+            _ = hangups.recv() => log::info!("event=http_server_replaced address={address}"),
+            served = server => {
+                let served = served.with_context(failed)?;
+                return served.map_err(|error| anyhow::anyhow!("{}: {error}", failed()));
+            }
+        }
+    }
 }
 
 /// Adds a POST path whose handler receives a decoded message and returns the reply to encode.
--- a/src/daemon/peer_driver.rs
+++ b/src/daemon/peer_driver.rs
@@ -172,7 +172,7 @@
         Ok(())
     };
     tokio::select! {
-        served = http_call::serve(&address, router(registry.clone())) => match served {
+        served = http_call::serve(&address, || router(registry.clone())) => match served {
             // The HTTP server returns on the stop signal, while the core still has replies to send.
             Ok(()) => {
                 stop.cancelled().await;
--- a/stand-ins/src/platform_program.rs
+++ b/stand-ins/src/platform_program.rs
@@ -51,7 +51,7 @@
             *program.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
             async move { Ok(()) }
         });
-        http_call::serve(address, router).await
+        http_call::serve(address, || router.clone()).await
     }
 
     async fn handle_request(&self, request: platform_message::PlatformRequest) -> PlatformResult {
