refactor(proxy): datagrams are sent through the context

Three flows send datagrams, and the function stood in the rate limiter. It is a method of the proxy context now, beside call_store. No change in behaviour.

--- a/src/proxy/change_relay.rs
+++ b/src/proxy/change_relay.rs
@@ -15,7 +15,6 @@
 use crate::proxy::member_view;
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_context;
-use crate::proxy::rate_limiter;
 use crate::proxy::relay_state;
 use crate::proxy::store_message;
 use crate::proxy::store_sync;
@@ -81,7 +80,7 @@
         sent_at_us: now.as_micros(),
     };
     let message = peer_datagram::PeerDatagram::ChangesRequest(request);
-    rate_limiter::send_datagram(ctx, address, message);
+    ctx.send_datagram(address, message);
 }
 
 /// Handles a request for changes.
@@ -219,7 +218,7 @@
     }
     for changes in messages {
         let message = peer_datagram::PeerDatagram::RelayedChanges(changes);
-        rate_limiter::send_datagram(ctx, address.clone(), message);
+        ctx.send_datagram(address.clone(), message);
     }
 }
 
--- a/src/proxy/heartbeat_flow.rs
+++ b/src/proxy/heartbeat_flow.rs
@@ -240,7 +240,7 @@
         echo_incarnation,
         reply_requested,
     };
-    rate_limiter::send_datagram(ctx, address, peer_datagram::PeerDatagram::Heartbeat(heartbeat));
+    ctx.send_datagram(address, peer_datagram::PeerDatagram::Heartbeat(heartbeat));
 }
 
 /// Returns the hosts that this host reports as unreachable in its heartbeats.
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -22,6 +22,7 @@
 use crate::proxy::group_view;
 use crate::proxy::log_limiter;
 use crate::proxy::member_view;
+use crate::proxy::peer_datagram;
 use crate::proxy::pending_request;
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_message;
@@ -330,6 +331,12 @@
         self.actions.push(proxy_message::ProxyAction::CallStore { call, request });
     }
 
+    /// Sends a datagram to a peer.
+    pub fn send_datagram(&mut self, address: String, message: peer_datagram::PeerDatagram) {
+        self.counts.datagrams += 1;
+        self.actions.push(proxy_message::ProxyAction::SendDatagram { address, message });
+    }
+
     /// Returns a new id for a request that awaits a reply.
     pub fn next_call_id(&mut self) -> core_message::CallId {
         let call = self.next_call;
--- a/src/proxy/rate_limiter.rs
+++ b/src/proxy/rate_limiter.rs
@@ -18,7 +18,6 @@
 use crate::proxy::pending_request;
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_context;
-use crate::proxy::proxy_message;
 use crate::proxy::proxy_tuning;
 use crate::proxy::request_flow;
 
@@ -247,7 +246,7 @@
     let view = view.filter(|view| view.allocation == allocation && view.waiting.is_empty());
     let count = view.map_or(0, |view| view.ledger.spend_for_peer(now, count));
     let host = ctx.identity.host.clone();
-    send_datagram(ctx, address, peer_datagram::PeerDatagram::TokenGiven { host, account, count });
+    ctx.send_datagram(address, peer_datagram::PeerDatagram::TokenGiven { host, account, count });
 }
 
 /// Handles a peer's reply to a request for tokens.
@@ -315,16 +314,6 @@
     }
 }
 
-/// Sends a datagram to a peer.
-pub fn send_datagram(
-    ctx: &mut proxy_context::ProxyContext,
-    address: String,
-    message: peer_datagram::PeerDatagram,
-) {
-    ctx.counts.datagrams += 1;
-    ctx.actions.push(proxy_message::ProxyAction::SendDatagram { address, message });
-}
-
 fn admit_waiting(ctx: &mut proxy_context::ProxyContext, account: arena_keys::AccountKey) {
     let now = ctx.now;
     loop {
@@ -370,7 +359,7 @@
             allocation,
             count: wanted,
         };
-        send_datagram(ctx, address, message);
+        ctx.send_datagram(address, message);
     }
 }
 
