feat(limit): refusals at once where nothing comes in time, with slots for returns

Cause: of one account at 6.5 times its usual, requests waited up to 120 ms for a token that the share's rate and the last searches ruled out; writes that met a failover were refused in every case; callers refused together were told the same constant.

Change: token_outlook decides from share, searches and admitted fraction; primary_wait lets writes wait if the next primary is expected within their target, by measured durations; return_schedule gives each refused caller a slot.

Check replaced: refusal_without_a_share_carries_a_retry_time bounded the delay by 1.5 s, which told 40 callers to return within what a rate of 20 a second covers only alone. Now at most 20 return within any second, none later than the longest delay.

--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -18,6 +18,7 @@
 use crate::proxy::group_view;
 use crate::proxy::heartbeat_flow;
 use crate::proxy::primary_release;
+use crate::proxy::primary_wait;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
 use crate::proxy::store_message;
@@ -49,6 +50,7 @@
         primary_release::release_when_drained(ctx, group);
         advance(ctx, group);
     }
+    primary_wait::place_waiting(ctx);
 }
 
 /// Advances the group's failover after an endpoint's status has been recorded.
@@ -79,6 +81,10 @@
         record.candidate,
         record.proposer
     );
+    if let Some(last) = &view.record {
+        let since = view.record_received_at;
+        ctx.failover_durations.record(now, last.phase, since, record.phase);
+    }
     view.revision = revision;
     view.record_received_at = now;
     view.leadership_lost = false;
@@ -92,6 +98,7 @@
     }
     primary_release::release_when_drained(ctx, group);
     advance(ctx, group);
+    primary_wait::place_waiting(ctx);
 }
 
 /// Handles the store's reply to the write of a group record.
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -4,6 +4,7 @@
 use crate::core::chart_cursor;
 use crate::core::clock_time;
 use crate::proxy::position_history;
+use crate::proxy::return_schedule;
 use crate::proxy::store_record;
 
 /// Why a failover is needed.
@@ -49,6 +50,10 @@
     pub name: String,
     /// Endpoints of the group.
     pub endpoints: Vec<arena_keys::EndpointKey>,
+    /// Requests that wait for a primary.
+    pub primary_waiting: Vec<arena_keys::StatementKey>,
+    /// Slots given to callers that were refused at this group.
+    pub returns: return_schedule::ReturnSchedule,
     /// The group's record in the store.
     pub record: Option<store_record::GroupRecord>,
     /// Revision of the record in the store; 0 when there is none.
--- a/src/proxy/pending_request.rs
+++ b/src/proxy/pending_request.rs
@@ -47,6 +47,11 @@
         /// When it stops waiting.
         until: clock_time::ClockTime,
     },
+    /// It waits for its group to get a primary, and was not sent to any endpoint.
+    AwaitingPrimary {
+        /// When it stops waiting.
+        until: clock_time::ClockTime,
+    },
     /// It waits at an endpoint for a connection.
     Queued {
         /// Endpoint in whose queue it waits.
@@ -68,6 +73,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::AwaitingShare { .. } => "waiting",
+            Self::AwaitingPrimary { .. } => "awaiting_primary",
             Self::Queued { .. } => "queued",
             Self::Running { sent: false, .. } => "preparing",
             Self::Running { sent: true, .. } => "sent",
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -24,14 +24,17 @@
 use crate::proxy::member_view;
 use crate::proxy::peer_datagram;
 use crate::proxy::pending_request;
+use crate::proxy::primary_wait;
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_message;
 use crate::proxy::proxy_tuning;
 use crate::proxy::relay_state;
+use crate::proxy::return_schedule;
 use crate::proxy::session_state;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
 use crate::proxy::store_session;
+use crate::proxy::token_outlook;
 use crate::proxy::witness_selection;
 
 const FAILOVER_CHART: &str = include_str!("../../charts/proxy_failover.yaml");
@@ -94,6 +97,14 @@
     pub connections_opened: u64,
     /// Statements sent again after an attempt that is known not to have run them.
     pub retries: u64,
+    /// Requests refused on arrival, by cause.
+    pub refused_at_once: BTreeMap<String, u64>,
+    /// Requests refused after they had waited, by cause.
+    pub refused_after_wait: BTreeMap<String, u64>,
+    /// Requests that waited for a primary and were placed on it.
+    pub primary_waits_placed: u64,
+    /// Requests that waited for a primary and were refused.
+    pub primary_waits_expired: u64,
     /// Requests to the store.
     pub store_calls: u64,
     /// Replies of the store by purpose of the request and outcome.
@@ -132,8 +143,12 @@
     pub fruitless_searches: u32,
     /// When the next search may begin.
     pub next_search: clock_time::ClockTime,
-    /// Until when all peers are assumed to be out of tokens.
-    pub exhausted_until: clock_time::ClockTime,
+    /// What searches and admissions on this host show about the account's tokens.
+    pub history: token_outlook::TokenHistory,
+    /// Slots given to refused callers.
+    pub returns: return_schedule::ReturnSchedule,
+    /// When waiting requests are next admitted with tokens that this host's share accrues.
+    pub accrual_check_at: clock_time::ClockTime,
 }
 
 /// The current allocation of shares to hosts.
@@ -195,6 +210,10 @@
     pub latencies: latency_histograms::LatencyHistograms,
     /// Latencies of successful requests by kind of route and kind of request.
     pub kind_latencies: latency_histograms::LatencyHistograms,
+    /// Times for which requests were held before they were refused, by cause.
+    pub hold_times: latency_histograms::LatencyHistograms,
+    /// Durations of the failovers that this host has seen.
+    pub failover_durations: primary_wait::FailoverDurations,
     /// The active configuration.
     pub config: Option<Arc<proxy_config::ProxyConfig>>,
     /// Data centres under evacuation, and when this host read of each.
@@ -285,6 +304,8 @@
             counts: ProxyCounts::default(),
             latencies: latency_histograms::LatencyHistograms::default(),
             kind_latencies: latency_histograms::LatencyHistograms::default(),
+            hold_times: latency_histograms::LatencyHistograms::default(),
+            failover_durations: primary_wait::FailoverDurations::default(),
             config: None,
             evacuations: BTreeMap::new(),
             store: store_session::StoreSession::default(),
--- a/src/proxy/rate_limiter.rs
+++ b/src/proxy/rate_limiter.rs
@@ -20,6 +20,8 @@
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_tuning;
 use crate::proxy::request_flow;
+use crate::proxy::return_schedule;
+use crate::proxy::token_outlook;
 
 /// Most peers that receive a token request in one round.
 const PEERS_PER_ROUND: usize = 3;
@@ -37,11 +39,6 @@
 const FRUITLESS_SEARCH_PAUSE: Duration = Duration::from_millis(10);
 /// Most doublings of that pause.
 const FRUITLESS_DOUBLINGS_MAX: u32 = 5;
-/// How long an account counts as exhausted after a round without tokens. During that time only as
-/// many requests as `waiting_allowance` returns may wait; others are refused at once.
-const EXHAUSTED_FOR: Duration = Duration::from_millis(30);
-/// Longest retry delay stated in a refusal.
-const RETRY_MAX: Duration = Duration::from_secs(60);
 /// Burst per home host, in tokens. Less would make a share useless, so small accounts have fewer
 /// home hosts.
 const HOME_BURST: f64 = 2.0;
@@ -207,26 +204,26 @@
         return request_flow::on_admitted(ctx, request);
     };
     let view = &mut ctx.accounts[account];
+    view.history.record_arrival(now);
     if view.waiting.is_empty() && view.ledger.admit(now) {
+        view.history.record_admission(now);
         return request_flow::on_admitted(ctx, request);
     }
-    let exhausted = now < view.exhausted_until
-        && view.waiting.len() >= waiting_allowance(view, ctx.tuning.token_wait);
-    if view.waiting.len() >= WAITING_MAX || exhausted {
+    let bound = ctx.tuning.token_wait.min(ctx.requests[request].route.target_latency / 2);
+    let waiting = view.waiting.len();
+    let input = outlook_input(ctx, account, waiting, bound);
+    if waiting >= WAITING_MAX || token_outlook::decide(&input) == token_outlook::TokenPlan::Refuse {
         return request_flow::refuse(ctx, request, request_verdict::VerdictCause::OverRate);
     }
-    let until =
-        now.after(ctx.tuning.token_wait.min(ctx.requests[request].route.target_latency / 2));
+    let until = now.after(bound);
     let home = ctx.accounts[account].homes.contains(&ctx.identity.host);
-    if !home && ctx.accounts[account].next_search > until {
-        return request_flow::refuse(ctx, request, request_verdict::VerdictCause::OverRate);
-    }
     if !home && reachable_homes(ctx, account).next().is_none() {
         return request_flow::refuse(ctx, request, request_verdict::VerdictCause::ShareClosed);
     }
     ctx.accounts[account].waiting.push_back(request);
     ctx.requests[request].phase = pending_request::RequestPhase::AwaitingShare { until };
     ctx.timers.push(until, proxy_context::ProxyTimer::Request(request));
+    schedule_accrual_check(ctx, account);
     request_tokens(ctx, account);
 }
 
@@ -268,6 +265,7 @@
         view.ledger.add_prepaid_tokens(now, count);
         view.empty_replies = 0;
         view.fruitless_searches = 0;
+        view.history.record_search(now, count);
     } else {
         view.empty_replies += 1;
     }
@@ -279,22 +277,124 @@
     if view.empty_replies < peers {
         return request_tokens(ctx, account);
     }
-    // Some requests keep waiting for the next tokens to accrue; any more would time out before
-    // they got one.
     view.empty_replies = 0;
+    view.history.record_search(now, 0);
     view.requested_at = now;
     let doublings = view.fruitless_searches.min(FRUITLESS_DOUBLINGS_MAX);
     view.fruitless_searches += 1;
     view.next_search = now.after(FRUITLESS_SEARCH_PAUSE * (1 << doublings));
-    view.exhausted_until = now.after(EXHAUSTED_FOR).max(view.next_search);
-    let keep = waiting_allowance(view, ctx.tuning.token_wait).min(view.waiting.len());
-    let refused = view.waiting.split_off(keep);
     ctx.timers.push(view.next_search, proxy_context::ProxyTimer::Share(account));
+    refuse_hopeless(ctx, account);
+}
+
+/// Refuses the waiting requests for which no token is expected in time. Those with the least time
+/// left of their target latency get the earliest slots for their return.
+fn refuse_hopeless(ctx: &mut proxy_context::ProxyContext, account: arena_keys::AccountKey) {
+    let mut refused = Vec::new();
+    let mut ahead = 0;
+    for request in ctx.accounts[account].waiting.clone() {
+        let left = match ctx.requests[request].phase {
+            pending_request::RequestPhase::AwaitingShare { until } => until.since(ctx.now),
+            _ => Duration::ZERO,
+        };
+        let mut input = outlook_input(ctx, account, ahead, left);
+        // Promised returns come after requests that wait already.
+        input.promised = 0.0;
+        match token_outlook::may_wait(&input) {
+            true => ahead += 1,
+            false => refused.push(request),
+        }
+    }
+    ctx.accounts[account].waiting.retain(|request| !refused.contains(request));
+    refused.sort_by_key(|request| {
+        let state = &ctx.requests[*request];
+        state.arrived.after(state.route.target_latency)
+    });
     for request in refused {
         request_flow::refuse(ctx, request, request_verdict::VerdictCause::OverRate);
     }
 }
 
+/// Returns the inputs of the decision about a request that `ahead` others of its account wait
+/// before.
+fn outlook_input(
+    ctx: &mut proxy_context::ProxyContext,
+    account: arena_keys::AccountKey,
+    ahead: usize,
+    bound: Duration,
+) -> token_outlook::OutlookInput {
+    let now = ctx.now;
+    let spacing = return_spacing(ctx, account);
+    let searchable = reachable_homes(ctx, account).next().is_some();
+    let view = &mut ctx.accounts[account];
+    let home = view.homes.contains(&ctx.identity.host);
+    let doublings = view.fruitless_searches.min(FRUITLESS_DOUBLINGS_MAX);
+    let rate = view.object.as_ref().map_or(0.0, |object| object.rate);
+    token_outlook::OutlookInput {
+        over_rate: view.history.over_rate(now),
+        allowance: token_outlook::waiting_allowance(rate, ctx.tuning.token_wait),
+        ahead,
+        promised: view.returns.promised_within(now, bound, spacing),
+        own_token: home.then(|| view.ledger.wait_for_token(now)),
+        own_rate: view.ledger.allocated().rate,
+        account_rate: rate,
+        found_per_search: match searchable {
+            true => view.history.found_expected(now),
+            false => 0.0,
+        },
+        next_search: view.next_search.since(now),
+        search_pause: FRUITLESS_SEARCH_PAUSE * (1 << doublings),
+        bound,
+    }
+}
+
+/// Returns log fields with what this host expects of the account's tokens.
+pub fn describe_outlook(
+    ctx: &mut proxy_context::ProxyContext,
+    account: arena_keys::AccountKey,
+) -> String {
+    let waiting = ctx.accounts[account].waiting.len();
+    let input = outlook_input(ctx, account, waiting, ctx.tuning.token_wait);
+    let expected = token_outlook::expected_wait(&input);
+    let expected_ms = expected.map_or(-1, |wait| wait.as_millis() as i64);
+    let view = &ctx.accounts[account];
+    let search_age = ctx.now.since(view.history.searched_at).as_millis();
+    format!(
+        "token_expected_ms={expected_ms} waiting={waiting} found_per_search={:.2} \
+         over_rate={} \
+         search_age_ms={search_age} next_search_ms={} promised={:.1}",
+        input.found_per_search,
+        input.over_rate,
+        input.next_search.as_millis(),
+        input.promised
+    )
+}
+
+/// Returns the time between the returns that this host promises to callers of the account.
+fn return_spacing(ctx: &proxy_context::ProxyContext, account: arena_keys::AccountKey) -> Duration {
+    let view = &ctx.accounts[account];
+    let rate = view.object.as_ref().map_or(0.0, |object| object.rate);
+    let admitted = view.history.admission_rate(ctx.now);
+    return_schedule::account_spacing(rate, admitted, ctx.allocation.hosts.len())
+}
+
+/// Sets a timer for the next token that this host's share accrues for a waiting request.
+fn schedule_accrual_check(ctx: &mut proxy_context::ProxyContext, account: arena_keys::AccountKey) {
+    let now = ctx.now;
+    let view = &mut ctx.accounts[account];
+    let home = view.homes.contains(&ctx.identity.host);
+    // Below the rate, peers spend tokens for the waiting requests, and those of this host would
+    // leave some of these unused.
+    if !home || !view.history.over_rate(now) || view.waiting.is_empty() {
+        return;
+    }
+    if now < view.accrual_check_at {
+        return;
+    }
+    view.accrual_check_at = now.after(view.ledger.wait_for_token(now));
+    ctx.timers.push(view.accrual_check_at, proxy_context::ProxyTimer::Share(account));
+}
+
 /// Admits the requests whose tokens have accrued, and requests tokens from peers for the remaining
 /// ones.
 pub fn on_timer(ctx: &mut proxy_context::ProxyContext, account: arena_keys::AccountKey) {
@@ -319,9 +419,10 @@
     loop {
         let view = &mut ctx.accounts[account];
         if view.waiting.is_empty() || !view.ledger.admit(now) {
-            return;
+            return schedule_accrual_check(ctx, account);
         }
         let Some(request) = view.waiting.pop_front() else { return };
+        view.history.record_admission(now);
         request_flow::on_admitted(ctx, request);
     }
 }
@@ -363,26 +464,24 @@
     }
 }
 
-/// Returns after which delay a caller whose request got no token may retry. The next token accrues
-/// by then, here or, if this host is not a home host, at one of the home hosts.
+/// Returns after which delay a caller whose request got no token may return: when the account's
+/// tokens cover this caller and those refused before it.
 pub fn retry_after(
     ctx: &mut proxy_context::ProxyContext,
     account: arena_keys::AccountKey,
 ) -> Duration {
     let now = ctx.now;
+    let spacing = return_spacing(ctx, account);
+    let random = ctx.random_fraction();
     let view = &mut ctx.accounts[account];
     let rate = view.object.as_ref().map_or(0.0, |object| object.rate);
-    if view.homes.contains(&ctx.identity.host) || rate <= 0.0 {
-        return view.ledger.wait_for_token(now);
-    }
-    Duration::from_secs_f64(view.homes.len() as f64 / rate).min(RETRY_MAX)
-}
-
-/// Returns how many requests may wait here: half of those for which the whole account accrues
-/// tokens within `wait`. The other half is left to other hosts.
-fn waiting_allowance(view: &proxy_context::AccountView, wait: Duration) -> usize {
-    let rate = view.object.as_ref().map_or(0.0, |object| object.rate);
-    ((rate * wait.as_secs_f64() / 2.0).ceil() as usize).clamp(1, WAITING_MAX)
+    let next_token = if view.homes.contains(&ctx.identity.host) || rate <= 0.0 {
+        view.ledger.wait_for_token(now)
+    } else {
+        Duration::try_from_secs_f64(view.homes.len() as f64 / rate)
+            .unwrap_or(return_schedule::RETRY_MAX)
+    };
+    view.returns.assign(now, next_token, spacing, random)
 }
 
 /// Returns the account's other home hosts to which token requests may be sent. Those that did not
--- a/src/proxy/request_flow.rs
+++ b/src/proxy/request_flow.rs
@@ -9,8 +9,10 @@
 use crate::proxy::endpoint_command;
 use crate::proxy::pending_request;
 use crate::proxy::placement_policy;
+use crate::proxy::primary_wait;
 use crate::proxy::proxy_context;
 use crate::proxy::rate_limiter;
+use crate::proxy::return_schedule;
 use crate::proxy::session_flow;
 use crate::proxy::session_state;
 
@@ -18,13 +20,8 @@
 const LAG_BACKOFF: Duration = Duration::from_millis(100);
 /// Maximum number of times the back-off is doubled while the replica keeps lagging.
 const LAG_BACKOFF_DOUBLINGS_MAX: u32 = 4;
-/// Time after which callers may retry when the group had no usable primary.
-const NO_PRIMARY_RETRY: Duration = Duration::from_millis(400);
-/// Time after which callers may retry when no endpoint or connection was available.
-const NO_CAPACITY_RETRY: Duration = Duration::from_millis(100);
-/// Time after which callers may retry, on another host, when this one is draining or has no
-/// configuration.
-const OTHER_HOST_RETRY: Duration = Duration::from_millis(50);
+/// Time below which a refusal counts as given at once.
+const AT_ONCE: Duration = Duration::from_millis(1);
 
 /// Admits a request: checks access, sets its deadline and charges it to the account's share.
 /// Requests inside an open transaction are not charged.
@@ -192,6 +189,10 @@
         pending_request::RequestPhase::AwaitingShare { until } if now >= until => {
             refuse(ctx, request, request_verdict::VerdictCause::OverRate);
         }
+        pending_request::RequestPhase::AwaitingPrimary { until } if now >= until => {
+            ctx.counts.primary_waits_expired += 1;
+            refuse(ctx, request, request_verdict::VerdictCause::NoPrimary);
+        }
         pending_request::RequestPhase::Queued { endpoint, until } if now >= until => {
             if now < state.deadline && state.attempts + 1 < ctx.tuning.attempts_max {
                 ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != request);
@@ -324,22 +325,7 @@
     request: Option<arena_keys::StatementKey>,
     cause: request_verdict::VerdictCause,
 ) -> request_verdict::RequestVerdict {
-    let wait = match &cause {
-        request_verdict::VerdictCause::OverRate => request
-            .and_then(|request| ctx.requests[request].account)
-            .map(|account| rate_limiter::retry_after(ctx, account)),
-        request_verdict::VerdictCause::ShareClosed => Some(rate_limiter::SKIP_DURATION),
-        request_verdict::VerdictCause::NoPrimary => Some(NO_PRIMARY_RETRY),
-        request_verdict::VerdictCause::NoEndpoint
-        | request_verdict::VerdictCause::QueueFull
-        | request_verdict::VerdictCause::TransactionLost
-        | request_verdict::VerdictCause::ConnectionLost => Some(NO_CAPACITY_RETRY),
-        request_verdict::VerdictCause::Draining | request_verdict::VerdictCause::ConfigMissing => {
-            Some(OTHER_HOST_RETRY)
-        }
-        _ => None,
-    };
-    let wait = wait.map(|wait| ctx.with_jitter(wait));
+    let wait = return_schedule::retry_after(ctx, request, &cause);
     request_verdict::RequestVerdict::not_run(cause, wait)
 }
 
@@ -384,8 +370,12 @@
     }
     let placed = placement_policy::choose_endpoint(ctx, request)
         .and_then(|endpoint| connection_flow::acquire(ctx, endpoint, request));
-    if let Err(cause) = placed {
-        refuse(ctx, request, cause);
+    match placed {
+        Ok(()) => {}
+        Err(cause @ request_verdict::VerdictCause::NoPrimary) => {
+            primary_wait::wait_or_refuse(ctx, request, cause);
+        }
+        Err(cause) => refuse(ctx, request, cause),
     }
 }
 
@@ -401,8 +391,8 @@
     }
     let needs_primary = placement_policy::needs_primary(ctx, request);
     if needs_primary {
-        // Only the primary can run it, and the primary has just refused it.
-        return refuse(ctx, request, cause);
+        // Only a primary can run it. One that has just refused it is not tried again.
+        return primary_wait::wait_or_refuse(ctx, request, cause);
     }
     ctx.counts.retries += 1;
     place(ctx, request);
@@ -464,6 +454,9 @@
                 ctx.accounts[account].waiting.retain(|waiting| *waiting != request);
             }
         }
+        pending_request::RequestPhase::AwaitingPrimary { .. } => {
+            ctx.groups[state.group].primary_waiting.retain(|waiting| *waiting != request);
+        }
         pending_request::RequestPhase::Queued { endpoint, .. } => {
             ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != request);
         }
@@ -535,7 +528,21 @@
     }
     let cause = format!("{:?}", verdict.cause);
     let cause = cause.split([' ', '{']).next().unwrap_or_default().to_owned();
-    let age_ms = ctx.now.since(state.arrived).as_millis();
+    let held = ctx.now.since(state.arrived);
+    let age_ms = held.as_millis();
+    if verdict.fate == request_verdict::RequestFate::NotRun {
+        ctx.hold_times.record(&cause, held);
+        let counts = match held < AT_ONCE {
+            true => &mut ctx.counts.refused_at_once,
+            false => &mut ctx.counts.refused_after_wait,
+        };
+        *counts.entry(cause.clone()).or_default() += 1;
+    }
+    let tokens = state.account.map(|account| rate_limiter::describe_outlook(ctx, account));
+    let tokens = tokens.unwrap_or_default();
+    let outlook = primary_wait::group_outlook(ctx, state.group);
+    let (gap, gap_age) = (outlook.phase, outlook.age.as_millis());
+    let primary_ms = outlook.remaining.map_or(-1, |remaining| remaining.as_millis() as i64);
     let (id, phase, attempts) = (state.id.clone(), state.phase.name(), state.attempts);
     let (database, fate) = (state.route.database.clone(), verdict.fate);
     let version = ctx.config.as_ref().map_or(0, |config| config.version);
@@ -552,7 +559,7 @@
              group={group} epoch={epoch} serving={serving} permitted={may_use_primary} record_age_ms={record_age} \
              store_age_ms={store_age} version={version} \
              phase={phase} attempts={attempts} age_ms={age_ms} fate={fate:?} cause={cause} \
-             retry_ms={retry}"
+             retry_ms={retry} {tokens} gap={gap:?} gap_age_ms={gap_age} primary_expected_ms={primary_ms}"
         )
     });
     *ctx.counts.unserved.entry((account, cause)).or_default() += 1;
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -27,6 +27,7 @@
 use crate::proxy::store_record;
 use crate::proxy::store_session;
 use crate::proxy::sync_source;
+use crate::proxy::token_outlook;
 use crate::proxy::witness_selection;
 
 /// Number of witnesses that keep short watches. With three, one may be cut off from the store and
@@ -415,7 +416,9 @@
                 empty_replies: 0,
                 fruitless_searches: 0,
                 next_search: clock_time::ClockTime::default(),
-                exhausted_until: clock_time::ClockTime::default(),
+                history: token_outlook::TokenHistory::new(now),
+                returns: Default::default(),
+                accrual_check_at: clock_time::ClockTime::default(),
             });
             ctx.account_names.insert(name.clone(), account);
         }
@@ -432,6 +435,8 @@
     let group = ctx.groups.insert(group_view::GroupView {
         name: name.to_owned(),
         endpoints: Vec::new(),
+        primary_waiting: Vec::new(),
+        returns: Default::default(),
         record: None,
         revision: 0,
         record_received_at: ctx.now,
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -31,7 +31,8 @@
 const HOST_LATENCY_US: u64 = 1_000;
 /// One-way latency between a host and the store, in microseconds.
 const STORE_LATENCY_US: u64 = 2_000;
-/// Time from the acceptance of a promotion until the endpoint is the primary, in microseconds.
+/// Default of the time from the acceptance of a promotion until the endpoint is the primary, in
+/// microseconds.
 const PROMOTION_US: u64 = 1_000_000;
 /// Time after which a replaced primary that was not asked to step down does so by itself, in
 /// microseconds.
@@ -190,6 +191,8 @@
     pub(crate) violations: Vec<String>,
     /// When databases ran operations, by account, in microseconds and ascending order.
     pub(crate) executions: BTreeMap<String, Vec<u64>>,
+    /// Time from the acceptance of a promotion until the endpoint is the primary, in microseconds.
+    pub(crate) promotion_us: u64,
     /// Fraction of the databases' responses that is lost.
     pub(crate) response_loss: f64,
     /// Fraction of the datagrams between hosts that is lost.
@@ -243,6 +246,7 @@
             databases: BTreeMap::new(),
             violations: Vec::new(),
             executions: BTreeMap::new(),
+            promotion_us: PROMOTION_US,
             response_loss: 0.0,
             datagram_loss: 0.0,
             datagram_bytes: BTreeMap::new(),
@@ -802,7 +806,7 @@
                 };
                 if reply == proxy_message::PromotionReply::Accepted {
                     self.push(
-                        self.now + PROMOTION_US,
+                        self.now + self.promotion_us,
                         ScheduledStep::CompletePromotion { group, endpoint },
                     );
                 }
--- a/tests/proxy_scale.rs
+++ b/tests/proxy_scale.rs
@@ -8,6 +8,7 @@
 use proxy_fakes::fake_store;
 use proxy_fakes::{PartitionSide, ProxyFleet, millis, read, write};
 use quetzaldeal::core::request_verdict;
+use quetzaldeal::proxy::return_schedule;
 use quetzaldeal::proxy::witness_selection;
 
 /// Hosts of the fleet: more than the size up to which every host is a witness.
@@ -325,17 +326,23 @@
             fleet.send(host, *caller, read());
         }
         fleet.run(millis(500));
-        let mut refusals = 0;
+        let mut waits = Vec::new();
         for caller in callers {
             let Some(received) = fleet.take_response(host, caller) else { continue };
             let verdict = received.response.verdict;
             if verdict.fate == request_verdict::RequestFate::NotRun {
                 let wait = verdict.retry_after.unwrap();
-                assert!(wait >= millis(50) && wait <= millis(1_500), "{wait:?}");
-                refusals += 1;
+                assert!(wait >= millis(50) && wait <= return_schedule::RETRY_MAX, "{wait:?}");
+                waits.push(wait);
             }
         }
-        assert!(refusals > 20, "{refusals} requests refused, expected more than 20");
+        assert!(waits.len() > 20, "{} requests refused, expected more than 20", waits.len());
+        // Those who return in one second must not be more than the account's rate of 20 covers.
+        let most = waits.iter().map(|first| {
+            let within = |wait: &&Duration| **wait >= *first && **wait < *first + millis(1_000);
+            waits.iter().filter(within).count()
+        });
+        assert!(most.max().unwrap() <= 20, "{waits:?}");
     };
     // Guards against refusals at hosts without a share: the account has few home hosts, and all
     // other hosts have to ask them for tokens.
