feat(usage): hosts report usage by window where the settings name the duty

Cause: the users name a second duty. For each window of true time, one holder at a time reports how many operations of each account endpoints began to run.

Ruled out: a record without counts (a successor could not repeat the report), counts as differences (a lost datagram changes the sum), the clock of one host (it may be off by seconds).

Change: each host counts by sending time on its own clock and sends totals of windows to the coordinator, which takes true time from the median of the hosts' clocks. What is reported is first written to the store under the condition that the record is unchanged; every holder reports only what the record says. Promotion and usage share one kind of call, one token and one fence by subject: a host with a new token waits until the turn since its own last call is over. A call that is given up resets its connection.

--- a/src/proxy/connection_flow.rs
+++ b/src/proxy/connection_flow.rs
@@ -20,6 +20,7 @@
 use crate::proxy::proxy_message;
 use crate::proxy::request_flow;
 use crate::proxy::response_flow;
+use crate::proxy::usage_flow;
 
 /// Prepared statements kept on one connection; more are dropped together with the session settings.
 const PREPARED_MAX: usize = 256;
@@ -437,6 +438,10 @@
         let elapsed = ctx.now.since(ctx.connections[connection].sent).as_secs_f64() * 1_000.0;
         let view = &mut ctx.endpoints[ctx.connections[connection].endpoint];
         view.latency_ms += (elapsed - view.latency_ms) * LATENCY_WEIGHT;
+        if response.outcome.as_ref().is_err_and(endpoint_command::EndpointFault::is_not_run) {
+            let sent = ctx.connections[connection].sent;
+            usage_flow::count_not_run(ctx, request, sent);
+        }
         return response_flow::on_statement_response(ctx, request, connection, response);
     }
     match response.outcome {
@@ -468,6 +473,7 @@
     {
         ctx.requests[request].phase =
             pending_request::RequestPhase::Running { connection, sent: true };
+        usage_flow::count_sent(ctx, request);
     }
     ctx.actions.push(proxy_message::ProxyAction::SendCommand { connection, command });
 }
--- a/src/proxy/endpoint_command.rs
+++ b/src/proxy/endpoint_command.rs
@@ -103,6 +103,13 @@
     },
 }
 
+impl EndpointFault {
+    /// Returns whether the endpoint did not begin to run the command.
+    pub fn is_not_run(&self) -> bool {
+        !matches!(self, Self::Other { .. })
+    }
+}
+
 /// Transaction state of a session after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SessionPhase {
--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -10,16 +10,16 @@
 use std::time::Duration;
 
 use crate::core::arena_keys;
-use crate::core::core_message;
 use crate::proxy::connection_flow;
 use crate::proxy::connection_state;
+use crate::proxy::duty_call;
+use crate::proxy::duty_flow;
 use crate::proxy::endpoint_command;
 use crate::proxy::epoch_fence;
 use crate::proxy::group_view;
 use crate::proxy::heartbeat_flow;
 use crate::proxy::primary_release;
 use crate::proxy::proxy_context;
-use crate::proxy::proxy_message;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
 use crate::proxy::store_session;
@@ -32,6 +32,8 @@
 const CANDIDATE_WAIT: Duration = Duration::from_millis(250);
 /// How long a planned failover waits for a replica that has all of the primary's log.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1_500);
+/// Longest time until the platform's reply to a promotion.
+const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Pause before a promotion that got no reply is requested again.
 const PROMOTION_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// How long a promoted endpoint may take to report that it is the primary.
@@ -115,10 +117,9 @@
 /// Handles the platform's reply to a promotion.
 pub fn on_promotion_reply(
     ctx: &mut proxy_context::ProxyContext,
-    call: core_message::CallId,
-    reply: proxy_message::PromotionReply,
+    group: arena_keys::GroupKey,
+    reply: duty_call::DutyReply,
 ) {
-    let Some(group) = ctx.promotions.remove(&call) else { return };
     let now = ctx.now;
     let view = &mut ctx.groups[group];
     view.failover.call_pending = false;
@@ -128,14 +129,14 @@
         return;
     }
     match reply {
-        proxy_message::PromotionReply::Accepted => fire(ctx, group, "promotion_accepted"),
-        proxy_message::PromotionReply::Rejected => {
+        duty_call::DutyReply::Accepted => fire(ctx, group, "promotion_accepted"),
+        duty_call::DutyReply::Rejected => {
             let candidate = view.record.as_ref().and_then(|record| record.candidate.clone());
             let key = candidate.and_then(|id| ctx.endpoint_names.get(&id).copied());
             ctx.groups[group].failover.rejected_candidates.extend(key);
             fire(ctx, group, "promotion_rejected");
         }
-        proxy_message::PromotionReply::NoReply => {}
+        duty_call::DutyReply::NoReply => {}
     }
     advance(ctx, group);
 }
@@ -402,7 +403,6 @@
 }
 
 fn promote(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
-    let Some(token) = ctx.fencing_token() else { return };
     let view = &ctx.groups[group];
     let Some(record) = &view.record else { return };
     let written = record.phase == store_record::GroupPhase::Promoting;
@@ -424,18 +424,11 @@
         return;
     }
     let name = view.name.clone();
-    let call = ctx.next_call_id();
-    ctx.promotions.insert(call, group);
+    let duty = duty_call::DutyCall::Promotion { group: name.clone(), endpoint: candidate.clone() };
+    let subject = duty_call::DutySubject::Promotion(group);
+    let Some(token) = duty_flow::call(ctx, subject, duty, Some(PROMOTION_TIMEOUT)) else { return };
     ctx.groups[group].failover.call_pending = true;
-    let holder = ctx.identity.host.clone();
     log::info!("event=promotion_requested group={name} endpoint={candidate} token={token}");
-    ctx.actions.push(proxy_message::ProxyAction::Promote {
-        call,
-        group: name,
-        endpoint: candidate,
-        holder,
-        token,
-    });
 }
 
 fn confirm_primary(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
--- a/src/proxy/heartbeat_flow.rs
+++ b/src/proxy/heartbeat_flow.rs
@@ -13,6 +13,7 @@
 use crate::proxy::proxy_context;
 use crate::proxy::rate_limiter;
 use crate::proxy::store_sync;
+use crate::proxy::usage_flow;
 
 /// How long a primary must have been unresponsive before this host reports it in heartbeats.
 const UNRESPONSIVE_FOR: Duration = Duration::from_millis(50);
@@ -38,6 +39,10 @@
         peer_datagram::PeerDatagram::RelayedChanges(changes) => {
             change_relay::on_changes(ctx, changes);
         }
+        peer_datagram::PeerDatagram::UsageTotals(totals) => usage_flow::on_totals(ctx, totals),
+        peer_datagram::PeerDatagram::UsageReceipt(receipt) => {
+            usage_flow::on_receipt(ctx, receipt);
+        }
     }
 }
 
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -6,6 +6,7 @@
 use crate::proxy::config_patch;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::usage_message;
 
 /// One host's observation of one group's primary.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -152,4 +153,8 @@
     ChangesRequest(ChangesRequest),
     /// Changes of the store.
     RelayedChanges(RelayedChanges),
+    /// Counted requests, for the coordinator.
+    UsageTotals(usage_message::UsageTotals),
+    /// The coordinator's answer to counted requests.
+    UsageReceipt(usage_message::UsageReceipt),
 }
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -18,6 +18,8 @@
 use crate::daemon::latency_histograms;
 use crate::proxy::change_history;
 use crate::proxy::connection_state;
+use crate::proxy::duty_call;
+use crate::proxy::duty_fence;
 use crate::proxy::endpoint_view;
 use crate::proxy::group_view;
 use crate::proxy::log_limiter;
@@ -31,6 +33,7 @@
 use crate::proxy::store_message;
 use crate::proxy::store_record;
 use crate::proxy::store_session;
+use crate::proxy::usage_state;
 use crate::proxy::witness_selection;
 
 const FAILOVER_CHART: &str = include_str!("../../charts/proxy_failover.yaml");
@@ -101,6 +104,12 @@
     pub relayed_changes: u64,
     /// Datagrams sent to peers.
     pub datagrams: u64,
+    /// Requests that endpoints began to run, as counted for usage reports.
+    pub usage_requests: u64,
+    /// Windows whose usage report was accepted from this host.
+    pub usage_windows_reported: u64,
+    /// Windows whose usage report this host could not bring in on time.
+    pub usage_windows_missed: u64,
 }
 
 /// One client account on this host.
@@ -206,8 +215,12 @@
     pub relay: relay_state::RelayState,
     /// Pending store requests.
     pub store_calls: HashMap<core_message::CallId, store_session::StoreCall>,
-    /// Pending promotions.
-    pub promotions: HashMap<core_message::CallId, arena_keys::GroupKey>,
+    /// Pending calls of duties.
+    pub duty_calls: HashMap<core_message::CallId, duty_call::DutySubject>,
+    /// This host's last calls of duties.
+    pub duty_fence: duty_fence::DutyFence,
+    /// Usage reports.
+    pub usage: usage_state::UsageState,
     /// Hosts that belong to the fleet, running or not, with the revisions of their roster entries.
     pub roster: BTreeMap<String, u64>,
     /// Every known host by name, this one included.
@@ -290,7 +303,9 @@
             history: change_history::ChangeHistory::default(),
             relay: relay_state::RelayState::default(),
             store_calls: HashMap::new(),
-            promotions: HashMap::new(),
+            duty_calls: HashMap::new(),
+            duty_fence: duty_fence::DutyFence::default(),
+            usage: usage_state::UsageState::default(),
             roster: BTreeMap::new(),
             members: BTreeMap::new(),
             witnesses: witness_selection::WitnessState::default(),
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -8,6 +8,7 @@
 use crate::proxy::change_relay;
 use crate::proxy::connection_flow;
 use crate::proxy::coordinator_election;
+use crate::proxy::duty_flow;
 use crate::proxy::endpoint_flow;
 use crate::proxy::failover_flow;
 use crate::proxy::heartbeat_flow;
@@ -22,6 +23,7 @@
 use crate::proxy::shutdown_flow;
 use crate::proxy::store_record;
 use crate::proxy::store_sync;
+use crate::proxy::usage_flow;
 use crate::proxy::witness_selection;
 
 /// Renewals of the membership lease within which the store or most witnesses must have replied for
@@ -105,8 +107,8 @@
                     store_sync::on_reply(ctx, &call, reply);
                 }
             }
-            proxy_message::ProxyEvent::PromotionReplied { call, reply } => {
-                failover_flow::on_promotion_reply(ctx, call, reply);
+            proxy_message::ProxyEvent::DutyReplied { call, reply } => {
+                duty_flow::on_reply(ctx, call, reply);
             }
             proxy_message::ProxyEvent::DatagramReceived { message } => {
                 heartbeat_flow::on_datagram(ctx, message);
@@ -124,6 +126,9 @@
                 pool_server::on_link_closed(ctx, link);
             }
             proxy_message::ProxyEvent::TuningChanged { tuning } => ctx.tuning = *tuning,
+            proxy_message::ProxyEvent::WallClockRead { unix_us } => {
+                ctx.usage.clock.read_own(ctx.now, unix_us);
+            }
             proxy_message::ProxyEvent::ShutdownRequested => shutdown_flow::start(ctx),
             proxy_message::ProxyEvent::TimerFired => {}
         }
@@ -158,6 +163,7 @@
         rate_limiter::confirm_allocation(ctx);
         coordinator_election::on_tick(ctx);
         failover_flow::advance_all(ctx);
+        usage_flow::on_tick(ctx);
         witness_selection::expire_past_sets(ctx);
         if ctx.store_or_quorum_reachable(ctx.host_renewal() * REACHABLE_RENEWALS) {
             ctx.last_reachable = ctx.now;
--- a/src/proxy/proxy_message.rs
+++ b/src/proxy/proxy_message.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use crate::core::arena_keys;
+use crate::core::clock_time;
 use crate::core::core_message;
 use crate::core::endpoint_message;
 use crate::core::request_verdict;
+use crate::proxy::duty_call;
 use crate::proxy::endpoint_command;
 use crate::proxy::peer_datagram;
 use crate::proxy::pool_message;
@@ -13,17 +15,6 @@
 use crate::proxy::session_request;
 use crate::proxy::store_message;
 
-/// The platform's reply to the promotion of a primary.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PromotionReply {
-    /// The promotion is in progress or done.
-    Accepted,
-    /// The endpoint is not running.
-    Rejected,
-    /// No reply came, so the outcome is unknown.
-    NoReply,
-}
-
 /// An event outside the core.
 #[derive(Debug)]
 pub enum ProxyEvent {
@@ -78,12 +69,12 @@
         /// The reply.
         reply: store_message::StoreReply,
     },
-    /// The platform replied to the promotion of a primary.
-    PromotionReplied {
+    /// The platform replied to the call of a duty.
+    DutyReplied {
         /// Identifier of the call.
         call: core_message::CallId,
         /// The reply.
-        reply: PromotionReply,
+        reply: duty_call::DutyReply,
     },
     /// A peer sent a datagram.
     DatagramReceived {
@@ -119,6 +110,11 @@
         /// Settings that apply from now on.
         tuning: Box<proxy_tuning::ProxyTuning>,
     },
+    /// The clock of the host was read.
+    WallClockRead {
+        /// Microseconds of Unix time. They may be wrong by seconds for a while.
+        unix_us: u64,
+    },
     /// The process was asked to shut down.
     ShutdownRequested,
     /// The time of the next timer was reached.
@@ -196,18 +192,19 @@
         /// The request to the store.
         request: store_message::StoreRequest,
     },
-    /// Has the platform promote an endpoint to primary.
-    Promote {
+    /// Makes a call to the platform that is the coordinator's duty.
+    CallDuty {
         /// Identifier of the call.
         call: core_message::CallId,
-        /// Group of the endpoint.
-        group: String,
-        /// Endpoint to promote.
-        endpoint: String,
+        /// The call.
+        duty: duty_call::DutyCall,
         /// Host that holds the coordinator lease.
         holder: String,
         /// Fencing token, which grows with each holder of the lease.
         token: u64,
+        /// Time on this host's clock from which the call must not be sent any more, and at which a
+        /// call without a reply is given up.
+        deadline: clock_time::ClockTime,
     },
     /// Sends a datagram to a peer.
     SendDatagram {
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::proxy::usage_tuning;
+
 /// Timeouts and limits of the proxy core.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ProxyTuning {
@@ -75,6 +77,10 @@
     /// Number of witnesses in a larger fleet. With five, two may be lost, or one data centre of
     /// three.
     pub witnesses: usize,
+    /// Time within which two holders of a duty may not take turns at it.
+    pub duty_turn: Duration,
+    /// Settings of the usage reports; `None` if the host does not have this duty.
+    pub usage: Option<usage_tuning::UsageTuning>,
 }
 
 impl Default for ProxyTuning {
@@ -111,6 +117,8 @@
             quota_slack: 20.0,
             witnesses_all: 9,
             witnesses: 5,
+            duty_turn: Duration::from_millis(3_000),
+            usage: None,
         }
     }
 }
--- a/src/proxy/shutdown_flow.rs
+++ b/src/proxy/shutdown_flow.rs
@@ -15,6 +15,7 @@
 use crate::proxy::session_state;
 use crate::proxy::store_message;
 use crate::proxy::store_session;
+use crate::proxy::usage_flow;
 
 /// Time for which new callers may still arrive after the host reported that it is not ready.
 const READINESS_DELAY: Duration = Duration::from_millis(2_300);
@@ -42,6 +43,11 @@
     });
     if let (true, Some((lease, _))) = (holds_lease, ctx.coordinator.lease.take()) {
         ctx.coordinator.until = Default::default();
+        // The call of a duty may still be on its way: the next holder has to come after it, so the
+        // lease is left to expire.
+        if !ctx.duty_calls.is_empty() {
+            return on_tick(ctx);
+        }
         let request = store_message::StoreRequest::RevokeLease { lease };
         ctx.call_store(store_session::StorePurpose::IgnoreReply, request);
     }
@@ -82,6 +88,7 @@
     let empty = elapsed >= READINESS_DELAY && ctx.sessions.is_empty();
     if !ctx.stopped && (empty || elapsed >= ctx.tuning.shutdown_timeout) {
         ctx.stopped = true;
+        usage_flow::on_stop(ctx);
         if let Some(lease) = ctx.store.lease.take() {
             let request = store_message::StoreRequest::RevokeLease { lease };
             ctx.call_store(store_session::StorePurpose::IgnoreReply, request);
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -7,6 +7,7 @@
 use crate::core::clock_time;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::usage_record;
 
 /// The purpose of a store request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,6 +46,11 @@
         /// The record as written.
         record: store_record::GroupRecord,
     },
+    /// Writes the record of what is reported as usage.
+    UsageRecord {
+        /// The record as written.
+        record: usage_record::UsageRecord,
+    },
     /// A request whose reply needs no handling.
     IgnoreReply,
 }
@@ -63,6 +69,7 @@
             Self::CoordinatorRecord => "coordinator_record",
             Self::CoordinatorRenewal => "coordinator_renewal",
             Self::GroupRecord { .. } => "group_record",
+            Self::UsageRecord { .. } => "usage_record",
             Self::IgnoreReply => "other",
         }
     }
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -27,6 +27,8 @@
 use crate::proxy::store_record;
 use crate::proxy::store_session;
 use crate::proxy::sync_source;
+use crate::proxy::usage_flow;
+use crate::proxy::usage_record;
 use crate::proxy::witness_selection;
 
 /// Number of witnesses that keep short watches. With three, one may be cut off from the store and
@@ -94,6 +96,9 @@
         store_session::StorePurpose::GroupRecord { group, record } => {
             failover_flow::on_record_reply(ctx, *group, record.clone(), &reply);
         }
+        store_session::StorePurpose::UsageRecord { record } => {
+            usage_flow::on_record_reply(ctx, record.clone(), &reply);
+        }
         store_session::StorePurpose::IgnoreReply => {}
     }
     on_tick(ctx);
@@ -463,6 +468,10 @@
         let record = bytes.and_then(|bytes| decode(key, &bytes));
         return coordinator_election::on_record_read(ctx, record, revision);
     }
+    if key == usage_record::USAGE_KEY {
+        let record = bytes.and_then(|bytes| decode(key, &bytes));
+        return usage_flow::on_record_read(ctx, record, revision);
+    }
     if let Some(host) = key.strip_prefix(store_record::MEMBER_PREFIX) {
         let record = bytes.and_then(|bytes| decode(key, &bytes));
         return apply_member(ctx, host, record);
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -4,6 +4,7 @@
 //! each violated guarantee is added to `violations`.
 
 pub(crate) mod fake_database;
+pub(crate) mod fake_platform;
 pub(crate) mod fake_store;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -14,6 +15,7 @@
 use quetzaldeal::core::clock_time;
 use quetzaldeal::core::core_message;
 use quetzaldeal::core::request_verdict;
+use quetzaldeal::proxy::duty_call;
 use quetzaldeal::proxy::endpoint_command;
 use quetzaldeal::proxy::peer_datagram;
 use quetzaldeal::proxy::proxy_config;
@@ -37,6 +39,9 @@
 /// microseconds.
 const STEP_DOWN_US: u64 = 1_000_000;
 
+/// True time at the start of the virtual clock, in microseconds of Unix time.
+pub(crate) const UNIX_START_US: u64 = 1_800_000_000_000_000;
+
 /// Party on one side of a network partition.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum PartitionSide {
@@ -184,6 +189,10 @@
     pub(crate) now: u64,
     /// The fake store.
     pub(crate) store: fake_store::FakeStore,
+    /// The fake platform that takes the calls of duties.
+    pub(crate) platform: fake_platform::FakePlatform,
+    /// How far the times of day of hosts are ahead of true time, in microseconds.
+    pub(crate) wall_clock_skews: BTreeMap<usize, i64>,
     /// Fake databases by endpoint id.
     pub(crate) databases: BTreeMap<String, fake_database::FakeDatabase>,
     /// Descriptions of violated guarantees.
@@ -196,6 +205,8 @@
     pub(crate) datagram_loss: f64,
     /// Bytes of the datagrams that each host has sent.
     pub(crate) datagram_bytes: BTreeMap<usize, usize>,
+    /// Number of datagrams of usage reports between hosts.
+    pub(crate) usage_datagrams: u64,
     /// Hosts that run the build without a relay of changes: they neither send nor understand its
     /// datagrams.
     pub(crate) hosts_without_relay: BTreeSet<usize>,
@@ -240,12 +251,15 @@
         let mut fleet = Self {
             now: 10_000_000,
             store: fake_store::FakeStore::default(),
+            platform: fake_platform::FakePlatform::default(),
+            wall_clock_skews: BTreeMap::new(),
             databases: BTreeMap::new(),
             violations: Vec::new(),
             executions: BTreeMap::new(),
             response_loss: 0.0,
             datagram_loss: 0.0,
             datagram_bytes: BTreeMap::new(),
+            usage_datagrams: 0,
             hosts_without_relay: BTreeSet::new(),
             config: build_config(accounts),
             hosts: Vec::new(),
@@ -691,6 +705,12 @@
                     self.hosts[host].next_timer = self.now;
                 }
                 if self.hosts[host].incarnation == incarnation {
+                    if self.tuning.usage.is_some() {
+                        let skew_us = self.wall_clock_skews.get(&host).copied().unwrap_or(0);
+                        let unix_us = (UNIX_START_US + self.now).saturating_add_signed(skew_us);
+                        let event = proxy_message::ProxyEvent::WallClockRead { unix_us };
+                        self.handle_event(host, event);
+                    }
                     self.handle_event(host, proxy_message::ProxyEvent::TimerFired);
                 }
             }
@@ -792,21 +812,9 @@
                 };
                 self.push(timeout_at, ScheduledStep::DeliverEvent { host, incarnation, event });
             }
-            proxy_message::ProxyAction::Promote { call, group, endpoint, .. } => {
-                let running = self.databases.get(&endpoint).is_some_and(|database| database.up);
-                let reachable = self.can_reach(&PartitionSide::Host(host), &PartitionSide::Store);
-                let reply = match (reachable, running) {
-                    (false, _) => proxy_message::PromotionReply::NoReply,
-                    (_, true) => proxy_message::PromotionReply::Accepted,
-                    (_, false) => proxy_message::PromotionReply::Rejected,
-                };
-                if reply == proxy_message::PromotionReply::Accepted {
-                    self.push(
-                        self.now + PROMOTION_US,
-                        ScheduledStep::CompletePromotion { group, endpoint },
-                    );
-                }
-                let event = proxy_message::ProxyEvent::PromotionReplied { call, reply };
+            proxy_message::ProxyAction::CallDuty { call, duty, token, .. } => {
+                let reply = self.take_duty_call(host, duty, token);
+                let event = proxy_message::ProxyEvent::DutyReplied { call, reply };
                 self.push(
                     self.now + 2 * STORE_LATENCY_US,
                     ScheduledStep::DeliverEvent { host, incarnation, event },
@@ -817,6 +825,11 @@
                 let Some(peer) = peer else { return };
                 let bytes = rmp_serde::to_vec(&message).map_or(0, |bytes| bytes.len());
                 *self.datagram_bytes.entry(host).or_default() += bytes;
+                self.usage_datagrams += u64::from(matches!(
+                    message,
+                    peer_datagram::PeerDatagram::UsageTotals(_)
+                        | peer_datagram::PeerDatagram::UsageReceipt(_)
+                ));
                 let relay = matches!(
                     message,
                     peer_datagram::PeerDatagram::ChangesRequest(_)
@@ -846,6 +859,36 @@
     }
 
     /// Opens a connection, or refuses it if the database is not running.
+    /// Has the platform take the call of a duty.
+    fn take_duty_call(
+        &mut self,
+        host: usize,
+        duty: duty_call::DutyCall,
+        token: u64,
+    ) -> duty_call::DutyReply {
+        if !self.can_reach(&PartitionSide::Host(host), &PartitionSide::Store) {
+            return duty_call::DutyReply::NoReply;
+        }
+        match duty {
+            duty_call::DutyCall::Promotion { group, endpoint } => {
+                if !self.databases.get(&endpoint).is_some_and(|database| database.up) {
+                    return duty_call::DutyReply::Rejected;
+                }
+                let step = ScheduledStep::CompletePromotion { group, endpoint };
+                self.push(self.now + PROMOTION_US, step);
+                duty_call::DutyReply::Accepted
+            }
+            duty_call::DutyCall::Usage { window, counts } => {
+                let at = self.now;
+                let report = fake_platform::ArrivedReport { at, host, token, window, counts };
+                let turn_us = self.tuning.duty_turn.as_micros() as u64;
+                let (reply, broken) = self.platform.report(report, turn_us);
+                self.violations.extend(broken);
+                reply
+            }
+        }
+    }
+
     fn connect(
         &mut self,
         host: usize,
