--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -125,7 +125,10 @@
             proxy_message::ProxyEvent::PoolLinkClosed { link } => {
                 pool_server::on_link_closed(ctx, link);
             }
-            proxy_message::ProxyEvent::TuningChanged { tuning } => ctx.tuning = *tuning,
+            proxy_message::ProxyEvent::TuningChanged { tuning } => {
+                usage_flow::on_tuning(ctx, tuning.usage);
+                ctx.tuning = *tuning;
+            }
             proxy_message::ProxyEvent::WallClockRead { unix_us } => {
                 ctx.usage.clock.read_own(ctx.now, unix_us);
             }
--- a/src/proxy/usage_flow.rs
+++ b/src/proxy/usage_flow.rs
@@ -29,10 +29,16 @@
 const SETTLING: Duration = Duration::from_millis(500);
 /// Longest delay until a host sends the totals of a closed window, so that not all send at once.
 const SPREAD: Duration = Duration::from_millis(500);
+/// The same for each host of a large fleet.
+const SPREAD_PER_HOST: Duration = Duration::from_millis(5);
+/// Most of the time until a report is due that this delay may take.
+const SPREAD_PART: f64 = 0.2;
 /// Interval at which totals are sent again until the coordinator has received them.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which totals of open windows are sent if they have changed.
 const OPEN_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Least time between two such messages that reach the coordinator, on average over all hosts.
+const OPEN_SPACING: Duration = Duration::from_millis(12);
 /// Part of the time until a report is due for which totals of missing hosts are awaited.
 const AWAIT_PART: f64 = 0.7;
 /// Pause before a report or a write that failed is tried again.
@@ -79,6 +85,17 @@
     state.account.filter(|_| counts)
 }
 
+/// Drops what was counted when the windows change: their numbers no longer mean the same.
+pub fn on_tuning(ctx: &mut proxy_context::ProxyContext, usage: Option<usage_tuning::UsageTuning>) {
+    let length = |usage: Option<usage_tuning::UsageTuning>| usage.map(|usage| usage.window);
+    if length(usage) != length(ctx.tuning.usage) {
+        log::info!("event=usage_windows_changed before={:?} now={usage:?}", ctx.tuning.usage);
+        ctx.usage.ledger = Default::default();
+        ctx.usage.collection.clear();
+        ctx.usage.base_window = None;
+    }
+}
+
 /// Closes windows, and sends totals or, as the coordinator, settles and reports windows.
 pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
     let Some(tuning) = ctx.tuning.usage else { return };
@@ -199,8 +216,8 @@
     let first = ctx.usage.accepted.insert(window);
     ctx.usage.attempted.remove(&window);
     ctx.counts.usage_windows_reported += u64::from(first);
-    let reports = ctx.usage.record.iter().flat_map(|(record, _)| &record.reports);
-    let report = reports.into_iter().find(|report| report.window == window);
+    let mut reports = recorded(ctx).into_iter().flat_map(|record| &record.reports);
+    let report = reports.find(|report| report.window == window);
     let accounts = report.map_or(0, |report| report.counts.len());
     let requests: u64 = report.map_or(0, |report| report.counts.values().sum());
     let end_us = usage_window::end_us(window, tuning.window);
@@ -244,10 +261,17 @@
 /// Returns the last window that is settled; `None` while the store has no record and true time is
 /// not known.
 fn settled_through(ctx: &proxy_context::ProxyContext) -> Option<u64> {
-    let recorded = ctx.usage.record.as_ref().map(|(record, _)| record.settled_through);
+    let recorded = recorded(ctx).map(|record| record.settled_through);
     recorded.max(ctx.usage.base_window)
 }
 
+/// Returns the record as read from the store if it is about windows of the length in use.
+fn recorded(ctx: &proxy_context::ProxyContext) -> Option<&usage_record::UsageRecord> {
+    let length = ctx.tuning.usage?.window;
+    let (record, _) = ctx.usage.record.as_ref()?;
+    (u128::from(record.window_ms) == length.as_millis()).then_some(record)
+}
+
 fn close_windows(ctx: &mut proxy_context::ProxyContext, tuning: usage_tuning::UsageTuning) {
     let retention = tuning.window + tuning.late + SETTLING;
     let oldest = ctx.now.before(retention + tuning.window);
@@ -256,11 +280,13 @@
     };
     if ctx.usage.ledger.close(ctx.now, unix_us, tuning.window, SETTLING) {
         let fraction = ctx.random_fraction();
-        ctx.usage.send_closed_at = ctx.now.after(SPREAD.mul_f64(fraction));
+        let spread = SPREAD.max(SPREAD_PER_HOST * ctx.members.len() as u32);
+        let spread = spread.min(tuning.late.mul_f64(SPREAD_PART));
+        ctx.usage.send_closed_at = ctx.now.after(spread.mul_f64(fraction));
     }
     let overdue_us = unix_us.saturating_sub(retention.as_micros() as u64);
     let overdue = usage_window::number_at(overdue_us, tuning.window);
-    let recorded = ctx.usage.record.as_ref().map_or(0, |(record, _)| record.settled_through);
+    let recorded = recorded(ctx).map_or(0, |record| record.settled_through);
     let settled = recorded.max(overdue.saturating_sub(1));
     ctx.usage.ledger.prune(settled, oldest);
     ctx.usage.received = ctx.usage.received.split_off(&settled.saturating_add(1));
@@ -286,7 +312,8 @@
         windows.retain(|part| !ctx.usage.received.contains(&part.window));
     }
     let changed = ctx.usage.sent_version != ctx.usage.ledger.version();
-    let open_due = changed && passed >= OPEN_INTERVAL;
+    let interval = OPEN_INTERVAL.max(OPEN_SPACING * ctx.members.len() as u32);
+    let open_due = changed && passed >= interval;
     if windows.is_empty() && !open_due {
         return;
     }
@@ -376,7 +403,7 @@
         agree(ctx);
     }
     let Some(unix_us) = ctx.usage.clock.unix_us(ctx.now) else { return };
-    if ctx.usage.record.is_none() && ctx.usage.base_window.is_none() {
+    if recorded(ctx).is_none() && ctx.usage.base_window.is_none() {
         let current = usage_window::number_at(unix_us, tuning.window);
         ctx.usage.base_window = Some(current.saturating_sub(1));
     }
@@ -457,8 +484,10 @@
         return;
     }
     let Some(settled) = settled_through(ctx) else { return };
-    let (record, revision) = ctx.usage.record.clone().unwrap_or_default();
-    let mut next = usage_record::UsageRecord { settled_through: settled, ..record };
+    let revision = ctx.usage.record.as_ref().map_or(0, |(_, revision)| *revision);
+    let reports = recorded(ctx).map(|record| record.reports.clone()).unwrap_or_default();
+    let window_ms = tuning.window.as_millis() as u64;
+    let mut next = usage_record::UsageRecord { window_ms, settled_through: settled, reports };
     next.reports.retain(|report| {
         !is_overdue(tuning, unix_us, report.window) && !ctx.usage.accepted.contains(&report.window)
     });
@@ -557,7 +586,7 @@
     if ctx.usage.reporting.is_some() || ctx.now < ctx.usage.next_report_at || may_follow {
         return;
     }
-    let Some((record, _)) = &ctx.usage.record else { return };
+    let Some(record) = recorded(ctx) else { return };
     let open = record.reports.iter().find(|report| {
         !ctx.usage.accepted.contains(&report.window) && !is_overdue(tuning, unix_us, report.window)
     });
--- a/src/proxy/usage_ledger.rs
+++ b/src/proxy/usage_ledger.rs
@@ -69,7 +69,7 @@
         open > first
     }
 
-    /// Returns the totals so far of the windows that are not closed.
+    /// Returns the totals so far of the windows that have begun and are not closed.
     pub fn open_totals(
         &self,
         now: clock_time::ClockTime,
@@ -78,6 +78,9 @@
     ) -> BTreeMap<u64, AccountCounts> {
         let mut totals = BTreeMap::<u64, AccountCounts>::new();
         let Some(open) = self.open_window else { return totals };
+        for window in open..=usage_window::number_at(unix_us, length) {
+            totals.insert(window, AccountCounts::new());
+        }
         let end = slot_at(now, unix_us, usage_window::end_us(open, length));
         for (slot, counts) in &self.slots {
             let window = if *slot < end { open } else { open + 1 };
--- a/src/proxy/usage_record.rs
+++ b/src/proxy/usage_record.rs
@@ -17,6 +17,8 @@
 /// there is one sequence of versions and one set of counts for each window.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageRecord {
+    /// Length of a window in milliseconds, on which the numbers of windows depend.
+    pub window_ms: u64,
     /// The last window for which it is settled what is reported, if anything. Never decreases.
     pub settled_through: u64,
     /// Windows whose report may not have arrived yet.
--- a/tests/usage_reports.rs
+++ b/tests/usage_reports.rs
@@ -1,6 +1,8 @@
 //! Tests of the usage reports: window arithmetic, and what a fleet reports while hosts, the store,
 //! the platform and clocks fail. Runs in virtual time; the fake platform checks the rules.
 
+#![allow(clippy::expect_used, reason = "a panic fails the test")]
+
 #[allow(dead_code, reason = "no test program uses all of the fakes")]
 mod proxy_fakes;
 
@@ -320,6 +322,16 @@
         finish(fleet);
         assert!(report_of(fleet, window).is_some());
     };
+    stopped_host_is_not_awaited: |fleet| {
+        let window = load_to_next_window(fleet, 1_000);
+        fleet.stop_host(other_than(holder(fleet)));
+        load(fleet, 6_000);
+        finish(fleet);
+        assert_right(fleet, window..=window);
+        let end_us = usage_window::end_us(window, WINDOW) - UNIX_START_US;
+        let at = report_of(fleet, window).map_or(u64::MAX, |report| report.at);
+        assert!(at < end_us + 2_000_000, "reported {} us after the end", at - end_us);
+    };
     hand_over_in_the_middle_of_a_window: |fleet| {
         let window = load_to_next_window(fleet, 2_500);
         let first = holder(fleet);
