--- a/src/proxy/change_relay.rs
+++ b/src/proxy/change_relay.rs
@@ -5,18 +5,17 @@
 //! time at which it sent the request that was answered, so silence is never taken for "no change".
 //! Answers the load of changes on hundreds of hosts.
 
-use std::collections::BTreeSet;
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::core::clock_time;
 use crate::core::rendezvous_rank;
-use crate::proxy::failover_flow;
-use crate::proxy::member_view;
+use crate::proxy::change_history;
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_context;
 use crate::proxy::rate_limiter;
 use crate::proxy::relay_state;
+use crate::proxy::relayed_content;
 use crate::proxy::store_message;
 use crate::proxy::store_sync;
 use crate::proxy::sync_source;
@@ -64,7 +63,7 @@
         true if ctx.relay.requests.is_multiple_of(2) => all_watchers(ctx),
         // All watchers may be cut off from the store, while other hosts are not.
         true => {
-            let running = running_members(ctx).map(|member| member.record.host.as_str());
+            let running = ctx.running_members().map(|member| member.record.host.as_str());
             let ranked = rendezvous_rank::rank(&ctx.identity.host, running);
             ranked.into_iter().map(str::to_owned).collect()
         }
@@ -90,7 +89,8 @@
         return;
     }
     store_sync::note_peer_revision(ctx, request.revision);
-    send_changes(ctx, &request, ITEMS_PER_TICK_MAX);
+    let parts = ctx.history.parts_after(request.revision, request.config_version);
+    send_changes(ctx, &request, parts.as_deref(), ITEMS_PER_TICK_MAX);
     let arrived_at = ctx.now;
     let host = request.host.clone();
     ctx.relay.followers.insert(host, relay_state::FollowerView { request, arrived_at });
@@ -99,8 +99,14 @@
 /// Sends new changes to all hosts that requested changes lately.
 pub fn notify_followers(ctx: &mut proxy_context::ProxyContext) {
     let followers: Vec<_> = ctx.relay.followers.values().cloned().collect();
+    // Most followers have the same revision and configuration.
+    let mut parts = BTreeMap::new();
     for follower in followers {
-        send_changes(ctx, &follower.request, ITEMS_UNREQUESTED_MAX);
+        let request = &follower.request;
+        let parts = parts
+            .entry((request.revision, request.config_version))
+            .or_insert_with_key(|(known, config)| ctx.history.parts_after(*known, *config));
+        send_changes(ctx, request, parts.as_deref(), ITEMS_UNREQUESTED_MAX);
     }
 }
 
@@ -147,12 +153,11 @@
         let synced_at = echoed_at.before(Duration::from_micros(changes.age_us));
         ctx.store.synced_at = ctx.store.synced_at.max(synced_at);
     }
-    failover_flow::advance_all(ctx);
 }
 
 /// Returns the watchers of a data centre: its first running hosts in an order that all hosts share.
 fn watchers(ctx: &proxy_context::ProxyContext, data_centre: &str) -> Vec<String> {
-    let running = running_members(ctx).filter(|member| member.record.data_centre == data_centre);
+    let running = ctx.running_members().filter(|member| member.record.data_centre == data_centre);
     let ranked = rendezvous_rank::rank("watch", running.map(|member| member.record.host.as_str()));
     let count = if ranked.len() >= SECOND_WATCHER_FROM { 2 } else { 1 };
     ranked.into_iter().take(count).map(str::to_owned).collect()
@@ -164,17 +169,13 @@
     centres.into_iter().flat_map(|centre| watchers(ctx, centre)).collect()
 }
 
-fn running_members(
-    ctx: &proxy_context::ProxyContext,
-) -> impl Iterator<Item = &member_view::MemberView> {
-    ctx.members.values().filter(|member| member.removed_at.is_none())
-}
-
-/// Sends the changes that a host lacks by its latest request. If they are more than `items_max`, or
+/// Sends the changes that a host lacks by its latest request, or that this host cannot deliver them.
+/// If they are more than `items_max`, or
 /// than this host still sends before the next tick, it only announces them.
 fn send_changes(
     ctx: &mut proxy_context::ProxyContext,
     request: &peer_datagram::ChangesRequest,
+    parts: Option<&[change_history::HistoryPart]>,
     items_max: usize,
 ) {
     let Some(revision) = ctx.store.revision else { return };
@@ -191,8 +192,7 @@
         echoed_us: request.sent_at_us,
         echo_incarnation: request.incarnation,
     };
-    let parts = ctx.history.parts_after(known, request.config_version);
-    let count: usize = parts.iter().flatten().map(|part| part.items.len()).sum();
+    let count: usize = parts.into_iter().flatten().map(|part| part.items.len()).sum();
     let allowed = items_max.min(ITEMS_PER_TICK_MAX.saturating_sub(ctx.relay.items_sent));
     let mut messages = Vec::new();
     match parts {
@@ -207,7 +207,12 @@
             let end = parts.last().map_or(known, |part| part.revision);
             for part in parts {
                 let complete = part.revision >= revision;
-                messages.push(message(part.after, part.revision, Some(part.items), complete));
+                messages.push(message(
+                    part.after,
+                    part.revision,
+                    Some(part.items.clone()),
+                    complete,
+                ));
             }
             if end < revision {
                 messages.push(message(end, revision, None, false));
@@ -234,25 +239,7 @@
     for item in items {
         let body = match item.content {
             None => None,
-            Some(peer_datagram::RelayedContent::Config(patch)) => {
-                let current = config.as_ref()?;
-                if current.version < patch.version {
-                    config = Some(Arc::new(patch.apply(current)?));
-                }
-                config.clone().map(store_message::ItemContent::Config)
-            }
-            Some(peer_datagram::RelayedContent::Endpoint(entry)) => {
-                Some(store_message::ItemContent::Endpoint(entry))
-            }
-            Some(peer_datagram::RelayedContent::Evacuation) => {
-                Some(store_message::ItemContent::Evacuation)
-            }
-            Some(peer_datagram::RelayedContent::Record(bytes)) => {
-                Some(store_message::ItemContent::Record(bytes))
-            }
-            Some(peer_datagram::RelayedContent::Unusable(detail)) => {
-                Some(store_message::ItemContent::Unusable { detail })
-            }
+            Some(content) => Some(relayed_content::decode(content, &mut config)?),
         };
         decoded.push(store_message::StoreItem {
             subject: item.subject,
--- a/src/proxy/coordinator_election.rs
+++ b/src/proxy/coordinator_election.rs
@@ -40,8 +40,7 @@
         Some((record, _)) if record.incarnation == ctx.identity.incarnation => renew(ctx),
         Some(_) => claim(ctx),
         None => {
-            let running = ctx.members.values().filter(|member| member.removed_at.is_none());
-            let names = running.map(|member| member.record.host.as_str());
+            let names = ctx.running_members().map(|member| member.record.host.as_str());
             let mut ranked = rendezvous_rank::rank("duty", names);
             // Witnesses claim first, because they observe all primaries.
             ranked.sort_by_key(|host| !ctx.witnesses.hosts.iter().any(|other| other == host));
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 pub mod change_history;
 pub mod change_relay;
 pub mod config_patch;
+pub mod config_read;
 pub mod connection_flow;
 pub mod connection_state;
 pub mod coordinator_election;
@@ -36,6 +37,7 @@
 pub mod proxy_tuning;
 pub mod rate_limiter;
 pub mod relay_state;
+pub mod relayed_content;
 pub mod request_flow;
 pub mod response_flow;
 pub mod session_flow;
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -65,6 +65,9 @@
 pub enum RelayedContent {
     /// A configuration, as the difference from the version that the receiver has.
     Config(Box<config_patch::ConfigPatch>),
+    /// A configuration that the sender cannot express as a difference from the version that the
+    /// receiver has, or only as one too large for a datagram.
+    ConfigOmitted,
     /// The registration of an endpoint.
     Endpoint(store_message::EndpointRegistration),
     /// The data centre is under evacuation.
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -441,13 +441,26 @@
         self.roster.keys().cloned().collect()
     }
 
+    /// Returns the hosts that have a member record.
+    pub fn running_members(&self) -> impl Iterator<Item = &member_view::MemberView> {
+        self.members.values().filter(|member| member.removed_at.is_none())
+    }
+
+    /// Returns whether a host has a member record.
+    pub fn is_running(&self, host: &str) -> bool {
+        self.members.get(host).is_some_and(|member| member.removed_at.is_none())
+    }
+
+    /// Returns whether a host started at about the same time as this one.
+    pub fn is_start_mate(&self, member: &member_view::MemberView) -> bool {
+        let apart = member.record.incarnation.abs_diff(self.identity.incarnation);
+        apart < STARTED_TOGETHER.as_micros() as u64
+    }
+
     /// Returns whether most hosts started at about the same time as this one, as after an outage of
     /// the whole fleet.
     pub fn started_together(&self) -> bool {
-        let own = self.identity.incarnation;
-        let near = self.members.values().filter(|member| {
-            member.record.incarnation.abs_diff(own) < STARTED_TOGETHER.as_micros() as u64
-        });
+        let near = self.members.values().filter(|member| self.is_start_mate(member));
         near.count() * 2 > self.roster.len()
     }
 
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -6,6 +6,7 @@
 
 use crate::core::clock_time;
 use crate::proxy::change_relay;
+use crate::proxy::config_read;
 use crate::proxy::connection_flow;
 use crate::proxy::coordinator_election;
 use crate::proxy::endpoint_flow;
@@ -235,7 +236,8 @@
     }
 
     fn report_readiness(ctx: &mut proxy_context::ProxyContext) {
-        let configured = ctx.config.is_some() && !ctx.endpoints.is_empty();
+        let configured =
+            ctx.config.is_some() && !config_read::is_overdue(ctx) && !ctx.endpoints.is_empty();
         let reachable = ctx.now.since(ctx.last_reachable) < UNREACHABLE_GRACE;
         // After the deadline, a group without a record no longer keeps the host from serving other
         // groups.
--- a/src/proxy/session_flow.rs
+++ b/src/proxy/session_flow.rs
@@ -3,6 +3,7 @@
 use crate::core::arena_keys;
 use crate::core::core_message;
 use crate::core::request_verdict;
+use crate::proxy::config_read;
 use crate::proxy::connection_flow;
 use crate::proxy::endpoint_command;
 use crate::proxy::pending_request;
@@ -128,7 +129,8 @@
     (proxy_config::RouteObject, Option<arena_keys::AccountKey>),
     request_verdict::VerdictCause,
 > {
-    let config = ctx.config.as_ref().ok_or(request_verdict::VerdictCause::ConfigMissing)?;
+    let config = ctx.config.as_ref().filter(|_| !config_read::is_overdue(ctx));
+    let config = config.ok_or(request_verdict::VerdictCause::ConfigMissing)?;
     let Some(route) = config.routes.get(database) else {
         let detail = format!("no route names database {database:?}");
         return Err(request_verdict::VerdictCause::RuleDenied { detail });
--- a/src/proxy/store_message.rs
+++ b/src/proxy/store_message.rs
@@ -48,6 +48,8 @@
 pub enum ItemContent {
     /// A configuration.
     Config(Arc<proxy_config::ProxyConfig>),
+    /// A configuration that was not delivered with the change.
+    ConfigOmitted,
     /// The registration of an endpoint.
     Endpoint(EndpointRegistration),
     /// The data centre is under evacuation.
@@ -72,11 +74,24 @@
     pub body: Option<ItemContent>,
 }
 
+/// Which items a read returns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListScope {
+    /// All items.
+    All,
+    /// All items but the configuration.
+    WithoutConfig,
+    /// The configuration.
+    ConfigOnly,
+}
+
 /// A request to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreRequest {
-    /// Reads one page of all items.
+    /// Reads one page of items.
     List {
+        /// Which items the read returns.
+        scope: ListScope,
         /// Key after which the page begins; `None` for the first page.
         after: Option<String>,
         /// Longest time to wait for the page.
@@ -88,6 +103,8 @@
         after: u64,
         /// Longest time that the store waits for a change.
         wait: Duration,
+        /// Longest time to wait for the reply.
+        limit: Duration,
     },
     /// Obtains a lease.
     GrantLease {
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -5,6 +5,7 @@
 
 use crate::core::arena_keys;
 use crate::core::clock_time;
+use crate::proxy::config_read;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
 
@@ -13,6 +14,8 @@
 pub enum StorePurpose {
     /// Reads one page of all items, for the first read or after the store's history was compacted.
     List,
+    /// Reads the configuration.
+    ConfigRead,
     /// Waits for changes.
     Watch {
         /// Revision after which changes are requested.
@@ -54,6 +57,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::List => "list",
+            Self::ConfigRead => "config_read",
             Self::Watch { .. } => "watch",
             Self::MembershipLease => "membership_lease",
             Self::MemberRecord { .. } => "member_record",
@@ -86,8 +90,10 @@
 }
 
 /// A read of all items, page by page.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FullReading {
+    /// Which items are read.
+    pub scope: store_message::ListScope,
     /// Key after which the next page begins; `None` for the first page.
     pub next: Option<String>,
     /// Items of the pages read so far.
@@ -99,6 +105,13 @@
     pub revision: Option<u64>,
 }
 
+impl FullReading {
+    /// Creates a read that has not begun.
+    pub fn new(scope: store_message::ListScope) -> Self {
+        Self { scope, next: None, items: Vec::new(), started_at: None, revision: None }
+    }
+}
+
 /// This host's view of the store and its membership there.
 #[derive(Debug, Default)]
 pub struct StoreSession {
@@ -108,10 +121,15 @@
     pub listed_at: Option<clock_time::ClockTime>,
     /// The full read in progress.
     pub reading: Option<FullReading>,
-    /// Time up to which this host is certain to know all changes.
+    /// The read of the configuration that this host needs, if it does.
+    pub config_read: Option<config_read::ConfigRead>,
+    /// Time up to which this host is certain to know all changes, apart from a configuration that it
+    /// still has to read.
     pub synced_at: clock_time::ClockTime,
     /// Consecutive pages of full reads that did not arrive.
     pub list_failures: u32,
+    /// Consecutive watches that got no reply.
+    pub watch_failures: u32,
     /// Revisions of the known items.
     pub known: BTreeMap<store_message::ItemSubject, u64>,
     /// When the store last replied.
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -13,6 +13,7 @@
 use crate::core::rendezvous_rank;
 use crate::core::share_ledger;
 use crate::proxy::change_relay;
+use crate::proxy::config_read;
 use crate::proxy::coordinator_election;
 use crate::proxy::endpoint_flow;
 use crate::proxy::failover_flow;
@@ -44,6 +45,10 @@
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Most doublings of that wait.
 const LIST_DOUBLINGS_MAX: u32 = 2;
+/// Time beyond its wait that a watch may take; doubled after each watch without a reply.
+const WATCH_MARGIN: Duration = Duration::from_millis(600);
+/// Most doublings of that time.
+const WATCH_DOUBLINGS_MAX: u32 = 3;
 /// Most doublings of the pause between failed store requests.
 const PAUSE_DOUBLINGS_MAX: u32 = 2;
 /// The same for hosts of a large fleet that do not watch the store. All of them make requests
@@ -56,6 +61,9 @@
     if !ctx.store.read_pending && ctx.now >= ctx.store.next_read {
         continue_reading(ctx);
     }
+    if !ctx.stopped {
+        config_read::on_tick(ctx);
+    }
     let stopping = ctx.stopping.is_some();
     if !ctx.store.lease_call_pending && ctx.now >= ctx.store.next_lease && !ctx.stopped {
         membership_flow::maintain_membership(ctx, stopping);
@@ -71,6 +79,7 @@
     record_outcome(ctx, call, &reply);
     match &call.purpose {
         store_session::StorePurpose::List => on_listed(ctx, call, reply),
+        store_session::StorePurpose::ConfigRead => config_read::on_reply(ctx, reply),
         store_session::StorePurpose::Watch { .. } => on_changed(ctx, call, reply),
         store_session::StorePurpose::MembershipLease => {
             membership_flow::on_lease_reply(ctx, call, &reply)
@@ -164,8 +173,7 @@
 /// Returns whether this host is one of the few that keep short watches.
 fn keeps_short_watch(ctx: &proxy_context::ProxyContext) -> bool {
     let own = &ctx.identity.host;
-    let running =
-        |host: &&str| ctx.members.get(*host).is_some_and(|member| member.removed_at.is_none());
+    let running = |host: &&str| ctx.is_running(host);
     let hosts = ctx.witnesses.hosts.iter().map(String::as_str).filter(running);
     let ranked = rendezvous_rank::rank("watch", hosts);
     let first = ranked.iter().take(SHORT_WATCHES).any(|host| host == own);
@@ -200,26 +208,63 @@
             let sync_source::SyncSource::Store(wait) = sync_source::choose(sync_inputs(ctx)) else {
                 return;
             };
-            let request = store_message::StoreRequest::Watch { after, wait };
-            (store_session::StorePurpose::Watch { after }, request)
-        }
-        _ => {
-            let after = ctx.store.reading.get_or_insert_default().next.clone();
-            (store_session::StorePurpose::List, list_request(ctx, after))
+            match reads_in_place_of_watch(ctx) {
+                true => list_next_page(ctx),
+                false => {
+                    let limit = wait + watch_margin(ctx);
+                    let request = store_message::StoreRequest::Watch { after, wait, limit };
+                    (store_session::StorePurpose::Watch { after }, request)
+                }
+            }
         }
+        _ => list_next_page(ctx),
     };
     ctx.store.read_pending = true;
     ctx.call_store(purpose, request);
 }
 
+/// Returns the time beyond its wait that a watch may take. In a large fleet, a watch that is repeated
+/// too soon adds to the load that delayed its reply.
+fn watch_margin(ctx: &proxy_context::ProxyContext) -> Duration {
+    let doublings_max = if ctx.all_witnesses() { 0 } else { WATCH_DOUBLINGS_MAX };
+    WATCH_MARGIN * (1 << ctx.store.watch_failures.min(doublings_max))
+}
+
+/// Returns whether this host reads the items again in place of a watch: a watch could bring it the
+/// configuration before its turn.
+fn reads_in_place_of_watch(ctx: &proxy_context::ProxyContext) -> bool {
+    ctx.config.is_none()
+        && ctx.store.config_read.is_some()
+        && ctx.roster.len() > ctx.tuning.witnesses_all
+}
+
+/// Returns which items a full read returns. A host without a configuration reads that later, in turn
+/// with the other hosts.
+fn list_scope(ctx: &proxy_context::ProxyContext) -> store_message::ListScope {
+    match ctx.config.is_some() {
+        true => store_message::ListScope::All,
+        false => store_message::ListScope::WithoutConfig,
+    }
+}
+
+fn list_next_page(
+    ctx: &mut proxy_context::ProxyContext,
+) -> (store_session::StorePurpose, store_message::StoreRequest) {
+    let scope = list_scope(ctx);
+    let reading = ctx.store.reading.get_or_insert_with(|| store_session::FullReading::new(scope));
+    let (scope, after) = (reading.scope, reading.next.clone());
+    (store_session::StorePurpose::List, list_request(ctx, scope, after))
+}
+
 /// Returns the request for the page after a key. Where pages did not arrive in time, as when hundreds
 /// of hosts read over one link, the next ones may take longer; a repeated read adds to the load.
 fn list_request(
     ctx: &proxy_context::ProxyContext,
+    scope: store_message::ListScope,
     after: Option<String>,
 ) -> store_message::StoreRequest {
     let doublings = ctx.store.list_failures.min(LIST_DOUBLINGS_MAX);
-    store_message::StoreRequest::List { after, limit: LIST_TIMEOUT * (1 << doublings) }
+    store_message::StoreRequest::List { scope, after, limit: LIST_TIMEOUT * (1 << doublings) }
 }
 
 fn sync_inputs(ctx: &proxy_context::ProxyContext) -> sync_source::SyncInputs {
@@ -248,18 +293,19 @@
         ctx.store.next_read = retry_time(ctx);
         return;
     };
-    let reading = ctx.store.reading.get_or_insert_default();
+    let Some(reading) = &mut ctx.store.reading else { return };
     let started_at = *reading.started_at.get_or_insert(call.sent);
     reading.items.extend(items);
     let first = *reading.revision.get_or_insert(revision);
     if next.is_some() {
         reading.next = next.clone();
         ctx.store.read_pending = true;
-        let request = list_request(ctx, next);
+        let scope = reading.scope;
+        let request = list_request(ctx, scope, next);
         return ctx.call_store(store_session::StorePurpose::List, request);
     }
     ctx.store.list_failures = 0;
-    let reading = ctx.store.reading.take().unwrap_or_default();
+    let Some(reading) = ctx.store.reading.take() else { return };
     let listed: BTreeSet<&store_message::ItemSubject> =
         reading.items.iter().map(|item| &item.subject).collect();
     let removed: Vec<store_message::StoreItem> = ctx
@@ -267,6 +313,7 @@
         .known
         .iter()
         .filter(|(subject, known)| !listed.contains(subject) && **known <= first)
+        .filter(|(subject, _)| **subject != store_message::ItemSubject::Config)
         .map(|(subject, _)| store_message::StoreItem {
             subject: subject.clone(),
             revision: first,
@@ -277,14 +324,23 @@
     ctx.store.behind_since = None;
     ctx.relay.changes_missing = false;
     ctx.store.synced_at = ctx.store.synced_at.max(started_at);
-    let Some(known) = ctx.store.revision else {
-        ctx.store.revision = Some(first);
-        ctx.store.listed_at = Some(ctx.now);
-        return apply_and_advance(ctx, reading.items);
-    };
-    let changed = reading.items.into_iter().filter(|item| item.revision > known);
+    let known = ctx.store.revision;
+    let changed = reading.items.into_iter().filter(|item| Some(item.revision) > known);
     let items: Vec<store_message::StoreItem> = removed.into_iter().chain(changed).collect();
-    apply_changes(ctx, known, first, items);
+    ctx.store.listed_at.get_or_insert(ctx.now);
+    if let (Some(known), store_message::ListScope::All) = (known, reading.scope) {
+        config_read::note_known(ctx, first);
+        return apply_changes(ctx, known, first, items);
+    }
+    // A change of the configuration may be missing from what was read.
+    ctx.history.clear();
+    ctx.store.revision = ctx.store.revision.max(Some(first));
+    if known.is_some() {
+        let pause = ctx.with_jitter(CHANGES_PAUSE_FOLLOWER);
+        ctx.store.next_read = ctx.now.after(pause);
+    }
+    apply_and_advance(ctx, items);
+    config_read::require(ctx, first);
 }
 
 /// Records the changes after one revision up to another, passes them on to the hosts that requested
@@ -305,7 +361,11 @@
     apply_and_advance(ctx, items);
 }
 
-fn apply_and_advance(ctx: &mut proxy_context::ProxyContext, items: Vec<store_message::StoreItem>) {
+/// Applies changes, and all that follows from them.
+pub fn apply_and_advance(
+    ctx: &mut proxy_context::ProxyContext,
+    items: Vec<store_message::StoreItem>,
+) {
     apply_items(ctx, items);
     witness_selection::update_witnesses(ctx);
     rate_limiter::allocate_shares(ctx);
@@ -321,6 +381,7 @@
     match reply {
         store_message::StoreReply::Changed { items, revision } => {
             ctx.store.behind_since = None;
+            ctx.store.watch_failures = 0;
             ctx.relay.changes_missing = false;
             ctx.store.synced_at = ctx.store.synced_at.max(call.sent);
             if !items.is_empty() && !ctx.all_witnesses() {
@@ -334,9 +395,12 @@
         }
         store_message::StoreReply::HistoryCompacted => {
             log::warn!("event=store_history_compacted revision={:?}", ctx.store.revision);
-            ctx.store.reading = Some(store_session::FullReading::default());
+            ctx.store.reading = Some(store_session::FullReading::new(list_scope(ctx)));
+        }
+        _ => {
+            ctx.store.watch_failures = ctx.store.watch_failures.saturating_add(1);
+            ctx.store.next_read = retry_time(ctx);
         }
-        _ => ctx.store.next_read = retry_time(ctx),
     }
 }
 
@@ -346,6 +410,16 @@
         if item.revision <= known {
             continue;
         }
+        match item.body {
+            Some(store_message::ItemContent::ConfigOmitted) => {
+                config_read::require(ctx, item.revision);
+                continue;
+            }
+            Some(store_message::ItemContent::Config(_)) => {
+                config_read::note_known(ctx, item.revision);
+            }
+            _ => {}
+        }
         ctx.store.known.insert(item.subject.clone(), item.revision);
         apply_item(ctx, item);
     }
