--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -6,6 +6,7 @@
 use crate::proxy::config_patch;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::usage_message;
 
 /// One host's observation of one group's primary.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,6 +66,9 @@
 pub enum RelayedContent {
     /// A configuration, as the difference from the version that the receiver has.
     Config(Box<config_patch::ConfigPatch>),
+    /// A configuration that the sender cannot express as a difference from the version that the
+    /// receiver has, or only as one too large for a datagram.
+    ConfigOmitted,
     /// The registration of an endpoint.
     Endpoint(store_message::EndpointRegistration),
     /// The data centre is under evacuation.
@@ -152,4 +156,8 @@
     ChangesRequest(ChangesRequest),
     /// Changes of the store.
     RelayedChanges(RelayedChanges),
+    /// Counted requests, for the coordinator.
+    UsageTotals(usage_message::UsageTotals),
+    /// The coordinator's answer to counted requests.
+    UsageReceipt(usage_message::UsageReceipt),
 }
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -18,21 +18,28 @@
 use crate::daemon::latency_histograms;
 use crate::proxy::change_history;
 use crate::proxy::connection_state;
+use crate::proxy::duty_call;
+use crate::proxy::duty_fence;
 use crate::proxy::endpoint_view;
 use crate::proxy::group_view;
 use crate::proxy::lease_book;
 use crate::proxy::log_limiter;
 use crate::proxy::member_view;
+use crate::proxy::peer_datagram;
 use crate::proxy::pending_request;
 use crate::proxy::pool_state;
+use crate::proxy::primary_wait;
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_message;
 use crate::proxy::proxy_tuning;
 use crate::proxy::relay_state;
+use crate::proxy::return_schedule;
 use crate::proxy::session_state;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
 use crate::proxy::store_session;
+use crate::proxy::token_outlook;
+use crate::proxy::usage_state;
 use crate::proxy::witness_selection;
 
 const FAILOVER_CHART: &str = include_str!("../../charts/proxy_failover.yaml");
@@ -99,6 +106,14 @@
     pub connections_opened: u64,
     /// Statements sent again after an attempt that is known not to have run them.
     pub retries: u64,
+    /// Requests refused on arrival, by cause.
+    pub refused_at_once: BTreeMap<String, u64>,
+    /// Requests refused after they had waited, by cause.
+    pub refused_after_wait: BTreeMap<String, u64>,
+    /// Requests that waited for a primary and were placed on it.
+    pub primary_waits_placed: u64,
+    /// Requests that waited for a primary and were refused.
+    pub primary_waits_expired: u64,
     /// Requests to the store.
     pub store_calls: u64,
     /// Replies of the store by purpose of the request and outcome.
@@ -121,6 +136,12 @@
     pub pool_opened: u64,
     /// Leases granted on a connection that another lease had used before.
     pub pool_reused: u64,
+    /// Requests that endpoints began to run, as counted for usage reports.
+    pub usage_requests: u64,
+    /// Windows whose usage report was accepted from this host.
+    pub usage_windows_reported: u64,
+    /// Windows whose usage report this host could not bring in on time.
+    pub usage_windows_missed: u64,
 }
 
 /// One client account on this host.
@@ -151,8 +172,12 @@
     pub fruitless_searches: u32,
     /// When the next search may begin.
     pub next_search: clock_time::ClockTime,
-    /// Until when all peers are assumed to be out of tokens.
-    pub exhausted_until: clock_time::ClockTime,
+    /// What searches and admissions on this host show about the account's tokens.
+    pub history: token_outlook::TokenHistory,
+    /// Slots given to refused callers.
+    pub returns: return_schedule::ReturnSchedule,
+    /// When waiting requests are next admitted with tokens that this host's share accrues.
+    pub accrual_check_at: clock_time::ClockTime,
 }
 
 /// The current allocation of shares to hosts.
@@ -216,6 +241,10 @@
     pub kind_latencies: latency_histograms::LatencyHistograms,
     /// Time that requests waited for a lease, under the name of [`LEASE_WAITS`].
     pub lease_waits: latency_histograms::LatencyHistograms,
+    /// Times for which requests were held before they were refused, by cause.
+    pub hold_times: latency_histograms::LatencyHistograms,
+    /// Durations of the failovers that this host has seen.
+    pub failover_durations: primary_wait::FailoverDurations,
     /// The active configuration.
     pub config: Option<Arc<proxy_config::ProxyConfig>>,
     /// Data centres under evacuation, and when this host read of each.
@@ -228,8 +257,12 @@
     pub relay: relay_state::RelayState,
     /// Pending store requests.
     pub store_calls: HashMap<core_message::CallId, store_session::StoreCall>,
-    /// Pending promotions.
-    pub promotions: HashMap<core_message::CallId, arena_keys::GroupKey>,
+    /// Pending calls of duties.
+    pub duty_calls: HashMap<core_message::CallId, duty_call::DutySubject>,
+    /// This host's last calls of duties.
+    pub duty_fence: duty_fence::DutyFence,
+    /// Usage reports.
+    pub usage: usage_state::UsageState,
     /// Hosts that belong to the fleet, running or not, with the revisions of their roster entries.
     pub roster: BTreeMap<String, u64>,
     /// Every known host by name, this one included.
@@ -311,13 +344,17 @@
             latencies: latency_histograms::LatencyHistograms::default(),
             kind_latencies: latency_histograms::LatencyHistograms::default(),
             lease_waits: latency_histograms::LatencyHistograms::default(),
+            hold_times: latency_histograms::LatencyHistograms::default(),
+            failover_durations: primary_wait::FailoverDurations::default(),
             config: None,
             evacuations: BTreeMap::new(),
             store: store_session::StoreSession::default(),
             history: change_history::ChangeHistory::default(),
             relay: relay_state::RelayState::default(),
             store_calls: HashMap::new(),
-            promotions: HashMap::new(),
+            duty_calls: HashMap::new(),
+            duty_fence: duty_fence::DutyFence::default(),
+            usage: usage_state::UsageState::default(),
             roster: BTreeMap::new(),
             members: BTreeMap::new(),
             witnesses: witness_selection::WitnessState::default(),
@@ -359,6 +396,12 @@
         self.actions.push(proxy_message::ProxyAction::CallStore { call, request });
     }
 
+    /// Sends a datagram to a peer.
+    pub fn send_datagram(&mut self, address: String, message: peer_datagram::PeerDatagram) {
+        self.counts.datagrams += 1;
+        self.actions.push(proxy_message::ProxyAction::SendDatagram { address, message });
+    }
+
     /// Returns a new id for a request that awaits a reply.
     pub fn next_call_id(&mut self) -> core_message::CallId {
         let call = self.next_call;
@@ -470,13 +513,26 @@
         self.roster.keys().cloned().collect()
     }
 
+    /// Returns the hosts that have a member record.
+    pub fn running_members(&self) -> impl Iterator<Item = &member_view::MemberView> {
+        self.members.values().filter(|member| member.removed_at.is_none())
+    }
+
+    /// Returns whether a host has a member record.
+    pub fn is_running(&self, host: &str) -> bool {
+        self.members.get(host).is_some_and(|member| member.removed_at.is_none())
+    }
+
+    /// Returns whether a host started at about the same time as this one.
+    pub fn is_start_mate(&self, member: &member_view::MemberView) -> bool {
+        let apart = member.record.incarnation.abs_diff(self.identity.incarnation);
+        apart < STARTED_TOGETHER.as_micros() as u64
+    }
+
     /// Returns whether most hosts started at about the same time as this one, as after an outage of
     /// the whole fleet.
     pub fn started_together(&self) -> bool {
-        let own = self.identity.incarnation;
-        let near = self.members.values().filter(|member| {
-            member.record.incarnation.abs_diff(own) < STARTED_TOGETHER.as_micros() as u64
-        });
+        let near = self.members.values().filter(|member| self.is_start_mate(member));
         near.count() * 2 > self.roster.len()
     }
 
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -6,8 +6,10 @@
 
 use crate::core::clock_time;
 use crate::proxy::change_relay;
+use crate::proxy::config_read;
 use crate::proxy::connection_flow;
 use crate::proxy::coordinator_election;
+use crate::proxy::duty_flow;
 use crate::proxy::endpoint_flow;
 use crate::proxy::failover_flow;
 use crate::proxy::heartbeat_flow;
@@ -22,6 +24,7 @@
 use crate::proxy::shutdown_flow;
 use crate::proxy::store_record;
 use crate::proxy::store_sync;
+use crate::proxy::usage_flow;
 use crate::proxy::witness_selection;
 
 /// Renewals of the membership lease within which the store or most witnesses must have replied for
@@ -106,8 +109,8 @@
                     store_sync::on_reply(ctx, &call, reply);
                 }
             }
-            proxy_message::ProxyEvent::PromotionReplied { call, reply } => {
-                failover_flow::on_promotion_reply(ctx, call, reply);
+            proxy_message::ProxyEvent::DutyReplied { call, reply } => {
+                duty_flow::on_reply(ctx, call, reply);
             }
             proxy_message::ProxyEvent::DatagramReceived { message } => {
                 heartbeat_flow::on_datagram(ctx, message);
@@ -124,7 +127,13 @@
             proxy_message::ProxyEvent::PoolLinkClosed { link } => {
                 pool_server::on_link_closed(ctx, link);
             }
-            proxy_message::ProxyEvent::TuningChanged { tuning } => ctx.tuning = *tuning,
+            proxy_message::ProxyEvent::TuningChanged { tuning } => {
+                usage_flow::on_tuning(ctx, tuning.usage);
+                ctx.tuning = *tuning;
+            }
+            proxy_message::ProxyEvent::WallClockRead { unix_us } => {
+                ctx.usage.clock.read_own(ctx.now, unix_us);
+            }
             proxy_message::ProxyEvent::ShutdownRequested => shutdown_flow::start(ctx),
             proxy_message::ProxyEvent::TimerFired => {}
         }
@@ -162,6 +171,7 @@
         rate_limiter::confirm_allocation(ctx);
         coordinator_election::on_tick(ctx);
         failover_flow::advance_all(ctx);
+        usage_flow::on_tick(ctx);
         witness_selection::expire_past_sets(ctx);
         if ctx.store_or_quorum_reachable(ctx.host_renewal() * REACHABLE_RENEWALS) {
             ctx.last_reachable = ctx.now;
@@ -243,7 +253,8 @@
     }
 
     fn report_readiness(ctx: &mut proxy_context::ProxyContext) {
-        let configured = ctx.config.is_some() && !ctx.endpoints.is_empty();
+        let configured =
+            ctx.config.is_some() && !config_read::is_overdue(ctx) && !ctx.endpoints.is_empty();
         let reachable = ctx.now.since(ctx.last_reachable) < UNREACHABLE_GRACE;
         // After the deadline, a group without a record no longer keeps the host from serving other
         // groups.
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::proxy::usage_tuning;
+
 /// Timeouts and limits of the proxy core.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ProxyTuning {
@@ -78,6 +80,10 @@
     /// Number of connections to an endpoint for each host below which serving hosts hold the
     /// endpoint's connections; 0 for never.
     pub serving_below: f64,
+    /// Time within which two holders of a duty may not take turns at it.
+    pub duty_turn: Duration,
+    /// Settings of the usage reports; `None` if the host does not have this duty.
+    pub usage: Option<usage_tuning::UsageTuning>,
 }
 
 impl Default for ProxyTuning {
@@ -114,7 +120,9 @@
             quota_slack: 20.0,
             witnesses_all: 9,
             witnesses: 5,
-            serving_below: 2.0,
+            serving_below: 0.0,
+            duty_turn: Duration::from_millis(3_000),
+            usage: None,
         }
     }
 }
--- a/stand-ins/src/platform_program.rs
+++ b/stand-ins/src/platform_program.rs
@@ -37,6 +37,10 @@
     /// Fails when the address cannot be bound.
     pub async fn serve(self, address: &str) -> Result<()> {
         let program = Arc::new(self);
+        http_call::serve(address, || Self::router(&program)).await
+    }
+
+    fn router(program: &Arc<Self>) -> Router {
         let store = program.clone();
         let router = http_call::route_messages(Router::new(), PLATFORM_PATH, move |request| {
             let program = store.clone();
@@ -47,11 +51,11 @@
             let platform_model::CallCounts { reads, writes } = counts.model().counts();
             async move { Ok((reads, writes)) }
         });
-        let router = http_call::route_messages(router, fault_message::FAULT_PATH, move |faults| {
+        let program = program.clone();
+        http_call::route_messages(router, fault_message::FAULT_PATH, move |faults| {
             *program.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
             async move { Ok(()) }
-        });
-        http_call::serve(address, router).await
+        })
     }
 
     async fn handle_request(&self, request: platform_message::PlatformRequest) -> PlatformResult {
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod fake_database;
 pub(crate) mod fake_link;
+pub(crate) mod fake_platform;
 pub(crate) mod fake_store;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -15,6 +16,7 @@
 use quetzaldeal::core::clock_time;
 use quetzaldeal::core::core_message;
 use quetzaldeal::core::request_verdict;
+use quetzaldeal::proxy::duty_call;
 use quetzaldeal::proxy::endpoint_command;
 use quetzaldeal::proxy::peer_datagram;
 use quetzaldeal::proxy::pool_message;
@@ -38,12 +40,16 @@
 const LINK_DARK_US: u64 = 2_500_000;
 /// One-way latency between a host and the store, in microseconds.
 const STORE_LATENCY_US: u64 = 2_000;
-/// Time from the acceptance of a promotion until the endpoint is the primary, in microseconds.
+/// Default of the time from the acceptance of a promotion until the endpoint is the primary, in
+/// microseconds.
 const PROMOTION_US: u64 = 1_000_000;
 /// Time after which a replaced primary that was not asked to step down does so by itself, in
 /// microseconds.
 const STEP_DOWN_US: u64 = 1_000_000;
 
+/// True time at the start of the virtual clock, in microseconds of Unix time.
+pub(crate) const UNIX_START_US: u64 = 1_800_000_000_000_000;
+
 /// Party on one side of a network partition.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum PartitionSide {
@@ -207,18 +213,26 @@
     pub(crate) now: u64,
     /// The fake store.
     pub(crate) store: fake_store::FakeStore,
+    /// The fake platform that takes the calls of duties.
+    pub(crate) platform: fake_platform::FakePlatform,
+    /// How far the times of day of hosts are ahead of true time, in microseconds.
+    pub(crate) wall_clock_skews: BTreeMap<usize, i64>,
     /// Fake databases by endpoint id.
     pub(crate) databases: BTreeMap<String, fake_database::FakeDatabase>,
     /// Descriptions of violated guarantees.
     pub(crate) violations: Vec<String>,
     /// When databases ran operations, by account, in microseconds and ascending order.
     pub(crate) executions: BTreeMap<String, Vec<u64>>,
+    /// Time from the acceptance of a promotion until the endpoint is the primary, in microseconds.
+    pub(crate) promotion_us: u64,
     /// Fraction of the databases' responses that is lost.
     pub(crate) response_loss: f64,
     /// Fraction of the datagrams between hosts that is lost.
     pub(crate) datagram_loss: f64,
     /// Bytes of the datagrams that each host has sent.
     pub(crate) datagram_bytes: BTreeMap<usize, usize>,
+    /// Number of datagrams of usage reports between hosts.
+    pub(crate) usage_datagrams: u64,
     /// Hosts that run the build without a relay of changes: they neither send nor understand its
     /// datagrams.
     pub(crate) hosts_without_relay: BTreeSet<usize>,
@@ -261,6 +275,19 @@
         Self::with_tuning(hosts, accounts, seed, proxy_tuning::ProxyTuning::default())
     }
 
+    /// Returns a fleet as `new` does, whose hosts start within 0.3 s.
+    pub(crate) fn starting_together(
+        hosts: usize,
+        accounts: &[(&str, f64, f64)],
+        seed: u64,
+    ) -> Self {
+        let mut fleet = Self::new(0, accounts, seed);
+        for number in 0..hosts {
+            fleet.add_host(number, number as u64 * 300_000 / hosts as u64);
+        }
+        fleet
+    }
+
     /// Returns a fleet as `new` does, with timeouts and limits other than the defaults.
     pub(crate) fn with_tuning(
         hosts: usize,
@@ -271,12 +298,16 @@
         let mut fleet = Self {
             now: 10_000_000,
             store: fake_store::FakeStore::default(),
+            platform: fake_platform::FakePlatform::default(),
+            wall_clock_skews: BTreeMap::new(),
             databases: BTreeMap::new(),
             violations: Vec::new(),
             executions: BTreeMap::new(),
+            promotion_us: PROMOTION_US,
             response_loss: 0.0,
             datagram_loss: 0.0,
             datagram_bytes: BTreeMap::new(),
+            usage_datagrams: 0,
             hosts_without_relay: BTreeSet::new(),
             connections_opened: BTreeMap::new(),
             connections_most: BTreeMap::new(),
@@ -321,7 +352,7 @@
         }
         fleet.publish();
         for number in 0..hosts {
-            fleet.add_host(number);
+            fleet.add_host(number, number as u64 * 30_000);
         }
         fleet.push(fleet.now, ScheduledStep::ExpireLeases);
         fleet
@@ -691,11 +722,10 @@
         self.deliver_replies(replies);
     }
 
-    fn add_host(&mut self, number: usize) {
+    fn add_host(&mut self, number: usize, start_delay_us: u64) {
         let seed = self.rng.random();
         let core = build_core(number, 1, self.now, &self.tuning, seed);
         self.hosts.push(FakeHost::new(core, 1, 0));
-        let start_delay_us = number as u64 * 30_000;
         self.push(
             self.now + start_delay_us,
             ScheduledStep::FireTimer { host: number, incarnation: 1 },
@@ -744,9 +774,10 @@
                 continue;
             }
             let incarnation = self.hosts[host].incarnation;
+            let sending_us = self.store.sending_time(self.now, &reply);
             let event = proxy_message::ProxyEvent::StoreReplied { call, reply };
             self.push(
-                self.now + STORE_LATENCY_US,
+                self.now + sending_us + STORE_LATENCY_US,
                 ScheduledStep::DeliverEvent { host, incarnation, event },
             );
         }
@@ -777,6 +808,12 @@
                     self.hosts[host].next_timer = self.now;
                 }
                 if self.hosts[host].incarnation == incarnation {
+                    if self.tuning.usage.is_some() {
+                        let skew_us = self.wall_clock_skews.get(&host).copied().unwrap_or(0);
+                        let unix_us = (UNIX_START_US + self.now).saturating_add_signed(skew_us);
+                        let event = proxy_message::ProxyEvent::WallClockRead { unix_us };
+                        self.handle_event(host, event);
+                    }
                     self.handle_event(host, proxy_message::ProxyEvent::TimerFired);
                 }
             }
@@ -886,46 +923,40 @@
                 self.connections.remove(&(host, incarnation, connection));
             }
             proxy_message::ProxyAction::CallStore { call, request } => {
-                let wait = match &request {
-                    store_message::StoreRequest::Watch { wait, .. } => wait.as_micros() as u64,
-                    _ => 0,
+                let timeout = match &request {
+                    store_message::StoreRequest::List { limit, .. }
+                    | store_message::StoreRequest::Watch { limit, .. } => limit.as_micros() as u64,
+                    _ => 1_200_000,
                 };
+                let timeout_at = self.now + timeout;
                 self.push(
                     self.now + STORE_LATENCY_US,
                     ScheduledStep::CallStore { host, incarnation, call, request },
                 );
-                let timeout_at = self.now + if wait > 0 { wait + 600_000 } else { 1_200_000 };
                 let event = proxy_message::ProxyEvent::StoreReplied {
                     call,
                     reply: store_message::StoreReply::NoReply,
                 };
                 self.push(timeout_at, ScheduledStep::DeliverEvent { host, incarnation, event });
             }
-            proxy_message::ProxyAction::Promote { call, group, endpoint, .. } => {
-                let running = self.databases.get(&endpoint).is_some_and(|database| database.up);
-                let reachable = self.can_reach(&PartitionSide::Host(host), &PartitionSide::Store);
-                let reply = match (reachable, running) {
-                    (false, _) => proxy_message::PromotionReply::NoReply,
-                    (_, true) => proxy_message::PromotionReply::Accepted,
-                    (_, false) => proxy_message::PromotionReply::Rejected,
-                };
-                if reply == proxy_message::PromotionReply::Accepted {
-                    self.push(
-                        self.now + PROMOTION_US,
-                        ScheduledStep::CompletePromotion { group, endpoint },
-                    );
-                }
-                let event = proxy_message::ProxyEvent::PromotionReplied { call, reply };
+            proxy_message::ProxyAction::CallDuty { call, duty, token, .. } => {
+                let reply = self.take_duty_call(host, duty, token);
+                let event = proxy_message::ProxyEvent::DutyReplied { call, reply };
                 self.push(
                     self.now + 2 * STORE_LATENCY_US,
                     ScheduledStep::DeliverEvent { host, incarnation, event },
                 );
             }
             proxy_message::ProxyAction::SendDatagram { address, message } => {
-                let peer = (0..self.hosts.len()).find(|peer| peer_address(*peer) == address);
+                let peer = host_at(&address).filter(|peer| *peer < self.hosts.len());
                 let Some(peer) = peer else { return };
                 let bytes = rmp_serde::to_vec(&message).map_or(0, |bytes| bytes.len());
                 *self.datagram_bytes.entry(host).or_default() += bytes;
+                self.usage_datagrams += u64::from(matches!(
+                    message,
+                    peer_datagram::PeerDatagram::UsageTotals(_)
+                        | peer_datagram::PeerDatagram::UsageReceipt(_)
+                ));
                 let relay = matches!(
                     message,
                     peer_datagram::PeerDatagram::ChangesRequest(_)
@@ -1070,6 +1101,36 @@
     }
 
     /// Opens a connection, or refuses it if the database is not running.
+    /// Has the platform take the call of a duty.
+    fn take_duty_call(
+        &mut self,
+        host: usize,
+        duty: duty_call::DutyCall,
+        token: u64,
+    ) -> duty_call::DutyReply {
+        if !self.can_reach(&PartitionSide::Host(host), &PartitionSide::Store) {
+            return duty_call::DutyReply::NoReply;
+        }
+        match duty {
+            duty_call::DutyCall::Promotion { group, endpoint } => {
+                if !self.databases.get(&endpoint).is_some_and(|database| database.up) {
+                    return duty_call::DutyReply::Rejected;
+                }
+                let step = ScheduledStep::CompletePromotion { group, endpoint };
+                self.push(self.now + self.promotion_us, step);
+                duty_call::DutyReply::Accepted
+            }
+            duty_call::DutyCall::Usage { window, counts } => {
+                let at = self.now;
+                let report = fake_platform::ArrivedReport { at, host, token, window, counts };
+                let turn_us = self.tuning.duty_turn.as_micros() as u64;
+                let (reply, broken) = self.platform.report(report, turn_us);
+                self.violations.extend(broken);
+                reply
+            }
+        }
+    }
+
     fn connect(
         &mut self,
         host: usize,
@@ -1456,3 +1517,7 @@
 fn peer_address(host: usize) -> String {
     format!("10.1.0.{host}:1")
 }
+
+fn host_at(address: &str) -> Option<usize> {
+    address.strip_prefix("10.1.0.")?.strip_suffix(":1")?.parse().ok()
+}
--- a/tests/serving_hosts.rs
+++ b/tests/serving_hosts.rs
@@ -77,7 +77,7 @@
     let names: Vec<String> = (0..24).map(account).collect();
     let accounts: Vec<(&str, f64, f64)> =
         names.iter().map(|name| (name.as_str(), 500.0, 500.0)).collect();
-    let tuning = proxy_tuning::ProxyTuning::default();
+    let tuning = proxy_tuning::ProxyTuning { serving_below: 2.0, ..Default::default() };
     let mut fleet = ProxyFleet::with_tuning(hosts, &accounts, 1, tuning);
     fleet.run(millis(4_000));
     fleet
