feat(pool): waits expected from the queue and from the measured rate of grants

Cause: the queue alone does not show what others send meanwhile, so requests of a priority or an account that is passed over were queued and given up on late. An account that was passed over lost its place when virtual time advanced with the account that came before it.

--- a/src/proxy/lease_scheduler.rs
+++ b/src/proxy/lease_scheduler.rs
@@ -88,7 +88,7 @@
             let retry_after = wait.saturating_sub(left).max(step).max(Duration::from_millis(1));
             return Err(lease_delay::LeaseDelay { wait, retry_after });
         }
-        class.waiting.push(request);
+        class.push(now, request);
         Ok(())
     }
 
@@ -111,7 +111,9 @@
             true => Duration::ZERO,
             false => service.mul_f64((ahead - free + 1) as f64 / load.places.max(1) as f64),
         };
-        wait.max(load.delay)
+        let measured =
+            class.map_or(Duration::ZERO, |class| class.measured_wait(now, service, request));
+        wait.max(measured).max(load.delay)
     }
 
     /// Removes and returns the request that is granted next. `ready` names the accounts that have
@@ -144,7 +146,7 @@
                 class.passed_over = if *priority == chosen { 0 } else { class.passed_over + 1 };
             }
         }
-        Some(self.classes.get_mut(&chosen)?.take(position))
+        Some(self.classes.get_mut(&chosen)?.take(now, position))
     }
 
     /// Puts a request back that was taken and could not be granted.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -5,12 +5,14 @@
 //! threads. An adapter converts a platform's wire formats to and from the typed messages of
 //! `proxy_message`, `store_message` and `endpoint_command`.
 
+pub mod account_use;
 pub mod change_history;
 pub mod change_relay;
 pub mod config_patch;
 pub mod connection_flow;
 pub mod connection_state;
 pub mod coordinator_election;
+pub mod drain_rate;
 pub mod endpoint_command;
 pub mod endpoint_flow;
 pub mod endpoint_view;
--- a/src/proxy/priority_class.rs
+++ b/src/proxy/priority_class.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use crate::core::clock_time;
+use crate::proxy::account_use;
+use crate::proxy::drain_rate;
 use crate::proxy::waiting_lease;
 
 /// Accounts whose use is remembered. Beyond that number, fair queueing starts anew.
@@ -17,8 +19,8 @@
     /// Grants to other priorities since the last grant to this one while a request waited here.
     pub passed_over: u32,
     virtual_time: f64,
-    /// Virtual time up to which each account has been served.
-    served: BTreeMap<String, f64>,
+    uses: BTreeMap<String, account_use::AccountUse>,
+    drain: drain_rate::DrainRate,
 }
 
 impl PriorityClass {
@@ -30,7 +32,7 @@
     /// Forgets what accounts have used, as nothing is in use or waits any more.
     pub fn reset(&mut self) {
         self.virtual_time = 0.0;
-        self.served.clear();
+        self.uses.clear();
         self.passed_over = 0;
     }
 
@@ -68,30 +70,67 @@
             .map(|(position, _)| position)
     }
 
+    /// Queues a request.
+    pub fn push(&mut self, now: clock_time::ClockTime, request: waiting_lease::WaitingLease) {
+        if self.waiting.is_empty() {
+            self.drain = drain_rate::DrainRate::start(now);
+        }
+        let first = self.waiting_of(&request.account) == 0;
+        if self.uses.len() >= ACCOUNTS_MAX && !self.uses.contains_key(&request.account) {
+            self.forget_accounts();
+        }
+        let usage = self.uses.entry(request.account.clone()).or_default();
+        if first {
+            usage.drain = drain_rate::DrainRate::start(now);
+        }
+        self.waiting.push(request);
+    }
+
     /// Removes the request at `position`, which is granted, and charges its account.
-    pub fn take(&mut self, position: usize) -> waiting_lease::WaitingLease {
+    pub fn take(
+        &mut self,
+        now: clock_time::ClockTime,
+        position: usize,
+    ) -> waiting_lease::WaitingLease {
+        let starts = self.waiting.iter().map(|waiting| self.start(&waiting.account));
+        let earliest = starts.min_by(f64::total_cmp).unwrap_or_default();
         let waiting = self.waiting.remove(position);
         let start = self.start(&waiting.account);
-        self.virtual_time = self.virtual_time.max(start);
-        if self.served.len() >= ACCOUNTS_MAX && !self.served.contains_key(&waiting.account) {
-            let virtual_time = self.virtual_time;
-            self.served.retain(|_, served| *served > virtual_time);
-            if self.served.len() >= ACCOUNTS_MAX {
-                self.served.clear();
-            }
-        }
-        self.served.insert(waiting.account.clone(), start + waiting.cost());
+        // Accounts that were passed over keep their place, so time advances with the earliest.
+        self.virtual_time = self.virtual_time.max(earliest);
+        self.drain.record_grant(now);
+        let usage = self.uses.entry(waiting.account.clone()).or_default();
+        usage.served = start + waiting.cost();
+        usage.drain.record_grant(now);
         waiting
     }
 
     /// Puts a request back that was taken and could not be granted, and cancels its charge.
     pub fn put_back(&mut self, waiting: waiting_lease::WaitingLease) {
-        if let Some(served) = self.served.get_mut(&waiting.account) {
-            *served -= waiting.cost();
+        if let Some(usage) = self.uses.get_mut(&waiting.account) {
+            usage.served -= waiting.cost();
         }
         self.waiting.insert(0, waiting);
     }
 
+    /// Returns the time that a new request waits by the rate at which its account and its priority
+    /// were granted lately. Unlike the queue alone, it shows what others send meanwhile.
+    pub fn measured_wait(
+        &self,
+        now: clock_time::ClockTime,
+        service: Duration,
+        request: &waiting_lease::WaitingLease,
+    ) -> Duration {
+        let ahead = self.ahead(now, service, request);
+        if ahead == 0 {
+            return Duration::ZERO;
+        }
+        let own = self.waiting_of(&request.account);
+        let usage = self.uses.get(&request.account).filter(|_| own > 0);
+        let wait = usage.map_or(Duration::ZERO, |usage| usage.drain.expected_wait(now, own));
+        wait.max(self.drain.expected_wait(now, ahead))
+    }
+
     /// Returns how many waiting requests of this priority are granted before a new one.
     pub fn ahead(
         &self,
@@ -119,6 +158,15 @@
     }
 
     fn start(&self, account: &str) -> f64 {
-        self.served.get(account).copied().unwrap_or_default().max(self.virtual_time)
+        self.uses.get(account).map_or(0.0, |usage| usage.served).max(self.virtual_time)
+    }
+
+    /// Forgets the accounts that have used no more than their part, or all if there are none.
+    fn forget_accounts(&mut self) {
+        let virtual_time = self.virtual_time;
+        self.uses.retain(|_, usage| usage.served > virtual_time);
+        if self.uses.len() >= ACCOUNTS_MAX {
+            self.uses.clear();
+        }
     }
 }
