test(pool): random histories of leases, links and endpoints

Cap, leases and channels hold apart over histories of requests, responses, closed links, refused connections and restarts; nothing is left after the links end.

--- a/tests/lease_scheduler.rs
+++ b/tests/lease_scheduler.rs
@@ -360,7 +360,7 @@
     // 88 hosts with three kinds of requests, together twice what the endpoint executes.
     hosts_share_an_endpoint_by_priority_and_refusals_are_not_held: |bench| {
         let mut in_time: BTreeMap<u32, (usize, usize)> = BTreeMap::new();
-        for step in 0..5_000_u64 {
+        for step in 0..20_000_u64 {
             for host in 0..88_u64 {
                 // 0.68 requests a second of priority 0, 2.7 of 1, 3.4 of 2 from each host.
                 for (priority, period, target_ms, wait_ms) in
--- a/tests/pool_server.rs
+++ b/tests/pool_server.rs
@@ -1,14 +1,17 @@
 //! Tests of the serving host's side of leased connections: one proxy core, driven by events.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use quetzaldeal::core::arena_keys;
 use quetzaldeal::core::clock_time;
 use quetzaldeal::core::endpoint_message;
 use quetzaldeal::proxy::endpoint_command;
 use quetzaldeal::proxy::pool_message;
+use quetzaldeal::proxy::pool_server;
 use quetzaldeal::proxy::proxy_config;
 use quetzaldeal::proxy::proxy_core;
 use quetzaldeal::proxy::proxy_message;
@@ -22,6 +25,7 @@
 const CONNECTION_CAP: usize = 4;
 /// Slots of each endpoint.
 const SLOTS: u32 = 2;
+const CASES_IN_CI: u32 = 64;
 
 /// Declares a test for each name, which runs on a host that knows the endpoint `db0`.
 macro_rules! cases {
@@ -234,7 +238,7 @@
         self.handle(proxy_message::ProxyEvent::StoreReplied { call, reply });
     }
 
-    /// Returns the leases that execute, by endpoint, as the host counts them.
+    /// Returns the number of leases that execute.
     fn executing(&self) -> usize {
         let context = self.core.context();
         let pooled = context.connections.values().filter(|view| view.pooled());
@@ -633,3 +637,246 @@
         assert_eq!(endpoint.unresponsive_since, None);
     };
 }
+
+/// One step of a random history. Numbers choose among what there is at that moment.
+#[derive(Debug, Clone)]
+enum HistoryStep {
+    Lease { link: u64, endpoint: usize, account: usize, wait_ms: u32 },
+    Command { lease: usize },
+    Release { lease: usize },
+    CloseLink { link: u64 },
+    Accept,
+    Reject { limit: bool },
+    Refuse,
+    Respond { command: usize, open: bool },
+    CloseConnection { connection: usize },
+    Restart { endpoint: usize },
+    Advance { ms: u64 },
+}
+
+fn history_step() -> impl Strategy<Value = HistoryStep> {
+    let link = 0_u64..4;
+    prop_oneof![
+        6 => (link.clone(), 0_usize..2, 0_usize..5, 0_u32..400).prop_map(
+            |(link, endpoint, account, wait_ms)| HistoryStep::Lease { link, endpoint, account, wait_ms }
+        ),
+        8 => (0_usize..16).prop_map(|lease| HistoryStep::Command { lease }),
+        5 => (0_usize..16).prop_map(|lease| HistoryStep::Release { lease }),
+        1 => link.prop_map(|link| HistoryStep::CloseLink { link }),
+        8 => Just(HistoryStep::Accept),
+        1 => any::<bool>().prop_map(|limit| HistoryStep::Reject { limit }),
+        1 => Just(HistoryStep::Refuse),
+        8 => (0_usize..16, any::<bool>())
+            .prop_map(|(command, open)| HistoryStep::Respond { command, open }),
+        1 => (0_usize..16).prop_map(|connection| HistoryStep::CloseConnection { connection }),
+        1 => (0_usize..2).prop_map(|endpoint| HistoryStep::Restart { endpoint }),
+        4 => (1_u64..1_500).prop_map(|ms| HistoryStep::Advance { ms }),
+    ]
+}
+
+/// What a leasing host knows of a channel.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChannelState {
+    Requested,
+    Leased,
+    CommandSent,
+    Over,
+}
+
+/// A serving host, and what the hosts and endpoints around it know.
+#[derive(Debug)]
+struct HistoryBench {
+    host: ServingHost,
+    channels: BTreeMap<(u64, u64), ChannelState>,
+    /// Connections with an open transaction at the endpoint.
+    in_transaction: BTreeSet<arena_keys::ConnectionKey>,
+    next_channel: u64,
+    born: u64,
+}
+
+impl HistoryBench {
+    fn new() -> Self {
+        Self {
+            host: ServingHost::start(),
+            channels: BTreeMap::new(),
+            in_transaction: BTreeSet::new(),
+            next_channel: 1,
+            born: 2,
+        }
+    }
+
+    fn live(&self) -> Vec<(u64, u64)> {
+        let live = self.channels.iter().filter(|(_, state)| **state != ChannelState::Over);
+        live.map(|(channel, _)| *channel).collect()
+    }
+
+    fn run(&mut self, step: &HistoryStep) {
+        let host = &mut self.host;
+        match step {
+            HistoryStep::Lease { link, endpoint, account, wait_ms } => {
+                let channel = self.next_channel;
+                self.next_channel += 1;
+                self.channels.insert((*link, channel), ChannelState::Requested);
+                let account = ["a", "b", "c", "d", "e"][*account];
+                host.lease_of(*link, channel, ["db0", "db1"][*endpoint], account, *wait_ms);
+            }
+            HistoryStep::Command { lease } => {
+                let ready: Vec<(u64, u64)> = self
+                    .channels
+                    .iter()
+                    .filter(|(_, state)| **state == ChannelState::Leased)
+                    .map(|(channel, _)| *channel)
+                    .collect();
+                if let Some((link, channel)) = ready.get(lease % ready.len().max(1)).copied() {
+                    self.channels.insert((link, channel), ChannelState::CommandSent);
+                    host.command(link, channel, run("r"));
+                }
+            }
+            HistoryStep::Release { lease } => {
+                let live = self.live();
+                if let Some((link, channel)) = live.get(lease % live.len().max(1)).copied() {
+                    self.channels.insert((link, channel), ChannelState::Over);
+                    self.host.release(link, channel);
+                }
+            }
+            HistoryStep::CloseLink { link } => {
+                let own = self.channels.iter_mut().filter(|((other, _), _)| other == link);
+                own.for_each(|(_, state)| *state = ChannelState::Over);
+                host.close_link(*link);
+            }
+            HistoryStep::Accept if !host.opening.is_empty() => drop(host.accept()),
+            HistoryStep::Reject { limit } if !host.opening.is_empty() => host.reject(match limit {
+                true => endpoint_command::EndpointFault::TooManyConnections,
+                false => endpoint_command::EndpointFault::WrongEndpoint,
+            }),
+            HistoryStep::Refuse => {
+                if let Some((connection, _)) = host.opening.first().cloned() {
+                    host.close(connection, true);
+                }
+            }
+            HistoryStep::Respond { command, open } if !host.sent.is_empty() => {
+                let position = command % host.sent.len();
+                host.sent.swap(0, position);
+                let (connection, command) = host.sent[0].clone();
+                let rollback = command == endpoint_command::EndpointCommand::Rollback;
+                let open = *open && !rollback;
+                match open {
+                    true => self.in_transaction.insert(connection),
+                    false => self.in_transaction.remove(&connection),
+                };
+                host.respond(if open { OPEN } else { IDLE });
+            }
+            HistoryStep::CloseConnection { connection } => {
+                let open: Vec<_> = host.connections.iter().copied().collect();
+                if let Some(connection) = open.get(connection % open.len().max(1)) {
+                    host.close(*connection, false);
+                }
+            }
+            HistoryStep::Restart { endpoint } => {
+                self.born += 1;
+                host.register(["db0", "db1"][*endpoint], self.born);
+            }
+            HistoryStep::Advance { ms } => host.advance(Duration::from_millis(*ms)),
+            _ => {}
+        }
+    }
+
+    /// Takes the replies over into what the leasing hosts know.
+    fn take_replies(&mut self) -> Result<(), TestCaseError> {
+        for (link, reply) in self.host.take_replies() {
+            let (channel, allowed, next): (u64, &[ChannelState], ChannelState) = match &reply {
+                pool_message::PoolReply::Leased { channel, .. } => {
+                    (*channel, &[ChannelState::Requested], ChannelState::Leased)
+                }
+                pool_message::PoolReply::Refused { channel, .. } => {
+                    (*channel, &[ChannelState::Requested], ChannelState::Over)
+                }
+                pool_message::PoolReply::Response { channel, .. } => {
+                    (*channel, &[ChannelState::CommandSent], ChannelState::Leased)
+                }
+                pool_message::PoolReply::Ended { channel } => {
+                    let allowed = &[ChannelState::Leased, ChannelState::CommandSent];
+                    (*channel, allowed, ChannelState::Over)
+                }
+                pool_message::PoolReply::Pong => continue,
+            };
+            let state = self.channels.get(&(link, channel)).copied();
+            prop_assert!(
+                state.is_some_and(|state| allowed.contains(&state)),
+                "{reply:?} on link {link} in {state:?}"
+            );
+            self.channels.insert((link, channel), next);
+        }
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        let context = self.host.core.context();
+        let mut pooled = BTreeSet::new();
+        for (endpoint, pool) in &context.pool.endpoints {
+            prop_assert!(pool.connections.len() <= CONNECTION_CAP);
+            pooled.extend(pool.connections.iter().copied());
+            let load = pool_server::measure_load(context, endpoint);
+            // Open transactions go on beside the leases that are granted.
+            let resumed = context.pool.leases.values().filter(|state| {
+                let connection = state.connection().filter(|_| state.endpoint == endpoint);
+                connection.is_some_and(|connection| self.in_transaction.contains(&connection))
+            });
+            prop_assert!(load.in_use <= 2 * SLOTS as usize + resumed.count());
+        }
+        prop_assert_eq!(&pooled, &self.host.connections);
+        let mut used = BTreeSet::new();
+        for state in context.pool.leases.values() {
+            let known = self.channels.get(&(state.link, state.channel));
+            prop_assert!(known.is_some_and(|state| *state != ChannelState::Over));
+            let Some(connection) = state.connection() else { continue };
+            prop_assert!(used.insert(connection), "two leases of one connection");
+            let view = &context.connections[connection];
+            prop_assert_eq!(view.pool_account.as_ref(), Some(&state.request.account));
+            prop_assert_eq!(view.endpoint, state.endpoint);
+            let untouched = state.occupied == Duration::ZERO && view.in_flight.is_none();
+            let began = self.in_transaction.contains(&connection);
+            prop_assert!(!(untouched && began && !view.in_transaction()), "inside another's");
+        }
+        prop_assert_eq!(context.pool.leases.len(), self.live().len());
+        Ok(())
+    }
+}
+
+#[test]
+fn random_histories_keep_cap_leases_and_channels_apart() {
+    let variable =
+        |name: &str| std::env::var(name).ok().and_then(|value| value.parse::<u64>().ok());
+    let mut seed = [0; 32];
+    seed[..8].copy_from_slice(&variable("PROPERTY_SEED").unwrap_or(1_u64).to_le_bytes());
+    let cases = variable("PROPERTY_CASES").map_or(CASES_IN_CI, |cases| cases as u32);
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let history = prop::collection::vec(history_step(), 1..300);
+    let outcome = runner.run(&history, |steps| {
+        let mut bench = HistoryBench::new();
+        for step in &steps {
+            bench.run(step);
+            bench.take_replies()?;
+            bench.check()?;
+        }
+        for link in 0..4 {
+            bench.run(&HistoryStep::CloseLink { link });
+        }
+        bench.take_replies()?;
+        while !bench.host.sent.is_empty() || !bench.host.opening.is_empty() {
+            bench.run(&HistoryStep::Accept);
+            bench.run(&HistoryStep::Respond { command: 0, open: false });
+        }
+        bench.check()?;
+        bench.host.advance(Duration::from_secs(45));
+        let context = bench.host.core.context();
+        prop_assert!(context.pool.leases.is_empty() && context.pool.links.is_empty());
+        prop_assert!(bench.host.connections.is_empty());
+        Ok(())
+    });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
