fix(pool): the link of a serving host to itself has a number that no listener gives

Cause: the number 0 stood for the host's own link, and replies on it were taken for its own leases; a history of leases on a link with this number lost its replies (pool_server, random histories, minimal case lease, accept, close). Change: the greatest number.

--- a/src/proxy/pool_client.rs
+++ b/src/proxy/pool_client.rs
@@ -27,7 +27,7 @@
 use crate::proxy::store_record;
 
 /// Identifier of the link of a serving host to itself, which needs no transport.
-pub const OWN_LINK: pool_message::LinkId = 0;
+pub const OWN_LINK: pool_message::LinkId = pool_message::LinkId::MAX;
 /// Time without a reply, while leases are open, after which a serving host is pinged.
 const PING_AFTER: Duration = Duration::from_millis(200);
 /// Time without a reply to a ping after which the link is given up.
