--- a/src/core/arena_keys.rs
+++ b/src/core/arena_keys.rs
@@ -11,6 +11,10 @@
     pub struct EndpointKey;
     /// Key of a database group known to this host.
     pub struct GroupKey;
+    /// Key of a link from this host to a serving host.
+    pub struct LinkKey;
     /// Key of a client account known to this host.
     pub struct AccountKey;
+    /// Key of a lease that this host granted, or of a request for one.
+    pub struct LeaseKey;
 }
--- a/src/proxy/connection_state.rs
+++ b/src/proxy/connection_state.rs
@@ -5,6 +5,7 @@
 use crate::core::arena_keys;
 use crate::core::chart_cursor;
 use crate::core::clock_time;
+use crate::proxy::asked_lease;
 use crate::proxy::endpoint_command;
 
 /// What a connection's pending commands are for.
@@ -16,6 +17,8 @@
     Request(arena_keys::StatementKey),
     /// A probe of the primary.
     Probe,
+    /// A lease of the pool that this host serves to the fleet.
+    Lease(arena_keys::LeaseKey),
     /// A failover of the group, which requests the endpoint's status or gives it a command.
     Failover(arena_keys::GroupKey),
 }
@@ -27,8 +30,12 @@
     pub endpoint: arena_keys::EndpointKey,
     /// Account named in the start-up message; `None` for this host's own use.
     pub account: Option<arena_keys::AccountKey>,
+    /// Account that a pooled connection was opened for; `None` unless the connection is pooled.
+    pub pool_account: Option<String>,
     /// Current state in the chart `endpoint_connection`.
     pub cursor: chart_cursor::ChartCursor,
+    /// Its lease, if a serving host holds the connection; `None` if this host does.
+    pub lease: Option<asked_lease::AskedLease>,
     /// Session settings in effect on the connection, by name.
     pub values: BTreeMap<String, String>,
     /// Names of the statements prepared on the connection.
@@ -53,7 +60,22 @@
         self.cursor.state() == "idle"
     }
 
-    /// Whether the connection is still being opened.
+    /// Whether a serving host holds the connection.
+    pub fn leased(&self) -> bool {
+        self.lease.is_some()
+    }
+
+    /// Whether the connection belongs to the pool that this host serves to the fleet.
+    pub fn pooled(&self) -> bool {
+        self.pool_account.is_some()
+    }
+
+    /// Whether the connection waits for the next command of an open transaction.
+    pub fn in_transaction(&self) -> bool {
+        self.cursor.state() == "pinned"
+    }
+
+    /// Whether the connection is still being opened, or its lease asked for.
     pub fn opening(&self) -> bool {
         self.cursor.state() == "opening"
     }
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -22,10 +22,12 @@
 use crate::proxy::duty_fence;
 use crate::proxy::endpoint_view;
 use crate::proxy::group_view;
+use crate::proxy::lease_book;
 use crate::proxy::log_limiter;
 use crate::proxy::member_view;
 use crate::proxy::peer_datagram;
 use crate::proxy::pending_request;
+use crate::proxy::pool_state;
 use crate::proxy::primary_wait;
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_message;
@@ -65,6 +67,8 @@
     "transaction_begun",
 ];
 
+/// Name of the only histogram in `lease_waits`.
+pub const LEASE_WAITS: &str = "lease";
 /// Hosts whose starts lie within this interval count as started together.
 const STARTED_TOGETHER: Duration = Duration::from_secs(3);
 
@@ -77,6 +81,8 @@
     Share(arena_keys::AccountKey),
     /// Opens connections to an endpoint that had reached its connection limit.
     Endpoint(arena_keys::EndpointKey),
+    /// Grants or refuses waiting requests for leases of an endpoint's connections.
+    Pool(arena_keys::EndpointKey),
     /// Advances a group's failover.
     Failover(arena_keys::GroupKey),
     /// Runs the periodic work.
@@ -116,6 +122,20 @@
     pub relayed_changes: u64,
     /// Datagrams sent to peers.
     pub datagrams: u64,
+    /// Leases that this host has asked serving hosts for.
+    pub leases_asked: u64,
+    /// Leases that serving hosts have refused, by cause.
+    pub lease_refusals: BTreeMap<&'static str, u64>,
+    /// Links to serving hosts that were lost.
+    pub pool_links_lost: u64,
+    /// Leases granted to the fleet.
+    pub leases_granted: u64,
+    /// Refused requests for leases, by cause.
+    pub leases_refused: BTreeMap<&'static str, u64>,
+    /// Connections opened for leases.
+    pub pool_opened: u64,
+    /// Leases granted on a connection that another lease had used before.
+    pub pool_reused: u64,
     /// Requests that endpoints began to run, as counted for usage reports.
     pub usage_requests: u64,
     /// Windows whose usage report was accepted from this host.
@@ -219,6 +239,8 @@
     pub latencies: latency_histograms::LatencyHistograms,
     /// Latencies of successful requests by kind of route and kind of request.
     pub kind_latencies: latency_histograms::LatencyHistograms,
+    /// Time that requests waited for a lease, under the name of [`LEASE_WAITS`].
+    pub lease_waits: latency_histograms::LatencyHistograms,
     /// Times for which requests were held before they were refused, by cause.
     pub hold_times: latency_histograms::LatencyHistograms,
     /// Durations of the failovers that this host has seen.
@@ -265,8 +287,12 @@
     pub endpoints: SlotMap<arena_keys::EndpointKey, endpoint_view::EndpointView>,
     /// Endpoints by id.
     pub endpoint_names: BTreeMap<String, arena_keys::EndpointKey>,
+    /// Links to serving hosts.
+    pub leases: lease_book::LeaseBook,
     /// Connections to endpoints.
     pub connections: SlotMap<arena_keys::ConnectionKey, connection_state::ConnectionState>,
+    /// Connections that this host serves to the fleet, and their leases.
+    pub pool: pool_state::PoolState,
     /// Sessions of callers.
     pub sessions: SlotMap<arena_keys::CallerKey, session_state::SessionState>,
     /// Sessions by the listener's caller id.
@@ -317,6 +343,7 @@
             counts: ProxyCounts::default(),
             latencies: latency_histograms::LatencyHistograms::default(),
             kind_latencies: latency_histograms::LatencyHistograms::default(),
+            lease_waits: latency_histograms::LatencyHistograms::default(),
             hold_times: latency_histograms::LatencyHistograms::default(),
             failover_durations: primary_wait::FailoverDurations::default(),
             config: None,
@@ -340,7 +367,9 @@
             group_names: BTreeMap::new(),
             endpoints: SlotMap::with_key(),
             endpoint_names: BTreeMap::new(),
+            leases: lease_book::LeaseBook::default(),
             connections: SlotMap::with_key(),
+            pool: pool_state::PoolState::default(),
             sessions: SlotMap::with_key(),
             callers: HashMap::new(),
             requests: SlotMap::with_key(),
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -72,6 +72,7 @@
         ctx.now = ctx.now.max(now);
         Self::dispatch(ctx, event);
         Self::run_timers(ctx);
+        pool_client::deliver_own(ctx);
         std::mem::take(&mut ctx.actions)
     }
 
@@ -146,6 +147,9 @@
                 proxy_context::ProxyTimer::Endpoint(endpoint) => {
                     connection_flow::open_for_queue(ctx, endpoint);
                 }
+                proxy_context::ProxyTimer::Pool(endpoint) => {
+                    pool_server::on_timer(ctx, endpoint);
+                }
                 proxy_context::ProxyTimer::Failover(_) => failover_flow::advance_all(ctx),
                 proxy_context::ProxyTimer::Tick => Self::tick(ctx),
             }
@@ -197,12 +201,16 @@
             .collect();
         log::info!(
             "event=counts sessions={} connections={} replica_reads={} primary_reads={} connections_opened={} \
+             leases_asked={} lease_refusals={} pool_links_lost={} \
              store_calls={} store_replies={} relayed_changes={} datagrams={} unserved={refused} served={}",
             ctx.sessions.len(),
             ctx.connections.len(),
             ctx.counts.replica_reads,
             ctx.counts.primary_reads,
             ctx.counts.connections_opened,
+            ctx.counts.leases_asked,
+            ctx.counts.lease_refusals.values().sum::<u64>(),
+            ctx.counts.pool_links_lost,
             ctx.counts.store_calls,
             store_replies.join(","),
             ctx.counts.relayed_changes,
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -77,6 +77,9 @@
     /// Number of witnesses in a larger fleet. With five, two may be lost, or one data centre of
     /// three.
     pub witnesses: usize,
+    /// Number of connections to an endpoint for each host below which serving hosts hold the
+    /// endpoint's connections; 0 for never.
+    pub serving_below: f64,
     /// Time within which two holders of a duty may not take turns at it.
     pub duty_turn: Duration,
     /// Settings of the usage reports; `None` if the host does not have this duty.
@@ -117,6 +120,7 @@
             quota_slack: 20.0,
             witnesses_all: 9,
             witnesses: 5,
+            serving_below: 0.0,
             duty_turn: Duration::from_millis(3_000),
             usage: None,
         }
