refactor(proxy): one constructor of connection states, one copy of two limits

Cause: the state of a connection that begins to open was written out in three flows, and the serving host repeated the idle time and the pause at the connection limit of connection_flow. Change: ConnectionState::new; the two constants are public in connection_flow. No change in behaviour. Conclusion: a new field of a connection is set in one place.

--- a/src/proxy/connection_flow.rs
+++ b/src/proxy/connection_flow.rs
@@ -28,7 +28,7 @@
 /// Prepared statements kept on one connection; more are dropped together with the session settings.
 const PREPARED_MAX: usize = 256;
 /// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(40);
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(40);
 /// Time after which an idle connection is closed where there are more hosts than connections: an
 /// endpoint runs about 100 statements a second for all hosts together, and accepts about 40
 /// connections.
@@ -45,7 +45,7 @@
 const STALE_CONNECTION_TIMEOUT: Duration = Duration::from_millis(3_300);
 /// Pause before the next connection to an endpoint that refused one at its connection limit. It is
 /// the time of a few statements.
-const CONNECTION_LIMIT_BACKOFF: Duration = Duration::from_millis(80);
+pub const CONNECTION_LIMIT_BACKOFF: Duration = Duration::from_millis(80);
 /// Time without a reply of a serving host after which commands without a response on its
 /// connections say nothing about the endpoint. Pings are sent more often.
 const SERVING_HOST_HEARD: Duration = Duration::from_millis(400);
@@ -646,21 +646,9 @@
     endpoint: arena_keys::EndpointKey,
     account: Option<arena_keys::AccountKey>,
 ) {
-    let connection = ctx.connections.insert(connection_state::ConnectionState {
-        endpoint,
-        account,
-        pool_account: None,
-        cursor: chart_cursor::ChartCursor::new(ctx.connection_chart.clone()),
-        lease: None,
-        values: Default::default(),
-        prepared: Default::default(),
-        pinned: None,
-        user: None,
-        pending_commands: Default::default(),
-        in_flight: None,
-        sent: ctx.now,
-        idle_since: ctx.now,
-    });
+    let cursor = chart_cursor::ChartCursor::new(ctx.connection_chart.clone());
+    let view = connection_state::ConnectionState::new(endpoint, account, cursor, ctx.now);
+    let connection = ctx.connections.insert(view);
     ctx.counts.connections_opened += 1;
     let name = account.map(|account| ctx.accounts[account].name.clone()).unwrap_or_default();
     let view = &mut ctx.endpoints[endpoint];
--- a/src/proxy/connection_state.rs
+++ b/src/proxy/connection_state.rs
@@ -55,6 +55,30 @@
 }
 
 impl ConnectionState {
+    /// Creates the state of a connection of this host's own that begins to open at `now`.
+    pub fn new(
+        endpoint: arena_keys::EndpointKey,
+        account: Option<arena_keys::AccountKey>,
+        cursor: chart_cursor::ChartCursor,
+        now: clock_time::ClockTime,
+    ) -> Self {
+        Self {
+            endpoint,
+            account,
+            pool_account: None,
+            cursor,
+            lease: None,
+            values: BTreeMap::new(),
+            prepared: BTreeSet::new(),
+            pinned: None,
+            user: None,
+            pending_commands: VecDeque::new(),
+            in_flight: None,
+            sent: now,
+            idle_since: now,
+        }
+    }
+
     /// Whether the connection is open, unused and not pinned.
     pub fn idle(&self) -> bool {
         self.cursor.state() == "idle"
--- a/src/proxy/pool_client.rs
+++ b/src/proxy/pool_client.rs
@@ -393,21 +393,10 @@
         wait_ms: whole_millis(until.since(now)),
     };
     let lease = asked_lease::AskedLease { link: key, request, asked_at: now, ended: false };
-    let connection = ctx.connections.insert(connection_state::ConnectionState {
-        endpoint,
-        account,
-        cursor: chart_cursor::ChartCursor::new(ctx.connection_chart.clone()),
-        pool_account: None,
-        lease: Some(lease),
-        values: Default::default(),
-        prepared: Default::default(),
-        pinned: None,
-        user: None,
-        pending_commands: Default::default(),
-        in_flight: None,
-        sent: now,
-        idle_since: now,
-    });
+    let cursor = chart_cursor::ChartCursor::new(ctx.connection_chart.clone());
+    let view = connection_state::ConnectionState::new(endpoint, account, cursor, now);
+    let view = connection_state::ConnectionState { lease: Some(lease), ..view };
+    let connection = ctx.connections.insert(view);
     ctx.requests[request].lease = Some(connection);
     ctx.counts.leases_asked += 1;
     let view = &mut ctx.endpoints[endpoint];
--- a/src/proxy/pool_server.rs
+++ b/src/proxy/pool_server.rs
@@ -38,10 +38,6 @@
 const LEASE_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time by which a command may exceed the longest timeout of all routes.
 const COMMAND_GRACE: Duration = Duration::from_secs(1);
-/// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(40);
-/// Pause after an endpoint refused a connection at its connection limit.
-const CONNECTION_LIMIT_BACKOFF: Duration = Duration::from_millis(80);
 /// Pause after a connection could not be opened; doubled with each further failure.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(100);
 /// Most times that the pause is doubled.
@@ -104,7 +100,7 @@
             set_free(ctx, connection, false);
         }
         Err(endpoint_command::EndpointFault::TooManyConnections) => {
-            let pause = ctx.with_jitter(CONNECTION_LIMIT_BACKOFF);
+            let pause = ctx.with_jitter(connection_flow::CONNECTION_LIMIT_BACKOFF);
             fail_opening(ctx, connection, "connection_limit", pause);
         }
         Err(fault) => {
@@ -438,21 +434,12 @@
 ) {
     let now = ctx.now;
     let account = request.account;
-    let connection = ctx.connections.insert(connection_state::ConnectionState {
-        endpoint,
-        account: ctx.account_names.get(&account).copied(),
-        lease: None,
-        pool_account: Some(account.clone()),
-        cursor: chart_cursor::ChartCursor::new(ctx.connection_chart.clone()),
-        values: Default::default(),
-        prepared: Default::default(),
-        pinned: None,
-        user: None,
-        pending_commands: Default::default(),
-        in_flight: None,
-        sent: now,
-        idle_since: now,
-    });
+    let account_key = ctx.account_names.get(&account).copied();
+    let cursor = chart_cursor::ChartCursor::new(ctx.connection_chart.clone());
+    let view = connection_state::ConnectionState::new(endpoint, account_key, cursor, now);
+    let pool_account = Some(account.clone());
+    let view = connection_state::ConnectionState { pool_account, ..view };
+    let connection = ctx.connections.insert(view);
     let pool = &mut ctx.pool.endpoints[endpoint];
     pool.connections.push(connection);
     pool.opening.push(request.lease);
@@ -745,7 +732,7 @@
             drop_connection(ctx, connection, "rollback_timeout");
             schedule(ctx, endpoint);
         }
-        None if idle >= IDLE_TIMEOUT => drop_connection(ctx, connection, "idle"),
+        None if idle >= connection_flow::IDLE_TIMEOUT => drop_connection(ctx, connection, "idle"),
         _ => {}
     }
 }
