feat(store): log and count restores of the store, lost histories and ignored changes

A store that was restored from a copy looked like one whose history was compacted, and a change that is ignored because of its revision left no trace. The era of the store is read from its responses, counted from the first one, and logged and exported; full reads log which configuration they found. No decision depends on it yet.

--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -118,6 +118,12 @@
     pub store_calls: u64,
     /// Replies of the store by purpose of the request and outcome.
     pub store_replies: BTreeMap<(&'static str, &'static str), u64>,
+    /// Times that the store was found to be restored from a copy.
+    pub store_restores: u64,
+    /// Watches that could not continue because the store no longer had their history.
+    pub histories_lost: u64,
+    /// Changes that were not applied because a later one of the same item was known, by kind of item.
+    pub items_ignored: BTreeMap<&'static str, u64>,
     /// Changes of the store that peers have delivered.
     pub relayed_changes: u64,
     /// Datagrams sent to peers.
--- a/src/proxy/proxy_message.rs
+++ b/src/proxy/proxy_message.rs
@@ -66,8 +66,8 @@
     StoreReplied {
         /// Identifier of the call.
         call: core_message::CallId,
-        /// The reply.
-        reply: store_message::StoreReply,
+        /// The reply, with the store's era.
+        reply: store_message::StampedReply,
     },
     /// The platform replied to the call of a duty.
     DutyReplied {
--- a/src/proxy/store_message.rs
+++ b/src/proxy/store_message.rs
@@ -22,6 +22,19 @@
     Other(String),
 }
 
+impl ItemSubject {
+    /// Returns the label of the kind of item on the metrics page.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Endpoint(_) => "endpoint",
+            Self::Evacuation(_) => "evacuation",
+            Self::Record(_) => "record",
+            Self::Other(_) => "other",
+        }
+    }
+}
+
 /// Registration of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRegistration {
@@ -184,3 +197,19 @@
     /// No reply arrived. The request may have been carried out, or may be later.
     NoReply,
 }
+
+/// A reply with the era of the store that sent it.
+#[derive(Debug, Clone)]
+pub struct StampedReply {
+    /// Number of times that the store was restored from a copy; `None` where it states none.
+    pub era: Option<u64>,
+    /// The reply.
+    pub reply: StoreReply,
+}
+
+impl StampedReply {
+    /// Creates a reply that states no era.
+    pub fn unstamped(reply: StoreReply) -> Self {
+        Self { era: None, reply }
+    }
+}
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -124,6 +124,9 @@
 pub struct StoreSession {
     /// Revision up to which this host knows all changes; `None` before the first full read.
     pub revision: Option<u64>,
+    /// Number of times that the store was restored from a copy, as far as this host knows; `None` if
+    /// the store states none.
+    pub era: Option<u64>,
     /// When the first full read was complete.
     pub listed_at: Option<clock_time::ClockTime>,
     /// The full read in progress.
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -77,9 +77,11 @@
 pub fn on_reply(
     ctx: &mut proxy_context::ProxyContext,
     call: &store_session::StoreCall,
-    reply: store_message::StoreReply,
+    stamped: store_message::StampedReply,
 ) {
+    let store_message::StampedReply { era, reply } = stamped;
     record_outcome(ctx, call, &reply);
+    record_era(ctx, era);
     match &call.purpose {
         store_session::StorePurpose::List => on_listed(ctx, call, reply),
         store_session::StorePurpose::ConfigRead => config_read::on_reply(ctx, reply),
@@ -143,6 +145,23 @@
     }
 }
 
+/// Records the era that the store states. A later one means that it was restored from a copy and has
+/// lost changes that it had acknowledged.
+fn record_era(ctx: &mut proxy_context::ProxyContext, era: Option<u64>) {
+    if era.is_none() || era <= ctx.store.era {
+        return;
+    }
+    if let Some(before) = ctx.store.era {
+        ctx.counts.store_restores += 1;
+        log::warn!(
+            "event=store_restored era={era:?} before={before} revision={:?} known_items={}",
+            ctx.store.revision,
+            ctx.store.known.len()
+        );
+    }
+    ctx.store.era = era;
+}
+
 fn is_watch(call: &store_session::StoreCall) -> bool {
     matches!(call.purpose, store_session::StorePurpose::Watch { .. })
 }
@@ -326,7 +345,15 @@
             body: None,
         })
         .collect();
-    log::info!("event=store_read items={} revision={first}", reading.items.len());
+    let config = reading.items.iter().find_map(|item| match &item.body {
+        Some(store_message::ItemContent::Config(config)) => Some((config.version, item.revision)),
+        _ => None,
+    });
+    log::info!(
+        "event=store_read items={} revision={first} known={:?} config_and_revision={config:?}",
+        reading.items.len(),
+        ctx.store.revision
+    );
     ctx.store.behind_since = None;
     ctx.relay.changes_missing = false;
     ctx.store.synced_at = ctx.store.synced_at.max(started_at);
@@ -400,6 +427,7 @@
             apply_changes(ctx, after, revision, items);
         }
         store_message::StoreReply::HistoryCompacted => {
+            ctx.counts.histories_lost += 1;
             log::warn!("event=store_history_compacted revision={:?}", ctx.store.revision);
             ctx.store.reading = Some(store_session::FullReading::new(list_scope(ctx)));
         }
@@ -414,6 +442,9 @@
     for item in items {
         let known = ctx.store.known.get(&item.subject).copied().unwrap_or(0);
         if item.revision <= known {
+            if item.revision < known {
+                note_ignored(ctx, &item.subject, item.revision, known);
+            }
             continue;
         }
         match item.body {
@@ -431,6 +462,22 @@
     }
 }
 
+/// Counts and logs a change that is not applied because a later one of the same item is known.
+fn note_ignored(
+    ctx: &mut proxy_context::ProxyContext,
+    subject: &store_message::ItemSubject,
+    revision: u64,
+    known: u64,
+) {
+    *ctx.counts.items_ignored.entry(subject.kind()).or_default() += 1;
+    let era = ctx.store.era;
+    ctx.log_limited(|| {
+        format!(
+            "event=item_ignored subject={subject:?} revision={revision} known={known} era={era:?}"
+        )
+    });
+}
+
 fn apply_item(ctx: &mut proxy_context::ProxyContext, item: store_message::StoreItem) {
     let revision = item.revision;
     if let Some(store_message::ItemContent::Unusable { detail }) = &item.body {
--- a/tests/pool_server.rs
+++ b/tests/pool_server.rs
@@ -125,6 +125,7 @@
                     item(endpoint_subject("db1"), 1, registration("db1", 1)),
                 ];
                 let reply = store_message::StoreReply::Listed { items, next: None, revision: 1 };
+                let reply = store_message::StampedReply::unstamped(reply);
                 self.handle(proxy_message::ProxyEvent::StoreReplied { call, reply });
             }
             proxy_message::ProxyAction::Stop => self.stopped = true,
@@ -235,6 +236,7 @@
             .unwrap_or_else(|| panic!("no watch in {:?}", self.core.context().store_calls));
         let (call, revision) = (*call, self.revision);
         let reply = store_message::StoreReply::Changed { items: vec![changed], revision };
+        let reply = store_message::StampedReply::unstamped(reply);
         self.handle(proxy_message::ProxyEvent::StoreReplied { call, reply });
     }
 
--- a/tests/proxy_fakes/fake_store.rs
+++ b/tests/proxy_fakes/fake_store.rs
@@ -95,6 +95,15 @@
     leases: BTreeMap<u64, (u64, Duration)>,
     next_lease: u64,
     watches: Vec<FakeWatch>,
+    era: Option<u64>,
+}
+
+/// What a store held at one time.
+#[derive(Debug, Clone)]
+pub(crate) struct StoreCopy {
+    revision: u64,
+    items: BTreeMap<store_message::ItemSubject, FakeItem>,
+    leases: BTreeMap<u64, (u64, Duration)>,
 }
 
 /// Reply to a call, with the host and the call that it is for.
@@ -113,6 +122,7 @@
             leases: BTreeMap::new(),
             next_lease: 100,
             watches: Vec::new(),
+            era: Some(0),
         }
     }
 }
@@ -137,6 +147,32 @@
         closed.into_iter().map(|watch| (watch.host, watch.call, reply.clone())).collect()
     }
 
+    /// Returns a copy of what the store holds.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            revision: self.revision,
+            items: self.items.clone(),
+            leases: self.leases.clone(),
+        }
+    }
+
+    /// Replaces what the store holds by a copy and drops all watches. What was written since the copy is
+    /// gone, and the revisions since then are given out again.
+    pub(crate) fn restore(&mut self, copy: StoreCopy) {
+        self.revision = copy.revision;
+        self.items = copy.items;
+        self.leases = copy.leases;
+        self.compacted_revision = copy.revision;
+        self.history.clear();
+        self.watches.clear();
+        self.era = self.era.map(|era| era + 1);
+    }
+
+    /// Returns the number of times that the store was restored from a copy.
+    pub(crate) fn era(&self) -> Option<u64> {
+        self.era
+    }
+
     /// Ends the leases and the watches that have expired by `now`, in microseconds.
     pub(crate) fn expire(&mut self, now: u64) -> Vec<AddressedReply> {
         let expired: Vec<u64> = self
@@ -308,7 +344,7 @@
         let (revision, compacted) = (self.revision, self.compacted_revision);
         let history = &self.history;
         self.watches.retain(|watch| {
-            if watch.after < compacted {
+            if watch.after < compacted || watch.after > revision {
                 replies.push((watch.host, watch.call, store_message::StoreReply::HistoryCompacted));
                 return false;
             }
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -775,6 +775,7 @@
             }
             let incarnation = self.hosts[host].incarnation;
             let sending_us = self.store.sending_time(self.now, &reply);
+            let reply = store_message::StampedReply { era: self.store.era(), reply };
             let event = proxy_message::ProxyEvent::StoreReplied { call, reply };
             self.push(
                 self.now + sending_us + STORE_LATENCY_US,
@@ -935,7 +936,9 @@
                 );
                 let event = proxy_message::ProxyEvent::StoreReplied {
                     call,
-                    reply: store_message::StoreReply::NoReply,
+                    reply: store_message::StampedReply::unstamped(
+                        store_message::StoreReply::NoReply,
+                    ),
                 };
                 self.push(timeout_at, ScheduledStep::DeliverEvent { host, incarnation, event });
             }
