--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -569,6 +569,18 @@
         self.deliver_replies(replies);
     }
 
+    /// Lets the store lose everything written since the copy. Operators and databases then write again
+    /// what they had written.
+    pub(crate) fn restore_store(&mut self, copy: fake_store::StoreCopy) {
+        self.store.mode = fake_store::StoreMode::Up;
+        self.store.restore(copy);
+        self.publish();
+        let running = self.databases.iter().filter(|(_, database)| database.up);
+        for id in running.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.register(&id, false);
+        }
+    }
+
     /// Returns the id of the primary with the newest term, or an empty text if there is none.
     pub(crate) fn primary_id(&self) -> String {
         let primaries = self.databases.iter().filter(|(_, database)| database.primary);
