fix(store): order revisions over restores, and read everything again after one

Cause: a host compares revisions by number: those of items, that of its watch, those of peers. A store that is restored from a copy gives the lost numbers out again. Version 15 came at revision 36, which the hosts had seen for version 12; they watched from 36, so it was never delivered, and a full read would have dropped it as not newer. Until the store had passed 36 again, each host repeated watch, 410 and full read without a pause, 284 times in 4 s.

Ruled out: a configuration that is rejected (config_ignored is not logged), a watch that is lost (an endpoint's change at 37 arrives).

Change: StoreRevision orders by era, then number; the adapter stamps it from the header Store-Era and strips it again. A host that sees a later era drops its history for peers and its reads under way and reads everything again; hosts of a large fleet spread these reads and read the configuration in turn. A reply of another era than its request's counts as none, because the request named what the store may have lost. The form in datagrams is the number as before until the first restore.

It works because any revision of a later era is higher than all that a host knows, so nothing is dropped and no watch continues across a restore; a configuration still never goes back, by its version.

--- a/src/proxy/change_history.rs
+++ b/src/proxy/change_history.rs
@@ -8,6 +8,7 @@
 use crate::proxy::proxy_config;
 use crate::proxy::relayed_content;
 use crate::proxy::store_message;
+use crate::proxy::store_revision;
 
 /// Most items that are kept; older ones are dropped.
 const ITEMS_MAX: usize = 2_048;
@@ -23,8 +24,8 @@
 /// out a change that a later one in the same reply replaces.
 #[derive(Debug)]
 struct ChangeBlock {
-    after: u64,
-    revision: u64,
+    after: store_revision::StoreRevision,
+    revision: store_revision::StoreRevision,
     items: Vec<store_message::StoreItem>,
 }
 
@@ -32,9 +33,9 @@
 #[derive(Debug)]
 pub struct HistoryPart {
     /// Revision after which they apply.
-    pub after: u64,
+    pub after: store_revision::StoreRevision,
     /// Revision that they lead to.
-    pub revision: u64,
+    pub revision: store_revision::StoreRevision,
     /// The changes.
     pub items: Vec<peer_datagram::RelayedItem>,
 }
@@ -57,7 +58,12 @@
 
 impl ChangeHistory {
     /// Adds the changes after one revision up to another.
-    pub fn add(&mut self, after: u64, revision: u64, items: &[store_message::StoreItem]) {
+    pub fn add(
+        &mut self,
+        after: store_revision::StoreRevision,
+        revision: store_revision::StoreRevision,
+        items: &[store_message::StoreItem],
+    ) {
         if revision <= after {
             return;
         }
@@ -94,7 +100,11 @@
     /// host with version `config` of the configuration.
     ///
     /// Returns `None` if this history does not reach back to `revision`.
-    pub fn parts_after(&self, revision: u64, config: u64) -> Option<Vec<HistoryPart>> {
+    pub fn parts_after(
+        &self,
+        revision: store_revision::StoreRevision,
+        config: u64,
+    ) -> Option<Vec<HistoryPart>> {
         let mut parts: Vec<HistoryPart> = Vec::new();
         let mut known = revision;
         let mut config_known = config;
--- a/src/proxy/change_relay.rs
+++ b/src/proxy/change_relay.rs
@@ -74,7 +74,7 @@
     let request = peer_datagram::ChangesRequest {
         host: ctx.identity.host.clone(),
         incarnation: ctx.identity.incarnation,
-        revision: ctx.store.revision.unwrap_or(0),
+        revision: ctx.store.revision.unwrap_or_default(),
         config_version: ctx.config.as_ref().map_or(0, |config| config.version),
         sent_at_us: now.as_micros(),
     };
--- a/src/proxy/config_read.rs
+++ b/src/proxy/config_read.rs
@@ -11,6 +11,7 @@
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::store_revision;
 use crate::proxy::store_session;
 use crate::proxy::store_sync;
 
@@ -30,7 +31,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConfigRead {
     /// Revision as of which the configuration has to be read.
-    pub revision: u64,
+    pub revision: store_revision::StoreRevision,
     /// Until when this host is certain to have known the configuration in force.
     pub current_until: clock_time::ClockTime,
     /// When the read may be sent; `None` until the turn of this host is known.
@@ -42,7 +43,7 @@
 }
 
 /// Records that this host lacks the configuration as of `revision`.
-pub fn require(ctx: &mut proxy_context::ProxyContext, revision: u64) {
+pub fn require(ctx: &mut proxy_context::ProxyContext, revision: store_revision::StoreRevision) {
     if let Some(read) = &mut ctx.store.config_read {
         read.revision = read.revision.max(revision);
         return;
@@ -62,7 +63,7 @@
 }
 
 /// Records that this host has the configuration as of `revision`.
-pub fn note_known(ctx: &mut proxy_context::ProxyContext, revision: u64) {
+pub fn note_known(ctx: &mut proxy_context::ProxyContext, revision: store_revision::StoreRevision) {
     if ctx.store.config_read.is_some_and(|read| read.revision <= revision) {
         ctx.store.config_read = None;
     }
--- a/src/proxy/coordinator_election.rs
+++ b/src/proxy/coordinator_election.rs
@@ -10,6 +10,7 @@
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::store_revision;
 use crate::proxy::store_session;
 use crate::proxy::witness_selection;
 
@@ -98,7 +99,8 @@
     };
     let Ok(value) = rmp_serde::to_vec(&record) else { return retry_later(ctx) };
     ctx.coordinator.lease = Some((*lease, call.lease_end(*ttl, ctx.tuning.lease_margin)));
-    let expect = ctx.coordinator.record.as_ref().map_or(0, |(_, revision)| *revision);
+    let expect = ctx.coordinator.record.as_ref();
+    let expect = expect.map_or(store_revision::StoreRevision::ABSENT, |(_, revision)| *revision);
     let request = store_message::StoreRequest::Write {
         key: store_record::COORDINATOR_KEY.to_owned(),
         value,
@@ -144,7 +146,7 @@
 pub fn on_record_read(
     ctx: &mut proxy_context::ProxyContext,
     record: Option<store_record::CoordinatorRecord>,
-    revision: u64,
+    revision: store_revision::StoreRevision,
 ) {
     let Some(record) = record else {
         ctx.coordinator.record = None;
@@ -157,7 +159,8 @@
     if let (true, Some((_, until))) = (own, ctx.coordinator.lease) {
         ctx.coordinator.until = ctx.coordinator.until.max(until);
     }
-    log::info!("event=coordinator_changed host={} token={revision} own={own}", record.host);
+    let token = revision.as_u64();
+    log::info!("event=coordinator_changed host={} token={token} own={own}", record.host);
     ctx.coordinator.record = Some((record, revision));
 }
 
--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -23,6 +23,7 @@
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::store_revision;
 use crate::proxy::store_session;
 
 /// Timeout for writing the group record; after it, the failover starts over.
@@ -65,7 +66,7 @@
     ctx: &mut proxy_context::ProxyContext,
     group: arena_keys::GroupKey,
     record: store_record::GroupRecord,
-    revision: u64,
+    revision: store_revision::StoreRevision,
 ) {
     let now = ctx.now;
     let own = record.proposer == proposer(ctx);
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -6,6 +6,7 @@
 use crate::proxy::position_history;
 use crate::proxy::return_schedule;
 use crate::proxy::store_record;
+use crate::proxy::store_revision;
 
 /// Why a failover is needed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,8 +57,8 @@
     pub returns: return_schedule::ReturnSchedule,
     /// The group's record in the store.
     pub record: Option<store_record::GroupRecord>,
-    /// Revision of the record in the store; 0 when there is none.
-    pub revision: u64,
+    /// Revision of the record in the store; `ABSENT` when there is none.
+    pub revision: store_revision::StoreRevision,
     /// When this host received the record.
     pub record_received_at: clock_time::ClockTime,
     /// The last epoch for which this host has released the old primary.
--- a/src/proxy/heartbeat_flow.rs
+++ b/src/proxy/heartbeat_flow.rs
@@ -219,8 +219,8 @@
             .last()
             .map(|sample| (sample.point, ctx.now.since(sample.requested_at).as_micros() as u64));
         let peer_revision =
-            member.observations.get(&group.name).map_or(0, |observation| observation.revision);
-        let peer_revision = peer_revision.max(member.store_revision);
+            member.observations.get(&group.name).map(|observation| observation.revision);
+        let peer_revision = peer_revision.unwrap_or_default().max(member.store_revision);
         peer_datagram::PrimaryObservation {
             group: group.name.clone(),
             known_epoch: group.epoch().max(group.peer_epoch),
@@ -235,7 +235,7 @@
         host: ctx.identity.host.clone(),
         incarnation: ctx.identity.incarnation,
         witnesses: ctx.witnesses.hash,
-        store_revision: ctx.store.revision.unwrap_or(0),
+        store_revision: ctx.store.revision.unwrap_or_default(),
         allocation: ctx.allocation.hash,
         allocation_confirmed: ctx.allocation.confirmed,
         observations: observations.collect(),
--- a/src/proxy/member_view.rs
+++ b/src/proxy/member_view.rs
@@ -5,6 +5,7 @@
 use crate::core::clock_time;
 use crate::proxy::peer_datagram;
 use crate::proxy::store_record;
+use crate::proxy::store_revision;
 
 /// A host of the fleet as this host sees it; there is one for this host itself, too.
 #[derive(Debug, Clone)]
@@ -23,7 +24,7 @@
     /// Hash of the witness set that the host uses.
     pub witnesses: u64,
     /// Store revision up to which the host knows all changes.
-    pub store_revision: u64,
+    pub store_revision: store_revision::StoreRevision,
     /// Hash of the share allocation that the host uses.
     pub allocation: u64,
     /// Whether the host has confirmed that all hosts use that allocation.
@@ -46,7 +47,7 @@
             sent_at_us: 0,
             acknowledged_sent_at: None,
             witnesses: 0,
-            store_revision: 0,
+            store_revision: store_revision::StoreRevision::default(),
             allocation: 0,
             allocation_confirmed: false,
             skipped_until: clock_time::ClockTime::default(),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -66,6 +66,8 @@
 pub mod shutdown_flow;
 pub mod store_message;
 pub mod store_record;
+pub mod store_restore;
+pub mod store_revision;
 pub mod store_session;
 pub mod store_sync;
 pub mod sync_source;
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -6,6 +6,7 @@
 use crate::proxy::config_patch;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::store_revision;
 use crate::proxy::usage_message;
 
 /// One host's observation of one group's primary.
@@ -16,7 +17,7 @@
     /// The newest epoch that the sender knows of.
     pub known_epoch: u64,
     /// Revision of the group record that the sender holds.
-    pub revision: u64,
+    pub revision: store_revision::StoreRevision,
     /// The group record, if the receiver holds an older one.
     pub record: Option<store_record::GroupRecord>,
     /// The last epoch for which the sender has released the old primary.
@@ -38,7 +39,7 @@
     /// Hash of the witness set that the sender uses.
     pub witnesses: u64,
     /// Store revision up to which the sender knows all changes.
-    pub store_revision: u64,
+    pub store_revision: store_revision::StoreRevision,
     /// Hash of the roster and the configuration version from which the sender's shares were
     /// allocated.
     pub allocation: u64,
@@ -85,7 +86,7 @@
     /// What the item describes.
     pub subject: store_message::ItemSubject,
     /// Revision of the change.
-    pub revision: u64,
+    pub revision: store_revision::StoreRevision,
     /// Content of the item; `None` when it was removed.
     pub content: Option<RelayedContent>,
 }
@@ -98,7 +99,7 @@
     /// Identifies the sender's process; later processes have higher numbers.
     pub incarnation: u64,
     /// Store revision up to which the sender knows all changes.
-    pub revision: u64,
+    pub revision: store_revision::StoreRevision,
     /// Version of the sender's configuration; 0 for none.
     pub config_version: u64,
     /// Sending time in microseconds on the sender's clock.
@@ -111,9 +112,9 @@
     /// Name of the sender.
     pub host: String,
     /// Revision after which the changes apply.
-    pub after: u64,
+    pub after: store_revision::StoreRevision,
     /// Revision up to which the receiver knows all changes once it has applied them.
-    pub revision: u64,
+    pub revision: store_revision::StoreRevision,
     /// The changes; `None` if the sender cannot deliver them.
     pub items: Option<Vec<RelayedItem>>,
     /// Whether these changes are all that the sender knows. Only then do the times below hold.
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -37,6 +37,7 @@
 use crate::proxy::session_state;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::store_revision;
 use crate::proxy::store_session;
 use crate::proxy::token_outlook;
 use crate::proxy::usage_state;
@@ -205,7 +206,7 @@
 #[derive(Debug, Default)]
 pub struct CoordinatorState {
     /// The coordinator record and its revision in the store, which is the fencing token.
-    pub record: Option<(store_record::CoordinatorRecord, u64)>,
+    pub record: Option<(store_record::CoordinatorRecord, store_revision::StoreRevision)>,
     /// When the record was last seen to be removed.
     pub vacant_since: clock_time::ClockTime,
     /// The lease taken for this host's claim, and until when it is certain to be valid.
@@ -270,7 +271,7 @@
     /// Usage reports.
     pub usage: usage_state::UsageState,
     /// Hosts that belong to the fleet, running or not, with the revisions of their roster entries.
-    pub roster: BTreeMap<String, u64>,
+    pub roster: BTreeMap<String, store_revision::StoreRevision>,
     /// Every known host by name, this one included.
     pub members: BTreeMap<String, member_view::MemberView>,
     /// Hosts whose acknowledgements form a quorum lease while the store is unreachable.
@@ -398,7 +399,8 @@
         let call = self.next_call_id();
         self.counts.store_calls += 1;
         let sent = self.now;
-        self.store_calls.insert(call, store_session::StoreCall { purpose, sent });
+        let era = self.store.era;
+        self.store_calls.insert(call, store_session::StoreCall { purpose, sent, era });
         self.actions.push(proxy_message::ProxyAction::CallStore { call, request });
     }
 
@@ -511,7 +513,7 @@
         let own = record.host == self.identity.host
             && record.incarnation == self.identity.incarnation
             && self.now < self.coordinator.until;
-        own.then_some(*revision)
+        own.then_some(revision.as_u64())
     }
 
     /// Returns the names on the roster.
--- a/src/proxy/store_message.rs
+++ b/src/proxy/store_message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::proxy::proxy_config;
+use crate::proxy::store_revision;
 
 /// What an item in the store describes.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -82,7 +83,7 @@
     /// What the item describes.
     pub subject: ItemSubject,
     /// Revision of the last change to the item.
-    pub revision: u64,
+    pub revision: store_revision::StoreRevision,
     /// Content of the item; `None` when it was removed.
     pub body: Option<ItemContent>,
 }
@@ -113,7 +114,7 @@
     /// Waits for changes.
     Watch {
         /// Revision after which changes are requested.
-        after: u64,
+        after: store_revision::StoreRevision,
         /// Longest time that the store waits for a change.
         wait: Duration,
         /// Longest time to wait for the reply.
@@ -142,16 +143,16 @@
         value: Vec<u8>,
         /// Lease that the record is bound to; 0 for none.
         lease: u64,
-        /// Revision that the record must have; 0 if it must not exist, `None` to write
+        /// Revision that the record must have; `ABSENT` if it must not exist, `None` to write
         /// unconditionally.
-        expect: Option<u64>,
+        expect: Option<store_revision::StoreRevision>,
     },
     /// Removes one record of the proxy.
     Remove {
         /// Key without the proxy's prefix.
         key: String,
         /// Revision that the record must have.
-        expect: u64,
+        expect: store_revision::StoreRevision,
     },
 }
 
@@ -165,14 +166,14 @@
         /// Key after which the next page begins; `None` after the last page.
         next: Option<String>,
         /// Revision of the store when the page was read.
-        revision: u64,
+        revision: store_revision::StoreRevision,
     },
     /// Changes in the order of their revisions.
     Changed {
         /// Items that were changed or removed.
         items: Vec<StoreItem>,
         /// Revision after which the next watch continues.
-        revision: u64,
+        revision: store_revision::StoreRevision,
     },
     /// The requested changes are no longer in the store's history.
     HistoryCompacted,
@@ -188,7 +189,7 @@
     /// The record was written.
     Written {
         /// Its new revision.
-        revision: u64,
+        revision: store_revision::StoreRevision,
     },
     /// The condition did not hold; nothing was written.
     Conflict,
--- /dev/null
+++ b/src/proxy/store_restore.rs
@@ -0,0 +1,57 @@
+//! Recovery of a host after the store was restored from a copy.
+//!
+//! Such a store has lost what it acknowledged since the copy, and gives out the revisions of that time
+//! again. It counts its restores in its era. Nothing that a host knows by revision can be compared with
+//! a later era by number, so the host reads everything again.
+
+use std::time::Duration;
+
+use crate::proxy::proxy_context;
+use crate::proxy::store_message;
+use crate::proxy::store_session;
+use crate::proxy::store_sync;
+
+/// Time for each running host over which the hosts of a large fleet spread their reads.
+const READ_SPREAD_PER_HOST: Duration = Duration::from_millis(2);
+
+/// Records the era that a reply states, and returns what the reply says to this host.
+///
+/// A reply of another era than that in which its request was made says nothing certain: the request
+/// named revisions or a lease that the store may have lost.
+pub fn check_era(
+    ctx: &mut proxy_context::ProxyContext,
+    call: &store_session::StoreCall,
+    stamped: store_message::StampedReply,
+) -> store_message::StoreReply {
+    let store_message::StampedReply { era: Some(era), reply } = stamped else {
+        return stamped.reply;
+    };
+    match ctx.store.era {
+        None => ctx.store.era = Some(era),
+        Some(known) if era > known => on_restored(ctx, known, era),
+        Some(_) => {}
+    }
+    let same_era = call.era.is_none_or(|known| known == era) && ctx.store.era == Some(era);
+    if same_era { reply } else { store_message::StoreReply::NoReply }
+}
+
+fn on_restored(ctx: &mut proxy_context::ProxyContext, before: u64, era: u64) {
+    ctx.counts.store_restores += 1;
+    log::warn!(
+        "event=store_restored era={era} before={before} revision={:?} known_items={}",
+        ctx.store.revision,
+        ctx.store.known.len()
+    );
+    ctx.store.era = Some(era);
+    ctx.history.clear();
+    // In a large fleet, hosts read the configuration in turn.
+    let small = ctx.roster.len() <= ctx.tuning.witnesses_all;
+    let scope = match small {
+        true => store_message::ListScope::All,
+        false => store_message::ListScope::WithoutConfig,
+    };
+    store_sync::read_again(ctx, scope);
+    let spread = READ_SPREAD_PER_HOST * ctx.running_members().count() as u32;
+    let fraction = if small { 0.0 } else { ctx.random_fraction() };
+    ctx.store.next_read = ctx.now.after(spread.mul_f64(fraction));
+}
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -8,6 +8,7 @@
 use crate::proxy::config_read;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::store_revision;
 use crate::proxy::usage_record;
 
 /// The purpose of a store request.
@@ -20,7 +21,7 @@
     /// Waits for changes.
     Watch {
         /// Revision after which changes are requested.
-        after: u64,
+        after: store_revision::StoreRevision,
     },
     /// Obtains the membership lease.
     MembershipLease,
@@ -86,6 +87,8 @@
     pub purpose: StorePurpose,
     /// When it was sent.
     pub sent: clock_time::ClockTime,
+    /// The store's era as known then; `None` before its first reply.
+    pub era: Option<u64>,
 }
 
 impl StoreCall {
@@ -109,7 +112,7 @@
     pub started_at: Option<clock_time::ClockTime>,
     /// Revision of the first page. The pages are not a snapshot, so changes are watched from this
     /// revision.
-    pub revision: Option<u64>,
+    pub revision: Option<store_revision::StoreRevision>,
 }
 
 impl FullReading {
@@ -123,7 +126,7 @@
 #[derive(Debug, Default)]
 pub struct StoreSession {
     /// Revision up to which this host knows all changes; `None` before the first full read.
-    pub revision: Option<u64>,
+    pub revision: Option<store_revision::StoreRevision>,
     /// Number of times that the store was restored from a copy, as far as this host knows; `None` if
     /// the store states none.
     pub era: Option<u64>,
@@ -141,7 +144,7 @@
     /// Consecutive watches that got no reply.
     pub watch_failures: u32,
     /// Revisions of the known items.
-    pub known: BTreeMap<store_message::ItemSubject, u64>,
+    pub known: BTreeMap<store_message::ItemSubject, store_revision::StoreRevision>,
     /// When the store last replied.
     pub last_reply_at: clock_time::ClockTime,
     /// Whether the last request failed; for the log only.
@@ -158,9 +161,9 @@
     pub lease: Option<u64>,
     /// Revision at which the member record was written under the current lease; `None` if it was
     /// not.
-    pub registered: Option<u64>,
+    pub registered: Option<store_revision::StoreRevision>,
     /// Revision of the first member record that this process wrote.
-    pub first_registered: Option<u64>,
+    pub first_registered: Option<store_revision::StoreRevision>,
     /// When that record was written.
     pub first_registered_at: Option<clock_time::ClockTime>,
     /// Whether a request about the lease, the roster entry or the member record is pending.
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -26,6 +26,8 @@
 use crate::proxy::rate_limiter;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::store_restore;
+use crate::proxy::store_revision;
 use crate::proxy::store_session;
 use crate::proxy::sync_source;
 use crate::proxy::token_outlook;
@@ -79,9 +81,8 @@
     call: &store_session::StoreCall,
     stamped: store_message::StampedReply,
 ) {
-    let store_message::StampedReply { era, reply } = stamped;
-    record_outcome(ctx, call, &reply);
-    record_era(ctx, era);
+    record_outcome(ctx, call, &stamped.reply);
+    let reply = store_restore::check_era(ctx, call, stamped);
     match &call.purpose {
         store_session::StorePurpose::List => on_listed(ctx, call, reply),
         store_session::StorePurpose::ConfigRead => config_read::on_reply(ctx, reply),
@@ -145,27 +146,19 @@
     }
 }
 
-/// Records the era that the store states. A later one means that it was restored from a copy and has
-/// lost changes that it had acknowledged.
-fn record_era(ctx: &mut proxy_context::ProxyContext, era: Option<u64>) {
-    if era.is_none() || era <= ctx.store.era {
-        return;
-    }
-    if let Some(before) = ctx.store.era {
-        ctx.counts.store_restores += 1;
-        log::warn!(
-            "event=store_restored era={era:?} before={before} revision={:?} known_items={}",
-            ctx.store.revision,
-            ctx.store.known.len()
-        );
-    }
-    ctx.store.era = era;
-}
-
 fn is_watch(call: &store_session::StoreCall) -> bool {
     matches!(call.purpose, store_session::StorePurpose::Watch { .. })
 }
 
+/// Abandons what is pending of reads and watches, and reads everything again.
+pub fn read_again(ctx: &mut proxy_context::ProxyContext, scope: store_message::ListScope) {
+    ctx.store_calls.retain(|_, call| {
+        !is_watch(call) && !matches!(call.purpose, store_session::StorePurpose::List)
+    });
+    ctx.store.read_pending = false;
+    ctx.store.reading = Some(store_session::FullReading::new(scope));
+}
+
 /// Abandons the pending watch: after an outage the store may have forgotten it.
 fn abandon_watch(ctx: &mut proxy_context::ProxyContext) {
     let before = ctx.store_calls.len();
@@ -177,7 +170,10 @@
 }
 
 /// Records that a peer knows the store up to `revision`.
-pub fn note_peer_revision(ctx: &mut proxy_context::ProxyContext, revision: u64) {
+pub fn note_peer_revision(
+    ctx: &mut proxy_context::ProxyContext,
+    revision: store_revision::StoreRevision,
+) {
     if ctx.store.revision.is_some_and(|known| known < revision) {
         let now = ctx.now;
         ctx.store.behind_since.get_or_insert(now);
@@ -358,14 +354,19 @@
     ctx.relay.changes_missing = false;
     ctx.store.synced_at = ctx.store.synced_at.max(started_at);
     let known = ctx.store.revision;
+    let scope = reading.scope;
+    let restored = known.is_some_and(|known| known.era() < first.era());
     let changed = reading.items.into_iter().filter(|item| Some(item.revision) > known);
     let items: Vec<store_message::StoreItem> = removed.into_iter().chain(changed).collect();
     ctx.store.listed_at.get_or_insert(ctx.now);
-    if let (Some(known), store_message::ListScope::All) = (known, reading.scope) {
+    if scope == store_message::ListScope::All {
         config_read::note_known(ctx, first);
-        return apply_changes(ctx, known, first, items);
+        if let Some(known) = known.filter(|_| !restored) {
+            return apply_changes(ctx, known, first, items);
+        }
     }
-    // A change of the configuration may be missing from what was read.
+    // Peers cannot apply these changes: a change of the configuration may be missing from them, or
+    // they lead to what a restored store holds.
     ctx.history.clear();
     ctx.store.revision = ctx.store.revision.max(Some(first));
     if known.is_some() {
@@ -373,18 +374,20 @@
         ctx.store.next_read = ctx.now.after(pause);
     }
     apply_and_advance(ctx, items);
-    config_read::require(ctx, first);
+    if scope != store_message::ListScope::All {
+        config_read::require(ctx, first);
+    }
 }
 
 /// Records the changes after one revision up to another, passes them on to the hosts that requested
 /// them, and applies them.
 pub fn apply_changes(
     ctx: &mut proxy_context::ProxyContext,
-    after: u64,
-    revision: u64,
+    after: store_revision::StoreRevision,
+    revision: store_revision::StoreRevision,
     items: Vec<store_message::StoreItem>,
 ) {
-    let known = ctx.store.revision.unwrap_or(0);
+    let known = ctx.store.revision.unwrap_or_default();
     ctx.history.add(after.max(known), revision, &items);
     ctx.store.revision = Some(revision.max(known));
     if items.is_empty() {
@@ -440,7 +443,7 @@
 
 fn apply_items(ctx: &mut proxy_context::ProxyContext, items: Vec<store_message::StoreItem>) {
     for item in items {
-        let known = ctx.store.known.get(&item.subject).copied().unwrap_or(0);
+        let known = ctx.store.known.get(&item.subject).copied().unwrap_or_default();
         if item.revision <= known {
             if item.revision < known {
                 note_ignored(ctx, &item.subject, item.revision, known);
@@ -466,8 +469,8 @@
 fn note_ignored(
     ctx: &mut proxy_context::ProxyContext,
     subject: &store_message::ItemSubject,
-    revision: u64,
-    known: u64,
+    revision: store_revision::StoreRevision,
+    known: store_revision::StoreRevision,
 ) {
     *ctx.counts.items_ignored.entry(subject.kind()).or_default() += 1;
     let era = ctx.store.era;
@@ -564,7 +567,7 @@
         primary_waiting: Vec::new(),
         returns: Default::default(),
         record: None,
-        revision: 0,
+        revision: store_revision::StoreRevision::ABSENT,
         record_received_at: ctx.now,
         released_epoch: 0,
         peer_epoch: 0,
@@ -588,7 +591,7 @@
     ctx: &mut proxy_context::ProxyContext,
     key: &str,
     bytes: Option<Vec<u8>>,
-    revision: u64,
+    revision: store_revision::StoreRevision,
 ) {
     if key == store_record::COORDINATOR_KEY {
         let record = bytes.and_then(|bytes| decode(key, &bytes));
--- a/src/proxy/usage_flow.rs
+++ b/src/proxy/usage_flow.rs
@@ -15,6 +15,7 @@
 use crate::proxy::pending_request;
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
+use crate::proxy::store_revision;
 use crate::proxy::store_session;
 use crate::proxy::usage_collection;
 use crate::proxy::usage_ledger;
@@ -176,11 +177,11 @@
 pub fn on_record_read(
     ctx: &mut proxy_context::ProxyContext,
     record: Option<usage_record::UsageRecord>,
-    revision: u64,
+    revision: store_revision::StoreRevision,
 ) {
-    let known = ctx.usage.record.as_ref().map_or(0, |(_, revision)| *revision);
+    let known = ctx.usage.record.as_ref().map(|(_, revision)| *revision);
     // A removed record would let settled windows be settled again, so the last one is kept.
-    if let Some(record) = record.filter(|_| revision > known) {
+    if let Some(record) = record.filter(|_| Some(revision) > known) {
         ctx.usage.record = Some((record, revision));
     }
 }
@@ -234,7 +235,7 @@
 /// anything is recorded under its token.
 fn note_token(ctx: &mut proxy_context::ProxyContext) {
     if let Some((record, token)) = &ctx.coordinator.record {
-        let (holder, token) = (record.host.clone(), *token);
+        let (holder, token) = (record.host.clone(), token.as_u64());
         note_holder(ctx, holder, token);
     }
 }
@@ -252,9 +253,10 @@
 /// Returns this host's token if it is the latest coordinator that it has heard of, whether its lease
 /// is valid or not.
 fn own_token(ctx: &proxy_context::ProxyContext) -> Option<u64> {
-    let (record, token) = ctx.coordinator.record.as_ref()?;
+    let (record, revision) = ctx.coordinator.record.as_ref()?;
     let own = record.host == ctx.identity.host && record.incarnation == ctx.identity.incarnation;
-    (own && *token >= ctx.usage.token).then_some(*token)
+    let token = revision.as_u64();
+    (own && token >= ctx.usage.token).then_some(token)
 }
 
 /// Returns the last window that is settled; `None` while the store has no record and true time is
@@ -483,7 +485,8 @@
         return;
     }
     let Some(settled) = settled_through(ctx) else { return };
-    let revision = ctx.usage.record.as_ref().map_or(0, |(_, revision)| *revision);
+    let revision = ctx.usage.record.as_ref().map(|(_, revision)| *revision);
+    let revision = revision.unwrap_or(store_revision::StoreRevision::ABSENT);
     let reports = recorded(ctx).map(|record| record.reports.clone()).unwrap_or_default();
     let window_ms = tuning.window.as_millis() as u64;
     let mut next = usage_record::UsageRecord { window_ms, settled_through: settled, reports };
--- a/src/proxy/usage_state.rs
+++ b/src/proxy/usage_state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::core::clock_time;
+use crate::proxy::store_revision;
 use crate::proxy::usage_clock;
 use crate::proxy::usage_collection;
 use crate::proxy::usage_ledger;
@@ -18,7 +19,7 @@
     /// Totals of all hosts; used by the coordinator only.
     pub collection: usage_collection::UsageCollection,
     /// The record in the store and its revision.
-    pub record: Option<(usage_record::UsageRecord, u64)>,
+    pub record: Option<(usage_record::UsageRecord, store_revision::StoreRevision)>,
     /// The latest coordinator that this host has heard of, from the store or from itself.
     pub holder: String,
     /// Its token, for which `received` holds.
--- a/src/proxy/witness_selection.rs
+++ b/src/proxy/witness_selection.rs
@@ -13,6 +13,7 @@
 use crate::core::clock_time;
 use crate::core::rendezvous_rank;
 use crate::proxy::proxy_context;
+use crate::proxy::store_revision;
 
 /// Time after which hosts that may still use a past witness set are assumed to be lost for good;
 /// longer than any expected partition between data centres.
@@ -25,7 +26,7 @@
     pub hosts: Vec<String>,
     /// Store revision at which the set was superseded: a host that knows the store up to it uses a
     /// later set.
-    pub superseded_revision: u64,
+    pub superseded_revision: store_revision::StoreRevision,
     /// When the set was superseded.
     pub superseded_at: clock_time::ClockTime,
     /// Since when most of its witnesses are known to use a later set.
@@ -67,7 +68,7 @@
     if hosts.len() > 1 {
         ctx.witnesses.past.push(PastWitnesses {
             hosts,
-            superseded_revision: ctx.store.revision.unwrap_or(0),
+            superseded_revision: ctx.store.revision.unwrap_or_default(),
             superseded_at: ctx.now,
             majority_left_since: None,
         });
--- a/tests/pool_server.rs
+++ b/tests/pool_server.rs
@@ -18,6 +18,7 @@
 use quetzaldeal::proxy::proxy_tuning;
 use quetzaldeal::proxy::store_message;
 use quetzaldeal::proxy::store_record;
+use quetzaldeal::proxy::store_revision;
 
 /// Connections that each endpoint accepts.
 const MAX_CONNECTIONS: u32 = 10;
@@ -124,7 +125,11 @@
                     item(endpoint_subject("db0"), 1, registration("db0", 1)),
                     item(endpoint_subject("db1"), 1, registration("db1", 1)),
                 ];
-                let reply = store_message::StoreReply::Listed { items, next: None, revision: 1 };
+                let reply = store_message::StoreReply::Listed {
+                    items,
+                    next: None,
+                    revision: revision_at(1),
+                };
                 let reply = store_message::StampedReply::unstamped(reply);
                 self.handle(proxy_message::ProxyEvent::StoreReplied { call, reply });
             }
@@ -226,7 +231,7 @@
 
     fn deliver(&mut self, mut changed: store_message::StoreItem) {
         self.revision += 1;
-        changed.revision = self.revision;
+        changed.revision = revision_at(self.revision);
         let (call, _) = self
             .core
             .context()
@@ -234,7 +239,7 @@
             .iter()
             .find(|(_, call)| format!("{:?}", call.purpose).starts_with("Watch"))
             .unwrap_or_else(|| panic!("no watch in {:?}", self.core.context().store_calls));
-        let (call, revision) = (*call, self.revision);
+        let (call, revision) = (*call, revision_at(self.revision));
         let reply = store_message::StoreReply::Changed { items: vec![changed], revision };
         let reply = store_message::StampedReply::unstamped(reply);
         self.handle(proxy_message::ProxyEvent::StoreReplied { call, reply });
@@ -250,11 +255,16 @@
     }
 }
 
+fn revision_at(number: u64) -> store_revision::StoreRevision {
+    store_revision::StoreRevision::new(0, number)
+}
+
 fn item(
     subject: store_message::ItemSubject,
     revision: u64,
     content: store_message::ItemContent,
 ) -> store_message::StoreItem {
+    let revision = revision_at(revision);
     store_message::StoreItem { subject, revision, body: Some(content) }
 }
 
--- a/tests/proxy_fakes/fake_store.rs
+++ b/tests/proxy_fakes/fake_store.rs
@@ -5,6 +5,7 @@
 
 use quetzaldeal::core::core_message;
 use quetzaldeal::proxy::store_message;
+use quetzaldeal::proxy::store_revision;
 
 /// Size of a reply without its items, in bytes.
 const REPLY_BYTES: u64 = 150;
@@ -188,7 +189,7 @@
             return Vec::new();
         }
         let mut replies = self.reply_to_watches();
-        let revision = self.revision;
+        let revision = self.stamp(self.revision);
         self.watches.retain(|watch| {
             if watch.expires_at > now {
                 return true;
@@ -226,14 +227,16 @@
                 });
                 let items = items.map(|(subject, item)| store_message::StoreItem {
                     subject: subject.clone(),
-                    revision: item.revision,
+                    revision: self.stamp(item.revision),
                     body: Some(item.body.clone()),
                 });
                 let items = items.collect();
-                store_message::StoreReply::Listed { items, next: None, revision: self.revision }
+                let revision = self.stamp(self.revision);
+                store_message::StoreReply::Listed { items, next: None, revision }
             }
             store_message::StoreRequest::Watch { after, wait, .. } => {
                 let expires_at = now + wait.as_micros() as u64;
+                let after = after.number();
                 self.watches.push(FakeWatch { host, call, after, expires_at });
                 return self.reply_to_watches();
             }
@@ -261,7 +264,8 @@
             store_message::StoreRequest::Remove { key, .. } => {
                 self.change(store_message::ItemSubject::Record(key), None, 0);
                 let mut replies = self.reply_to_watches();
-                let reply = store_message::StoreReply::Written { revision: self.revision };
+                let revision = self.stamp(self.revision);
+                let reply = store_message::StoreReply::Written { revision };
                 replies.push((host, call, reply));
                 return replies;
             }
@@ -270,14 +274,14 @@
                 let held = self.items.get(&subject).map_or(0, |item| item.revision);
                 if lease != 0 && !self.leases.contains_key(&lease) {
                     store_message::StoreReply::LeaseExpired
-                } else if expect.is_some_and(|expect| expect != held) {
+                } else if expect.is_some_and(|expect| expect.number() != held) {
                     store_message::StoreReply::Conflict
                 } else {
                     let body = store_message::ItemContent::Record(value);
                     self.change(subject, Some(body), lease);
                     let mut replies = self.reply_to_watches();
                     if self.mode != StoreMode::DropsWriteReplies {
-                        let revision = self.revision;
+                        let revision = self.stamp(self.revision);
                         let reply = store_message::StoreReply::Written { revision };
                         replies.push((host, call, reply));
                     }
@@ -294,8 +298,12 @@
     }
 
     /// Returns the revision of the last change.
-    pub(crate) fn revision(&self) -> u64 {
-        self.revision
+    pub(crate) fn revision(&self) -> store_revision::StoreRevision {
+        self.stamp(self.revision)
+    }
+
+    fn stamp(&self, number: u64) -> store_revision::StoreRevision {
+        store_revision::StoreRevision::new(self.era.unwrap_or(0), number)
     }
 
     /// Drops all watches without a reply.
@@ -323,6 +331,7 @@
             }
             None => drop(self.items.remove(&subject)),
         }
+        let revision = self.stamp(revision);
         self.history.push(store_message::StoreItem { subject, revision, body });
     }
 
@@ -342,18 +351,22 @@
     fn reply_to_watches(&mut self) -> Vec<AddressedReply> {
         let mut replies = Vec::new();
         let (revision, compacted) = (self.revision, self.compacted_revision);
+        let current = self.stamp(revision);
         let history = &self.history;
         self.watches.retain(|watch| {
             if watch.after < compacted || watch.after > revision {
                 replies.push((watch.host, watch.call, store_message::StoreReply::HistoryCompacted));
                 return false;
             }
-            let items: Vec<store_message::StoreItem> =
-                history.iter().filter(|item| item.revision > watch.after).cloned().collect();
+            let items: Vec<store_message::StoreItem> = history
+                .iter()
+                .filter(|item| item.revision.number() > watch.after)
+                .cloned()
+                .collect();
             if items.is_empty() {
                 return true;
             }
-            let reply = store_message::StoreReply::Changed { items, revision };
+            let reply = store_message::StoreReply::Changed { items, revision: current };
             replies.push((watch.host, watch.call, reply));
             false
         });
--- a/tests/store_relay.rs
+++ b/tests/store_relay.rs
@@ -19,6 +19,7 @@
 use quetzaldeal::proxy::proxy_config;
 use quetzaldeal::proxy::session_request;
 use quetzaldeal::proxy::store_message;
+use quetzaldeal::proxy::store_revision;
 use quetzaldeal::proxy::sync_source;
 
 /// Hosts of the fleet: eight in each of three data centres.
@@ -26,6 +27,8 @@
 /// Time within which a published configuration has to be in force, by the default settings.
 const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
 const CASES_IN_CI: u32 = 12;
+const REVISION_MAX: store_revision::StoreRevision =
+    store_revision::StoreRevision::new(u64::MAX, u64::MAX);
 
 /// Declares a test for each name, which runs on a fleet that serves already.
 macro_rules! cases {
@@ -232,7 +235,7 @@
         let request = peer_datagram::ChangesRequest {
             host: context.identity.host.clone(),
             incarnation: context.identity.incarnation,
-            revision: context.store.revision.unwrap() + 5,
+            revision: revision_at(context.store.revision.unwrap().number() + 5),
             config_version: fleet.published().version,
             sent_at_us: context.now.as_micros(),
         };
@@ -281,10 +284,18 @@
 }
 
 /// Returns changes as a peer could send them, with times as given.
-fn changes_from(host: &str, revision: u64, echoed_us: u64) -> peer_datagram::RelayedChanges {
+fn revision_at(number: u64) -> store_revision::StoreRevision {
+    store_revision::StoreRevision::new(0, number)
+}
+
+fn changes_from(
+    host: &str,
+    revision: store_revision::StoreRevision,
+    echoed_us: u64,
+) -> peer_datagram::RelayedChanges {
     peer_datagram::RelayedChanges {
         host: host.to_owned(),
-        after: 1,
+        after: revision_at(1),
         revision,
         items: Some(Vec::new()),
         complete: true,
@@ -318,21 +329,21 @@
 
 strange_datagrams! {
     changes_of_an_unknown_host_are_ignored:
-        peer_datagram::PeerDatagram::RelayedChanges(changes_from("stranger", u64::MAX, 0));
+        peer_datagram::PeerDatagram::RelayedChanges(changes_from("stranger", REVISION_MAX, 0));
     changes_that_answer_a_future_request_are_ignored:
-        peer_datagram::PeerDatagram::RelayedChanges(changes_from("host1", u64::MAX, u64::MAX));
+        peer_datagram::PeerDatagram::RelayedChanges(changes_from("host1", REVISION_MAX, u64::MAX));
     changes_that_lead_backwards_are_ignored:
         peer_datagram::PeerDatagram::RelayedChanges(peer_datagram::RelayedChanges {
-            after: u64::MAX,
-            revision: 0,
+            after: REVISION_MAX,
+            revision: revision_at(0),
             age_us: u64::MAX,
-            ..changes_from("host1", 0, 0)
+            ..changes_from("host1", revision_at(0), 0)
         });
     request_of_an_unknown_host_is_ignored:
         peer_datagram::PeerDatagram::ChangesRequest(peer_datagram::ChangesRequest {
             host: "stranger".to_owned(),
             incarnation: u64::MAX,
-            revision: u64::MAX,
+            revision: REVISION_MAX,
             config_version: u64::MAX,
             sent_at_us: u64::MAX,
         });
@@ -388,34 +399,40 @@
 fn record_item(name: &str, revision: u64) -> store_message::StoreItem {
     store_message::StoreItem {
         subject: store_message::ItemSubject::Record(name.to_owned()),
-        revision,
+        revision: revision_at(revision),
         body: Some(store_message::ItemContent::Record(vec![revision as u8])),
     }
 }
 
 fn revisions(parts: &[change_history::HistoryPart]) -> Vec<u64> {
-    parts.iter().flat_map(|part| part.items.iter().map(|item| item.revision)).collect()
+    parts.iter().flat_map(|part| part.items.iter().map(|item| item.revision.number())).collect()
 }
 
 #[test]
 fn history_delivers_exactly_what_a_host_lacks() {
     let mut history = change_history::ChangeHistory::default();
-    history.add(10, 12, &[record_item("a", 11), record_item("b", 12)]);
-    history.add(12, 15, &[record_item("a", 14)]);
-    let parts = history.parts_after(11, 0).unwrap();
+    history.add(revision_at(10), revision_at(12), &[record_item("a", 11), record_item("b", 12)]);
+    history.add(revision_at(12), revision_at(15), &[record_item("a", 14)]);
+    let parts = history.parts_after(revision_at(11), 0).unwrap();
     assert_eq!(revisions(&parts), [12, 14]);
-    assert_eq!((parts[0].after, parts.last().unwrap().revision), (11, 15));
-    assert!(history.parts_after(15, 0).unwrap().is_empty());
-    assert!(history.parts_after(9, 0).is_none(), "the history begins after revision 10");
+    assert_eq!(
+        (parts[0].after, parts.last().unwrap().revision),
+        (revision_at(11), revision_at(15))
+    );
+    assert!(history.parts_after(revision_at(15), 0).unwrap().is_empty());
+    assert!(
+        history.parts_after(revision_at(9), 0).is_none(),
+        "the history begins after revision 10"
+    );
 }
 
 #[test]
 fn history_with_a_gap_does_not_reach_across_it() {
     let mut history = change_history::ChangeHistory::default();
-    history.add(10, 11, &[record_item("a", 11)]);
-    history.add(13, 14, &[record_item("b", 14)]);
-    assert!(history.parts_after(10, 0).is_none());
-    assert_eq!(revisions(&history.parts_after(13, 0).unwrap()), [14]);
+    history.add(revision_at(10), revision_at(11), &[record_item("a", 11)]);
+    history.add(revision_at(13), revision_at(14), &[record_item("b", 14)]);
+    assert!(history.parts_after(revision_at(10), 0).is_none());
+    assert_eq!(revisions(&history.parts_after(revision_at(13), 0).unwrap()), [14]);
 }
 
 /// Guards against a lost datagram that hides a change: the parts of a long history follow on each
@@ -426,13 +443,13 @@
     for block in 0..20_u64 {
         let after = block * 50;
         let items: Vec<_> = (1..=50).map(|number| record_item("a", after + number)).collect();
-        history.add(after, after + 50, &items);
+        history.add(revision_at(after), revision_at(after + 50), &items);
     }
-    let parts = history.parts_after(0, 0).unwrap();
+    let parts = history.parts_after(revision_at(0), 0).unwrap();
     assert!(parts.len() > 1);
     for pair in parts.windows(2) {
         assert_eq!(pair[0].revision, pair[1].after);
-        assert_eq!(pair[0].revision % 50, 0);
+        assert_eq!(pair[0].revision.number() % 50, 0);
     }
     assert_eq!(revisions(&parts), (1..=1_000).collect::<Vec<_>>());
 }
@@ -516,11 +533,11 @@
     history.add_config(Arc::new(old));
     let item = store_message::StoreItem {
         subject: store_message::ItemSubject::Config,
-        revision: 5,
+        revision: revision_at(5),
         body: Some(store_message::ItemContent::Config(Arc::new(new))),
     };
-    history.add(4, 5, &[item]);
-    let parts = history.parts_after(4, 1).unwrap();
+    history.add(revision_at(4), revision_at(5), &[item]);
+    let parts = history.parts_after(revision_at(4), 1).unwrap();
     assert_eq!(revisions(&parts), [5]);
     assert_eq!(parts[0].items[0].content, Some(peer_datagram::RelayedContent::ConfigOmitted));
 }
@@ -614,7 +631,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct KnownState {
     incarnation: u64,
-    revision: u64,
+    revision: store_revision::StoreRevision,
     version: u64,
 }
 
@@ -623,7 +640,7 @@
 fn run_checked(
     fleet: &mut ProxyFleet,
     duration: Duration,
-    truth: &mut Vec<(u64, u64)>,
+    truth: &mut Vec<(u64, store_revision::StoreRevision)>,
     known: &mut [KnownState],
 ) {
     for _ in 0..(duration.as_millis() / 50).max(1) {
@@ -631,7 +648,7 @@
         fleet.run(millis(50));
         for host in (0..HOSTS).filter(|host| fleet.alive(*host)) {
             let context = fleet.core(host).context();
-            let revision = context.store.revision.unwrap_or(0);
+            let revision = context.store.revision.unwrap_or_default();
             let version = context.config.as_ref().map_or(0, |config| config.version);
             let before = &mut known[host];
             if before.incarnation == context.identity.incarnation {
