fix(failover): a restored store does not bring a replaced primary back

What callers could have seen, on a store restored to before a failover: writes sent to the replaced primary, and, once a coordinator acted again, writes acknowledged there beside the new primary.

Cause: a group's record replaced what a host knew when its revision was later. The restored record has a later revision and an older epoch. A coordinator also could not write again what the store had lost: the condition named a revision of before.

Change: records are ordered by epoch and phase, and the revision only serves as the condition of the next write. Epochs grow over restores as revisions do. A record of an earlier era is unconfirmed: hosts use its primary under a quorum lease alone, processes that started after the restore do not use it at all, and the coordinator compares the records of most witnesses, asks the endpoints who is the primary, and either writes the record again under an epoch of this era, without a pause in service, or begins a failover. Heartbeats carry a record that the peer lacks by epoch, too.

Why it works: whoever completed a failover had the new epoch acknowledged by most witnesses, so a majority of them names it; where all hosts have started again, the endpoints' terms do.

--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -71,7 +71,20 @@
     let now = ctx.now;
     let own = record.proposer == proposer(ctx);
     let view = &mut ctx.groups[group];
-    if revision <= view.revision {
+    let later_revision = revision > view.revision;
+    // The next write has to name what the store holds, also where this host knows better.
+    view.revision = view.revision.max(revision);
+    let known = view.record.as_ref().map(store_record::GroupRecord::progress);
+    let progress = Some(record.progress());
+    if progress < known || (progress == known && !later_revision) {
+        if later_revision {
+            log::warn!(
+                "event=group_record_outdated group={} epoch={} known_epoch={} revision={revision}",
+                view.name,
+                record.epoch,
+                view.epoch()
+            );
+        }
         return;
     }
     log::info!(
@@ -88,7 +101,6 @@
         let since = view.record_received_at;
         ctx.failover_durations.record(now, last.phase, since, record.phase);
     }
-    view.revision = revision;
     view.record_received_at = now;
     view.leadership_lost = false;
     let serving = record.phase == store_record::GroupPhase::Serving;
@@ -104,6 +116,13 @@
     primary_wait::place_waiting(ctx);
 }
 
+/// Notes that the store has no record of the group. What this host knows of it stays valid.
+pub fn on_record_missing(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let view = &mut ctx.groups[group];
+    log::warn!("event=group_record_missing group={} known_epoch={}", view.name, view.epoch());
+    view.revision = store_revision::StoreRevision::ABSENT;
+}
+
 /// Handles the store's reply to the write of a group record.
 pub fn on_record_reply(
     ctx: &mut proxy_context::ProxyContext,
@@ -159,6 +178,7 @@
     match ctx.groups[group].failover.cursor.state() {
         "watching" => check_for_failover(ctx, group),
         "stopping" | "recording" => check_record_timeout(ctx, group),
+        "confirming_record" => confirm_record(ctx, group),
         "awaiting_hosts" => await_hosts(ctx, group),
         "choosing_candidate" => choose_candidate(ctx, group),
         "promoting" => promote(ctx, group),
@@ -184,31 +204,38 @@
         group_view::FailoverReason::Unfinished => {
             fire(ctx, group, "unfinished_found");
         }
-        _ => {
-            let Some(mut record) = ctx.groups[group].record.clone() else { return };
-            record.epoch += 1;
-            record.phase = store_record::GroupPhase::Stopping;
-            record.candidate = None;
-            fire(ctx, group, "reason_found");
-            write_record(ctx, group, record);
-        }
+        group_view::FailoverReason::StoreRestored => fire(ctx, group, "record_unconfirmed"),
+        _ => stop_primary(ctx, group),
     }
     advance(ctx, group);
 }
 
+/// Has all hosts release the primary.
+fn stop_primary(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let Some(mut record) = ctx.groups[group].record.clone() else { return };
+    record.epoch = store_record::next_epoch(record.epoch, ctx.store.era());
+    record.phase = store_record::GroupPhase::Stopping;
+    record.candidate = None;
+    fire(ctx, group, "reason_found");
+    write_record(ctx, group, record);
+}
+
 /// Returns why the group needs a failover, if it does.
 fn find_reason(
     ctx: &proxy_context::ProxyContext,
     group: arena_keys::GroupKey,
 ) -> Option<group_view::FailoverReason> {
     let view = &ctx.groups[group];
-    if view.endpoints.is_empty() {
+    if view.endpoints.is_empty() || !records_compared(ctx, group) {
         return None;
     }
     let Some(record) = &view.record else { return Some(group_view::FailoverReason::NoRecord) };
     if record.phase != store_record::GroupPhase::Serving {
         return Some(group_view::FailoverReason::Unfinished);
     }
+    if record.era() < ctx.store.era() {
+        return Some(group_view::FailoverReason::StoreRestored);
+    }
     let successor = view.endpoints.iter().any(|endpoint| {
         let other = &ctx.endpoints[*endpoint];
         other.entry.id != record.primary && other.eligible() && other.circuit.closed()
@@ -236,6 +263,23 @@
         .then_some(group_view::FailoverReason::Unreachable)
 }
 
+/// Returns whether this host knows the latest record of the group that any host knows. After a restore
+/// of the store that is not certain before most witnesses have sent theirs.
+fn records_compared(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> bool {
+    let view = &ctx.groups[group];
+    let era = ctx.store.era();
+    if era == 0 || view.record.as_ref().is_some_and(|record| record.era() == era) {
+        return true;
+    }
+    let since = ctx.store.era_since;
+    let heard = |host: &String| {
+        let last_heartbeat = ctx.members.get(host).and_then(|member| member.last_heartbeat);
+        *host == ctx.identity.host || last_heartbeat.is_some_and(|arrived| arrived > since)
+    };
+    let complete = view.peer_epoch <= view.epoch() && epoch_fence::holds_for_majorities(ctx, heard);
+    complete || ctx.now.since(since) >= CONFIRMATION_TIMEOUT
+}
+
 fn check_record_timeout(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
     if ctx.now.since(ctx.groups[group].failover.since) >= RECORD_TIMEOUT {
         fire(ctx, group, "timed_out");
@@ -270,11 +314,15 @@
     }
 }
 
-fn choose_candidate(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+/// Requests the endpoints' statuses. Returns those that arrived since the present state of the failover
+/// was entered, once no other endpoint is worth waiting for.
+fn collect_reports(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+) -> Option<Vec<(arena_keys::EndpointKey, endpoint_command::EndpointStatus)>> {
     request_statuses(ctx, group);
     let view = &ctx.groups[group];
     let since = view.failover.since;
-    let term = view.term();
     let reports: Vec<(arena_keys::EndpointKey, endpoint_command::EndpointStatus)> = view
         .endpoints
         .iter()
@@ -283,16 +331,42 @@
             (requested_at >= since).then_some((*endpoint, report))
         })
         .collect();
-    let waited = ctx.now.since(since);
-    let responsive = view.endpoints.iter().filter(|endpoint| {
+    let mut responsive = view.endpoints.iter().filter(|endpoint| {
         let other = &ctx.endpoints[**endpoint];
         other.deregistered_since.is_none() && other.unresponsive_since.is_none()
     });
-    let complete =
-        responsive.clone().all(|endpoint| reports.iter().any(|(other, _)| other == endpoint));
-    if reports.is_empty() || (!complete && waited < CANDIDATE_WAIT) {
-        return;
+    let complete = responsive.all(|endpoint| reports.iter().any(|(other, _)| other == endpoint));
+    let usable = !reports.is_empty() && (complete || ctx.now.since(since) >= CANDIDATE_WAIT);
+    usable.then_some(reports)
+}
+
+/// Confirms a record of before a restore of the store, if the endpoints agree with it. Otherwise a
+/// failover finds out which endpoint is the primary.
+fn confirm_record(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let Some(reports) = collect_reports(ctx, group) else { return };
+    let view = &ctx.groups[group];
+    let Some(record) = &view.record else { return };
+    let recorded = ctx.endpoint_names.get(&record.primary).copied();
+    let primaries = reports.iter().filter(|(_, report)| report.primary);
+    let newest = primaries.max_by_key(|(_, report)| report.term).copied();
+    if let Some((endpoint, report)) = newest
+        && recorded == Some(endpoint)
+        && report.term == record.term
+    {
+        return record_primary(ctx, group, endpoint, report.term);
+    }
+    let answered = reports.iter().any(|(endpoint, _)| recorded == Some(*endpoint));
+    let lost = heartbeat_flow::majority_reports_failure(ctx, &view.name);
+    if answered || lost || ctx.now.since(view.failover.since) >= CONFIRMATION_TIMEOUT {
+        stop_primary(ctx, group);
     }
+}
+
+fn choose_candidate(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let Some(reports) = collect_reports(ctx, group) else { return };
+    let view = &ctx.groups[group];
+    let term = view.term();
+    let waited = ctx.now.since(view.failover.since);
     // A pending candidate that has been unresponsive for the whole confirmation timeout is given
     // up.
     if let Some(candidate) = pending_candidate(ctx, group)
@@ -464,8 +538,11 @@
     term: u64,
 ) {
     let epoch = ctx.groups[group].epoch();
+    // A record of an earlier era is confirmed by an epoch of this one.
+    let era = ctx.store.era();
+    let epoch = epoch.max(store_revision::StoreRevision::new(era, 1).as_u64());
     let record = store_record::GroupRecord {
-        epoch: epoch.max(1),
+        epoch,
         phase: store_record::GroupPhase::Serving,
         primary: ctx.endpoints[endpoint].entry.id.clone(),
         term,
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -13,6 +13,8 @@
 pub enum FailoverReason {
     /// The group has no record yet.
     NoRecord,
+    /// The record was written before the store was restored from a copy.
+    StoreRestored,
     /// An earlier coordinator did not finish its failover.
     Unfinished,
     /// The primary is deregistered or draining, or its data centre is under evacuation.
--- a/src/proxy/heartbeat_flow.rs
+++ b/src/proxy/heartbeat_flow.rs
@@ -187,9 +187,7 @@
     let Some(group) = ctx.group_names.get(&observation.group).copied() else { return };
     let view = &mut ctx.groups[group];
     view.peer_epoch = view.peer_epoch.max(observation.known_epoch);
-    if let Some(record) =
-        observation.record.clone().filter(|_| observation.revision > view.revision)
-    {
+    if let Some(record) = observation.record.clone() {
         failover_flow::on_record(ctx, group, record, observation.revision);
     }
     let view = &mut ctx.groups[group];
@@ -211,6 +209,7 @@
     let echo_incarnation = member.record.incarnation;
     // Outside a failover, observations count only if they come from a witness.
     let is_witness = ctx.is_witness();
+    let era = ctx.store.era();
     let relevant = |group: &&group_view::GroupView| is_witness || group.failover_in_progress();
     let groups = ctx.groups.values().filter(|group| group.record.is_some()).filter(relevant);
     let observations = groups.map(|group| {
@@ -218,14 +217,18 @@
             .samples
             .last()
             .map(|sample| (sample.point, ctx.now.since(sample.requested_at).as_micros() as u64));
-        let peer_revision =
-            member.observations.get(&group.name).map(|observation| observation.revision);
-        let peer_revision = peer_revision.unwrap_or_default().max(member.store_revision);
+        let known = member.observations.get(&group.name);
+        let peer_revision = known.map(|observation| observation.revision).unwrap_or_default();
+        let peer_revision = peer_revision.max(member.store_revision);
+        // A restored store may hold an older record than this host knows, at a later revision.
+        let unconfirmed = group.record.as_ref().is_some_and(|record| record.era() < era);
+        let behind = known.is_some_and(|observation| observation.known_epoch < group.epoch());
+        let needed = peer_revision < group.revision || unconfirmed || behind;
         peer_datagram::PrimaryObservation {
             group: group.name.clone(),
             known_epoch: group.epoch().max(group.peer_epoch),
             revision: group.revision,
-            record: group.record.clone().filter(|_| peer_revision < group.revision),
+            record: group.record.clone().filter(|_| needed),
             released_epoch: group.released_epoch,
             unresponsive: primary_unresponsive(ctx, &group.name),
             sample: sample.filter(|(_, age)| *age < SAMPLE_MAX_AGE.as_micros() as u64),
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -45,10 +45,11 @@
 
 const FAILOVER_CHART: &str = include_str!("../../charts/proxy_failover.yaml");
 const CONNECTION_CHART: &str = include_str!("../../charts/endpoint_connection.yaml");
-const FAILOVER_EVENTS: [&str; 11] = [
+const FAILOVER_EVENTS: [&str; 12] = [
     "reason_found",
     "record_missing",
     "unfinished_found",
+    "record_unconfirmed",
     "record_written",
     "failover_abandoned",
     "timed_out",
@@ -430,16 +431,21 @@
     }
 
     /// Returns whether this host may use the primary in the group's record as it knows it: its
-    /// membership lease is valid, or most witnesses have lately acknowledged that they know of no
-    /// newer epoch.
+    /// membership lease is valid and the record was written in the store's present era, or most
+    /// witnesses have lately acknowledged that they know of no newer epoch.
     ///
-    /// A failover waits until no host can meet either condition for the old primary.
+    /// A failover waits until no host can meet either condition for the old primary. A record of an
+    /// earlier era may be older than one that the store has lost.
     pub fn may_use_primary(&self, group: arena_keys::GroupKey) -> bool {
         let view = &self.groups[group];
         if view.peer_epoch > view.epoch() {
             return false;
         }
-        self.store.membership_valid(self.now) || self.has_quorum_lease(view)
+        let confirmed = view.record.as_ref().is_some_and(|record| record.era() == self.store.era());
+        // A process that started after a restore cannot know what the store has lost.
+        let known = confirmed || self.store.first_era < self.store.era();
+        (confirmed && self.store.membership_valid(self.now))
+            || (known && self.has_quorum_lease(view))
     }
 
     /// Returns whether the store or most witnesses replied within the last `duration`. Without
--- a/src/proxy/store_record.rs
+++ b/src/proxy/store_record.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::proxy::store_revision;
+
 /// Phase of a group's failover.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GroupPhase {
@@ -17,7 +19,8 @@
 /// Which endpoint of a group hosts may use as its primary.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupRecord {
-    /// Incremented by each failover.
+    /// Grows with each failover and each confirmation after a restore of the store. An epoch that was
+    /// written in a later era of the store is higher than any of an earlier one.
     pub epoch: u64,
     /// Phase of the failover.
     pub phase: GroupPhase,
@@ -31,6 +34,29 @@
     pub proposer: String,
 }
 
+impl GroupRecord {
+    /// Returns how far the group's history has advanced with this record. It never goes back, also
+    /// where a restored store holds an older record.
+    pub fn progress(&self) -> (u64, u8) {
+        let step = match self.phase {
+            GroupPhase::Stopping => 0,
+            GroupPhase::Promoting => 1,
+            GroupPhase::Serving => 2,
+        };
+        (self.epoch, step)
+    }
+
+    /// Returns the era of the store in which the record was written.
+    pub fn era(&self) -> u64 {
+        store_revision::StoreRevision::from_u64(self.epoch).era()
+    }
+}
+
+/// Returns the epoch that follows `epoch` in an era of the store.
+pub fn next_epoch(epoch: u64, era: u64) -> u64 {
+    (epoch + 1).max(store_revision::StoreRevision::new(era, 1).as_u64())
+}
+
 /// A host of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
--- a/src/proxy/store_restore.rs
+++ b/src/proxy/store_restore.rs
@@ -27,7 +27,10 @@
         return stamped.reply;
     };
     match ctx.store.era {
-        None => ctx.store.era = Some(era),
+        None => {
+            ctx.store.first_era = era;
+            set_era(ctx, era);
+        }
         Some(known) if era > known => on_restored(ctx, known, era),
         Some(_) => {}
     }
@@ -35,6 +38,11 @@
     if same_era { reply } else { store_message::StoreReply::NoReply }
 }
 
+fn set_era(ctx: &mut proxy_context::ProxyContext, era: u64) {
+    ctx.store.era = Some(era);
+    ctx.store.era_since = ctx.now;
+}
+
 fn on_restored(ctx: &mut proxy_context::ProxyContext, before: u64, era: u64) {
     ctx.counts.store_restores += 1;
     log::warn!(
@@ -42,7 +50,7 @@
         ctx.store.revision,
         ctx.store.known.len()
     );
-    ctx.store.era = Some(era);
+    set_era(ctx, era);
     ctx.history.clear();
     // In a large fleet, hosts read the configuration in turn.
     let small = ctx.roster.len() <= ctx.tuning.witnesses_all;
--- a/src/proxy/store_revision.rs
+++ b/src/proxy/store_revision.rs
@@ -24,6 +24,11 @@
         Self((era << NUMBER_BITS) | (number & ((1 << NUMBER_BITS) - 1)))
     }
 
+    /// Creates the revision that `as_u64` turned into this number.
+    pub const fn from_u64(number: u64) -> Self {
+        Self(number)
+    }
+
     /// Returns how often the store had been restored when it gave out the revision.
     pub const fn era(self) -> u64 {
         self.0 >> NUMBER_BITS
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -130,6 +130,10 @@
     /// Number of times that the store was restored from a copy, as far as this host knows; `None` if
     /// the store states none.
     pub era: Option<u64>,
+    /// The era in which this host read the store first.
+    pub first_era: u64,
+    /// When this host saw the present era for the first time.
+    pub era_since: clock_time::ClockTime,
     /// When the first full read was complete.
     pub listed_at: Option<clock_time::ClockTime>,
     /// The full read in progress.
@@ -175,6 +179,11 @@
 }
 
 impl StoreSession {
+    /// Returns how often the store was restored from a copy, as far as this host knows.
+    pub fn era(&self) -> u64 {
+        self.era.unwrap_or(0)
+    }
+
     /// Returns whether this host has read the store at least up to its first member record. Its
     /// roster then includes this host and every host registered before it.
     pub fn knows_own_registration(&self) -> bool {
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -619,7 +619,8 @@
     }
     if let Some(group) = key.strip_prefix(store_record::GROUP_PREFIX) {
         let group = group_key(ctx, group);
-        if let Some(record) = bytes.and_then(|bytes| decode(key, &bytes)) {
+        let Some(bytes) = bytes else { return failover_flow::on_record_missing(ctx, group) };
+        if let Some(record) = decode(key, &bytes) {
             failover_flow::on_record(ctx, group, record, revision);
         }
     }
--- a/tests/proxy_fakes/fake_platform.rs
+++ b/tests/proxy_fakes/fake_platform.rs
@@ -37,15 +37,26 @@
     pub(crate) mode: PlatformMode,
     /// Usage reports in the order of their arrival, repeated ones included.
     pub(crate) reports: Vec<ArrivedReport>,
+    /// Highest token of a promotion so far, by group.
+    promotion_tokens: BTreeMap<String, u64>,
 }
 
 impl Default for FakePlatform {
     fn default() -> Self {
-        Self { mode: PlatformMode::Up, reports: Vec::new() }
+        Self { mode: PlatformMode::Up, reports: Vec::new(), promotion_tokens: BTreeMap::new() }
     }
 }
 
 impl FakePlatform {
+    /// Notes the token of a promotion. Returns the rule that it breaks, if it does.
+    pub(crate) fn note_promotion(&mut self, group: &str, token: u64) -> Option<String> {
+        let highest = self.promotion_tokens.entry(group.to_owned()).or_default();
+        let broken = (token < *highest)
+            .then(|| format!("the token {token} came after {highest} for a promotion in {group}"));
+        *highest = token.max(*highest);
+        broken
+    }
+
     /// Takes a usage report. Returns the reply and the rules that the report breaks.
     pub(crate) fn report(
         &mut self,
--- a/tests/proxy_fakes/fake_store.rs
+++ b/tests/proxy_fakes/fake_store.rs
@@ -169,6 +169,16 @@
         self.era = self.era.map(|era| era + 1);
     }
 
+    /// Returns the keys of the proxy's records.
+    pub(crate) fn record_keys(&self) -> BTreeSet<String> {
+        let subjects = self.items.keys();
+        let keys = subjects.filter_map(|subject| match subject {
+            store_message::ItemSubject::Record(key) => Some(key.clone()),
+            _ => None,
+        });
+        keys.collect()
+    }
+
     /// Returns the number of times that the store was restored from a copy.
     pub(crate) fn era(&self) -> Option<u64> {
         self.era
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -1128,6 +1128,8 @@
         }
         match duty {
             duty_call::DutyCall::Promotion { group, endpoint } => {
+                let broken = self.platform.note_promotion(&group, token);
+                self.violations.extend(broken);
                 if !self.databases.get(&endpoint).is_some_and(|database| database.up) {
                     return duty_call::DutyReply::Rejected;
                 }
