fix(election): no coordinator is elected while one of before a restore may hold its lease

What could happen: two hosts held the coordinator role at once after a short absence of the store, and both could have endpoints promoted. Seen in a test only.

Cause: a restored store may have lost the coordinator's record and lease. Hosts that saw the restore claimed the vacant role at once, while the holder, which had not reached the store since, relied on its lease.

Change: after a restore no host claims the role until one duration of the coordinator lease has passed since it saw the new era, or a record written in this era shows that somebody has waited. The holder gives its lease up when it sees the era. A lease of before was renewed before the store came back, so it has ended by then.

Evidence: coordinator_of_before_a_restore_does_not_act_beside_its_successor failed with two holders at a delay of 50 ms and passes at all ten delays.

--- a/src/proxy/coordinator_election.rs
+++ b/src/proxy/coordinator_election.rs
@@ -10,6 +10,7 @@
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::store_restore;
 use crate::proxy::store_revision;
 use crate::proxy::store_session;
 use crate::proxy::witness_selection;
@@ -30,7 +31,7 @@
     {
         return;
     }
-    if !ctx.store.membership_valid(ctx.now) {
+    if !ctx.store.membership_valid(ctx.now) || !store_restore::earlier_coordinator_expired(ctx) {
         return;
     }
     let registered_at = ctx.store.first_registered_at.unwrap_or(ctx.now);
--- a/src/proxy/store_restore.rs
+++ b/src/proxy/store_restore.rs
@@ -51,6 +51,8 @@
         ctx.store.known.len()
     );
     set_era(ctx, era);
+    ctx.coordinator.lease = None;
+    ctx.coordinator.until = Default::default();
     ctx.history.clear();
     // In a large fleet, hosts read the configuration in turn.
     let small = ctx.roster.len() <= ctx.tuning.witnesses_all;
@@ -63,3 +65,15 @@
     let fraction = if small { 0.0 } else { ctx.random_fraction() };
     ctx.store.next_read = ctx.now.after(spread.mul_f64(fraction));
 }
+
+/// Returns whether no coordinator of an earlier era can still be certain of its lease.
+///
+/// Such a lease was renewed before the store was restored, so it has ended one duration after this host
+/// saw the present era. Whoever has written a record in this era has waited for that already.
+pub fn earlier_coordinator_expired(ctx: &proxy_context::ProxyContext) -> bool {
+    let era = ctx.store.era();
+    let mut records = ctx.groups.values().filter_map(|group| group.record.as_ref());
+    era == 0
+        || ctx.now.since(ctx.store.era_since) >= ctx.tuning.coordinator_lease
+        || records.any(|record| record.era() == era)
+}
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -195,4 +195,23 @@
         fleet.run(millis(5_000));
         assert_eq!(reads(fleet) - before, 5);
     };
+    coordinator_of_before_a_restore_does_not_act_beside_its_successor(5): |fleet| {
+        for delay in (0..500).step_by(50) {
+            *fleet = start_fleet(5);
+            fleet.run(millis(delay));
+            let holds = |fleet: &ProxyFleet, host: usize| {
+                fleet.core(host).context().fencing_token().is_some()
+            };
+            let old = (0..5).find(|host| holds(fleet, *host));
+            let copy = fake_store::FakeStore::default().copy();
+            // The coordinator learns of the restore later than the others.
+            fleet.deny_host(old.unwrap_or(0), true);
+            lose_and_restore(fleet, copy, millis(10));
+            for _ in 0..400 {
+                let holders: Vec<usize> = (0..5).filter(|host| holds(fleet, *host)).collect();
+                assert!(holders.len() <= 1, "{holders:?} hold the role, delay {delay}");
+                fleet.run(millis(10));
+            }
+        }
+    };
 }
