fix(membership): hosts register again after the store was restored

What could happen: a host that is running is missing from the store for as long as it lives. Its peers take it for gone: its share of the accounts' rates is given out a second time, and failovers do not wait for its report. Seen in a test only.

Cause: a host relies on its member record as long as the store renews the lease that the record is bound to. A copy from between the two writes holds the lease without the record.

Change: a host that sees a later era takes nothing of its lease and its record for granted and writes both again, spread over the fleet in a large one.

Evidence: host_whose_record_was_lost_registers_again_under_a_lease_that_was_not failed before (no record 2 s after the restore) and passes.

--- a/src/proxy/store_restore.rs
+++ b/src/proxy/store_restore.rs
@@ -11,7 +11,8 @@
 use crate::proxy::store_session;
 use crate::proxy::store_sync;
 
-/// Time for each running host over which the hosts of a large fleet spread their reads.
+/// Time for each running host over which the hosts of a large fleet spread their reads and
+/// registrations.
 const READ_SPREAD_PER_HOST: Duration = Duration::from_millis(2);
 
 /// Records the era that a reply states, and returns what the reply says to this host.
@@ -64,6 +65,11 @@
     let spread = READ_SPREAD_PER_HOST * ctx.running_members().count() as u32;
     let fraction = if small { 0.0 } else { ctx.random_fraction() };
     ctx.store.next_read = ctx.now.after(spread.mul_f64(fraction));
+    // The store may have lost the lease, the member record, or only one of them.
+    ctx.store.lease = None;
+    ctx.store.registered = None;
+    ctx.store.lease_until = Default::default();
+    ctx.store.next_lease = ctx.store.next_read;
 }
 
 /// Returns whether no coordinator of an earlier era can still be certain of its lease.
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -214,4 +214,17 @@
             }
         }
     };
+    host_whose_record_was_lost_registers_again_under_a_lease_that_was_not(5): |fleet| {
+        *fleet = ProxyFleet::new(5, &[("large", 2_000.0, 2_000.0)], 1);
+        let record = format!("{}host4", store_record::MEMBER_PREFIX);
+        let mut copy = fleet.store.copy();
+        while !fleet.store.record_keys().contains(&record) {
+            copy = fleet.store.copy();
+            fleet.run(millis(1));
+        }
+        fleet.run(millis(500));
+        lose_and_restore(fleet, copy, millis(10));
+        fleet.run(millis(2_000));
+        assert!(fleet.store.record_keys().contains(&record));
+    };
 }
