fix(store): hosts keep what a restored store has not written again yet

What callers could have seen: for a second or two after a restore, requests went to an endpoint that was leaving, or into a data centre that operators had emptied; shares and witnesses were chosen anew for hosts that were only missing from the copy, and given back.

Cause: the first full read after a restore was taken for the present. The copy is older than what a host knows until operators, databases and hosts have written again what was lost.

Change: an entry that is missing from that read, or has a lower number than the host knows, is held for 2.5 s. If its writer writes it again, that counts; if not, the read applies. Databases are back within about two seconds, hosts register within one. Configurations and records of groups have an order of their own and are not held; a host's own records are not either, and a running host that finds itself off the roster enters itself again.

Evidence: leaving_endpoint_gets_no_reads_after_a_restore and evacuation_lasts_over_a_restore failed before and pass.

--- a/src/proxy/membership_flow.rs
+++ b/src/proxy/membership_flow.rs
@@ -11,16 +11,15 @@
 /// roster entry or the member record.
 pub fn maintain_membership(ctx: &mut proxy_context::ProxyContext, stopping: bool) {
     match (ctx.store.lease, ctx.store.registered) {
+        // The roster entry comes first: the lease has to last only until the member record is
+        // written, also where the store refuses requests because hundreds of hosts start at once. It is
+        // missing from a running host where a restored store has lost it.
+        _ if !stopping && !ctx.roster.contains_key(&ctx.identity.host) => write_roster_entry(ctx),
         (Some(lease), Some(_)) => {
             ctx.store.lease_call_pending = true;
             let request = store_message::StoreRequest::RenewLease { lease };
             ctx.call_store(store_session::StorePurpose::MembershipRenewal { lease }, request);
         }
-        // The roster entry comes first: the lease has to last only until the member record is
-        // written, also where the store refuses requests because hundreds of hosts start at once.
-        (_, None) if !stopping && !ctx.roster.contains_key(&ctx.identity.host) => {
-            write_roster_entry(ctx)
-        }
         (Some(lease), None) if !stopping => write_member_record(ctx, lease),
         (None, _) if !stopping => {
             ctx.store.lease_call_pending = true;
--- a/src/proxy/store_restore.rs
+++ b/src/proxy/store_restore.rs
@@ -2,12 +2,15 @@
 //!
 //! Such a store has lost what it acknowledged since the copy, and gives out the revisions of that time
 //! again. It counts its restores in its era. Nothing that a host knows by revision can be compared with
-//! a later era by number, so the host reads everything again.
+//! a later era by number, so the host reads everything again. What the copy holds is older than what the
+//! host knows until it is written again.
 
 use std::time::Duration;
 
+use crate::core::clock_time;
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
+use crate::proxy::store_record;
 use crate::proxy::store_session;
 use crate::proxy::store_sync;
 
@@ -15,6 +18,66 @@
 /// registrations.
 const READ_SPREAD_PER_HOST: Duration = Duration::from_millis(2);
 
+/// Time within which operators, databases and hosts write again what a restored store has lost.
+const REWRITE_TIME: Duration = Duration::from_millis(2_500);
+
+/// What a restored store says of an item of which this host knows something later.
+#[derive(Debug)]
+pub struct HeldItem {
+    item: store_message::StoreItem,
+    due: clock_time::ClockTime,
+}
+
+/// Returns the items of the first full read after a restore that are applied at once. The others are
+/// held until their writers have had time to write them again.
+pub fn hold_outdated(
+    ctx: &mut proxy_context::ProxyContext,
+    items: Vec<store_message::StoreItem>,
+) -> Vec<store_message::StoreItem> {
+    let due = ctx.now.after(REWRITE_TIME);
+    let (held, current): (Vec<_>, Vec<_>) =
+        items.into_iter().partition(|item| is_outdated(ctx, item));
+    for item in held {
+        log::info!(
+            "event=item_held subject={:?} revision={} removed={}",
+            item.subject,
+            item.revision,
+            item.body.is_none()
+        );
+        ctx.store.held.insert(item.subject.clone(), HeldItem { item, due });
+    }
+    current
+}
+
+/// Applies the held items that nobody has written again in time.
+pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
+    let now = ctx.now;
+    let due = ctx.store.held.extract_if(.., |_, held| now >= held.due);
+    let items: Vec<store_message::StoreItem> = due.map(|(_, held)| held.item).collect();
+    if !items.is_empty() {
+        store_sync::apply_and_advance(ctx, items);
+    }
+}
+
+/// Returns whether an item as read from a restored store is older than what this host knows of it. In
+/// the copy it then has a lower number, or it is missing.
+///
+/// Configurations and records with an order of their own are never held.
+fn is_outdated(ctx: &proxy_context::ProxyContext, item: &store_message::StoreItem) -> bool {
+    let held_back = match &item.subject {
+        store_message::ItemSubject::Endpoint(_) | store_message::ItemSubject::Evacuation(_) => true,
+        store_message::ItemSubject::Record(key) => {
+            let prefixes = [store_record::MEMBER_PREFIX, store_record::ROSTER_PREFIX];
+            let host = prefixes.iter().find_map(|prefix| key.strip_prefix(prefix));
+            host.is_some_and(|host| host != ctx.identity.host)
+        }
+        _ => false,
+    };
+    let known = ctx.store.known.get(&item.subject);
+    let older = known.is_some_and(|known| item.revision.number() < known.number());
+    held_back && (item.body.is_none() || older)
+}
+
 /// Records the era that a reply states, and returns what the reply says to this host.
 ///
 /// A reply of another era than that in which its request was made says nothing certain: the request
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -8,6 +8,7 @@
 use crate::proxy::config_read;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
+use crate::proxy::store_restore;
 use crate::proxy::store_revision;
 use crate::proxy::usage_record;
 
@@ -149,6 +150,8 @@
     pub watch_failures: u32,
     /// Revisions of the known items.
     pub known: BTreeMap<store_message::ItemSubject, store_revision::StoreRevision>,
+    /// What a restored store says of items of which this host knows something later.
+    pub held: BTreeMap<store_message::ItemSubject, store_restore::HeldItem>,
     /// When the store last replied.
     pub last_reply_at: clock_time::ClockTime,
     /// Whether the last request failed; for the log only.
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -63,6 +63,7 @@
 /// Sends the store requests that are due.
 pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
     reopen_stale_watch(ctx);
+    store_restore::on_tick(ctx);
     if !ctx.store.read_pending && ctx.now >= ctx.store.next_read {
         continue_reading(ctx);
     }
@@ -358,6 +359,7 @@
     let restored = known.is_some_and(|known| known.era() < first.era());
     let changed = reading.items.into_iter().filter(|item| Some(item.revision) > known);
     let items: Vec<store_message::StoreItem> = removed.into_iter().chain(changed).collect();
+    let items = if restored { store_restore::hold_outdated(ctx, items) } else { items };
     ctx.store.listed_at.get_or_insert(ctx.now);
     if scope == store_message::ListScope::All {
         config_read::note_known(ctx, first);
@@ -461,6 +463,7 @@
             _ => {}
         }
         ctx.store.known.insert(item.subject.clone(), item.revision);
+        ctx.store.held.remove(&item.subject);
         apply_item(ctx, item);
     }
 }
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -569,11 +569,8 @@
         self.deliver_replies(replies);
     }
 
-    /// Lets the store lose everything written since the copy. Operators and databases then write again
-    /// what they had written.
-    pub(crate) fn restore_store(&mut self, copy: fake_store::StoreCopy) {
-        self.store.mode = fake_store::StoreMode::Up;
-        self.store.restore(copy);
+    /// Lets operators and databases write again what they had written to the store.
+    pub(crate) fn write_again(&mut self) {
         self.publish();
         let running = self.databases.iter().filter(|(_, database)| database.up);
         for id in running.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -35,11 +35,18 @@
     fleet
 }
 
-/// Takes the store away for `away` and brings back `copy`.
+/// Takes the store away for `away` and brings back `copy`. Operators and databases write again what
+/// they had written.
 fn lose_and_restore(fleet: &mut ProxyFleet, copy: fake_store::StoreCopy, away: Duration) {
+    lose_without_rewriting(fleet, copy, away);
+    fleet.write_again();
+}
+
+fn lose_without_rewriting(fleet: &mut ProxyFleet, copy: fake_store::StoreCopy, away: Duration) {
     fleet.store.mode = fake_store::StoreMode::Unresponsive;
     fleet.run(away);
-    fleet.restore_store(copy);
+    fleet.store.mode = fake_store::StoreMode::Up;
+    fleet.store.restore(copy);
 }
 
 /// Returns the hosts that do not use the configuration as last published.
@@ -227,4 +234,38 @@
         fleet.run(millis(2_000));
         assert!(fleet.store.record_keys().contains(&record));
     };
+    leaving_endpoint_gets_no_reads_after_a_restore(5): |fleet| {
+        let copy = fleet.store.copy();
+        fleet.register("db2", true);
+        fleet.run(millis(3_000));
+        lose_without_rewriting(fleet, copy, millis(1_000));
+        // The endpoint writes its registration again one heartbeat later.
+        for _ in 0..60 {
+            fleet.run(millis(20));
+            for host in 0..5 {
+                let context = fleet.core(host).context();
+                let key = context.endpoint_names["db2"];
+                assert!(context.endpoints[key].entry.draining, "host {host}");
+            }
+        }
+        fleet.register("db2", true);
+        fleet.run(millis(1_000));
+    };
+    evacuation_lasts_over_a_restore(5): |fleet| {
+        let copy = fleet.store.copy();
+        fleet.evacuate("centre1", true);
+        fleet.run(millis(3_000));
+        lose_without_rewriting(fleet, copy, millis(1_000));
+        // The operator writes the evacuation again a moment later.
+        for _ in 0..60 {
+            fleet.run(millis(20));
+            for host in 0..5 {
+                let evacuations = &fleet.core(host).context().evacuations;
+                assert!(evacuations.contains_key("centre1"), "host {host}");
+            }
+        }
+        fleet.evacuate("centre1", true);
+        fleet.run(millis(4_000));
+        assert!(fleet.core(0).context().evacuations.contains_key("centre1"));
+    };
 }
