fix(usage): windows stay settled when the store loses their record

What the platform could have seen: two reports of one window with different counts, or no report any more.

Cause: the record of settled windows followed the store's revision. A restored store brought an older record, and windows since then were settled and reported anew; where the record itself was lost, each write named a revision that the store no longer had, and none succeeded.

Change: a record that has settled less than a known one of the same window length gives only the revision that the next write names; a missing record means that it must not exist. The coordinator then writes the record again at once.

Evidence: usage_is_reported_on_after_an_older_record_came_back failed with "window was reported differently", usage_is_reported_on_after_the_record_was_lost without a report; both pass.

Open: a coordinator that started after the restore, before anyone has written the record again, knows only what the copy says.

--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -601,8 +601,11 @@
         return coordinator_election::on_record_read(ctx, record, revision);
     }
     if key == usage_record::USAGE_KEY {
-        let record = bytes.and_then(|bytes| decode(key, &bytes));
-        return usage_flow::on_record_read(ctx, record, revision);
+        let Some(bytes) = bytes else { return usage_flow::on_record_missing(ctx) };
+        if let Some(record) = decode(key, &bytes) {
+            usage_flow::on_record_read(ctx, record, revision);
+        }
+        return;
     }
     if let Some(host) = key.strip_prefix(store_record::MEMBER_PREFIX) {
         let record = bytes.and_then(|bytes| decode(key, &bytes));
--- a/src/proxy/usage_flow.rs
+++ b/src/proxy/usage_flow.rs
@@ -174,15 +174,41 @@
 }
 
 /// Applies the record as read from the store.
+///
+/// Windows that were settled once stay settled: a restored store may hold an older record or none.
 pub fn on_record_read(
     ctx: &mut proxy_context::ProxyContext,
-    record: Option<usage_record::UsageRecord>,
+    record: usage_record::UsageRecord,
     revision: store_revision::StoreRevision,
 ) {
-    let known = ctx.usage.record.as_ref().map(|(_, revision)| *revision);
-    // A removed record would let settled windows be settled again, so the last one is kept.
-    if let Some(record) = record.filter(|_| Some(revision) > known) {
+    let Some((known, known_revision)) = &mut ctx.usage.record else {
         ctx.usage.record = Some((record, revision));
+        return;
+    };
+    if revision <= *known_revision {
+        return;
+    }
+    *known_revision = revision;
+    let outdated =
+        record.window_ms == known.window_ms && record.settled_through < known.settled_through;
+    if outdated {
+        log::warn!(
+            "event=usage_record_outdated settled_through={} known={}",
+            record.settled_through,
+            known.settled_through
+        );
+    } else {
+        *known = record;
+    }
+    ctx.usage.record_lost = outdated;
+}
+
+/// Applies that the store has no record.
+pub fn on_record_missing(ctx: &mut proxy_context::ProxyContext) {
+    if let Some((known, revision)) = &mut ctx.usage.record {
+        log::warn!("event=usage_record_missing settled_through={}", known.settled_through);
+        *revision = store_revision::StoreRevision::ABSENT;
+        ctx.usage.record_lost = true;
     }
 }
 
@@ -195,7 +221,7 @@
     ctx.usage.write_pending = false;
     match reply {
         store_message::StoreReply::Written { revision } => {
-            on_record_read(ctx, Some(record), *revision);
+            on_record_read(ctx, record, *revision);
             on_tick(ctx);
         }
         // The record as it is arrives through the store watch; the next write builds on it.
@@ -513,7 +539,7 @@
         next.settled_through = window;
         window += 1;
     }
-    if next.settled_through == settled {
+    if next.settled_through == settled && !ctx.usage.record_lost {
         return;
     }
     let Ok(value) = rmp_serde::to_vec(&next) else {
--- a/src/proxy/usage_state.rs
+++ b/src/proxy/usage_state.rs
@@ -18,8 +18,10 @@
     pub ledger: usage_ledger::UsageLedger,
     /// Totals of all hosts; used by the coordinator only.
     pub collection: usage_collection::UsageCollection,
-    /// The record in the store and its revision.
+    /// The latest record, and the revision of the one in the store, `ABSENT` if there is none.
     pub record: Option<(usage_record::UsageRecord, store_revision::StoreRevision)>,
+    /// Whether the store has lost that record and holds an older one or none.
+    pub record_lost: bool,
     /// The latest coordinator that this host has heard of, from the store or from itself.
     pub holder: String,
     /// Its token, for which `received` holds.
--- a/tests/usage_reports.rs
+++ b/tests/usage_reports.rs
@@ -144,6 +144,19 @@
     fleet.run(WINDOW + LATE);
 }
 
+/// Loads the fleet over two windows, restores the store from a copy, and checks all windows from the
+/// first one on.
+fn report_over_a_restore(fleet: &mut ProxyFleet, copy: fake_store::StoreCopy) {
+    let first = load_to_next_window(fleet, 0);
+    load(fleet, 11_000);
+    fleet.store.restore(copy);
+    fleet.write_again();
+    load(fleet, 11_000);
+    let last = current_window(fleet);
+    finish(fleet);
+    assert_right(fleet, first..=last);
+}
+
 cases! {
     every_window_is_reported_right_and_once: |fleet| {
         let first = current_window(fleet);
@@ -163,6 +176,15 @@
         finish(fleet);
         assert_right(fleet, first..=first + 1);
     };
+    usage_is_reported_on_after_the_record_was_lost: |fleet| {
+        let copy = fake_store::FakeStore::default().copy();
+        report_over_a_restore(fleet, copy);
+    };
+    usage_is_reported_on_after_an_older_record_came_back: |fleet| {
+        load_to_next_window(fleet, 4_000);
+        let copy = fleet.store.copy();
+        report_over_a_restore(fleet, copy);
+    };
     killed_host_loses_at_most_a_second_of_its_part: |fleet| {
         let window = load_to_next_window(fleet, 2_500);
         let victim = other_than(holder(fleet));
