--- a/tests/proxy_properties.rs
+++ b/tests/proxy_properties.rs
@@ -35,6 +35,8 @@
     DelayReplication { database: usize, millis: u64 },
     SetStoreMode { mode: fake_store::StoreMode },
     CompactStore,
+    CopyStore,
+    RestoreStore { away_ms: u64, rewritten_after_ms: u64 },
     LoseResponses { fraction: f64 },
     Reconfigure,
     KillAll { down_ms: u64 },
@@ -91,10 +93,21 @@
     ]
 }
 
+/// Faults, of which every fourth copies the store or restores it from the last copy.
+fn restore_step() -> impl Strategy<Value = FaultStep> {
+    let times = (10..2_500_u64, 20..1_500_u64);
+    let restore = times.prop_map(|(away_ms, rewritten_after_ms)| FaultStep::RestoreStore {
+        away_ms,
+        rewritten_after_ms,
+    });
+    prop_oneof![6 => fault_step(), 1 => Just(FaultStep::CopyStore), 1 => restore]
+}
+
 /// A fleet with callers that send requests throughout.
 #[derive(Debug)]
 struct LoadedFleet {
     fleet: ProxyFleet,
+    copy: fake_store::StoreCopy,
     callers: Vec<(usize, u64)>,
     round: u64,
 }
@@ -104,7 +117,8 @@
         let accounts = [("large", 1_000.0, 1_000.0), ("small", SMALL_RATE, SMALL_RATE)];
         let mut fleet = ProxyFleet::with_tuning(HOSTS, &accounts, seed, tuning.clone());
         fleet.run(Duration::from_millis(1_500));
-        let mut loaded = Self { fleet, callers: Vec::new(), round: 0 };
+        let copy = fleet.store.copy();
+        let mut loaded = Self { fleet, copy, callers: Vec::new(), round: 0 };
         loaded.open_callers();
         loaded
     }
@@ -199,6 +213,15 @@
             }
             FaultStep::SetStoreMode { mode } => self.fleet.store.mode = mode,
             FaultStep::CompactStore => self.fleet.compact_store(),
+            FaultStep::CopyStore => self.copy = self.fleet.store.copy(),
+            FaultStep::RestoreStore { away_ms, rewritten_after_ms } => {
+                self.fleet.store.mode = fake_store::StoreMode::Unresponsive;
+                self.run(away_ms);
+                self.fleet.store.mode = fake_store::StoreMode::Up;
+                self.fleet.store.restore(self.copy.clone());
+                self.run(rewritten_after_ms);
+                self.fleet.write_again();
+            }
             FaultStep::LoseResponses { fraction } => self.fleet.response_loss = fraction,
             FaultStep::Reconfigure => {
                 self.fleet
@@ -255,32 +278,35 @@
     Ok(())
 }
 
-/// Declares a test for each name and the tuning of its fleet.
+/// Declares a test for each name, the faults of its histories and the tuning of its fleet.
 macro_rules! properties {
-    ($($name:ident: $tuning:expr;)*) => {
+    ($($name:ident($step:expr): $tuning:expr;)*) => {
         $(
             #[test]
             fn $name() {
-                check_guarantees(&$tuning);
+                check_guarantees($step, &$tuning);
             }
         )*
     };
 }
 
+fn few_witnesses() -> proxy_tuning::ProxyTuning {
+    proxy_tuning::ProxyTuning { witnesses_all: 2, witnesses: 3, ..Default::default() }
+}
+
 properties! {
-    guarantees_hold_under_random_faults: proxy_tuning::ProxyTuning::default();
-    guarantees_hold_with_few_witnesses: proxy_tuning::ProxyTuning {
-        witnesses_all: 2,
-        witnesses: 3,
-        ..Default::default()
-    };
+    guarantees_hold_under_random_faults(fault_step()): proxy_tuning::ProxyTuning::default();
+    guarantees_hold_with_few_witnesses(fault_step()): few_witnesses();
+    guarantees_hold_over_restores_of_the_store(restore_step()):
+        proxy_tuning::ProxyTuning::default();
+    guarantees_hold_over_restores_with_few_witnesses(restore_step()): few_witnesses();
 }
 
 /// Checks the guarantees under random faults in random order: no stale read, no acknowledgement of
 /// a write that the primary lacks, no write reported as not run although it was committed, none
 /// committed twice, no statement with the settings of another session or on another account's
 /// connection, and no account over its rate.
-fn check_guarantees(tuning: &proxy_tuning::ProxyTuning) {
+fn check_guarantees(step: impl Strategy<Value = FaultStep>, tuning: &proxy_tuning::ProxyTuning) {
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     let seed = number("PROPERTY_SEED").unwrap_or(1);
     let cases = number("PROPERTY_CASES").map_or(CASES_IN_CI, |cases| cases as u32);
@@ -289,7 +315,7 @@
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let histories = (any::<u64>(), prop::collection::vec(fault_step(), 1..12));
+    let histories = (any::<u64>(), prop::collection::vec(step, 1..12));
     let outcome = runner.run(&histories, |(seed, steps)| run_history(seed, &steps, tuning));
     if let Err(error) = outcome {
         panic!("{error}");
