perf(start): hosts without a configuration ask any peer for it

The watchers of a data centre may not have started yet. No gain by itself: offers are still refused because their sender knew a few revisions less.

--- a/src/proxy/change_relay.rs
+++ b/src/proxy/change_relay.rs
@@ -25,6 +25,8 @@
 const SECOND_WATCHER_FROM: usize = 16;
 /// Interval between requests while peers are known to have later changes or knowledge is old.
 const REQUEST_INTERVAL_LATE: Duration = Duration::from_millis(150);
+/// The same while this host has no configuration.
+const REQUEST_INTERVAL_START: Duration = Duration::from_millis(50);
 /// How long a host gets changes as they come after its last request.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Most changes sent between two ticks to all hosts together, so that a burst of registrations does
@@ -52,17 +54,22 @@
     if is_watcher(ctx) && age < age_limit {
         return;
     }
-    let late = ctx.store.behind_since.is_some() || age >= age_limit || ctx.config.is_none();
-    let interval = if late { REQUEST_INTERVAL_LATE } else { ctx.tuning.watch_wait_short };
+    let late = ctx.store.behind_since.is_some() || age >= age_limit;
+    let starting = ctx.config.is_none();
+    let interval = match late {
+        _ if starting => REQUEST_INTERVAL_START,
+        true => REQUEST_INTERVAL_LATE,
+        false => ctx.tuning.watch_wait_short,
+    };
     if now.since(ctx.relay.requested_at) < interval {
         return;
     }
     ctx.relay.requested_at = now;
     ctx.relay.requests = ctx.relay.requests.wrapping_add(1);
-    let mut peers = match age >= age_limit {
+    let mut peers = match age >= age_limit || starting {
         false => watchers(ctx, &ctx.identity.data_centre),
         true if ctx.relay.requests.is_multiple_of(2) => all_watchers(ctx),
-        // All watchers may be cut off from the store, while other hosts are not.
+        // All watchers may be cut off from the store, or not have started yet, while other hosts have.
         true => {
             let running = ctx.running_members().map(|member| member.record.host.as_str());
             let ranked = rendezvous_rank::rank(&ctx.identity.host, running);
