fix(start): an offered configuration serves until the host's turn to read it

Cause: hosts register in a burst, so nearly every offer comes from a host that knows a few revisions less than the one that asked, and was dropped.

Change: the offer is taken by a host that has no configuration, whose sender's knowledge is younger than a watcher's may be. If the sender knows less than the receiver, the receiver still reads the configuration in its turn, so a change between the two is not missed; until then it is as old as on any host that got it late.

--- a/src/proxy/config_offer.rs
+++ b/src/proxy/config_offer.rs
@@ -12,6 +12,7 @@
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 use crate::proxy::store_sync;
+use crate::proxy::sync_source;
 
 /// Largest configuration that is offered, in encoded bytes. It has to fit into a UDP datagram.
 const OFFER_BYTES_MAX: usize = 60_000;
@@ -19,8 +20,12 @@
 /// a host.
 const TICK_BYTES_MAX: usize = 125_000;
 
-/// Offers the configuration to a host that has none, if this host is certain that its own is in force.
+/// Offers the configuration to a host that has none, if this host lately knew that its own is in force.
 pub fn send_offer(ctx: &mut proxy_context::ProxyContext, request: &peer_datagram::ChangesRequest) {
+    let age = ctx.now.since(ctx.store.synced_at);
+    if age >= sync_source::local_age_limit(ctx.tuning.watch_wait_short) {
+        return;
+    }
     let (Some(config), Some(current_at)) = (ctx.config.clone(), ctx.store.revision) else { return };
     let known = ctx.store.known.get(&store_message::ItemSubject::Config);
     let Some(revision) = known.copied().filter(|_| ctx.store.config_read.is_none()) else { return };
@@ -43,10 +48,13 @@
     ctx.send_datagram(address, peer_datagram::PeerDatagram::ConfigOffer(Box::new(offer)));
 }
 
-/// Takes the configuration of an offer if this host has none and the offer is recent enough.
+/// Takes the configuration of an offer if this host has none.
+///
+/// If the sender knows less of the store than this host, a later configuration may be missing. This host
+/// then serves with the offered one and still reads the configuration in its turn.
 pub fn on_offer(ctx: &mut proxy_context::ProxyContext, offer: peer_datagram::ConfigOffer) {
-    let Some(read) = ctx.store.config_read.filter(|_| ctx.config.is_none()) else { return };
-    if !ctx.members.contains_key(&offer.host) || offer.current_at < read.revision {
+    let known = ctx.store.revision.is_some() && ctx.members.contains_key(&offer.host);
+    if ctx.config.is_some() || !known {
         return;
     }
     let empty = proxy_config::ProxyConfig::default();
