--- a/tests/store_relay.rs
+++ b/tests/store_relay.rs
@@ -339,6 +339,16 @@
             age_us: u64::MAX,
             ..changes_from("host1", revision_at(0), 0)
         });
+    configuration_offered_to_a_host_that_has_one_is_ignored:
+        peer_datagram::PeerDatagram::ConfigOffer(Box::new(peer_datagram::ConfigOffer {
+            host: "host1".to_owned(),
+            revision: REVISION_MAX,
+            current_at: REVISION_MAX,
+            config: config_patch::ConfigPatch::between(
+                &proxy_config::ProxyConfig::default(),
+                &config_with(u64::MAX, &[]),
+            ),
+        }));
     request_of_an_unknown_host_is_ignored:
         peer_datagram::PeerDatagram::ChangesRequest(peer_datagram::ChangesRequest {
             host: "stranger".to_owned(),
