--- a/src/proxy/coordinator_election.rs
+++ b/src/proxy/coordinator_election.rs
@@ -135,14 +135,19 @@
         }
         store_message::StoreReply::LeaseExpired => {
             log::warn!("event=coordinator_lease_lost cause=lease_ended");
-            ctx.coordinator.until = Default::default();
-            ctx.coordinator.lease = None;
+            give_up_lease(ctx);
             ctx.coordinator.next_call_at = ctx.now.after(CLAIM_PAUSE);
         }
         _ => ctx.coordinator.next_call_at = ctx.now.after(CLAIM_PAUSE / 2),
     }
 }
 
+/// Gives up the coordinator lease, which the store has ended or may have lost.
+pub fn give_up_lease(ctx: &mut proxy_context::ProxyContext) {
+    ctx.coordinator.until = Default::default();
+    ctx.coordinator.lease = None;
+}
+
 /// Applies the coordinator record as read from the store, or its removal.
 pub fn on_record_read(
     ctx: &mut proxy_context::ProxyContext,
--- a/src/proxy/membership_flow.rs
+++ b/src/proxy/membership_flow.rs
@@ -1,6 +1,7 @@
 //! Membership of this host in the store: its membership lease, its roster entry and its member
 //! record.
 
+use crate::core::clock_time;
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
@@ -56,6 +57,15 @@
     ctx.call_store(store_session::StorePurpose::MemberRecord { lease }, request);
 }
 
+/// Forgets the lease and the registration, of which a restored store may have lost both or either, and
+/// registers again at `time`.
+pub fn register_again(ctx: &mut proxy_context::ProxyContext, time: clock_time::ClockTime) {
+    ctx.store.lease = None;
+    ctx.store.registered = None;
+    ctx.store.lease_until = clock_time::ClockTime::default();
+    ctx.store.next_lease = time;
+}
+
 /// Handles the store's reply to the write of the roster entry.
 pub fn on_roster_reply(ctx: &mut proxy_context::ProxyContext, reply: &store_message::StoreReply) {
     ctx.store.lease_call_pending = false;
--- a/src/proxy/store_restore.rs
+++ b/src/proxy/store_restore.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use crate::core::clock_time;
+use crate::proxy::coordinator_election;
+use crate::proxy::membership_flow;
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
@@ -37,13 +39,12 @@
     let due = ctx.now.after(REWRITE_TIME);
     let (held, current): (Vec<_>, Vec<_>) =
         items.into_iter().partition(|item| is_outdated(ctx, item));
+    log::info!("event=items_held held={} applied={}", held.len(), current.len());
     for item in held {
-        log::info!(
-            "event=item_held subject={:?} revision={} removed={}",
-            item.subject,
-            item.revision,
-            item.body.is_none()
-        );
+        let (subject, revision, removed) = (&item.subject, item.revision, item.body.is_none());
+        ctx.log_limited(|| {
+            format!("event=item_held subject={subject:?} revision={revision} removed={removed}")
+        });
         ctx.store.held.insert(item.subject.clone(), HeldItem { item, due });
     }
     current
@@ -115,8 +116,6 @@
         ctx.store.known.len()
     );
     set_era(ctx, era);
-    ctx.coordinator.lease = None;
-    ctx.coordinator.until = Default::default();
     ctx.history.clear();
     // In a large fleet, hosts read the configuration in turn.
     let small = ctx.roster.len() <= ctx.tuning.witnesses_all;
@@ -128,11 +127,8 @@
     let spread = READ_SPREAD_PER_HOST * ctx.running_members().count() as u32;
     let fraction = if small { 0.0 } else { ctx.random_fraction() };
     ctx.store.next_read = ctx.now.after(spread.mul_f64(fraction));
-    // The store may have lost the lease, the member record, or only one of them.
-    ctx.store.lease = None;
-    ctx.store.registered = None;
-    ctx.store.lease_until = Default::default();
-    ctx.store.next_lease = ctx.store.next_read;
+    membership_flow::register_again(ctx, ctx.store.next_read);
+    coordinator_election::give_up_lease(ctx);
 }
 
 /// Returns whether no coordinator of an earlier era can still be certain of its lease.
