--- a/src/proxy/store_revision.rs
+++ b/src/proxy/store_revision.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Bits of a revision below its era: enough for a million changes a second over twelve days.
+/// Bits of a revision below its era: ten years of 3,200 changes a second.
 const NUMBER_BITS: u32 = 40;
 
 /// A revision of the store.
