perf(start): a configuration is encoded once for the hosts that start

Found when reading the change again: a peer encoded its whole configuration for each request of a host that has none, only to learn its size. At 300 starting hosts, with a configuration of 1.4 MB that is too large to be offered at all, that is work of many milliseconds several times a second at each peer. The encoded form is now kept by version. Whom a peer offers what, and the limits, stay as they are.

--- a/src/proxy/config_offer.rs
+++ b/src/proxy/config_offer.rs
@@ -10,6 +10,7 @@
 use crate::proxy::peer_datagram;
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_context;
+use crate::proxy::relay_state;
 use crate::proxy::store_message;
 use crate::proxy::store_sync;
 use crate::proxy::sync_source;
@@ -31,23 +32,38 @@
     let Some(revision) = known.copied().filter(|_| ctx.store.config_read.is_none()) else { return };
     let Some(member) = ctx.members.get(&request.host) else { return };
     let address = member.record.address.clone();
-    let empty = proxy_config::ProxyConfig::default();
-    let config = config_patch::ConfigPatch::between(&empty, &config);
-    let bytes = match rmp_serde::to_vec(&config) {
-        Ok(encoded) => encoded.len(),
-        Err(error) => {
-            return log::error!("event=config_offer_encode_failed cause={error}");
-        }
-    };
-    if bytes > OFFER_BYTES_MAX || ctx.relay.offered_bytes + bytes > TICK_BYTES_MAX {
+    if ctx.relay.offer.as_ref().is_none_or(|offer| offer.version != config.version) {
+        ctx.relay.offer = encode(&config);
+    }
+    let Some(encoded) = &ctx.relay.offer else { return };
+    if ctx.relay.offered_bytes + encoded.bytes > TICK_BYTES_MAX {
         return;
     }
-    ctx.relay.offered_bytes += bytes;
+    let Some(config) = encoded.patch.clone() else { return };
+    ctx.relay.offered_bytes += encoded.bytes;
     let host = ctx.identity.host.clone();
     let offer = peer_datagram::ConfigOffer { host, revision, current_at, config };
     ctx.send_datagram(address, peer_datagram::PeerDatagram::ConfigOffer(Box::new(offer)));
 }
 
+/// Returns the configuration as the difference from an empty one, without its content if that is too
+/// large.
+fn encode(config: &proxy_config::ProxyConfig) -> Option<relay_state::EncodedConfig> {
+    let empty = proxy_config::ProxyConfig::default();
+    let patch = config_patch::ConfigPatch::between(&empty, config);
+    match rmp_serde::to_vec(&patch) {
+        Ok(encoded) => {
+            let bytes = encoded.len();
+            let patch = (bytes <= OFFER_BYTES_MAX).then_some(patch);
+            Some(relay_state::EncodedConfig { version: config.version, patch, bytes })
+        }
+        Err(error) => {
+            log::error!("event=config_offer_encode_failed cause={error}");
+            None
+        }
+    }
+}
+
 /// Takes the configuration of an offer if this host has none.
 ///
 /// If the sender knows less of the store than this host, a later configuration may be missing. This host
--- a/src/proxy/relay_state.rs
+++ b/src/proxy/relay_state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::core::clock_time;
+use crate::proxy::config_patch;
 use crate::proxy::peer_datagram;
 
 /// A host that requests changes from this one.
@@ -14,6 +15,17 @@
     pub arrived_at: clock_time::ClockTime,
 }
 
+/// The configuration in the form for hosts that have none.
+#[derive(Debug)]
+pub struct EncodedConfig {
+    /// Version of the configuration.
+    pub version: u64,
+    /// The configuration, as the difference from an empty one; `None` if it is too large to be offered.
+    pub patch: Option<config_patch::ConfigPatch>,
+    /// Size of the patch in encoded bytes.
+    pub bytes: usize,
+}
+
 /// State of the relay at this host.
 #[derive(Debug, Default)]
 pub struct RelayState {
@@ -26,6 +38,8 @@
     /// Whether a peer could not deliver the changes that this host lacks. Cleared by the next reply
     /// of the store.
     pub changes_missing: bool,
+    /// The configuration for hosts that have none, kept because many of them ask at the same time.
+    pub offer: Option<EncodedConfig>,
     /// Bytes of offered configurations since the last tick.
     pub offered_bytes: usize,
     /// Number of changes sent since the last tick.
