refactor(failover): one check of a confirmed record, one first epoch of an era

The same comparison of a record's era stood in three places and the first epoch of an era in two. No change of behaviour; the tests are unchanged.

--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -268,7 +268,7 @@
 fn records_compared(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> bool {
     let view = &ctx.groups[group];
     let era = ctx.store.era();
-    if era == 0 || view.record.as_ref().is_some_and(|record| record.era() == era) {
+    if era == 0 || view.confirmed_in(era) {
         return true;
     }
     let since = ctx.store.era_since;
@@ -537,10 +537,8 @@
     endpoint: arena_keys::EndpointKey,
     term: u64,
 ) {
-    let epoch = ctx.groups[group].epoch();
     // A record of an earlier era is confirmed by an epoch of this one.
-    let era = ctx.store.era();
-    let epoch = epoch.max(store_revision::StoreRevision::new(era, 1).as_u64());
+    let epoch = ctx.groups[group].epoch().max(store_record::first_epoch(ctx.store.era()));
     let record = store_record::GroupRecord {
         epoch,
         phase: store_record::GroupPhase::Serving,
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -81,6 +81,11 @@
         self.record.as_ref().filter(|record| record.phase == store_record::GroupPhase::Serving)
     }
 
+    /// Returns whether the record was written in this era of the store.
+    pub fn confirmed_in(&self, era: u64) -> bool {
+        self.record.as_ref().is_some_and(|record| record.era() == era)
+    }
+
     /// Returns whether a failover is under way.
     pub fn failover_in_progress(&self) -> bool {
         self.record.is_some() && self.serving().is_none()
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -441,7 +441,7 @@
         if view.peer_epoch > view.epoch() {
             return false;
         }
-        let confirmed = view.record.as_ref().is_some_and(|record| record.era() == self.store.era());
+        let confirmed = view.confirmed_in(self.store.era());
         // A process that started after a restore cannot know what the store has lost.
         let known = confirmed || self.store.first_era < self.store.era();
         (confirmed && self.store.membership_valid(self.now))
--- a/src/proxy/store_record.rs
+++ b/src/proxy/store_record.rs
@@ -52,9 +52,14 @@
     }
 }
 
+/// Returns the first epoch of an era of the store.
+pub fn first_epoch(era: u64) -> u64 {
+    store_revision::StoreRevision::new(era, 1).as_u64()
+}
+
 /// Returns the epoch that follows `epoch` in an era of the store.
 pub fn next_epoch(epoch: u64, era: u64) -> u64 {
-    (epoch + 1).max(store_revision::StoreRevision::new(era, 1).as_u64())
+    (epoch + 1).max(first_epoch(era))
 }
 
 /// A host of the fleet.
--- a/src/proxy/store_restore.rs
+++ b/src/proxy/store_restore.rs
@@ -137,8 +137,7 @@
 /// saw the present era. Whoever has written a record in this era has waited for that already.
 pub fn earlier_coordinator_expired(ctx: &proxy_context::ProxyContext) -> bool {
     let era = ctx.store.era();
-    let mut records = ctx.groups.values().filter_map(|group| group.record.as_ref());
     era == 0
         || ctx.now.since(ctx.store.era_since) >= ctx.tuning.coordinator_lease
-        || records.any(|record| record.era() == era)
+        || ctx.groups.values().any(|group| group.confirmed_in(era))
 }
