--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -1293,6 +1293,15 @@
         indexes.into_iter().try_for_each(|index| self.launch(index))
     }
 
+    /// Number of databases of the first service that the store lists.
+    fn listed_databases(&self) -> usize {
+        let databases = lock(&self.group.databases);
+        let keys: Vec<String> = databases.iter().map(|one| format!("servers/{}", one.id)).collect();
+        drop(databases);
+        let state = lock(&self.store.state);
+        keys.iter().filter(|key| state.items.contains_key(*key)).count()
+    }
+
     /// Name of the host that the store's record names as the holder of the duties.
     fn holder(&self) -> Option<String> {
         let state = lock(&self.store.state);
@@ -1499,12 +1508,16 @@
         world.kill_zone("lake-erie");
         world.group.crash(0);
         world.group.crash(1);
-        sleep_ms(3_800);
+        let lost_at = Instant::now();
+        // Until the store has dropped the entries of both databases.
+        while world.listed_databases() > 1 && lost_at.elapsed() < Duration::from_millis(3_800) {
+            sleep_ms(20);
+        }
         if std::env::var("WITHOUT_RESTART").is_err() {
             let holder = world.holder().ok_or("no host holds the duties")?;
             world.kill_and_restart(&holder);
         }
-        sleep_ms(1_200);
+        thread::sleep(Duration::from_secs(5).saturating_sub(lost_at.elapsed()));
         world.start_zone("lake-erie")?;
         sleep_ms(500);
         world.group.set_deaf(2, false);
