fix(failover): require a log position of the candidate, not a number of answers

Cause: replicas_suffice counted answers, also those of endpoints that cannot be chosen, while the candidate came from the eligible ones only. A replica that received nothing was promoted, because a draining one that had everything answered too. Ruled out: a candidate chosen before both had answered (two reports in candidate_chosen); a position reported too high (the promoted database leads with what it had received). Change: the positions of all logs that answer give the position that the candidate must have reached. If only an endpoint that is about to leave has reached it, that one is promoted. A planned failover of such a group begins once a successor has caught up. Without a configuration no candidate is chosen. event=failover_waits tells what is awaited. Conclusion: at most holders - sync_replicas - 1 logs lack an acknowledged commit, so the next position in ascending order holds every one.

--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use crate::core::arena_keys;
+use crate::core::endpoint_message;
+use crate::proxy::commit_bound;
 use crate::proxy::connection_flow;
 use crate::proxy::connection_state;
 use crate::proxy::duty_call;
@@ -34,6 +36,11 @@
 const CANDIDATE_WAIT: Duration = Duration::from_millis(250);
 /// How long a planned failover waits for a replica that has all of the primary's log.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1_500);
+/// How far a successor's log may be behind when a planned failover begins in a group with synchronous
+/// replicas.
+const SUCCESSOR_LAG_MAX: Duration = Duration::from_millis(1_000);
+/// Interval between log lines of a failover that waits.
+const WAIT_LOG_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Longest time until the platform's reply to a promotion.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Pause before a promotion that got no reply is requested again.
@@ -189,6 +196,9 @@
 
 fn check_for_failover(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
     let Some(reason) = find_reason(ctx, group) else { return demote_others(ctx, group) };
+    if reason == group_view::FailoverReason::Leaving && !successor_has_caught_up(ctx, group) {
+        return request_statuses(ctx, group);
+    }
     let now = ctx.now;
     let view = &mut ctx.groups[group];
     view.failover.started_at = now;
@@ -388,28 +398,36 @@
     }
     let old = reports.iter().find(|(endpoint, _)| ctx.endpoints[*endpoint].entry.id == recorded);
     let primary_position = old.map(|(_, report)| report.position);
+    let Some(required) = required_position(ctx, group, &reports) else {
+        return log_wait(ctx, group, |ctx| {
+            format!("cause=too_few_positions known={}", describe_positions(ctx, &reports))
+        });
+    };
     let rejected_candidates = &ctx.groups[group].failover.rejected_candidates;
-    let candidate = reports
-        .iter()
-        .filter(|(endpoint, report)| {
-            let other = &ctx.endpoints[*endpoint];
-            other.eligible() && !report.primary && !rejected_candidates.contains(endpoint)
-        })
-        .max_by_key(|(_, report)| report.position);
+    let suitable = reports.iter().filter(|(endpoint, report)| {
+        !report.primary && report.position >= required && !rejected_candidates.contains(endpoint)
+    });
+    let eligible = suitable.clone().filter(|(endpoint, _)| ctx.endpoints[*endpoint].eligible());
+    let mut candidate = eligible.max_by_key(|(_, report)| report.position);
+    // Only an endpoint that is about to leave holds all acknowledged commits: the others get them
+    // from it, and one of them replaces it.
+    if required > endpoint_message::LogPoint::default() && current_primary.is_none() {
+        candidate = candidate.or_else(|| suitable.max_by_key(|(_, report)| report.position));
+    }
     let Some((endpoint, report)) = candidate else {
         if waited >= CONFIRMATION_TIMEOUT {
             ctx.groups[group].failover.rejected_candidates.clear();
         }
-        return;
+        return log_wait(ctx, group, |ctx| {
+            let known = describe_positions(ctx, &reports);
+            format!("cause=no_candidate required={required:?} known={known}")
+        });
     };
     let behind =
         primary_position.is_some_and(|primary_position| report.position < primary_position);
     if behind && waited < CATCH_UP_WAIT {
         return;
     }
-    if !replicas_suffice(ctx, group, &reports) {
-        return;
-    }
     let id = ctx.endpoints[*endpoint].entry.id.clone();
     log::info!(
         "event=candidate_chosen group={} endpoint={id} position={:?} primary_position={primary_position:?} reports={} after_ms={}",
@@ -464,24 +482,46 @@
     }
 }
 
-/// Returns whether the responding replicas are certain to include one with every acknowledged
-/// commit, where the group requires replicas to hold a commit before it is acknowledged.
-fn replicas_suffice(
+/// Returns the log position that a candidate must have reached, so that no acknowledged commit is
+/// lost; `None` if the reports do not suffice to tell.
+fn required_position(
     ctx: &proxy_context::ProxyContext,
     group: arena_keys::GroupKey,
     reports: &[(arena_keys::EndpointKey, endpoint_command::EndpointStatus)],
-) -> bool {
+) -> Option<endpoint_message::LogPoint> {
+    let sync_replicas = sync_replicas(ctx, group)?;
+    let positions: Vec<endpoint_message::LogPoint> =
+        reports.iter().map(|(_, report)| report.position).collect();
+    let holders = ctx.groups[group].endpoints.len();
+    commit_bound::required_position(&positions, holders, sync_replicas)
+}
+
+/// Returns how many replicas hold a commit of the group before it is acknowledged; `None` while this
+/// host has no configuration.
+fn sync_replicas(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> Option<usize> {
+    let object = ctx.config.as_ref()?.groups.get(&ctx.groups[group].name);
+    Some(object.map_or(0, |object| object.sync_replicas as usize))
+}
+
+/// Returns whether a planned failover may begin: some successor has received nearly all of the
+/// primary's log. Until then the primary keeps serving for as long as it may.
+fn successor_has_caught_up(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> bool {
     let view = &ctx.groups[group];
-    let object = ctx.config.as_ref().and_then(|config| config.groups.get(&view.name));
-    let sync_replicas = object.map_or(0, |object| object.sync_replicas) as usize;
-    let recorded = view.record.as_ref().map(|record| record.primary.as_str());
-    let replicas = view.endpoints.iter();
-    let replicas =
-        replicas.filter(|endpoint| Some(ctx.endpoints[**endpoint].entry.id.as_str()) != recorded);
-    let responded = reports.iter();
-    let responded = responded
-        .filter(|(endpoint, _)| Some(ctx.endpoints[*endpoint].entry.id.as_str()) != recorded);
-    sync_replicas == 0 || responded.count() + sync_replicas > replicas.count()
+    let primary = view.record.as_ref().and_then(|record| ctx.endpoint_names.get(&record.primary));
+    let usable = primary.map(|endpoint| &ctx.endpoints[*endpoint]).is_some_and(|primary| {
+        !primary.is_excluded(ctx.now, &ctx.tuning) && primary.unresponsive_since.is_none()
+    });
+    if !usable || sync_replicas(ctx, group).is_none_or(|count| count == 0) {
+        return true;
+    }
+    let since = ctx.now.before(SUCCESSOR_LAG_MAX);
+    let Some(required) = view.samples.required(since) else { return false };
+    view.endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint]).any(|other| {
+        let recent = other.report.filter(|(requested_at, _)| *requested_at >= since);
+        let caught_up =
+            recent.is_some_and(|(_, report)| !report.primary && report.position >= required);
+        other.eligible() && caught_up
+    })
 }
 
 fn promote(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
@@ -615,6 +655,42 @@
     ctx.call_store(store_session::StorePurpose::GroupRecord { group, record }, request);
 }
 
+/// Returns the endpoints of the reports with their positions, for the log.
+fn describe_positions(
+    ctx: &proxy_context::ProxyContext,
+    reports: &[(arena_keys::EndpointKey, endpoint_command::EndpointStatus)],
+) -> String {
+    let positions = reports.iter().map(|(endpoint, report)| {
+        let point = report.position;
+        format!("{}:{}.{}", ctx.endpoints[*endpoint].entry.id, point.term, point.position)
+    });
+    positions.collect::<Vec<_>>().join(",")
+}
+
+/// Logs what a failover waits for, at most once per [`WAIT_LOG_INTERVAL`].
+fn log_wait(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    detail: impl FnOnce(&proxy_context::ProxyContext) -> String,
+) {
+    let failover = &ctx.groups[group].failover;
+    let last = failover.since.max(failover.wait_logged_at);
+    if ctx.now.since(last) < WAIT_LOG_INTERVAL {
+        return;
+    }
+    let detail = detail(ctx);
+    let now = ctx.now;
+    let view = &mut ctx.groups[group];
+    view.failover.wait_logged_at = now;
+    log::info!(
+        "event=failover_waits group={} epoch={} state={} for_ms={} {detail}",
+        view.name,
+        view.epoch(),
+        view.failover.cursor.state(),
+        now.since(view.failover.since).as_millis()
+    );
+}
+
 fn fire(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey, event: &str) {
     let now = ctx.now;
     let failover = &mut ctx.groups[group].failover;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -9,6 +9,7 @@
 pub mod asked_lease;
 pub mod change_history;
 pub mod change_relay;
+pub mod commit_bound;
 pub mod config_offer;
 pub mod config_patch;
 pub mod config_read;
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -584,6 +584,7 @@
             rejected_candidates: Vec::new(),
             call_pending: false,
             epoch_known_since: None,
+            wait_logged_at: Default::default(),
         },
     });
     ctx.group_names.insert(name.to_owned(), group);
--- a/tests/proxy_fakes/fake_database.rs
+++ b/tests/proxy_fakes/fake_database.rs
@@ -64,6 +64,10 @@
     pub(crate) execution_us: u64,
     /// Delay of the replication to this database, in microseconds.
     pub(crate) replication_lag_us: u64,
+    /// Whether its registration says that it is draining.
+    pub(crate) draining: bool,
+    /// Whether it receives nothing from the primary.
+    pub(crate) deaf: bool,
     /// Until when each of its slots is busy, in microseconds; empty if it runs everything at once.
     pub(crate) slots: Vec<u64>,
 }
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -46,6 +46,8 @@
 /// Time after which a replaced primary that was not asked to step down does so by itself, in
 /// microseconds.
 const STEP_DOWN_US: u64 = 1_000_000;
+/// Interval at which a primary checks whether replicas have received a commit, in microseconds.
+const COMMIT_CHECK_US: u64 = 5_000;
 
 /// True time at the start of the virtual clock, in microseconds of Unix time.
 pub(crate) const UNIX_START_US: u64 = 1_800_000_000_000_000;
@@ -113,6 +115,8 @@
         length: usize,
         term: u64,
     },
+    /// Sends the response to a commit once enough replicas have received it.
+    AcknowledgeCommit(PendingCommit),
     CompletePromotion {
         group: String,
         endpoint: String,
@@ -146,6 +150,17 @@
     },
 }
 
+/// A commit whose response waits for replicas.
+#[derive(Debug)]
+struct PendingCommit {
+    host: usize,
+    incarnation: u64,
+    connection: arena_keys::ConnectionKey,
+    endpoint: String,
+    entry: fake_database::LogEntry,
+    response: endpoint_command::EndpointResponse,
+}
+
 #[derive(Debug)]
 struct FakeHost {
     core: proxy_core::ProxyCore,
@@ -346,6 +361,8 @@
                 execution_us: 5_000,
                 slots: Vec::new(),
                 replication_lag_us: 20_000,
+                draining: false,
+                deaf: false,
             };
             fleet.databases.insert(id.clone(), database);
             fleet.register(&id, false);
@@ -530,6 +547,53 @@
         self.register(id, false);
     }
 
+    /// Writes a database's registration again after its role has changed or the store lost it.
+    fn register_again(&mut self, id: &str) {
+        let draining = self.databases.get(id).is_some_and(|database| database.draining);
+        self.register(id, draining);
+    }
+
+    /// Adds a replica that has received nothing yet.
+    pub(crate) fn add_replica(&mut self, id: &str, data_centre: &str) {
+        let first = self.databases.values().next().unwrap_or_else(|| panic!("no databases"));
+        let database = fake_database::FakeDatabase {
+            group: first.group.clone(),
+            data_centre: data_centre.to_owned(),
+            up: true,
+            primary: false,
+            term: 1,
+            log: Vec::new(),
+            execution_us: first.execution_us,
+            replication_lag_us: 20_000,
+            draining: false,
+            deaf: false,
+            slots: Vec::new(),
+        };
+        self.databases.insert(id.to_owned(), database);
+        self.register(id, false);
+        self.set_deaf(id, false);
+    }
+
+    /// Sets whether a replica receives nothing. One that receives again gets the primary's log.
+    pub(crate) fn set_deaf(&mut self, id: &str, deaf: bool) {
+        if let Some(database) = self.databases.get_mut(id) {
+            database.deaf = deaf;
+        }
+        let primary = self.primary_id();
+        if !deaf && !primary.is_empty() {
+            self.replicate_to_others(&primary);
+        }
+    }
+
+    /// Has every commit wait until `count` replicas have received it.
+    pub(crate) fn replicate_synchronously(&mut self, count: u32) {
+        self.reconfigure(|config| {
+            for group in config.groups.values_mut() {
+                group.sync_replicas = count;
+            }
+        });
+    }
+
     /// Removes a database's registration from the store.
     pub(crate) fn unregister(&mut self, id: &str) {
         let subject = store_message::ItemSubject::Endpoint(id.to_owned());
@@ -539,7 +603,8 @@
 
     /// Writes a database's registration to the store.
     pub(crate) fn register(&mut self, id: &str, draining: bool) {
-        let Some(database) = self.databases.get(id) else { return };
+        let Some(database) = self.databases.get_mut(id) else { return };
+        database.draining = draining;
         let entry = store_message::EndpointRegistration {
             id: id.to_owned(),
             group: database.group.clone(),
@@ -574,7 +639,7 @@
         self.publish();
         let running = self.databases.iter().filter(|(_, database)| database.up);
         for id in running.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
-            self.register(&id, false);
+            self.register_again(&id);
         }
     }
 
@@ -844,6 +909,7 @@
             ScheduledStep::Replicate { from, to, length, term } => {
                 self.replicate(&from, &to, length, term);
             }
+            ScheduledStep::AcknowledgeCommit(commit) => self.acknowledge_commit(commit),
             ScheduledStep::CompletePromotion { group, endpoint } => {
                 self.complete_promotion(&group, &endpoint)
             }
@@ -853,7 +919,7 @@
                     && database.primary
                 {
                     database.primary = false;
-                    self.register(&endpoint, false);
+                    self.register_again(&endpoint);
                 }
             }
             ScheduledStep::CallStore { host, incarnation, call, request } => {
@@ -1245,6 +1311,7 @@
         if let Some(request) = request {
             self.record_execution(&request, &account);
         }
+        let committed = effect == fake_database::StatementEffect::Committed;
         match effect {
             fake_database::StatementEffect::Read { request, settings } => {
                 self.check_read(&endpoint, &request, &settings);
@@ -1252,6 +1319,44 @@
             fake_database::StatementEffect::Committed => self.replicate_to_others(&endpoint),
             fake_database::StatementEffect::Nothing => {}
         }
+        if committed && self.sync_replicas(&endpoint) > 0 {
+            let Some(entry) = self.databases[&endpoint].log.last().cloned() else { return };
+            let commit = PendingCommit { host, incarnation, connection, endpoint, entry, response };
+            return self.acknowledge_commit(commit);
+        }
+        self.send_response(host, incarnation, connection, endpoint, response);
+    }
+
+    /// Returns how many replicas have to receive a commit at an endpoint before it is acknowledged.
+    fn sync_replicas(&self, endpoint: &str) -> usize {
+        let group = &self.databases[endpoint].group;
+        self.config.groups.get(group).map_or(0, |group| group.sync_replicas as usize)
+    }
+
+    /// Sends the response to a commit, or checks again later, while its primary runs.
+    fn acknowledge_commit(&mut self, commit: PendingCommit) {
+        let primary = &self.databases[&commit.endpoint];
+        if !primary.up || !primary.primary {
+            return;
+        }
+        let others = self.databases.iter().filter(|(id, _)| **id != commit.endpoint);
+        let received = others.filter(|(_, other)| other.log.contains(&commit.entry)).count();
+        if received < self.sync_replicas(&commit.endpoint) {
+            let step = ScheduledStep::AcknowledgeCommit(commit);
+            return self.push(self.now + COMMIT_CHECK_US, step);
+        }
+        let PendingCommit { host, incarnation, connection, endpoint, response, .. } = commit;
+        self.send_response(host, incarnation, connection, endpoint, response);
+    }
+
+    fn send_response(
+        &mut self,
+        host: usize,
+        incarnation: u64,
+        connection: arena_keys::ConnectionKey,
+        endpoint: String,
+        response: endpoint_command::EndpointResponse,
+    ) {
         let lost = self.rng.random::<f64>() < self.response_loss;
         let place = PartitionSide::Database(endpoint);
         if !lost && self.can_reach(&place, &PartitionSide::Host(host)) {
@@ -1295,6 +1400,7 @@
         }
         let log = self.databases[from].log[..length.min(self.databases[from].log.len())].to_vec();
         if let Some(database) = self.databases.get_mut(to).filter(|database| database.up)
+            && !database.deaf
             && (database.log.len() < log.len() || database.term < term)
         {
             database.log = log;
@@ -1303,8 +1409,8 @@
         }
     }
 
-    /// Makes an endpoint the primary of a new term. Acknowledged writes that it lacks are no longer
-    /// expected: the group has no synchronous replicas, so they are lost with the old primary.
+    /// Makes an endpoint the primary of a new term. Acknowledged writes that it lacks are lost with
+    /// the old primary, which violates a guarantee if the group has synchronous replicas.
     fn complete_promotion(&mut self, group: &str, endpoint: &str) {
         let newest = self.databases.values().map(|database| database.term).max().unwrap_or(1);
         let already = self.databases[endpoint].primary && self.databases[endpoint].term == newest;
@@ -1323,8 +1429,17 @@
             .iter()
             .flat_map(|entry| entry.requests.iter().cloned())
             .collect();
-        self.acknowledged.retain(|write| write.group != group || kept.contains(&write.request));
-        self.register(endpoint, false);
+        let acknowledged = std::mem::take(&mut self.acknowledged);
+        let (kept, lost): (Vec<AcknowledgedWrite>, Vec<AcknowledgedWrite>) = acknowledged
+            .into_iter()
+            .partition(|write| write.group != group || kept.contains(&write.request));
+        self.acknowledged = kept;
+        if !lost.is_empty() && self.sync_replicas(endpoint) > 0 {
+            let count = lost.len();
+            let text = format!("{endpoint} was promoted without {count} acknowledged writes");
+            self.violations.push(text);
+        }
+        self.register_again(endpoint);
         self.replicate_to_others(endpoint);
         for other in others {
             self.push(
--- /dev/null
+++ b/tests/synchronous_groups.rs
@@ -0,0 +1,114 @@
+//! Failovers of a group whose commits are acknowledged only once a replica has received them. Run in
+//! virtual time; the fakes report a promotion without an acknowledged write as a violation.
+
+#[allow(dead_code, reason = "no test program uses all of the fakes")]
+mod proxy_fakes;
+
+use proxy_fakes::{ProxyFleet, millis, write};
+use quetzaldeal::core::endpoint_message;
+use quetzaldeal::proxy::commit_bound;
+
+/// Number of hosts of each fleet.
+const HOSTS: usize = 4;
+
+/// Declares a test for each name, which runs on a fleet with one synchronous replica that serves.
+macro_rules! cases {
+    ($($name:ident: $body:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let run: fn(&mut ProxyFleet) = $body;
+                let mut fleet = start_fleet();
+                run(&mut fleet);
+                assert!(fleet.violations.is_empty(), "{:#?}", fleet.violations);
+            }
+        )*
+    };
+}
+
+fn start_fleet() -> ProxyFleet {
+    let mut fleet = ProxyFleet::new(HOSTS, &[("large", 1_000.0, 1_000.0)], 1);
+    fleet.replicate_synchronously(1);
+    fleet.run(millis(2_000));
+    fleet
+}
+
+/// Sends a write through every running host each 20 ms. Returns how many ran.
+fn write_for(fleet: &mut ProxyFleet, duration_ms: u64) -> usize {
+    let hosts: Vec<usize> = (0..HOSTS).filter(|host| fleet.alive(*host)).collect();
+    let callers: Vec<(usize, u64)> =
+        hosts.into_iter().map(|host| (host, fleet.open(host, "large", "strict"))).collect();
+    let mut served = 0;
+    for _ in 0..duration_ms / 20 {
+        for (host, caller) in &callers {
+            fleet.send(*host, *caller, write());
+        }
+        fleet.run(millis(20));
+        for (host, caller) in &callers {
+            while let Some(received) = fleet.take_response(*host, *caller) {
+                served += usize::from(received.ran());
+            }
+        }
+    }
+    for (host, caller) in callers {
+        fleet.close(host, caller);
+    }
+    served
+}
+
+/// Ends the processes of all hosts and starts new ones.
+fn restart_hosts(fleet: &mut ProxyFleet) {
+    for host in 0..HOSTS {
+        fleet.kill_host(host);
+    }
+    fleet.run(millis(500));
+    for host in 0..HOSTS {
+        fleet.start_host(host, millis(0));
+    }
+}
+
+cases! {
+    // Guards against lost writes when the only replica that received them is draining: its answer
+    // let the coordinator promote the other replica, which lacked them.
+    answer_of_a_draining_replica_does_not_qualify_another: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.set_deaf("db2", true);
+        fleet.register("db1", true);
+        assert!(write_for(fleet, 1_500) > 0);
+        fleet.crash("db0", false);
+        write_for(fleet, 3_000);
+        fleet.set_deaf("db2", false);
+        assert!(write_for(fleet, 6_000) > 0);
+    };
+}
+
+/// Declares a test for each name: the known positions, the number of logs that may hold acknowledged
+/// commits, the number of synchronous replicas and the position that is required.
+macro_rules! bounds {
+    ($($name:ident($positions:expr, $holders:expr, $sync_replicas:expr): $expected:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let point = |position: u64| endpoint_message::LogPoint { term: 1, position };
+                let positions: Vec<_> = $positions.into_iter().map(point).collect();
+                let required =
+                    commit_bound::required_position(&positions, $holders, $sync_replicas);
+                let expected: Option<u64> = $expected;
+                assert_eq!(required, expected.map(point));
+            }
+        )*
+    };
+}
+
+bounds! {
+    // Guards against a promotion while the logs that answered may all lack a commit.
+    one_of_three_logs_does_not_suffice([7], 3, 1): None;
+    // Guards against a candidate behind a log that answered but cannot be chosen.
+    the_more_advanced_of_two_logs_is_required([7, 9], 3, 1): Some(9);
+    // Guards against a planned failover that waits for commits which were not acknowledged.
+    unacknowledged_commits_of_the_primary_are_not_required([9, 7, 8], 3, 1): Some(8);
+    // Guards against a promotion without the commits of a fourth log that does not answer.
+    two_of_four_logs_do_not_suffice([7, 9], 4, 1): None;
+    // Guards against a wait for logs that cannot be the only ones with a commit.
+    two_synchronous_replicas_allow_one_log_of_three([7], 3, 2): Some(7);
+}
