fix(failover): end failovers after most hosts have left

Cause: a host without a member record was passed over only once most witnesses confirmed it, and the witnesses were those same hosts. Nothing recorded that a host had left as planned, and a host that is cut off could go on without a bound. Hosts that die without SIGTERM are the same case. Ruled out: releases that are not reported (primary_released on all three); no candidate (the failover stays in awaiting_hosts). Change: a planned end writes a departure, which the host's next process removes before it registers. After 8 s of isolation a host needs every witness to use a primary, and a failover passes it over once one witness of each set has known the epoch for a quorum lease. The log names the hosts that are awaited. Conclusion: majority against majority, then all against one: at most one side goes on at any time.

--- a/src/proxy/coordinator_election.rs
+++ b/src/proxy/coordinator_election.rs
@@ -23,6 +23,9 @@
 /// Pause after a failed claim.
 const CLAIM_PAUSE: Duration = Duration::from_millis(400);
 
+/// Most records of absent hosts that are removed at once.
+const PRUNED_AT_ONCE: usize = 8;
+
 /// Claims the coordinator role when it is vacant, and renews the lease while this host holds it.
 pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
     if ctx.stopping.is_some()
@@ -56,32 +59,45 @@
     }
 }
 
-/// Removes hosts from the roster that have been absent for too long.
+/// Removes hosts from the roster that have been absent for too long, and their departures.
 pub fn prune_roster(ctx: &mut proxy_context::ProxyContext) {
     if ctx.fencing_token().is_none() {
         return;
     }
     let retention = ctx.tuning.absent_share_retention;
+    let witnesses_left = epoch_fence::some_witnesses_registered(ctx);
     let absent = |host: &String| {
         let removed_at = ctx.members.get(host).and_then(|member| member.removed_at);
         let absence = removed_at.map_or(Duration::ZERO, |removed_at| ctx.now.since(removed_at));
         // A host that cannot reach the store may still use a primary under a quorum lease.
         let unreachable = || {
-            epoch_fence::holds_for_majorities(ctx, |other| {
+            epoch_fence::fenced_by_majorities(ctx, |other| {
                 epoch_fence::is_unreachable_from(ctx, other, host)
             })
         };
-        (absence >= retention && unreachable()) || absence >= witness_selection::PAST_SET_RETENTION
-    };
-    let expired = ctx.roster.iter().find(|(host, _)| absent(host));
-    let Some((host, revision)) = expired.map(|(host, revision)| (host.clone(), *revision)) else {
-        return;
+        let isolated = || witnesses_left && epoch_fence::is_isolated(ctx, host);
+        let departed =
+            absence >= ctx.tuning.departed_share_retention && epoch_fence::has_departed(ctx, host);
+        departed
+            || (absence >= retention && (unreachable() || isolated()))
+            || absence >= witness_selection::PAST_SET_RETENTION
     };
-    log::info!("event=host_removed_from_roster host={host}");
-    // One host at a time; the next check comes with the next renewal of the coordinator lease.
-    let key = format!("{}{host}", store_record::ROSTER_PREFIX);
-    let request = store_message::StoreRequest::Remove { key, expect: revision };
-    ctx.call_store(store_session::StorePurpose::IgnoreReply, request);
+    // Few at a time; the next check comes with the next renewal of the coordinator lease.
+    let roster = ctx.roster.iter().filter(|(host, _)| absent(host));
+    let expired = roster.map(|(host, revision)| (store_record::ROSTER_PREFIX, host, *revision));
+    let off_roster = ctx.departures.iter().filter(|(host, _)| !ctx.roster.contains_key(*host));
+    let outdated = off_roster
+        .map(|(host, departure)| (store_record::DEPARTURE_PREFIX, host, departure.revision));
+    let records: Vec<(String, store_revision::StoreRevision)> = expired
+        .chain(outdated)
+        .take(PRUNED_AT_ONCE)
+        .map(|(prefix, host, revision)| (format!("{prefix}{host}"), revision))
+        .collect();
+    for (key, expect) in records {
+        log::info!("event=host_record_removed key={key}");
+        let request = store_message::StoreRequest::Remove { key, expect };
+        ctx.call_store(store_session::StorePurpose::IgnoreReply, request);
+    }
 }
 
 /// Handles the store's reply to the request for the coordinator lease.
--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -5,7 +5,8 @@
 //! the endpoints, records the most advanced one as the candidate and has the platform promote it.
 //! Once the endpoint itself reports that it is the primary, the coordinator records it as such and
 //! the hosts use it. A host that cannot be reached releases the old primary when its membership
-//! lease expires; the store removes its member record after that.
+//! lease expires; the store removes its member record after that. Hosts that have departed as planned
+//! are not awaited, nor are those that have been isolated from the store for long.
 
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
 /// How far a successor's log may be behind when a planned failover begins in a group with synchronous
 /// replicas.
 const SUCCESSOR_LAG_MAX: Duration = Duration::from_millis(1_000);
+/// Most hosts named in the log line of a failover that waits for them.
+const AWAITED_LOGGED_MAX: usize = 8;
 /// Interval between log lines of a failover that waits.
 const WAIT_LOG_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Longest time until the platform's reply to a promotion.
@@ -300,19 +303,27 @@
 /// no member record and can neither hold nor obtain a quorum lease for an older epoch.
 fn await_hosts(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
     let fenced = epoch_fence::older_epochs_fenced(ctx, group);
+    let isolated_fenced = epoch_fence::isolated_hosts_fenced(ctx, group);
     let view = &ctx.groups[group];
     let (name, epoch) = (&view.name, view.epoch());
     let own = &ctx.identity.host;
-    let all_released = ctx.roster_hosts().iter().all(|host| {
+    let has_released = |host: &String| {
         let Some(member) = ctx.members.get(host) else { return false };
         let released = member
             .observations
             .get(name)
             .is_some_and(|observation| observation.released_epoch >= epoch);
-        let cannot_use_primary =
-            || fenced || epoch_fence::is_unreachable_from_majority(ctx, group, host);
+        let cannot_use_primary = || {
+            fenced
+                || epoch_fence::has_departed(ctx, host)
+                || epoch_fence::is_unreachable_from_majority(ctx, group, host)
+                || (isolated_fenced && epoch_fence::is_isolated(ctx, host))
+        };
         released || host == own || (member.removed_at.is_some() && cannot_use_primary())
-    });
+    };
+    let mut awaited = ctx.roster.keys().filter(|host| !has_released(host)).cloned().peekable();
+    let all_released = awaited.peek().is_none();
+    let awaited: Vec<String> = awaited.take(AWAITED_LOGGED_MAX).collect();
     if ctx.groups[group].released_epoch >= epoch && all_released {
         let waited = ctx.now.since(ctx.groups[group].failover.started_at).as_millis();
         let name = &ctx.groups[group].name;
@@ -320,8 +331,9 @@
             "event=hosts_released group={name} epoch={epoch} fenced={fenced} after_ms={waited}"
         );
         fire(ctx, group, "hosts_released");
-        advance(ctx, group);
+        return advance(ctx, group);
     }
+    log_wait(ctx, group, |_| format!("fenced={fenced} hosts={}", awaited.join(",")));
 }
 
 /// Requests the endpoints' statuses. Returns those that arrived since the present state of the failover
@@ -698,6 +710,7 @@
         failover.since = now;
         failover.call_pending = false;
         failover.epoch_known_since = None;
+        failover.epoch_seen_since = None;
     }
 }
 
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -44,6 +44,9 @@
     /// Since when a majority of the witnesses has reported the record's epoch. A quorum lease
     /// later, no host can hold a lease for an older epoch.
     pub epoch_known_since: Option<clock_time::ClockTime>,
+    /// Since when at least one witness of each set has known the record's epoch. A quorum lease
+    /// later, no isolated host can hold a lease for an older epoch.
+    pub epoch_seen_since: Option<clock_time::ClockTime>,
     /// When the log last told what the failover waits for.
     pub wait_logged_at: clock_time::ClockTime,
 }
--- a/src/proxy/membership_flow.rs
+++ b/src/proxy/membership_flow.rs
@@ -16,6 +16,11 @@
         // written, also where the store refuses requests because hundreds of hosts start at once. It is
         // missing from a running host where a restored store has lost it.
         _ if !stopping && !ctx.roster.contains_key(&ctx.identity.host) => write_roster_entry(ctx),
+        // Without a member record of the new process, its unplanned end could be taken for the planned
+        // one of the earlier process.
+        (Some(_), _) if !stopping && ctx.departures.contains_key(&ctx.identity.host) => {
+            remove_departure(ctx);
+        }
         (Some(lease), Some(_)) => {
             ctx.store.lease_call_pending = true;
             let request = store_message::StoreRequest::RenewLease { lease };
@@ -45,6 +50,42 @@
     ctx.call_store(store_session::StorePurpose::RosterRecord, request);
 }
 
+/// Records that this process ends as planned and uses no primary any more.
+pub fn record_departure(ctx: &mut proxy_context::ProxyContext) {
+    if ctx.store.first_registered.is_none() {
+        return;
+    }
+    let Ok(value) = rmp_serde::to_vec(&ctx.identity) else { return };
+    let key = format!("{}{}", store_record::DEPARTURE_PREFIX, ctx.identity.host);
+    let request = store_message::StoreRequest::Write { key, value, lease: 0, expect: None };
+    ctx.call_store(store_session::StorePurpose::IgnoreReply, request);
+}
+
+fn remove_departure(ctx: &mut proxy_context::ProxyContext) {
+    let Some(departure) = ctx.departures.get(&ctx.identity.host) else { return };
+    let expect = departure.revision;
+    ctx.store.lease_call_pending = true;
+    let key = format!("{}{}", store_record::DEPARTURE_PREFIX, ctx.identity.host);
+    let request = store_message::StoreRequest::Remove { key, expect };
+    ctx.call_store(store_session::StorePurpose::DepartureRemoval, request);
+}
+
+/// Handles the store's reply to the removal of an earlier departure.
+pub fn on_departure_reply(
+    ctx: &mut proxy_context::ProxyContext,
+    reply: &store_message::StoreReply,
+) {
+    ctx.store.lease_call_pending = false;
+    match reply {
+        store_message::StoreReply::Written { .. } => {
+            ctx.departures.remove(&ctx.identity.host);
+            ctx.store.next_lease = ctx.now;
+        }
+        // After a conflict the store watch brings what the store holds.
+        _ => ctx.store.next_lease = store_sync::retry_time(ctx),
+    }
+}
+
 fn write_member_record(ctx: &mut proxy_context::ProxyContext, lease: u64) {
     let Ok(value) = rmp_serde::to_vec(&ctx.identity) else { return };
     ctx.store.lease_call_pending = true;
@@ -103,6 +144,7 @@
         store_message::StoreReply::Written { revision } if ctx.store.lease == Some(lease) => {
             log::info!("event=registered lease={lease} revision={revision}");
             ctx.store.registered = Some(*revision);
+            note_registered(ctx);
             ctx.store.first_registered.get_or_insert(*revision);
             ctx.store.first_registered_at.get_or_insert(ctx.now);
             ctx.store.next_lease = ctx.now.after(ctx.host_renewal());
@@ -115,6 +157,10 @@
     }
 }
 
+fn note_registered(ctx: &mut proxy_context::ProxyContext) {
+    ctx.store.registered_until = ctx.store.registered_until.max(ctx.store.lease_until);
+}
+
 /// Handles the store's reply to a renewal of the membership lease.
 pub fn on_renewal_reply(
     ctx: &mut proxy_context::ProxyContext,
@@ -130,6 +176,9 @@
         store_message::StoreReply::LeaseGranted { ttl, .. } => {
             let until = call.lease_end(*ttl, ctx.tuning.lease_margin);
             ctx.store.lease_until = ctx.store.lease_until.max(until);
+            if ctx.store.registered.is_some() {
+                note_registered(ctx);
+            }
             // Counted from the request, so that slow replies do not shorten what is left.
             ctx.store.next_lease = call.sent.after(ctx.host_renewal());
         }
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -188,6 +188,15 @@
     pub accrual_check_at: clock_time::ClockTime,
 }
 
+/// The planned end of a host's process, as recorded in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostDeparture {
+    /// The process that has ended.
+    pub incarnation: u64,
+    /// Revision of the record.
+    pub revision: store_revision::StoreRevision,
+}
+
 /// The current allocation of shares to hosts.
 #[derive(Debug, Default)]
 pub struct AllocationState {
@@ -273,6 +282,8 @@
     pub usage: usage_state::UsageState,
     /// Hosts that belong to the fleet, running or not, with the revisions of their roster entries.
     pub roster: BTreeMap<String, store_revision::StoreRevision>,
+    /// Last processes of hosts that have ended as planned.
+    pub departures: BTreeMap<String, HostDeparture>,
     /// Every known host by name, this one included.
     pub members: BTreeMap<String, member_view::MemberView>,
     /// Hosts whose acknowledgements form a quorum lease while the store is unreachable.
@@ -364,6 +375,7 @@
             duty_fence: duty_fence::DutyFence::default(),
             usage: usage_state::UsageState::default(),
             roster: BTreeMap::new(),
+            departures: BTreeMap::new(),
             members: BTreeMap::new(),
             witnesses: witness_selection::WitnessState::default(),
             heartbeat_sent_at: clock_time::ClockTime::default(),
@@ -432,7 +444,8 @@
 
     /// Returns whether this host may use the primary in the group's record as it knows it: its
     /// membership lease is valid and the record was written in the store's present era, or most
-    /// witnesses have lately acknowledged that they know of no newer epoch.
+    /// witnesses have lately acknowledged that they know of no newer epoch. A host that has been
+    /// isolated from the store for long needs the acknowledgement of every witness.
     ///
     /// A failover waits until no host can meet either condition for the old primary. A record of an
     /// earlier era may be older than one that the store has lost.
@@ -472,10 +485,15 @@
             let same = member.witnesses == self.witnesses.hash;
             *host == self.identity.host || (recent && same && known <= view.epoch())
         };
-        let others = self.witnesses.hosts.len() > 1;
-        others
-            && self.store.knows_own_registration()
-            && witness_selection::is_majority(&self.witnesses.hosts, acknowledges)
+        let hosts = &self.witnesses.hosts;
+        let isolated = self.now >= self.store.registered_until.after(self.tuning.isolation_limit);
+        // A failover no longer waits for a host that has been isolated for so long, once a single
+        // witness knows of it.
+        let acknowledged = match isolated {
+            true => hosts.iter().all(acknowledges),
+            false => witness_selection::is_majority(hosts, acknowledges),
+        };
+        hosts.len() > 1 && self.store.knows_own_registration() && acknowledged
     }
 
     /// Returns whether this host is a witness.
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -15,6 +15,9 @@
     /// How long acknowledgements of witnesses allow a host to use a primary, counted from when it
     /// sent the heartbeat that they acknowledge.
     pub quorum_lease: Duration,
+    /// How long after the end of its member record a host may use a primary on the acknowledgements of
+    /// most witnesses; later it needs those of all.
+    pub isolation_limit: Duration,
     /// Interval between renewals of the membership lease.
     pub host_renewal: Duration,
     /// The same in a fleet with more hosts than witnesses, where renewals are most of the requests
@@ -62,6 +65,8 @@
     pub token_wait: Duration,
     /// How long an absent host stays on the roster and keeps its shares.
     pub absent_share_retention: Duration,
+    /// The same for a host whose process has ended as planned.
+    pub departed_share_retention: Duration,
     /// How long pending writes may take to finish before a failover ends them.
     pub write_drain_timeout: Duration,
     /// How often a statement that is known not to have run is sent.
@@ -92,6 +97,7 @@
             tick: Duration::from_millis(100),
             host_lease: Duration::from_millis(1_300),
             quorum_lease: Duration::from_millis(900),
+            isolation_limit: Duration::from_millis(8_000),
             host_renewal: Duration::from_millis(350),
             host_renewal_large: Duration::from_millis(550),
             coordinator_lease: Duration::from_millis(1_500),
@@ -113,6 +119,7 @@
             queue_limit: 64,
             token_wait: Duration::from_millis(120),
             absent_share_retention: Duration::from_millis(30_000),
+            departed_share_retention: Duration::from_millis(6_000),
             write_drain_timeout: Duration::from_millis(300),
             attempts_max: 4,
             quota_window: Duration::from_secs(5),
--- a/src/proxy/shutdown_flow.rs
+++ b/src/proxy/shutdown_flow.rs
@@ -8,6 +8,7 @@
 
 use crate::core::arena_keys;
 use crate::proxy::endpoint_command;
+use crate::proxy::membership_flow;
 use crate::proxy::proxy_context;
 use crate::proxy::proxy_message;
 use crate::proxy::request_flow;
@@ -89,6 +90,7 @@
     if !ctx.stopped && (empty || elapsed >= ctx.tuning.shutdown_timeout) {
         ctx.stopped = true;
         usage_flow::on_stop(ctx);
+        membership_flow::record_departure(ctx);
         if let Some(lease) = ctx.store.lease.take() {
             let request = store_message::StoreRequest::RevokeLease { lease };
             ctx.call_store(store_session::StorePurpose::IgnoreReply, request);
--- a/src/proxy/store_record.rs
+++ b/src/proxy/store_record.rs
@@ -93,5 +93,7 @@
 /// Key prefix of roster entries: the hosts that belong to the fleet, running or not. Roster entries
 /// have no lease, so a host that starts knows at once how many others there are.
 pub const ROSTER_PREFIX: &str = "roster/";
+/// Key prefix of departures. Each names the last process of a host that has ended as planned.
+pub const DEPARTURE_PREFIX: &str = "departures/";
 /// Key prefix of group records.
 pub const GROUP_PREFIX: &str = "groups/";
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -33,6 +33,8 @@
     },
     /// Writes this host's roster entry.
     RosterRecord,
+    /// Removes the departure of an earlier process of this host.
+    DepartureRemoval,
     /// Renews the membership lease.
     MembershipRenewal {
         /// Id of the lease.
@@ -70,6 +72,7 @@
             Self::MembershipLease => "membership_lease",
             Self::MemberRecord { .. } => "member_record",
             Self::RosterRecord => "roster_record",
+            Self::DepartureRemoval => "departure_removal",
             Self::MembershipRenewal { .. } => "membership_renewal",
             Self::CoordinatorLease => "coordinator_lease",
             Self::CoordinatorRecord => "coordinator_record",
@@ -179,6 +182,8 @@
     pub next_lease: clock_time::ClockTime,
     /// Until when the membership lease is certain to be valid.
     pub lease_until: clock_time::ClockTime,
+    /// Latest time until which a member record of this process was certain to exist.
+    pub registered_until: clock_time::ClockTime,
 }
 
 impl StoreSession {
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -95,6 +95,9 @@
             membership_flow::on_member_record_reply(ctx, *lease, &reply)
         }
         store_session::StorePurpose::RosterRecord => membership_flow::on_roster_reply(ctx, &reply),
+        store_session::StorePurpose::DepartureRemoval => {
+            membership_flow::on_departure_reply(ctx, &reply)
+        }
         store_session::StorePurpose::MembershipRenewal { lease } => {
             membership_flow::on_renewal_reply(ctx, call, *lease, &reply)
         }
@@ -584,6 +587,7 @@
             rejected_candidates: Vec::new(),
             call_pending: false,
             epoch_known_since: None,
+            epoch_seen_since: None,
             wait_logged_at: Default::default(),
         },
     });
@@ -624,6 +628,17 @@
         }
         return;
     }
+    if let Some(host) = key.strip_prefix(store_record::DEPARTURE_PREFIX) {
+        match bytes.and_then(|bytes| decode::<store_record::MemberRecord>(key, &bytes)) {
+            Some(record) => {
+                let incarnation = record.incarnation;
+                let departure = proxy_context::HostDeparture { incarnation, revision };
+                ctx.departures.insert(host.to_owned(), departure);
+            }
+            None => drop(ctx.departures.remove(host)),
+        }
+        return;
+    }
     if let Some(group) = key.strip_prefix(store_record::GROUP_PREFIX) {
         let group = group_key(ctx, group);
         let Some(bytes) = bytes else { return failover_flow::on_record_missing(ctx, group) };
--- a/src/proxy/witness_selection.rs
+++ b/src/proxy/witness_selection.rs
@@ -12,6 +12,7 @@
 
 use crate::core::clock_time;
 use crate::core::rendezvous_rank;
+use crate::proxy::epoch_fence;
 use crate::proxy::proxy_context;
 use crate::proxy::store_revision;
 
@@ -85,7 +86,7 @@
     let mut past = std::mem::take(&mut ctx.witnesses.past);
     past.retain_mut(|set| {
         let uses_later_set = |host: &String| match ctx.members.get(host) {
-            _ if *host == ctx.identity.host => true,
+            _ if *host == ctx.identity.host || epoch_fence::has_departed(ctx, host) => true,
             Some(member) => member.store_revision >= set.superseded_revision,
             None => false,
         };
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -914,13 +914,7 @@
                 self.complete_promotion(&group, &endpoint)
             }
             ScheduledStep::DemotePrimary { endpoint, term } => {
-                if let Some(database) = self.databases.get_mut(&endpoint)
-                    && database.term < term
-                    && database.primary
-                {
-                    database.primary = false;
-                    self.register_again(&endpoint);
-                }
+                self.demote_primary(endpoint, term);
             }
             ScheduledStep::CallStore { host, incarnation, call, request } => {
                 let reachable = self.can_reach(&PartitionSide::Host(host), &PartitionSide::Store);
@@ -1449,6 +1443,25 @@
         }
     }
 
+    /// Makes a replaced primary a replica, or tries again later while it does not reach the new one.
+    fn demote_primary(&mut self, endpoint: String, term: u64) {
+        let place = PartitionSide::Database(endpoint.clone());
+        let reaches_new = self.databases.iter().any(|(id, database)| {
+            let other = PartitionSide::Database(id.clone());
+            database.term >= term && database.primary && self.can_reach(&place, &other)
+        });
+        let Some(database) = self.databases.get_mut(&endpoint) else { return };
+        if database.term >= term || !database.primary {
+            return;
+        }
+        if !reaches_new {
+            let step = ScheduledStep::DemotePrimary { endpoint, term };
+            return self.push(self.now + STEP_DOWN_US, step);
+        }
+        database.primary = false;
+        self.register_again(&endpoint);
+    }
+
     /// Checks that a statement ran for the account that sent it, and counts it once.
     fn record_execution(&mut self, request: &str, account: &str) {
         let Some(sent_request) = self.sent_requests.get(request) else {
