fix(failover): keep which logs may hold acknowledged commits

Cause: the number of logs that may hold an acknowledged commit was that of the entries which a process had seen since its start, for up to 60 s. Ruled out: a promotion begun before the restart (without the restart there is none). Change: the store keeps these logs by address. One is added when a database registers, and forgotten once it has left, does not answer, and enough others have all that the primary had. Failovers count all of them. Conclusion: which logs may hold a commit is a fact of the past, so it is kept, with the event that ends it.

--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -8,6 +8,7 @@
 //! lease expires; the store removes its member record after that. Hosts that have departed as planned
 //! are not awaited, nor are those that have been isolated from the store for long.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::core::arena_keys;
@@ -21,6 +22,7 @@
 use crate::proxy::epoch_fence;
 use crate::proxy::group_view;
 use crate::proxy::heartbeat_flow;
+use crate::proxy::holder_flow;
 use crate::proxy::primary_release;
 use crate::proxy::primary_wait;
 use crate::proxy::proxy_context;
@@ -198,7 +200,10 @@
 }
 
 fn check_for_failover(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
-    let Some(reason) = find_reason(ctx, group) else { return demote_others(ctx, group) };
+    let Some(reason) = find_reason(ctx, group) else {
+        holder_flow::maintain(ctx, group);
+        return demote_others(ctx, group);
+    };
     if reason == group_view::FailoverReason::Leaving && !successor_has_caught_up(ctx, group) {
         return request_statuses(ctx, group);
     }
@@ -502,15 +507,22 @@
     reports: &[(arena_keys::EndpointKey, endpoint_command::EndpointStatus)],
 ) -> Option<endpoint_message::LogPoint> {
     let sync_replicas = sync_replicas(ctx, group)?;
-    let positions: Vec<endpoint_message::LogPoint> =
-        reports.iter().map(|(_, report)| report.position).collect();
-    let holders = ctx.groups[group].endpoints.len();
-    commit_bound::required_position(&positions, holders, sync_replicas)
+    let holders = holder_flow::current(ctx, group);
+    let positions: BTreeMap<&String, endpoint_message::LogPoint> = reports
+        .iter()
+        .map(|(endpoint, report)| (&ctx.endpoints[*endpoint].entry.address, report.position))
+        .filter(|(address, _)| holders.contains_key(*address))
+        .collect();
+    let positions: Vec<endpoint_message::LogPoint> = positions.into_values().collect();
+    commit_bound::required_position(&positions, holders.len(), sync_replicas)
 }
 
 /// Returns how many replicas hold a commit of the group before it is acknowledged; `None` while this
 /// host has no configuration.
-fn sync_replicas(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> Option<usize> {
+pub fn sync_replicas(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+) -> Option<usize> {
     let object = ctx.config.as_ref()?.groups.get(&ctx.groups[group].name);
     Some(object.map_or(0, |object| object.sync_replicas as usize))
 }
@@ -636,7 +648,8 @@
     }
 }
 
-fn request_statuses(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+/// Requests the statuses of the group's endpoints.
+pub fn request_statuses(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
     if ctx.now.since(ctx.groups[group].failover.last_attempt_at) < STATUS_INTERVAL {
         return;
     }
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -3,6 +3,7 @@
 use crate::core::arena_keys;
 use crate::core::chart_cursor;
 use crate::core::clock_time;
+use crate::proxy::log_holders;
 use crate::proxy::position_history;
 use crate::proxy::return_schedule;
 use crate::proxy::store_record;
@@ -76,6 +77,8 @@
     pub leadership_lost: bool,
     /// Samples of the primary's log position, against which the age of reads is checked.
     pub samples: position_history::PositionHistory,
+    /// Logs that may hold acknowledged commits, if the group has synchronous replicas.
+    pub holders: log_holders::LogHolders,
     /// The failover, as far as this host runs one.
     pub failover: FailoverState,
 }
--- /dev/null
+++ b/src/proxy/holder_flow.rs
@@ -0,0 +1,207 @@
+//! Keeps the record of the logs that may hold acknowledged commits, for groups with synchronous
+//! replicas. Runs on the coordinator.
+//!
+//! A log is added once an endpoint registers at its address. It is forgotten once no endpoint is
+//! registered there or answers, and enough others have received everything that was acknowledged
+//! before. A failover counts all logs of the record, also those whose endpoints are not registered.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::core::arena_keys;
+use crate::core::clock_time;
+use crate::proxy::endpoint_command;
+use crate::proxy::failover_flow;
+use crate::proxy::holder_record;
+use crate::proxy::log_holders;
+use crate::proxy::proxy_context;
+use crate::proxy::store_message;
+use crate::proxy::store_record;
+use crate::proxy::store_revision;
+use crate::proxy::store_session;
+
+/// How long no endpoint may be registered at an address before its log can be forgotten. One that was
+/// draining before can be forgotten at once.
+const ABSENCE_MIN: Duration = Duration::from_millis(5_000);
+/// How long an endpoint that is not registered may take to answer a status request.
+const ANSWER_TIME: Duration = Duration::from_millis(1_500);
+/// Interval between status requests of a check.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause before a record that was not written is written again.
+const WRITE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Applies the record as read from the store, or its removal.
+pub fn on_read(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    record: Option<holder_record::HolderRecord>,
+    revision: store_revision::StoreRevision,
+) {
+    let holders = &mut ctx.groups[group].holders;
+    let Some(record) = record else {
+        holders.stored = None;
+        holders.revision = store_revision::StoreRevision::ABSENT;
+        return;
+    };
+    if revision.era() > holders.revision.era() {
+        holders.known.holders.extend(record.holders.clone());
+    } else {
+        holders.known = record.clone();
+    }
+    holders.stored = Some(record);
+    holders.revision = revision;
+}
+
+/// Handles the store's reply to the write of a record.
+pub fn on_reply(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    record: holder_record::HolderRecord,
+    reply: &store_message::StoreReply,
+) {
+    ctx.groups[group].holders.call_pending = false;
+    if let store_message::StoreReply::Written { revision } = reply
+        && *revision > ctx.groups[group].holders.revision
+    {
+        on_read(ctx, group, Some(record), *revision);
+    }
+}
+
+/// Returns the logs that may hold acknowledged commits.
+pub fn current(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+) -> BTreeMap<String, String> {
+    let view = &ctx.groups[group];
+    let mut holders = view.holders.known.holders.clone();
+    let endpoints = view.endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint].entry);
+    if view.holders.stored.is_none() {
+        holders.extend(endpoints.map(|entry| (entry.address.clone(), entry.id.clone())));
+    }
+    let registered = view.endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint]);
+    let registered = registered.filter(|other| other.deregistered_since.is_none());
+    holders.extend(registered.map(|other| (other.entry.address.clone(), other.entry.id.clone())));
+    holders
+}
+
+/// Writes the record if it is outdated, while the group has a primary.
+pub fn maintain(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let Some(sync_replicas) = failover_flow::sync_replicas(ctx, group) else { return };
+    if sync_replicas == 0 {
+        return;
+    }
+    let mut holders = current(ctx, group);
+    for address in find_unneeded(ctx, group, &holders, sync_replicas) {
+        holders.remove(&address);
+    }
+    let record = holder_record::HolderRecord { holders };
+    let view = &ctx.groups[group];
+    let written = view.holders.stored.as_ref() == Some(&record);
+    if written || view.holders.call_pending || ctx.now < view.holders.next_write {
+        return;
+    }
+    let Ok(value) = rmp_serde::to_vec(&record) else { return };
+    let described: Vec<String> =
+        record.holders.iter().map(|(address, id)| format!("{id}@{address}")).collect();
+    log::info!("event=log_holders group={} holders={}", view.name, described.join(","));
+    let request = store_message::StoreRequest::Write {
+        key: format!("{}{}", store_record::HOLDER_PREFIX, view.name),
+        value,
+        lease: 0,
+        expect: Some(view.holders.revision),
+    };
+    let next_write = ctx.now.after(WRITE_PAUSE);
+    let state = &mut ctx.groups[group].holders;
+    state.call_pending = true;
+    state.next_write = next_write;
+    ctx.call_store(store_session::StorePurpose::HolderRecord { group, record }, request);
+}
+
+/// Returns the addresses of logs that are not needed any more: their endpoints have left, and
+/// `sync_replicas` other replicas have all that the primary had when the check began.
+fn find_unneeded(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    holders: &BTreeMap<String, String>,
+    sync_replicas: usize,
+) -> Vec<String> {
+    let absent: Vec<String> =
+        holders.keys().filter(|address| is_absent(ctx, group, address)).cloned().collect();
+    if absent.is_empty() {
+        ctx.groups[group].holders.check = None;
+        return Vec::new();
+    }
+    let now = ctx.now;
+    let view = &ctx.groups[group];
+    let begun = view.holders.check.filter(|check| check.since >= view.record_received_at);
+    let mut check = begun.unwrap_or(log_holders::HolderCheck {
+        since: now,
+        requested_at: Default::default(),
+        primary_position: None,
+    });
+    if now.since(check.requested_at) >= CHECK_INTERVAL {
+        check.requested_at = now;
+        failover_flow::request_statuses(ctx, group);
+    }
+    let term = ctx.groups[group].term();
+    let reports = reports_since(ctx, group, check.since);
+    let primary = reports.values().find(|report| report.primary && report.term == term);
+    check.primary_position = check.primary_position.or(primary.map(|report| report.position));
+    ctx.groups[group].holders.check = Some(check);
+    let Some(position) = check.primary_position else { return Vec::new() };
+    let replicas = reports.iter().filter(|(address, report)| {
+        !report.primary && report.position >= position && !absent.contains(*address)
+    });
+    if replicas.count() < sync_replicas {
+        return Vec::new();
+    }
+    let timed_out = now.since(check.since) >= ANSWER_TIME;
+    let silent = |address: &String| {
+        !reports.contains_key(address) && (timed_out || is_unreachable(ctx, group, address))
+    };
+    absent.into_iter().filter(silent).collect()
+}
+
+/// Returns whether no endpoint has been registered at an address for long enough.
+fn is_absent(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    address: &str,
+) -> bool {
+    let endpoints = ctx.groups[group].endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint]);
+    let mut known = endpoints.filter(|other| other.entry.address == address).peekable();
+    if known.peek().is_none() {
+        return ctx.store.listed_at.is_some_and(|at| ctx.now.since(at) >= ABSENCE_MIN);
+    }
+    known.all(|other| {
+        let least = if other.draining_since.is_some() { Duration::ZERO } else { ABSENCE_MIN };
+        other.deregistered_since.is_some_and(|since| ctx.now.since(since) >= least)
+    })
+}
+
+/// Returns whether the endpoints that this host knows at an address do not respond.
+fn is_unreachable(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    address: &str,
+) -> bool {
+    let endpoints = ctx.groups[group].endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint]);
+    let mut known = endpoints.filter(|other| other.entry.address == address);
+    known.all(|other| {
+        other.unresponsive_since.is_some() || other.connections_refused_since.is_some()
+    })
+}
+
+/// Returns the reports that were requested since a time, by address.
+fn reports_since(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    since: clock_time::ClockTime,
+) -> BTreeMap<String, endpoint_command::EndpointStatus> {
+    let endpoints = ctx.groups[group].endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint]);
+    let reported = endpoints.filter_map(|other| {
+        let (requested_at, report) = other.report?;
+        (requested_at >= since).then(|| (other.entry.address.clone(), report))
+    });
+    reported.collect()
+}
--- a/src/proxy/store_record.rs
+++ b/src/proxy/store_record.rs
@@ -95,5 +95,7 @@
 pub const ROSTER_PREFIX: &str = "roster/";
 /// Key prefix of departures. Each names the last process of a host that has ended as planned.
 pub const DEPARTURE_PREFIX: &str = "departures/";
+/// Key prefix of holder records, by group.
+pub const HOLDER_PREFIX: &str = "holders/";
 /// Key prefix of group records.
 pub const GROUP_PREFIX: &str = "groups/";
--- a/src/proxy/store_session.rs
+++ b/src/proxy/store_session.rs
@@ -6,6 +6,7 @@
 use crate::core::arena_keys;
 use crate::core::clock_time;
 use crate::proxy::config_read;
+use crate::proxy::holder_record;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
 use crate::proxy::store_restore;
@@ -53,6 +54,13 @@
         /// The record as written.
         record: store_record::GroupRecord,
     },
+    /// Writes the record of the logs that may hold a group's acknowledged commits.
+    HolderRecord {
+        /// The group.
+        group: arena_keys::GroupKey,
+        /// The record as written.
+        record: holder_record::HolderRecord,
+    },
     /// Writes the record of what is reported as usage.
     UsageRecord {
         /// The record as written.
@@ -78,6 +86,7 @@
             Self::CoordinatorRecord => "coordinator_record",
             Self::CoordinatorRenewal => "coordinator_renewal",
             Self::GroupRecord { .. } => "group_record",
+            Self::HolderRecord { .. } => "holder_record",
             Self::UsageRecord { .. } => "usage_record",
             Self::IgnoreReply => "other",
         }
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -19,6 +19,7 @@
 use crate::proxy::failover_flow;
 use crate::proxy::group_view;
 use crate::proxy::heartbeat_flow;
+use crate::proxy::holder_flow;
 use crate::proxy::member_view;
 use crate::proxy::membership_flow;
 use crate::proxy::proxy_config;
@@ -113,6 +114,9 @@
         store_session::StorePurpose::GroupRecord { group, record } => {
             failover_flow::on_record_reply(ctx, *group, record.clone(), &reply);
         }
+        store_session::StorePurpose::HolderRecord { group, record } => {
+            holder_flow::on_reply(ctx, *group, record.clone(), &reply);
+        }
         store_session::StorePurpose::UsageRecord { record } => {
             usage_flow::on_record_reply(ctx, record.clone(), &reply);
         }
@@ -579,6 +583,7 @@
         peer_epoch: 0,
         leadership_lost: false,
         samples: Default::default(),
+        holders: Default::default(),
         failover: group_view::FailoverState {
             cursor: chart_cursor::ChartCursor::new(ctx.failover_chart.clone()),
             since: ctx.now,
@@ -639,6 +644,11 @@
         }
         return;
     }
+    if let Some(group) = key.strip_prefix(store_record::HOLDER_PREFIX) {
+        let group = group_key(ctx, group);
+        let record = bytes.and_then(|bytes| decode(key, &bytes));
+        return holder_flow::on_read(ctx, group, record, revision);
+    }
     if let Some(group) = key.strip_prefix(store_record::GROUP_PREFIX) {
         let group = group_key(ctx, group);
         let Some(bytes) = bytes else { return failover_flow::on_record_missing(ctx, group) };
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -574,6 +574,14 @@
         self.set_deaf(id, false);
     }
 
+    /// Gives a database that is down another id. It keeps its address, which ends in the same number,
+    /// and its log.
+    pub(crate) fn rename(&mut self, id: &str, new_id: &str) {
+        if let Some(database) = self.databases.remove(id) {
+            self.databases.insert(new_id.to_owned(), database);
+        }
+    }
+
     /// Sets whether a replica receives nothing. One that receives again gets the primary's log.
     pub(crate) fn set_deaf(&mut self, id: &str, deaf: bool) {
         if let Some(database) = self.databases.get_mut(id) {
@@ -608,7 +616,10 @@
         let entry = store_message::EndpointRegistration {
             id: id.to_owned(),
             group: database.group.clone(),
-            address: format!("10.0.0.{}:1", id.trim_start_matches("db")),
+            address: format!(
+                "10.0.0.{}:1",
+                id.trim_start_matches(|letter: char| letter.is_alphabetic())
+            ),
             data_centre: database.data_centre.clone(),
             slots: 3,
             draining,
--- a/tests/synchronous_groups.rs
+++ b/tests/synchronous_groups.rs
@@ -80,6 +80,61 @@
         fleet.set_deaf("db2", false);
         assert!(write_for(fleet, 6_000) > 0);
     };
+    // Guards against lost writes after a restart of the coordinator: it took the only replica that was
+    // still registered for all of them.
+    restarted_coordinator_counts_replicas_whose_entries_lapsed: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.set_deaf("db2", true);
+        assert!(write_for(fleet, 1_500) > 0);
+        fleet.crash("db0", true);
+        fleet.crash("db1", true);
+        restart_hosts(fleet);
+        write_for(fleet, 4_000);
+        fleet.restart("db0");
+        fleet.restart("db1");
+        fleet.set_deaf("db2", false);
+        assert!(write_for(fleet, 6_000) > 0);
+    };
+    // The same where the missing endpoints return under new ids at their addresses.
+    replicas_that_return_under_new_ids_are_counted: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.set_deaf("db2", true);
+        assert!(write_for(fleet, 1_500) > 0);
+        fleet.crash("db0", true);
+        fleet.crash("db1", true);
+        restart_hosts(fleet);
+        write_for(fleet, 4_000);
+        fleet.rename("db1", "new1");
+        fleet.restart("new1");
+        fleet.set_deaf("db2", false);
+        assert!(write_for(fleet, 6_000) > 0);
+    };
+    // Guards against failovers that wait for a replica that was lost long before.
+    replica_lost_for_good_does_not_block_a_later_failover: |fleet| {
+        fleet.crash("db1", true);
+        assert!(write_for(fleet, 9_000) > 0);
+        fleet.crash("db0", false);
+        write_for(fleet, 4_000);
+        assert_eq!(fleet.primary_id(), "db2");
+        // Commits need a replica again.
+        fleet.restart("db0");
+        assert!(write_for(fleet, 4_000) > 0);
+    };
+    // Guards against failovers that wait for the databases of before a rolling replacement.
+    rolling_replacement_does_not_block_a_later_failover: |fleet| {
+        for (old, new) in [("db0", "db3"), ("db1", "db4"), ("db2", "db5")] {
+            fleet.add_replica(new, "centre0");
+            fleet.register(old, true);
+            assert!(write_for(fleet, 5_000) > 0, "{old}");
+            fleet.crash(old, true);
+            assert!(write_for(fleet, 1_000) > 0, "{old}");
+        }
+        restart_hosts(fleet);
+        write_for(fleet, 2_000);
+        let primary = fleet.primary_id();
+        fleet.crash(&primary, false);
+        assert!(write_for(fleet, 6_000) > 0);
+    };
 }
 
 /// Declares a test for each name: the known positions, the number of logs that may hold acknowledged
