--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -244,7 +244,10 @@
     group: arena_keys::GroupKey,
 ) -> Option<group_view::FailoverReason> {
     let view = &ctx.groups[group];
-    if view.endpoints.is_empty() || !records_compared(ctx, group) {
+    // An entry of another writer may name a group that does not exist.
+    let configured =
+        ctx.config.as_ref().is_some_and(|config| config.groups.contains_key(&view.name));
+    if !configured || view.endpoints.is_empty() || !records_compared(ctx, group) {
         return None;
     }
     let Some(record) = &view.record else { return Some(group_view::FailoverReason::NoRecord) };
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -309,6 +309,23 @@
             fleet.run(millis(20));
         }
     };
+    // Guards against an entry of another writer that names a group which does not exist: the
+    // coordinator looked for a primary of that group without an end.
+    entry_of_an_unknown_group_starts_no_failover: |fleet| {
+        fleet.add_replica("db3", "centre0");
+        if let Some(database) = fleet.databases.get_mut("db3") {
+            database.group = "unknown".to_owned();
+        }
+        fleet.register("db3", false);
+        fleet.run(millis(2_000));
+        for host in 0..4 {
+            let groups = &fleet.core(host).context().groups;
+            let unknown = groups.values().find(|group| group.name == "unknown");
+            let state = unknown.expect("the group of the entry").failover.cursor.state();
+            assert_eq!(state, "watching", "host {host}");
+        }
+        assert!(!fleet.store.record_keys().contains("groups/unknown"));
+    };
     // Guards against a missed configuration when the store loses watches without a reply: hosts
     // have to notice it and watch again.
     lost_watches_are_reopened: |fleet| {
