perf(failover): compare holder records at intervals and after registrations

Cause: every heartbeat that reached the coordinator compared the record of every group with synchronous replicas, and a departure that a host of the build before cannot remove stayed until the host left. Change: a record is compared each 500 ms, each 200 ms while absent logs are checked, and at once after a change of a registration. The coordinator also removes the departures of hosts that have returned. Conclusion: what it costs no longer grows with the heartbeats.

--- a/src/proxy/coordinator_election.rs
+++ b/src/proxy/coordinator_election.rs
@@ -85,8 +85,13 @@
     // Few at a time; the next check comes with the next renewal of the coordinator lease.
     let roster = ctx.roster.iter().filter(|(host, _)| absent(host));
     let expired = roster.map(|(host, revision)| (store_record::ROSTER_PREFIX, host, *revision));
-    let off_roster = ctx.departures.iter().filter(|(host, _)| !ctx.roster.contains_key(*host));
-    let outdated = off_roster
+    let outdated = ctx.departures.iter().filter(|(host, departure)| {
+        let member = ctx.members.get(*host).filter(|member| member.removed_at.is_none());
+        let returned =
+            member.is_some_and(|member| member.record.incarnation > departure.incarnation);
+        returned || !ctx.roster.contains_key(*host)
+    });
+    let outdated = outdated
         .map(|(host, departure)| (store_record::DEPARTURE_PREFIX, host, departure.revision));
     let records: Vec<(String, store_revision::StoreRevision)> = expired
         .chain(outdated)
--- a/src/proxy/endpoint_flow.rs
+++ b/src/proxy/endpoint_flow.rs
@@ -6,6 +6,7 @@
 use crate::core::circuit_breaker;
 use crate::proxy::connection_flow;
 use crate::proxy::endpoint_view;
+use crate::proxy::holder_flow;
 use crate::proxy::pool_server;
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
@@ -58,18 +59,19 @@
         });
         ctx.endpoint_names.insert(id, endpoint);
         ctx.groups[group].endpoints.push(endpoint);
+        holder_flow::on_registration_changed(ctx, group);
         return;
     };
     let view = &mut ctx.endpoints[endpoint];
     let restarted = view.entry.born != entry.born || view.entry.address != entry.address;
     let moved = view.group != group;
+    let returned = view.deregistered_since.is_some();
     let old_group = view.group;
-    if view.entry.draining != entry.draining || view.deregistered_since.is_some() || restarted {
+    if view.entry.draining != entry.draining || returned || restarted {
         log::info!(
-            "event=endpoint_changed endpoint={} draining={} returned={} restarted={restarted} primary={}",
+            "event=endpoint_changed endpoint={} draining={} returned={returned} restarted={restarted} primary={}",
             entry.id,
             entry.draining,
-            view.deregistered_since.is_some(),
             entry.primary
         );
     }
@@ -86,6 +88,9 @@
         ctx.groups[old_group].endpoints.retain(|member| *member != endpoint);
         ctx.groups[group].endpoints.push(endpoint);
     }
+    if restarted || moved || returned {
+        holder_flow::on_registration_changed(ctx, group);
+    }
     if restarted || moved {
         close_connections(ctx, endpoint);
         pool_server::close_endpoint(ctx, endpoint, "endpoint_restarted");
@@ -98,6 +103,8 @@
     let Some(endpoint) = ctx.endpoint_names.get(id).copied() else { return };
     log::info!("event=endpoint_deregistered endpoint={id}");
     ctx.endpoints[endpoint].deregistered_since.get_or_insert(now);
+    let group = ctx.endpoints[endpoint].group;
+    holder_flow::on_registration_changed(ctx, group);
 }
 
 fn close_connections(ctx: &mut proxy_context::ProxyContext, endpoint: arena_keys::EndpointKey) {
--- a/src/proxy/holder_flow.rs
+++ b/src/proxy/holder_flow.rs
@@ -25,10 +25,11 @@
 const ABSENCE_MIN: Duration = Duration::from_millis(5_000);
 /// How long an endpoint that is not registered may take to answer a status request.
 const ANSWER_TIME: Duration = Duration::from_millis(1_500);
-/// Interval between status requests of a check.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause before a record that was not written is written again.
-const WRITE_PAUSE: Duration = Duration::from_millis(500);
+/// Interval between comparisons of a group's record with its endpoints; changes of registrations are
+/// applied at once.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(500);
+/// The same while absent logs are checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Applies the record as read from the store, or its removal.
 pub fn on_read(
@@ -84,8 +85,17 @@
     holders
 }
 
+/// Compares the record at the next opportunity, because an endpoint's registration has changed.
+pub fn on_registration_changed(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    ctx.groups[group].holders.next_check = clock_time::ClockTime::default();
+}
+
 /// Writes the record if it is outdated, while the group has a primary.
 pub fn maintain(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    let state = &ctx.groups[group].holders;
+    if state.call_pending || ctx.now < state.next_check {
+        return;
+    }
     let Some(sync_replicas) = failover_flow::sync_replicas(ctx, group) else { return };
     if sync_replicas == 0 {
         return;
@@ -94,10 +104,12 @@
     for address in find_unneeded(ctx, group, &holders, sync_replicas) {
         holders.remove(&address);
     }
+    let checking = ctx.groups[group].holders.check.is_some();
+    let interval = if checking { CHECK_INTERVAL } else { COMPARE_INTERVAL };
+    ctx.groups[group].holders.next_check = ctx.now.after(interval);
     let record = holder_record::HolderRecord { holders };
     let view = &ctx.groups[group];
-    let written = view.holders.stored.as_ref() == Some(&record);
-    if written || view.holders.call_pending || ctx.now < view.holders.next_write {
+    if view.holders.stored.as_ref() == Some(&record) {
         return;
     }
     let Ok(value) = rmp_serde::to_vec(&record) else { return };
@@ -110,10 +122,7 @@
         lease: 0,
         expect: Some(view.holders.revision),
     };
-    let next_write = ctx.now.after(WRITE_PAUSE);
-    let state = &mut ctx.groups[group].holders;
-    state.call_pending = true;
-    state.next_write = next_write;
+    ctx.groups[group].holders.call_pending = true;
     ctx.call_store(store_session::StorePurpose::HolderRecord { group, record }, request);
 }
 
@@ -134,15 +143,9 @@
     let now = ctx.now;
     let view = &ctx.groups[group];
     let begun = view.holders.check.filter(|check| check.since >= view.record_received_at);
-    let mut check = begun.unwrap_or(log_holders::HolderCheck {
-        since: now,
-        requested_at: Default::default(),
-        primary_position: None,
-    });
-    if now.since(check.requested_at) >= CHECK_INTERVAL {
-        check.requested_at = now;
-        failover_flow::request_statuses(ctx, group);
-    }
+    let new_check = log_holders::HolderCheck { since: now, primary_position: None };
+    let mut check = begun.unwrap_or(new_check);
+    failover_flow::request_statuses(ctx, group);
     let term = ctx.groups[group].term();
     let reports = reports_since(ctx, group, check.since);
     let primary = reports.values().find(|report| report.primary && report.term == term);
--- a/src/proxy/log_holders.rs
+++ b/src/proxy/log_holders.rs
@@ -10,8 +10,6 @@
 pub struct HolderCheck {
     /// When it began. Only reports that were requested later count.
     pub since: clock_time::ClockTime,
-    /// When statuses were last requested for it.
-    pub requested_at: clock_time::ClockTime,
     /// End of the primary's log, which includes every commit acknowledged before the check.
     pub primary_position: Option<endpoint_message::LogPoint>,
 }
@@ -27,8 +25,8 @@
     pub revision: store_revision::StoreRevision,
     /// Whether a write of the record is pending.
     pub call_pending: bool,
-    /// When the record may next be written.
-    pub next_write: clock_time::ClockTime,
+    /// When the record is next compared with the endpoints.
+    pub next_check: clock_time::ClockTime,
     /// The check in progress.
     pub check: Option<HolderCheck>,
 }
