test(failover): leave hosts and deafen replicas in the random histories

Cause: the random histories knew neither hosts that leave for good nor synchronous replicas, and did not ask for service after the faults. Change: two properties, one with hosts that leave as planned, die and return, one besides with one synchronous replica that receives nothing for a while. All properties end the faults and require writes on every running host within 20 s.

--- a/tests/proxy_properties.rs
+++ b/tests/proxy_properties.rs
@@ -47,6 +47,10 @@
     SlowDatabase { database: usize, millis: u64 },
     ReduceRate { fraction: f64 },
     Wait { millis: u64 },
+    LoseHost { host: usize },
+    LeaveHost { host: usize },
+    ReturnHosts,
+    DeafenDatabase { database: usize, deaf: bool },
 }
 
 fn fault_step() -> impl Strategy<Value = FaultStep> {
@@ -103,6 +107,23 @@
     prop_oneof![6 => fault_step(), 1 => Just(FaultStep::CopyStore), 1 => restore]
 }
 
+/// Faults, of which every third concerns hosts that leave for good, as planned or not, or return.
+fn departure_step() -> impl Strategy<Value = FaultStep> {
+    prop_oneof![
+        6 => fault_step(),
+        1 => (0..HOSTS).prop_map(|host| FaultStep::LeaveHost { host }),
+        1 => (0..HOSTS).prop_map(|host| FaultStep::LoseHost { host }),
+        1 => Just(FaultStep::ReturnHosts),
+    ]
+}
+
+/// Faults, of which every fourth concerns a replica that receives nothing for a while.
+fn replica_step() -> impl Strategy<Value = FaultStep> {
+    let deafen = (0..3_usize, any::<bool>())
+        .prop_map(|(database, deaf)| FaultStep::DeafenDatabase { database, deaf });
+    prop_oneof![3 => departure_step(), 1 => deafen]
+}
+
 /// A fleet with callers that send requests throughout.
 #[derive(Debug)]
 struct LoadedFleet {
@@ -113,9 +134,12 @@
 }
 
 impl LoadedFleet {
-    fn new(seed: u64, tuning: &proxy_tuning::ProxyTuning) -> Self {
+    fn new(seed: u64, tuning: &proxy_tuning::ProxyTuning, sync_replicas: u32) -> Self {
         let accounts = [("large", 1_000.0, 1_000.0), ("small", SMALL_RATE, SMALL_RATE)];
         let mut fleet = ProxyFleet::with_tuning(HOSTS, &accounts, seed, tuning.clone());
+        if sync_replicas > 0 {
+            fleet.replicate_synchronously(sync_replicas);
+        }
         fleet.run(Duration::from_millis(1_500));
         let copy = fleet.store.copy();
         let mut loaded = Self { fleet, copy, callers: Vec::new(), round: 0 };
@@ -167,6 +191,53 @@
         }
     }
 
+    fn return_hosts(&mut self) {
+        for host in (0..HOSTS).filter(|host| !self.fleet.alive(*host)).collect::<Vec<_>>() {
+            self.fleet.start_host(host, Duration::ZERO);
+        }
+    }
+
+    /// Ends all faults but the absence of hosts, of which at least one runs.
+    fn end_faults(&mut self) {
+        self.fleet.heal_partitions();
+        self.fleet.store.mode = fake_store::StoreMode::Up;
+        self.fleet.response_loss = 0.0;
+        for host in 0..HOSTS {
+            self.fleet.deny_host(host, false);
+            self.fleet.slow_host(host, Duration::ZERO);
+        }
+        if (0..HOSTS).all(|host| !self.fleet.alive(host)) {
+            self.fleet.start_host(0, Duration::ZERO);
+        }
+        for number in 0..3 {
+            let id = format!("db{number}");
+            if let Some(database) = self.fleet.databases.get_mut(&id) {
+                database.execution_us = 5_000;
+                database.replication_lag_us = 20_000;
+            }
+            self.fleet.evacuate(&format!("centre{number}"), false);
+            self.fleet.restart(&id);
+            self.fleet.set_deaf(&id, false);
+        }
+    }
+
+    /// Returns the running hosts that serve no write within 20 s.
+    fn hosts_without_service(&mut self) -> Vec<usize> {
+        let mut hosts: Vec<usize> = (0..HOSTS).filter(|host| self.fleet.alive(*host)).collect();
+        for _ in 0..20 {
+            self.fleet.run(Duration::from_millis(1_000));
+            let fleet = &mut self.fleet;
+            hosts.retain(|host| {
+                let caller = fleet.open(*host, "large", "strict");
+                let refused = fleet.refusal(*host, caller).is_some();
+                let received =
+                    if refused { None } else { fleet.send_and_wait(*host, caller, write()) };
+                !received.is_some_and(|received| received.ran())
+            });
+        }
+        hosts
+    }
+
     fn apply(&mut self, step: &FaultStep) {
         match *step {
             FaultStep::KillHost { host, down_ms } => self.restart_hosts(&[host], down_ms),
@@ -249,6 +320,16 @@
                 });
             }
             FaultStep::Wait { millis } => self.run(millis),
+            FaultStep::LoseHost { host } => self.fleet.kill_host(host),
+            FaultStep::LeaveHost { host } => {
+                self.fleet.stop_host(host);
+                self.run(6_000);
+                self.fleet.kill_host(host);
+            }
+            FaultStep::ReturnHosts => self.return_hosts(),
+            FaultStep::DeafenDatabase { database, deaf } => {
+                self.fleet.set_deaf(&format!("db{database}"), deaf);
+            }
         }
     }
 }
@@ -257,8 +338,9 @@
     seed: u64,
     steps: &[FaultStep],
     tuning: &proxy_tuning::ProxyTuning,
+    sync_replicas: u32,
 ) -> Result<(), TestCaseError> {
-    let mut loaded = LoadedFleet::new(seed, tuning);
+    let mut loaded = LoadedFleet::new(seed, tuning, sync_replicas);
     for step in steps {
         loaded.apply(step);
         loaded.run(300);
@@ -268,6 +350,9 @@
             loaded.fleet.violations.iter().take(4).collect::<Vec<_>>()
         );
     }
+    loaded.end_faults();
+    let unserved = loaded.hosts_without_service();
+    prop_assert!(unserved.is_empty(), "seed {seed}: no write served on hosts {unserved:?}");
     let window = 5.0;
     let most = loaded.fleet.max_executions_within("small", Duration::from_secs(5)) as f64;
     let bound = (SMALL_RATE * window + SMALL_RATE) * 1.1 + 20.0;
@@ -278,13 +363,14 @@
     Ok(())
 }
 
-/// Declares a test for each name, the faults of its histories and the tuning of its fleet.
+/// Declares a test for each name, the faults of its histories, the number of synchronous replicas
+/// and the tuning of its fleet.
 macro_rules! properties {
-    ($($name:ident($step:expr): $tuning:expr;)*) => {
+    ($($name:ident($step:expr, $sync_replicas:expr): $tuning:expr;)*) => {
         $(
             #[test]
             fn $name() {
-                check_guarantees($step, &$tuning);
+                check_guarantees($step, &$tuning, $sync_replicas);
             }
         )*
     };
@@ -295,18 +381,25 @@
 }
 
 properties! {
-    guarantees_hold_under_random_faults(fault_step()): proxy_tuning::ProxyTuning::default();
-    guarantees_hold_with_few_witnesses(fault_step()): few_witnesses();
-    guarantees_hold_over_restores_of_the_store(restore_step()):
+    guarantees_hold_under_random_faults(fault_step(), 0): proxy_tuning::ProxyTuning::default();
+    guarantees_hold_with_few_witnesses(fault_step(), 0): few_witnesses();
+    guarantees_hold_over_restores_of_the_store(restore_step(), 0):
+        proxy_tuning::ProxyTuning::default();
+    guarantees_hold_over_restores_with_few_witnesses(restore_step(), 0): few_witnesses();
+    guarantees_hold_while_hosts_leave(departure_step(), 0): proxy_tuning::ProxyTuning::default();
+    guarantees_hold_with_synchronous_replicas(replica_step(), 1):
         proxy_tuning::ProxyTuning::default();
-    guarantees_hold_over_restores_with_few_witnesses(restore_step()): few_witnesses();
 }
 
 /// Checks the guarantees under random faults in random order: no stale read, no acknowledgement of
 /// a write that the primary lacks, no write reported as not run although it was committed, none
 /// committed twice, no statement with the settings of another session or on another account's
-/// connection, and no account over its rate.
-fn check_guarantees(step: impl Strategy<Value = FaultStep>, tuning: &proxy_tuning::ProxyTuning) {
+/// connection, and no account over its rate. After the faults, every host serves writes again.
+fn check_guarantees(
+    step: impl Strategy<Value = FaultStep>,
+    tuning: &proxy_tuning::ProxyTuning,
+    sync_replicas: u32,
+) {
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     let seed = number("PROPERTY_SEED").unwrap_or(1);
     let cases = number("PROPERTY_CASES").map_or(CASES_IN_CI, |cases| cases as u32);
@@ -316,7 +409,8 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let histories = (any::<u64>(), prop::collection::vec(step, 1..12));
-    let outcome = runner.run(&histories, |(seed, steps)| run_history(seed, &steps, tuning));
+    let outcome =
+        runner.run(&histories, |(seed, steps)| run_history(seed, &steps, tuning, sync_replicas));
     if let Err(error) = outcome {
         panic!("{error}");
     }
