refactor(failover): look up a group's endpoints in one place

Cause: holder_flow walked the endpoints of a group four times over, twice with the same filter by address; four test bodies repeated how hosts or holders are lost. Change: group_endpoints and endpoints_at serve all of holder_flow; the tests call stop_hosts_at_once, restart_hosts and lose_holders_and_restart_hosts. The comment of load says requests, which is what it counts. Assertions, times and bounds are unchanged.

--- a/src/proxy/holder_flow.rs
+++ b/src/proxy/holder_flow.rs
@@ -11,6 +11,7 @@
 use crate::core::arena_keys;
 use crate::core::clock_time;
 use crate::proxy::endpoint_command;
+use crate::proxy::endpoint_view;
 use crate::proxy::failover_flow;
 use crate::proxy::holder_record;
 use crate::proxy::log_holders;
@@ -75,13 +76,14 @@
 ) -> BTreeMap<String, String> {
     let view = &ctx.groups[group];
     let mut holders = view.holders.known.holders.clone();
-    let endpoints = view.endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint].entry);
+    let entry_of =
+        |other: &endpoint_view::EndpointView| (other.entry.address.clone(), other.entry.id.clone());
     if view.holders.stored.is_none() {
-        holders.extend(endpoints.map(|entry| (entry.address.clone(), entry.id.clone())));
+        holders.extend(group_endpoints(ctx, group).map(entry_of));
     }
-    let registered = view.endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint]);
+    let registered = group_endpoints(ctx, group);
     let registered = registered.filter(|other| other.deregistered_since.is_none());
-    holders.extend(registered.map(|other| (other.entry.address.clone(), other.entry.id.clone())));
+    holders.extend(registered.map(entry_of));
     holders
 }
 
@@ -171,8 +173,7 @@
     group: arena_keys::GroupKey,
     address: &str,
 ) -> bool {
-    let endpoints = ctx.groups[group].endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint]);
-    let mut known = endpoints.filter(|other| other.entry.address == address).peekable();
+    let mut known = endpoints_at(ctx, group, address).peekable();
     if known.peek().is_none() {
         return ctx.store.listed_at.is_some_and(|at| ctx.now.since(at) >= ABSENCE_MIN);
     }
@@ -188,9 +189,7 @@
     group: arena_keys::GroupKey,
     address: &str,
 ) -> bool {
-    let endpoints = ctx.groups[group].endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint]);
-    let mut known = endpoints.filter(|other| other.entry.address == address);
-    known.all(|other| {
+    endpoints_at(ctx, group, address).all(|other| {
         other.unresponsive_since.is_some() || other.connections_refused_since.is_some()
     })
 }
@@ -201,10 +200,26 @@
     group: arena_keys::GroupKey,
     since: clock_time::ClockTime,
 ) -> BTreeMap<String, endpoint_command::EndpointStatus> {
-    let endpoints = ctx.groups[group].endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint]);
-    let reported = endpoints.filter_map(|other| {
+    let reported = group_endpoints(ctx, group).filter_map(|other| {
         let (requested_at, report) = other.report?;
         (requested_at >= since).then(|| (other.entry.address.clone(), report))
     });
     reported.collect()
 }
+
+/// Returns the endpoints of the group that this host knows, registered or not.
+fn group_endpoints(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+) -> impl Iterator<Item = &endpoint_view::EndpointView> {
+    ctx.groups[group].endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint])
+}
+
+/// Returns those of them at an address.
+fn endpoints_at<'a>(
+    ctx: &'a proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    address: &'a str,
+) -> impl Iterator<Item = &'a endpoint_view::EndpointView> {
+    group_endpoints(ctx, group).filter(move |other| other.entry.address == address)
+}
--- a/tests/departed_hosts.rs
+++ b/tests/departed_hosts.rs
@@ -66,7 +66,26 @@
     }
 }
 
-/// Has all running hosts read and write for a while. Returns the number of writes that ran on each.
+/// Ends hosts as planned, all at once.
+fn stop_hosts_at_once(fleet: &mut ProxyFleet, hosts: &[usize]) {
+    for host in hosts {
+        fleet.stop_host(*host);
+    }
+    fleet.run(millis(6_000));
+    for host in hosts {
+        fleet.kill_host(*host);
+    }
+}
+
+/// Replaces the processes of hosts by new ones.
+fn restart_hosts(fleet: &mut ProxyFleet, hosts: std::ops::Range<usize>) {
+    for host in hosts {
+        fleet.kill_host(host);
+        fleet.start_host(host, Duration::ZERO);
+    }
+}
+
+/// Has all running hosts read and write for a while. Returns the number of requests that ran on each.
 fn load(fleet: &mut ProxyFleet, duration_ms: u64) -> Vec<usize> {
     let running: Vec<usize> = (0..HOSTS).filter(|host| fleet.alive(*host)).collect();
     let mut served = vec![0; HOSTS];
@@ -122,18 +141,9 @@
     };
     // The same where the hosts leave at once, right before the failover, and the rest restarts.
     failover_ends_after_most_hosts_left_at_once(all_witnesses()): |fleet| {
-        for host in 3..HOSTS {
-            fleet.stop_host(host);
-        }
-        fleet.run(millis(6_000));
-        for host in 3..HOSTS {
-            fleet.kill_host(host);
-        }
+        stop_hosts_at_once(fleet, &[3, 4, 5, 6]);
         fleet.crash("db0", true);
-        for host in 0..3 {
-            fleet.kill_host(host);
-            fleet.start_host(host, Duration::ZERO);
-        }
+        restart_hosts(fleet, 0..3);
         let outage = write_outage(fleet, 0);
         assert!(outage < Duration::from_secs(8), "{outage:?}");
     };
@@ -142,13 +152,7 @@
         let witnesses = fleet.core(0).context().witnesses.hosts.clone();
         let leaving: Vec<usize> =
             (0..HOSTS).filter(|host| witnesses.contains(&format!("host{host}"))).collect();
-        for host in &leaving {
-            fleet.stop_host(*host);
-        }
-        fleet.run(millis(6_000));
-        for host in &leaving {
-            fleet.kill_host(*host);
-        }
+        stop_hosts_at_once(fleet, &leaving);
         fleet.register("db0", true);
         fleet.run(millis(500));
         let rest = (0..HOSTS).find(|host| !leaving.contains(host)).expect("a running host");
@@ -170,10 +174,7 @@
             fleet.kill_host(host);
         }
         fleet.crash("db0", true);
-        for host in 0..2 {
-            fleet.kill_host(host);
-            fleet.start_host(host, Duration::ZERO);
-        }
+        restart_hosts(fleet, 0..2);
         let outage = write_outage(fleet, 0);
         assert!(outage < FAILOVER_MAX, "{outage:?}");
     };
--- a/tests/synchronous_groups.rs
+++ b/tests/synchronous_groups.rs
@@ -67,6 +67,17 @@
     }
 }
 
+/// Has only the primary and one replica hold the last commits, ends both and restarts all hosts.
+fn lose_holders_and_restart_hosts(fleet: &mut ProxyFleet) {
+    assert!(write_for(fleet, 500) > 0);
+    fleet.set_deaf("db2", true);
+    assert!(write_for(fleet, 1_500) > 0);
+    fleet.crash("db0", true);
+    fleet.crash("db1", true);
+    restart_hosts(fleet);
+    write_for(fleet, 4_000);
+}
+
 cases! {
     // Guards against lost writes when the only replica that received them is draining: its answer
     // let the coordinator promote the other replica, which lacked them.
@@ -83,13 +94,7 @@
     // Guards against lost writes after a restart of the coordinator: it took the only replica that was
     // still registered for all of them.
     restarted_coordinator_counts_replicas_whose_entries_lapsed: |fleet| {
-        assert!(write_for(fleet, 500) > 0);
-        fleet.set_deaf("db2", true);
-        assert!(write_for(fleet, 1_500) > 0);
-        fleet.crash("db0", true);
-        fleet.crash("db1", true);
-        restart_hosts(fleet);
-        write_for(fleet, 4_000);
+        lose_holders_and_restart_hosts(fleet);
         fleet.restart("db0");
         fleet.restart("db1");
         fleet.set_deaf("db2", false);
@@ -97,13 +102,7 @@
     };
     // The same where the missing endpoints return under new ids at their addresses.
     replicas_that_return_under_new_ids_are_counted: |fleet| {
-        assert!(write_for(fleet, 500) > 0);
-        fleet.set_deaf("db2", true);
-        assert!(write_for(fleet, 1_500) > 0);
-        fleet.crash("db0", true);
-        fleet.crash("db1", true);
-        restart_hosts(fleet);
-        write_for(fleet, 4_000);
+        lose_holders_and_restart_hosts(fleet);
         fleet.rename("db1", "new1");
         fleet.restart("new1");
         fleet.set_deaf("db2", false);
