feat(connection): record responses that do not belong to the command in flight

Cause: an answer without a command in flight was dropped without a line, and a signature that came twice could not be told from a new one, so that the hypotheses on repeated answers could not be distinguished. Change: ResponseOrder matches each response with the command in flight by signature, form and phase. Nothing else changes yet.

--- a/src/proxy/connection_flow.rs
+++ b/src/proxy/connection_flow.rs
@@ -22,6 +22,7 @@
 use crate::proxy::proxy_message;
 use crate::proxy::request_flow;
 use crate::proxy::response_flow;
+use crate::proxy::response_match;
 use crate::proxy::serving_hosts;
 use crate::proxy::usage_flow;
 
@@ -209,6 +210,7 @@
     connection: arena_keys::ConnectionKey,
     response: endpoint_command::EndpointResponse,
 ) {
+    match_response(ctx, connection, &response);
     let Some(view) = ctx.connections.get_mut(connection) else { return };
     let Some(command) = view.in_flight.take() else { return };
     if view.pooled() {
@@ -244,6 +246,42 @@
     }
 }
 
+/// Matches a response with the command in flight on the connection, and records one that does not
+/// belong to it. Responses on leased connections are matched by their serving host.
+fn match_response(
+    ctx: &mut proxy_context::ProxyContext,
+    connection: arena_keys::ConnectionKey,
+    response: &endpoint_command::EndpointResponse,
+) -> response_match::ResponseMatch {
+    let now = ctx.now;
+    let Some(view) = ctx.connections.get_mut(connection).filter(|view| !view.leased()) else {
+        return match response.outcome.is_err() || response.is_signed() {
+            true => response_match::ResponseMatch::Proven,
+            false => response_match::ResponseMatch::Plausible,
+        };
+    };
+    let outcome = view.order.check(view.in_flight.as_ref(), response);
+    if matches!(
+        outcome,
+        response_match::ResponseMatch::Proven | response_match::ResponseMatch::Plausible
+    ) {
+        return outcome;
+    }
+    let age_ms = now.since(view.sent).as_millis();
+    let command = view.in_flight.as_ref().map_or("none", endpoint_command::EndpointCommand::name);
+    let (state, endpoint) = (view.cursor.state().to_owned(), view.endpoint);
+    let id = ctx.endpoints[endpoint].entry.id.clone();
+    let (name, received, rows) = (outcome.name(), response.outcome.clone(), response.rows.len());
+    *ctx.counts.responses_out_of_order.entry(name).or_default() += 1;
+    ctx.log_limited(|| {
+        format!(
+            "event=response_out_of_order endpoint={id} connection={connection:?} state={state} command={command} \
+             age_ms={age_ms} match={name} received={received:?} rows={rows}"
+        )
+    });
+    outcome
+}
+
 /// Handles the end of a connection, or its failure to open. `refused` is set if the endpoint's
 /// address refused the connection.
 pub fn on_closed(
--- a/src/proxy/connection_state.rs
+++ b/src/proxy/connection_state.rs
@@ -7,6 +7,7 @@
 use crate::core::clock_time;
 use crate::proxy::asked_lease;
 use crate::proxy::endpoint_command;
+use crate::proxy::response_order;
 
 /// What a connection's pending commands are for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +47,8 @@
     pub user: Option<ConnectionUser>,
     /// Commands to send after the one in flight.
     pub pending_commands: VecDeque<endpoint_command::EndpointCommand>,
+    /// Responses received, with which later ones are matched.
+    pub order: response_order::ResponseOrder,
     /// Command that awaits its response.
     pub in_flight: Option<endpoint_command::EndpointCommand>,
     /// When the command in flight was sent, or the connection began to open.
@@ -73,6 +76,7 @@
             pinned: None,
             user: None,
             pending_commands: VecDeque::new(),
+            order: response_order::ResponseOrder::default(),
             in_flight: None,
             sent: now,
             idle_since: now,
--- a/src/proxy/endpoint_command.rs
+++ b/src/proxy/endpoint_command.rs
@@ -5,6 +5,9 @@
 use crate::core::endpoint_message;
 use crate::proxy::session_request;
 
+/// Stands for the signature of a response to a session command, which the endpoint does not sign.
+pub const UNSIGNED: &str = "-";
+
 /// Statement that an endpoint runs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StatementBody {
@@ -73,10 +76,57 @@
 }
 
 impl EndpointCommand {
+    /// Returns the value of the log field `command`.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Set { .. } => "set",
+            Self::Prepare { .. } => "prepare",
+            Self::Begin { .. } => "begin",
+            Self::Run { .. } => "run",
+            Self::Commit { .. } => "commit",
+            Self::Rollback => "rollback",
+            Self::Discard => "discard",
+            Self::Status => "status",
+            Self::StepDown { .. } => "step_down",
+        }
+    }
+
     /// Whether the command is the caller's own rather than one that this host adds.
     pub fn is_from_caller(&self) -> bool {
         matches!(self, Self::Run { .. } | Self::Commit { .. })
     }
+
+    /// Whether a complete response to the command holds the endpoint's status.
+    pub fn requests_status(&self) -> bool {
+        matches!(self, Self::Status | Self::StepDown { .. })
+    }
+
+    /// Whether the endpoint may refuse the command with `fault` and leave the session in `phase`.
+    pub fn may_fail_with(&self, fault: &EndpointFault, phase: SessionPhase) -> bool {
+        if matches!(self, Self::Begin { .. }) && phase != SessionPhase::Idle {
+            return false;
+        }
+        match fault {
+            EndpointFault::Busy => !matches!(
+                self,
+                Self::Set { .. } | Self::Prepare { .. } | Self::Rollback | Self::Discard
+            ),
+            EndpointFault::UnknownStatement => {
+                matches!(self, Self::Run { body: StatementBody::Prepared { .. }, .. })
+            }
+            EndpointFault::Lagging => matches!(
+                self,
+                Self::Run { after: Some(_), .. } | Self::Begin { after: Some(_), .. }
+            ),
+            EndpointFault::ReadOnly => matches!(
+                self,
+                Self::Run { .. } | Self::Commit { .. } | Self::Begin { read_only: false, .. }
+            ),
+            EndpointFault::WrongEndpoint
+            | EndpointFault::TooManyConnections
+            | EndpointFault::Other { .. } => true,
+        }
+    }
 }
 
 /// Why an endpoint did not complete a command.
@@ -126,7 +176,8 @@
 pub struct EndpointResponse {
     /// Rows, as the endpoint sent them.
     pub rows: Vec<String>,
-    /// The endpoint's signature of the response, or its fault.
+    /// The endpoint's signature of the response, or its fault. The signature is [`UNSIGNED`] if the
+    /// endpoint completed a command without one, and empty in the response to the start-up message.
     pub outcome: Result<String, EndpointFault>,
     /// Transaction state of the session at the endpoint.
     pub phase: SessionPhase,
@@ -136,6 +187,18 @@
     pub report: Option<EndpointStatus>,
 }
 
+impl EndpointResponse {
+    /// Whether the endpoint completed a statement and signed the response.
+    pub fn is_signed(&self) -> bool {
+        self.outcome.as_ref().is_ok_and(|signature| !matches!(signature.as_str(), "" | UNSIGNED))
+    }
+
+    /// Whether the response completes no command, as that to the start-up message.
+    pub fn is_greeting(&self) -> bool {
+        self.outcome.as_ref().is_ok_and(String::is_empty)
+    }
+}
+
 /// Status that an endpoint reports of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointStatus {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -62,6 +62,8 @@
 pub mod relayed_content;
 pub mod request_flow;
 pub mod response_flow;
+pub mod response_match;
+pub mod response_order;
 pub mod return_schedule;
 pub mod serving_hosts;
 pub mod serving_link;
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -201,13 +201,14 @@
             .collect();
         log::info!(
             "event=counts sessions={} connections={} replica_reads={} primary_reads={} connections_opened={} \
-             leases_asked={} lease_refusals={} pool_links_lost={} \
+             responses_out_of_order={} leases_asked={} lease_refusals={} pool_links_lost={} \
              store_calls={} store_replies={} relayed_changes={} datagrams={} unserved={refused} served={}",
             ctx.sessions.len(),
             ctx.connections.len(),
             ctx.counts.replica_reads,
             ctx.counts.primary_reads,
             ctx.counts.connections_opened,
+            ctx.counts.responses_out_of_order.values().sum::<u64>(),
             ctx.counts.leases_asked,
             ctx.counts.lease_refusals.values().sum::<u64>(),
             ctx.counts.pool_links_lost,
