test(fakes): let databases repeat answers, and check whose answer a caller gets

The fake databases signed every answer alike, so the simulation could not tell an answer from that of another request. Every answer of a statement or COMMIT now carries a signature of its own, rows name the request, and a status is reported only in answers to commands that request it. A database may send a share of its answers twice, at once or late, by kind.

New checks: a success has the signature and rows of this request (MIXED), no commit follows a promise (REFUSED), no write is in a log twice (TWICE), statements run inside their own transaction and with their own settings (PINNED), position samples are not too new (STALE). A transaction with an error can only be rolled back, as at the databases.

--- a/tests/proxy_fakes/fake_database.rs
+++ b/tests/proxy_fakes/fake_database.rs
@@ -22,10 +22,23 @@
     transaction: Option<FakeTransaction>,
 }
 
+impl FakeSession {
+    /// Returns the session settings.
+    pub(crate) fn settings(&self) -> &BTreeMap<String, String> {
+        &self.settings
+    }
+
+    /// Returns the ids of the requests that ran in the open transaction, if there is one.
+    pub(crate) fn transaction_requests(&self) -> Option<&[String]> {
+        self.transaction.as_ref().map(|transaction| transaction.requests.as_slice())
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct FakeTransaction {
     read_only: bool,
     failed: bool,
+    requests: Vec<String>,
     written_requests: Vec<String>,
 }
 
@@ -35,12 +48,7 @@
     /// No read and no commit.
     Nothing,
     /// Read data.
-    Read {
-        /// Id of the caller's request.
-        request: String,
-        /// Session settings at the database when the statement ran.
-        settings: BTreeMap<String, String>,
-    },
+    Read,
     /// Committed writes.
     Committed,
 }
@@ -70,6 +78,8 @@
     pub(crate) deaf: bool,
     /// Until when each of its slots is busy, in microseconds; empty if it runs everything at once.
     pub(crate) slots: Vec<u64>,
+    /// Number of commands of callers that it still rejects as busy.
+    pub(crate) rejections: usize,
 }
 
 /// Time for which a new connection occupies a slot, in microseconds.
@@ -109,14 +119,50 @@
         point.position == 0 || self.log.iter().any(|entry| entry.point == point)
     }
 
-    /// Runs a command; returns the response and the effect of the command.
+    /// Runs a command; returns the response and the effect of the command. `signature` is that of
+    /// the response if it is signed.
     pub(crate) fn run(
         &mut self,
         session: &mut FakeSession,
         command: endpoint_command::EndpointCommand,
+        signature: &str,
     ) -> (endpoint_command::EndpointResponse, StatementEffect) {
         let mut effect = StatementEffect::Nothing;
-        let outcome = self.execute(session, command, &mut effect);
+        let reports = matches!(
+            command,
+            endpoint_command::EndpointCommand::Status
+                | endpoint_command::EndpointCommand::StepDown { .. }
+        );
+        let outcome = self.execute(session, command, signature, &mut effect);
+        let mut response = self.respond(session, outcome);
+        if effect == StatementEffect::Read {
+            response.rows = vec![format!("row {signature}")];
+        }
+        if reports {
+            let (term, position) = (self.term, self.position());
+            let role = if self.primary { "primary" } else { "replica" };
+            response.rows =
+                vec![format!("{role} {term} {}.{} 0 0 0 0", position.term, position.position)];
+            response.report =
+                Some(endpoint_command::EndpointStatus { primary: self.primary, term, position });
+        }
+        (response, effect)
+    }
+
+    /// Rejects a command without running it.
+    pub(crate) fn reject(
+        &self,
+        session: &mut FakeSession,
+        fault: endpoint_command::EndpointFault,
+    ) -> endpoint_command::EndpointResponse {
+        self.respond(session, Err(fault))
+    }
+
+    fn respond(
+        &self,
+        session: &mut FakeSession,
+        outcome: Result<String, endpoint_command::EndpointFault>,
+    ) -> endpoint_command::EndpointResponse {
         let phase = match &mut session.transaction {
             None => endpoint_command::SessionPhase::Idle,
             Some(transaction) => {
@@ -127,28 +173,32 @@
                 }
             }
         };
-        let report = endpoint_command::EndpointStatus {
-            primary: self.primary,
-            term: self.term,
-            position: self.position(),
-        };
-        let response = endpoint_command::EndpointResponse {
+        let position = Some(self.position());
+        endpoint_command::EndpointResponse {
             rows: Vec::new(),
             outcome,
             phase,
-            position: Some(self.position()),
-            report: Some(report),
-        };
-        (response, effect)
+            position,
+            report: None,
+        }
     }
 
     fn execute(
         &mut self,
         session: &mut FakeSession,
         command: endpoint_command::EndpointCommand,
+        signature: &str,
         effect: &mut StatementEffect,
     ) -> Result<String, endpoint_command::EndpointFault> {
-        let signature = || Ok("signature".to_owned());
+        let ends_transaction = matches!(
+            command,
+            endpoint_command::EndpointCommand::Rollback
+                | endpoint_command::EndpointCommand::Commit { .. }
+        );
+        let failed = session.transaction.as_ref().is_some_and(|transaction| transaction.failed);
+        if failed && !ends_transaction {
+            return Err(other_fault("MALFORMED"));
+        }
         match command {
             endpoint_command::EndpointCommand::Set { name, value } => {
                 session.settings.insert(name, value);
@@ -167,6 +217,9 @@
                 }
             }
             endpoint_command::EndpointCommand::Begin { read_only, after } => {
+                if session.transaction.is_some() {
+                    return Err(other_fault("MALFORMED"));
+                }
                 self.check_role_and_log(after, read_only)?;
                 session.transaction =
                     Some(FakeTransaction { read_only, ..FakeTransaction::default() });
@@ -176,6 +229,9 @@
                 let Some(transaction) = session.transaction.take() else {
                     return Err(other_fault("MALFORMED"));
                 };
+                if transaction.failed {
+                    return Err(other_fault("ABORTED"));
+                }
                 if !transaction.written_requests.is_empty() {
                     if !self.primary {
                         return Err(endpoint_command::EndpointFault::ReadOnly);
@@ -183,7 +239,7 @@
                     self.append(transaction.written_requests);
                     *effect = StatementEffect::Committed;
                 }
-                return signature();
+                return Ok(signature.to_owned());
             }
             endpoint_command::EndpointCommand::Run { id, body, after } => {
                 if let endpoint_command::StatementBody::Prepared { name, .. } = &body
@@ -198,16 +254,18 @@
                 let in_write_transaction =
                     session.transaction.as_ref().is_some_and(|transaction| !transaction.read_only);
                 self.check_role_and_log(after, reads && !in_write_transaction)?;
+                if let Some(transaction) = &mut session.transaction {
+                    transaction.requests.push(id.clone());
+                }
                 if reads {
-                    let settings = session.settings.clone();
-                    *effect = StatementEffect::Read { request: id, settings };
+                    *effect = StatementEffect::Read;
                 } else if let Some(transaction) = &mut session.transaction {
                     transaction.written_requests.push(id);
                 } else {
                     self.append(vec![id]);
                     *effect = StatementEffect::Committed;
                 }
-                return signature();
+                return Ok(signature.to_owned());
             }
         }
         Ok("-".to_owned())
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -3,10 +3,12 @@
 //! Each read and each response to a caller is checked against the state of the fake databases, and
 //! each violated guarantee is added to `violations`.
 
+pub(crate) mod answer_ledger;
 pub(crate) mod fake_database;
 pub(crate) mod fake_link;
 pub(crate) mod fake_platform;
 pub(crate) mod fake_store;
+pub(crate) mod fake_stutter;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -15,6 +17,7 @@
 use quetzaldeal::core::arena_keys;
 use quetzaldeal::core::clock_time;
 use quetzaldeal::core::core_message;
+use quetzaldeal::core::endpoint_message;
 use quetzaldeal::core::request_verdict;
 use quetzaldeal::proxy::duty_call;
 use quetzaldeal::proxy::endpoint_command;
@@ -109,6 +112,13 @@
         connection: arena_keys::ConnectionKey,
         command: endpoint_command::EndpointCommand,
     },
+    /// Sends an answer of a database for the second time.
+    RepeatAnswer {
+        host: usize,
+        incarnation: u64,
+        connection: arena_keys::ConnectionKey,
+        response: endpoint_command::EndpointResponse,
+    },
     Replicate {
         from: String,
         to: String,
@@ -210,6 +220,10 @@
     account: String,
     database: String,
     session: (usize, core_message::CallerId),
+    /// Whether its transaction is open; `None` if an earlier request of the session decides it.
+    in_transaction: Option<bool>,
+    /// Whether a success needs a database's signature.
+    signed: bool,
 }
 
 /// An acknowledged write.
@@ -219,6 +233,7 @@
     group: String,
     request: String,
     session: (usize, core_message::CallerId),
+    point: endpoint_message::LogPoint,
 }
 
 /// A simulated fleet.
@@ -257,6 +272,12 @@
     pub(crate) connections_most: BTreeMap<String, usize>,
     /// Requests to serving hosts that were sent to other hosts.
     pub(crate) pool_requests: usize,
+    /// Databases that send answers twice, by endpoint id.
+    pub(crate) stutters: BTreeMap<String, fake_stutter::FakeStutter>,
+    /// Answers that were sent twice, by kind.
+    pub(crate) repeated: BTreeMap<fake_stutter::AnswerKind, usize>,
+    ledger: answer_ledger::AnswerLedger,
+    next_signature: u64,
     links: BTreeMap<pool_message::LinkId, fake_link::FakeLink>,
     next_link: pool_message::LinkId,
     config: proxy_config::ProxyConfig,
@@ -264,7 +285,7 @@
     partitions: BTreeSet<(PartitionSide, PartitionSide)>,
     queue: BTreeMap<(u64, u64), ScheduledStep>,
     next_step: u64,
-    connections: HashMap<(usize, u64, arena_keys::ConnectionKey), FakeConnection>,
+    connections: BTreeMap<(usize, u64, arena_keys::ConnectionKey), FakeConnection>,
     responses: HashMap<(usize, core_message::CallerId), VecDeque<ReceivedResponse>>,
     refusals: HashMap<(usize, core_message::CallerId), Option<request_verdict::RequestVerdict>>,
     sessions: HashMap<(usize, core_message::CallerId), (String, String)>,
@@ -277,6 +298,11 @@
     uncommitted_writes: HashMap<(usize, core_message::CallerId), Vec<String>>,
     acknowledged: Vec<AcknowledgedWrite>,
     session_settings: HashMap<(usize, core_message::CallerId), BTreeMap<String, String>>,
+    /// Kinds of the prepared statements of sessions, by the caller's name.
+    session_prepared:
+        HashMap<(usize, core_message::CallerId), BTreeMap<String, session_request::StatementKind>>,
+    /// Transaction state in the last response of each session.
+    session_phases: HashMap<(usize, core_message::CallerId), endpoint_command::SessionPhase>,
     next_caller: core_message::CallerId,
     next_request: u64,
     rng: SmallRng,
@@ -327,6 +353,10 @@
             connections_opened: BTreeMap::new(),
             connections_most: BTreeMap::new(),
             pool_requests: 0,
+            stutters: BTreeMap::new(),
+            repeated: BTreeMap::new(),
+            ledger: answer_ledger::AnswerLedger::default(),
+            next_signature: 1,
             links: BTreeMap::new(),
             next_link: 1,
             config: build_config(accounts),
@@ -334,7 +364,7 @@
             partitions: BTreeSet::new(),
             queue: BTreeMap::new(),
             next_step: 0,
-            connections: HashMap::new(),
+            connections: BTreeMap::new(),
             responses: HashMap::new(),
             refusals: HashMap::new(),
             sessions: HashMap::new(),
@@ -344,6 +374,8 @@
             uncommitted_writes: HashMap::new(),
             acknowledged: Vec::new(),
             session_settings: HashMap::new(),
+            session_prepared: HashMap::new(),
+            session_phases: HashMap::new(),
             next_caller: 1,
             next_request: 1,
             rng: SmallRng::seed_from_u64(seed),
@@ -360,6 +392,7 @@
                 log: Vec::new(),
                 execution_us: 5_000,
                 slots: Vec::new(),
+                rejections: 0,
                 replication_lag_us: 20_000,
                 draining: false,
                 deaf: false,
@@ -568,6 +601,7 @@
             draining: false,
             deaf: false,
             slots: Vec::new(),
+            rejections: 0,
         };
         self.databases.insert(id.to_owned(), database);
         self.register(id, false);
@@ -744,20 +778,41 @@
         let id = format!("r{}", self.next_request);
         self.next_request += 1;
         let (account, database) = self.sessions.get(&(host, caller)).cloned().unwrap_or_default();
-        let sent_request = SentRequest { at: self.now, account, database, session: (host, caller) };
+        let session = (host, caller);
+        let kind = match &request {
+            session_request::SessionRequest::Statement { kind, .. } => Some(*kind),
+            session_request::SessionRequest::Execute { name, .. } => {
+                let prepared = self.session_prepared.get(&session);
+                prepared.and_then(|prepared| prepared.get(name)).copied()
+            }
+            _ => None,
+        };
+        let unanswered = self.unanswered.entry(session).or_default();
+        let phase = self.session_phases.get(&session);
+        let sent_request = SentRequest {
+            at: self.now,
+            account,
+            database,
+            session,
+            in_transaction: unanswered
+                .is_empty()
+                .then(|| phase == Some(&endpoint_command::SessionPhase::Open)),
+            signed: kind.is_some() || request == session_request::SessionRequest::Commit,
+        };
         self.sent_requests.insert(id.clone(), sent_request);
-        if let session_request::SessionRequest::Set { name, value } = &request {
-            let settings = self.session_settings.entry((host, caller)).or_default();
-            settings.insert(name.clone(), value.clone());
-        }
-        let writes = matches!(
-            request,
-            session_request::SessionRequest::Statement {
-                kind: session_request::StatementKind::Write,
-                ..
+        match &request {
+            session_request::SessionRequest::Set { name, value } => {
+                let settings = self.session_settings.entry(session).or_default();
+                settings.insert(name.clone(), value.clone());
             }
-        );
-        self.unanswered.entry((host, caller)).or_default().push_back((id.clone(), writes));
+            session_request::SessionRequest::Prepare { name, kind, .. } => {
+                let prepared = self.session_prepared.entry(session).or_default();
+                prepared.insert(name.clone(), *kind);
+            }
+            _ => {}
+        }
+        let writes = kind == Some(session_request::StatementKind::Write);
+        unanswered.push_back((id.clone(), writes));
         let event = proxy_message::ProxyEvent::RequestReceived { caller, id: id.clone(), request };
         self.handle_event(host, event);
         id
@@ -791,6 +846,54 @@
         self.responses.get_mut(&(host, caller))?.pop_front()
     }
 
+    /// Returns the open connections of a host to an endpoint that are for accounts.
+    pub(crate) fn account_connections(
+        &self,
+        host: usize,
+        endpoint: &str,
+    ) -> Vec<arena_keys::ConnectionKey> {
+        let process = (host, self.hosts[host].incarnation);
+        let open = self.connections.iter().filter(|((host, incarnation, _), connection)| {
+            (*host, *incarnation) == process
+                && connection.endpoint == endpoint
+                && !connection.account.is_empty()
+        });
+        open.map(|((_, _, connection), _)| *connection).collect()
+    }
+
+    /// Has all databases send answers twice.
+    pub(crate) fn stutter_everywhere(&mut self, stutter: &fake_stutter::FakeStutter) {
+        self.stutters = self.databases.keys().map(|id| (id.clone(), stutter.clone())).collect();
+    }
+
+    /// Checks that the position samples of all running hosts are not too new: the position for a
+    /// read that may lack nothing older than a write has to contain that write.
+    pub(crate) fn check_samples(&mut self) {
+        for number in 0..self.hosts.len() {
+            let host = &self.hosts[number];
+            if !host.alive {
+                continue;
+            }
+            let groups = host.core.context().groups.values();
+            for group in groups.filter(|group| group.name == "orders") {
+                let too_new = self.acknowledged.iter().rev().take(64).find_map(|write| {
+                    let at = write.at + 1;
+                    let at = at.checked_sub(host.clock_lag_us)?;
+                    let at = clock_time::ClockTime::from_micros(at);
+                    let required = group.samples.required(at)?;
+                    (required < write.point).then_some((write, required))
+                });
+                if let Some((write, required)) = too_new {
+                    self.violations.push(format!(
+                        "STALE: host {number} requires only {required:?} of reads from {} us on, \
+                         when {} was acknowledged at {:?}",
+                        write.at, write.request, write.point
+                    ));
+                }
+            }
+        }
+    }
+
     /// Returns the largest number of operations that databases ran for an account within any window
     /// of length `duration`.
     pub(crate) fn max_executions_within(&self, account: &str, duration: Duration) -> usize {
@@ -917,6 +1020,9 @@
             ScheduledStep::ExecuteCommand { host, incarnation, connection, command } => {
                 self.execute_command(host, incarnation, connection, command)
             }
+            ScheduledStep::RepeatAnswer { host, incarnation, connection, response } => {
+                self.repeat_answer(host, incarnation, connection, response);
+            }
             ScheduledStep::Replicate { from, to, length, term } => {
                 self.replicate(&from, &to, length, term);
             }
@@ -1233,6 +1339,7 @@
         let Some(database) = self.databases.get_mut(endpoint) else { return };
         database.occupy_for_handshake(self.now);
         let up = database.up;
+        let mut repeated = None;
         let event = if up {
             *self.connections_opened.entry(endpoint.to_owned()).or_default() += 1;
             let held = self.connections.values().filter(|other| other.endpoint == endpoint);
@@ -1246,6 +1353,7 @@
                 position: Some(database.position()),
                 report: None,
             };
+            repeated = Some(response.clone());
             proxy_message::ProxyEvent::ConnectionOpened { connection, response }
         } else {
             self.connections.remove(&(host, incarnation, connection));
@@ -1255,6 +1363,49 @@
             self.now + HOST_LATENCY_US,
             ScheduledStep::DeliverEvent { host, incarnation, event },
         );
+        if let Some(response) = repeated {
+            self.stutter(host, incarnation, connection, endpoint, response);
+        }
+    }
+
+    /// Schedules the repetition of an answer that was just sent, if its database stutters.
+    fn stutter(
+        &mut self,
+        host: usize,
+        incarnation: u64,
+        connection: arena_keys::ConnectionKey,
+        endpoint: &str,
+        response: endpoint_command::EndpointResponse,
+    ) {
+        let Some(stutter) = self.stutters.get(endpoint) else { return };
+        let kind = fake_stutter::AnswerKind::of(&response);
+        if !stutter.kinds.contains(&kind) || self.rng.random::<f64>() >= stutter.share {
+            return;
+        }
+        let delay_us = 1_000 * self.rng.random_range(stutter.delay_ms.clone());
+        let step = ScheduledStep::RepeatAnswer { host, incarnation, connection, response };
+        self.push(self.now + delay_us, step);
+    }
+
+    /// Sends an answer again unless its connection has ended.
+    fn repeat_answer(
+        &mut self,
+        host: usize,
+        incarnation: u64,
+        connection: arena_keys::ConnectionKey,
+        response: endpoint_command::EndpointResponse,
+    ) {
+        let Some(fake) = self.connections.get(&(host, incarnation, connection)) else { return };
+        let place = PartitionSide::Database(fake.endpoint.clone());
+        if !self.can_reach(&place, &PartitionSide::Host(host)) {
+            return;
+        }
+        *self.repeated.entry(fake_stutter::AnswerKind::of(&response)).or_default() += 1;
+        let event = proxy_message::ProxyEvent::ResponseReceived { connection, response };
+        self.push(
+            self.now + HOST_LATENCY_US,
+            ScheduledStep::DeliverEvent { host, incarnation, event },
+        );
     }
 
     /// Has a database receive a command, which takes time if a caller sent it.
@@ -1265,13 +1416,18 @@
         connection: arena_keys::ConnectionKey,
         command: endpoint_command::EndpointCommand,
     ) {
-        let Some(fake) = self.connections.get(&(host, incarnation, connection)) else { return };
-        if !self
-            .can_reach(&PartitionSide::Host(host), &PartitionSide::Database(fake.endpoint.clone()))
-        {
+        let side = PartitionSide::Host(host);
+        let Some(fake) = self.connections.get_mut(&(host, incarnation, connection)) else { return };
+        let endpoint = fake.endpoint.clone();
+        let place = PartitionSide::Database(endpoint.clone());
+        if self.partitions.contains(&(side, place)) {
             return;
         }
-        let done = match self.databases.get_mut(&fake.endpoint) {
+        let done = match self.databases.get_mut(&endpoint) {
+            Some(database) if command.is_from_caller() && database.rejections > 0 => {
+                database.rejections -= 1;
+                None
+            }
             Some(database) if command.is_from_caller() => database.occupy_for_command(self.now),
             _ => Some(self.now),
         };
@@ -1279,18 +1435,9 @@
             let step = ScheduledStep::ExecuteCommand { host, incarnation, connection, command };
             return self.push(done, step);
         }
-        let response = endpoint_command::EndpointResponse {
-            rows: Vec::new(),
-            outcome: Err(endpoint_command::EndpointFault::Busy),
-            phase: endpoint_command::SessionPhase::Idle,
-            position: None,
-            report: None,
-        };
-        let event = proxy_message::ProxyEvent::ResponseReceived { connection, response };
-        self.push(
-            self.now + HOST_LATENCY_US,
-            ScheduledStep::DeliverEvent { host, incarnation, event },
-        );
+        let fault = endpoint_command::EndpointFault::Busy;
+        let response = self.databases[&endpoint].reject(&mut fake.session, fault);
+        self.send_response(host, incarnation, connection, endpoint, response);
     }
 
     /// Executes a command at the database and sends the response unless it is lost.
@@ -1308,21 +1455,40 @@
         else {
             return;
         };
-        let request = match &command {
-            endpoint_command::EndpointCommand::Run { id, .. } => Some(id.clone()),
-            _ => None,
+        let (request, runs) = match &command {
+            endpoint_command::EndpointCommand::Run { id, .. } => (Some(id.clone()), true),
+            endpoint_command::EndpointCommand::Commit { id } => (Some(id.clone()), false),
+            _ => (None, false),
         };
-        let (response, effect) = database.run(&mut fake.session, command);
-        if let Some(request) = request {
-            self.record_execution(&request, &account);
+        let number = self.next_signature;
+        self.next_signature += 1;
+        let signature = format!("{endpoint}.{number}.{}", request.as_deref().unwrap_or_default());
+        let settings = fake.session.settings().clone();
+        let transaction = fake.session.transaction_requests().map(<[String]>::to_vec);
+        let (response, effect) = database.run(&mut fake.session, command, &signature);
+        if let Some(request) = &request {
+            self.ledger.record(request, &response);
+            if response.outcome.is_ok() {
+                self.check_transaction(request, transaction.as_deref());
+                self.check_settings(request, &settings);
+            }
+        }
+        if let Some(request) = request.as_ref().filter(|_| runs) {
+            self.record_execution(request, &account);
         }
         let committed = effect == fake_database::StatementEffect::Committed;
-        match effect {
-            fake_database::StatementEffect::Read { request, settings } => {
-                self.check_read(&endpoint, &request, &settings);
+        match (effect, &request) {
+            (fake_database::StatementEffect::Read, Some(request)) => {
+                self.check_read(&endpoint, request);
+            }
+            (fake_database::StatementEffect::Committed, _) => {
+                if endpoint == self.primary_id() {
+                    let broken = self.ledger.check_commit(&self.databases[&endpoint].log);
+                    self.violations.extend(broken);
+                }
+                self.replicate_to_others(&endpoint);
             }
-            fake_database::StatementEffect::Committed => self.replicate_to_others(&endpoint),
-            fake_database::StatementEffect::Nothing => {}
+            _ => {}
         }
         if committed && self.sync_replicas(&endpoint) > 0 {
             let Some(entry) = self.databases[&endpoint].log.last().cloned() else { return };
@@ -1363,13 +1529,15 @@
         response: endpoint_command::EndpointResponse,
     ) {
         let lost = self.rng.random::<f64>() < self.response_loss;
-        let place = PartitionSide::Database(endpoint);
+        let place = PartitionSide::Database(endpoint.clone());
         if !lost && self.can_reach(&place, &PartitionSide::Host(host)) {
+            let repeated = response.clone();
             let event = proxy_message::ProxyEvent::ResponseReceived { connection, response };
             self.push(
                 self.now + HOST_LATENCY_US,
                 ScheduledStep::DeliverEvent { host, incarnation, event },
             );
+            self.stutter(host, incarnation, connection, &endpoint, repeated);
         }
     }
 
@@ -1490,16 +1658,44 @@
         }
     }
 
-    /// Checks that a read ran with the settings of its session and that the endpoint holds all
-    /// writes that the route requires.
-    fn check_read(&mut self, endpoint: &str, request: &str, settings: &BTreeMap<String, String>) {
-        let Some(sent_request) = self.sent_requests.get(request).cloned() else { return };
+    /// Checks that a statement ran with the settings of its session.
+    fn check_settings(&mut self, request: &str, settings: &BTreeMap<String, String>) {
+        let Some(sent_request) = self.sent_requests.get(request) else { return };
         let expected =
             self.session_settings.get(&sent_request.session).cloned().unwrap_or_default();
         if *settings != expected {
+            self.violations.push(format!(
+                "PINNED: {request} ran with settings {settings:?}, expected {expected:?}"
+            ));
+        }
+    }
+
+    /// Checks that a statement or COMMIT ran inside its own transaction, whose earlier statements
+    /// are given, or outside of one.
+    fn check_transaction(&mut self, request: &str, transaction: Option<&[String]>) {
+        let Some(sent_request) = self.sent_requests.get(request) else { return };
+        let other = transaction.unwrap_or_default().iter().find(|other| {
+            let other = self.sent_requests.get(*other);
+            other.is_some_and(|other| other.session != sent_request.session)
+        });
+        if let Some(other) = other {
             self.violations
-                .push(format!("{request} ran with settings {settings:?}, expected {expected:?}"));
+                .push(format!("PINNED: {request} ran in the transaction of another, {other}"));
         }
+        match (sent_request.in_transaction, transaction.is_some()) {
+            (Some(true), false) => {
+                self.violations.push(format!("PINNED: {request} ran outside its transaction"));
+            }
+            (Some(false), true) => {
+                self.violations.push(format!("PINNED: {request} ran inside a transaction"));
+            }
+            _ => {}
+        }
+    }
+
+    /// Checks that the endpoint of a read holds all writes that the route requires.
+    fn check_read(&mut self, endpoint: &str, request: &str) {
+        let Some(sent_request) = self.sent_requests.get(request).cloned() else { return };
         let Some(route) = self.config.routes.get(&sent_request.database) else { return };
         let age = route.kind.max_age().map_or(0, |age| age.as_micros() as u64);
         let own = matches!(route.kind, proxy_config::RouteKind::ReadYourWrites { .. });
@@ -1534,6 +1730,11 @@
                 .violations
                 .push(format!("response without a pending request at host {host}"));
         };
+        self.session_phases.insert(session, response.phase);
+        let ran = response.verdict.fate == request_verdict::RequestFate::Ran;
+        if ran && self.sent_requests.get(&id).is_some_and(|request| request.signed) {
+            self.violations.extend(self.ledger.check_success(&id, response));
+        }
         if writes {
             self.uncommitted_writes.entry(session).or_default().push(id);
         }
@@ -1571,18 +1772,27 @@
                             self.now
                         ));
                     }
+                    let log = &self.databases[&primary_id].log;
+                    let entry = log.iter().find(|entry| entry.requests.contains(&request));
+                    let before_all = endpoint_message::LogPoint { term: 0, position: 0 };
+                    let point = entry.map_or(before_all, |entry| entry.point);
                     let write = AcknowledgedWrite {
                         at: self.now,
                         group: "orders".to_owned(),
                         request,
                         session,
+                        point,
                     };
                     self.acknowledged.push(write);
                 }
-                request_verdict::RequestFate::NotRun if held(&primary_id) => {
-                    self.violations.push(format!(
-                        "{request} was committed, but the response says that it did not run"
-                    ));
+                request_verdict::RequestFate::NotRun => {
+                    if held(&primary_id) {
+                        self.violations.push(format!(
+                            "REFUSED: {request} was committed, but the response says that it did \
+                             not run"
+                        ));
+                    }
+                    self.ledger.promise(&request);
                 }
                 _ => {}
             }
