test(proxy): add databases that repeat answers

A database that stutters sends an answer twice, at once or up to 300 ms later. An answer carries no request id, so the core takes the second one for the answer to the next command of that connection.

Each case repeats one kind of answer (signed, plain, status, error, start-up), at once and after nine delays, to hosts that hold connections themselves and through serving hosts, and not at all as a control. Besides: answers while nothing is in flight, status answers during failovers, position samples, and the connections that a calm load opens.

Seen: MIXED (a repeated signature, "-" and the empty outcome of the start-up taken for answers), REFUSED (a repeated BUSY or READONLY for a write in flight), PINNED (statements outside their transaction or with other settings), STALE (a repeated answer's position taken for a new sample).

--- a/tests/proxy_fakes/fake_database.rs
+++ b/tests/proxy_fakes/fake_database.rs
@@ -1,6 +1,6 @@
 //! Fake database with a term and a log, as an endpoint of the proxy core.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use quetzaldeal::core::endpoint_message;
 use quetzaldeal::proxy::endpoint_command;
@@ -78,8 +78,8 @@
     pub(crate) deaf: bool,
     /// Until when each of its slots is busy, in microseconds; empty if it runs everything at once.
     pub(crate) slots: Vec<u64>,
-    /// Number of commands of callers that it still rejects as busy.
-    pub(crate) rejections: usize,
+    /// Faults of the next commands of callers, which it does not run.
+    pub(crate) rejections: VecDeque<endpoint_command::EndpointFault>,
 }
 
 /// Time for which a new connection occupies a slot, in microseconds.
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -392,7 +392,7 @@
                 log: Vec::new(),
                 execution_us: 5_000,
                 slots: Vec::new(),
-                rejections: 0,
+                rejections: VecDeque::new(),
                 replication_lag_us: 20_000,
                 draining: false,
                 deaf: false,
@@ -601,7 +601,7 @@
             draining: false,
             deaf: false,
             slots: Vec::new(),
-            rejections: 0,
+            rejections: VecDeque::new(),
         };
         self.databases.insert(id.to_owned(), database);
         self.register(id, false);
@@ -1423,20 +1423,21 @@
         if self.partitions.contains(&(side, place)) {
             return;
         }
-        let done = match self.databases.get_mut(&endpoint) {
-            Some(database) if command.is_from_caller() && database.rejections > 0 => {
-                database.rejections -= 1;
-                None
-            }
-            Some(database) if command.is_from_caller() => database.occupy_for_command(self.now),
-            _ => Some(self.now),
+        let Some(database) = self.databases.get_mut(&endpoint) else { return };
+        let fault = match command.is_from_caller() {
+            true => database.rejections.pop_front(),
+            false => None,
+        };
+        let done = match command.is_from_caller() {
+            true => database.occupy_for_command(self.now),
+            false => Some(self.now),
         };
-        if let Some(done) = done {
+        if let (None, Some(done)) = (&fault, done) {
             let step = ScheduledStep::ExecuteCommand { host, incarnation, connection, command };
             return self.push(done, step);
         }
-        let fault = endpoint_command::EndpointFault::Busy;
-        let response = self.databases[&endpoint].reject(&mut fake.session, fault);
+        let fault = fault.unwrap_or(endpoint_command::EndpointFault::Busy);
+        let response = database.reject(&mut fake.session, fault);
         self.send_response(host, incarnation, connection, endpoint, response);
     }
 
--- /dev/null
+++ b/tests/repeated_answers.rs
@@ -0,0 +1,477 @@
+//! Databases that send answers twice, at once or late. Runs in virtual time; the fakes report
+//! answers that callers get for other requests, false promises and reads that are too old.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a panic fails the test")]
+
+#[allow(dead_code, reason = "no test program uses all of the fakes")]
+mod proxy_fakes;
+
+use std::collections::BTreeMap;
+
+use proxy_fakes::fake_stutter::AnswerKind::{Error, Plain, Signed, StartUp, Status};
+use proxy_fakes::fake_stutter::{AnswerKind, FakeStutter};
+use proxy_fakes::{ProxyFleet, millis, read, write};
+use quetzaldeal::proxy::endpoint_command;
+use quetzaldeal::proxy::proxy_tuning;
+use quetzaldeal::proxy::session_request::{SessionRequest, StatementKind};
+
+/// Hosts that hold connections themselves.
+const HOSTS: usize = 4;
+/// Hosts of a fleet whose connections are held by serving hosts: more than the witnesses, and than
+/// half of the 20 connections that they share.
+const HOSTS_SERVED: usize = 12;
+/// Delays of a repetition, in milliseconds: into the command in flight, the next ones, and up to the
+/// longest.
+const DELAYS_MS: [u64; 9] = [1, 4, 8, 13, 21, 47, 97, 180, 300];
+/// How long callers send in each fleet, in milliseconds.
+const LOAD_MS: u64 = 700;
+
+/// Declares a module for each name, with tests where answers are repeated not at all, at once and
+/// late, to hosts that hold connections themselves and through serving hosts.
+macro_rules! repetitions {
+    ($($name:ident($kinds:expr): $prepare:expr, $scripts:expr;)*) => {
+        $(
+            mod $name {
+                #[allow(unused_imports, reason = "not all cases name all kinds")]
+                use super::*;
+
+                fn check(hosts: usize, kinds: &[AnswerKind], delays_ms: &[u64]) {
+                    let scripts: fn(usize) -> Vec<SessionRequest> = $scripts;
+                    check_repetitions(hosts, kinds, delays_ms, $prepare, scripts);
+                }
+
+                #[test]
+                fn not_at_all() {
+                    check(HOSTS, &[], &[0]);
+                    check(HOSTS_SERVED, &[], &[0]);
+                }
+
+                #[test]
+                fn at_once() {
+                    check(HOSTS, &$kinds, &[0]);
+                }
+
+                #[test]
+                fn late() {
+                    check(HOSTS, &$kinds, &DELAYS_MS);
+                }
+
+                #[test]
+                fn at_once_through_a_serving_host() {
+                    check(HOSTS_SERVED, &$kinds, &[0]);
+                }
+
+                #[test]
+                fn late_through_a_serving_host() {
+                    check(HOSTS_SERVED, &$kinds, &DELAYS_MS);
+                }
+            }
+        )*
+    };
+}
+
+/// Declares a test for each name, which runs on a fleet that serves already.
+macro_rules! cases {
+    ($($name:ident: $body:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let run: fn(&mut ProxyFleet) = $body;
+                let mut fleet = start_fleet(HOSTS);
+                run(&mut fleet);
+                assert!(fleet.violations.is_empty(), "{:#?}", few(&fleet.violations));
+            }
+        )*
+    };
+}
+
+/// A caller that sends the requests of a script in turn, each after the response to the one before.
+#[derive(Debug)]
+struct ScriptCaller {
+    host: usize,
+    caller: u64,
+    script: Vec<SessionRequest>,
+    next: usize,
+    /// When it sent the request without a response.
+    sent_at: Option<u64>,
+    ran: usize,
+}
+
+impl ScriptCaller {
+    fn open(
+        fleet: &mut ProxyFleet,
+        (host, database): (usize, &str),
+        script: Vec<SessionRequest>,
+    ) -> Self {
+        let caller = fleet.open(host, "large", database);
+        Self { host, caller, script, next: 0, sent_at: None, ran: 0 }
+    }
+
+    /// Takes the response to its request and sends the next one; rolls a failed transaction back.
+    fn step(&mut self, fleet: &mut ProxyFleet) {
+        if let Some(sent_at) = self.sent_at {
+            let Some(received) = fleet.take_response(self.host, self.caller) else {
+                assert!(fleet.now - sent_at < 3_000_000, "no response within 3 s");
+                return;
+            };
+            self.sent_at = None;
+            self.ran += usize::from(received.ran());
+            if received.response.phase == endpoint_command::SessionPhase::Failed {
+                self.next = 0;
+                return self.send(fleet, SessionRequest::Rollback);
+            }
+            let script = self.next % self.script.len();
+            if !received.ran() && received.response.phase == endpoint_command::SessionPhase::Idle {
+                self.next += self.script.len() - script;
+            }
+        }
+        let request = self.script[self.next % self.script.len()].clone();
+        self.next += 1;
+        self.send(fleet, request);
+    }
+
+    fn send(&mut self, fleet: &mut ProxyFleet, request: SessionRequest) {
+        self.sent_at = Some(fleet.now);
+        fleet.send(self.host, self.caller, request);
+    }
+}
+
+/// Lets callers send for a while; `each` runs every millisecond. Returns how many requests ran.
+fn load(
+    fleet: &mut ProxyFleet,
+    callers: &mut [ScriptCaller],
+    duration_ms: u64,
+    mut each: impl FnMut(&mut ProxyFleet),
+) -> usize {
+    for step in 0..duration_ms {
+        for (number, caller) in callers.iter_mut().enumerate() {
+            // Callers pause for different times, so that connections are idle now and then.
+            if (step + number as u64) % (2 + number as u64 % 5) == 0 {
+                caller.step(fleet);
+            }
+        }
+        each(fleet);
+        fleet.run(millis(1));
+    }
+    callers.iter().map(|caller| caller.ran).sum()
+}
+
+fn few(violations: &[String]) -> Vec<String> {
+    violations.iter().take(4).cloned().collect()
+}
+
+fn start_fleet(hosts: usize) -> ProxyFleet {
+    start_fleet_of(hosts, 1)
+}
+
+fn start_fleet_of(hosts: usize, seed: u64) -> ProxyFleet {
+    let serving_below = if hosts == HOSTS { 0.0 } else { 2.0 };
+    let tuning = proxy_tuning::ProxyTuning { serving_below, ..Default::default() };
+    let accounts = [("large", 100_000.0, 100_000.0)];
+    let mut fleet = ProxyFleet::with_tuning(hosts, &accounts, seed, tuning);
+    fleet.run(millis(if hosts == HOSTS { 1_500 } else { 4_000 }));
+    fleet
+}
+
+/// Opens callers on all hosts, six on each of four hosts.
+fn open_callers(
+    fleet: &mut ProxyFleet,
+    hosts: usize,
+    script: impl Fn(usize) -> Vec<SessionRequest>,
+) -> Vec<ScriptCaller> {
+    let databases = ["strict", "aged", "own"];
+    (0..HOSTS * 6)
+        .map(|number| {
+            let place = (number % hosts, databases[number / HOSTS % 3]);
+            ScriptCaller::open(fleet, place, script(number))
+        })
+        .collect()
+}
+
+/// Sends the scripts while answers of some kinds are repeated after each of the delays. All
+/// guarantees hold meanwhile, and afterwards every caller is served.
+fn check_repetitions(
+    hosts: usize,
+    kinds: &[AnswerKind],
+    delays_ms: &[u64],
+    prepare: fn(&mut ProxyFleet),
+    script: fn(usize) -> Vec<SessionRequest>,
+) {
+    for delay_ms in delays_ms {
+        let mut fleet = start_fleet(hosts);
+        fleet.stutter_everywhere(&FakeStutter::always(kinds, *delay_ms));
+        let mut callers = open_callers(&mut fleet, hosts, script);
+        load(&mut fleet, &mut callers, LOAD_MS, |fleet| {
+            prepare(fleet);
+            if fleet.now / 1_000 % 10 == 0 {
+                fleet.check_samples();
+            }
+        });
+        let repeated: usize = kinds.iter().filter_map(|kind| fleet.repeated.get(kind)).sum();
+        assert!(repeated > 0 || kinds.is_empty(), "no answer of {kinds:?} was repeated");
+        let violations = &fleet.violations;
+        assert!(violations.is_empty(), "after {delay_ms} ms: {:#?}", few(violations));
+        fleet.stutters.clear();
+        load(&mut fleet, &mut callers, 400, |_| {});
+        let before: Vec<usize> = callers.iter().map(|caller| caller.ran).collect();
+        load(&mut fleet, &mut callers, 400, |_| {});
+        for (caller, before) in callers.iter().zip(before) {
+            assert!(caller.ran > before, "after {delay_ms} ms: {caller:?} is not served");
+        }
+        let violations = &fleet.violations;
+        assert!(violations.is_empty(), "after {delay_ms} ms: {:#?}", few(violations));
+    }
+}
+
+fn set(name: &str, value: &str) -> SessionRequest {
+    SessionRequest::Set { name: name.to_owned(), value: value.to_owned() }
+}
+
+fn begin(read_only: bool) -> SessionRequest {
+    SessionRequest::Begin { read_only }
+}
+
+/// Reads, of which each session has settings of its own.
+fn settings(number: usize) -> Vec<SessionRequest> {
+    let value = |round: usize| format!("{}", number % 3 + round);
+    let mut requests = Vec::new();
+    for round in 0..3 {
+        requests.extend([set("tone", &value(round)), read(), write(), read()]);
+    }
+    requests
+}
+
+/// Prepared statements, of which each session has its own under the same names.
+fn prepared(number: usize) -> Vec<SessionRequest> {
+    let prepare = |name: &str, kind| SessionRequest::Prepare {
+        name: name.to_owned(),
+        kind,
+        shape: format!("shape {}", number % 5),
+    };
+    let execute = |name: &str| {
+        let (name, arguments) = (name.to_owned(), "1a4".to_owned());
+        SessionRequest::Execute { name, arguments }
+    };
+    vec![
+        prepare("s1", StatementKind::Read),
+        prepare("s2", StatementKind::Write),
+        execute("s1"),
+        execute("s2"),
+        execute("s1"),
+    ]
+}
+
+fn transactions(number: usize) -> Vec<SessionRequest> {
+    match number % 3 {
+        0 => vec![begin(true), read(), read(), SessionRequest::Commit],
+        1 => vec![begin(false), write(), read(), write(), SessionRequest::Commit],
+        _ => vec![begin(false), write(), SessionRequest::Rollback, read()],
+    }
+}
+
+fn mixed(number: usize) -> Vec<SessionRequest> {
+    match number % 4 {
+        0 => settings(number),
+        1 => prepared(number),
+        2 => transactions(number),
+        _ => vec![read(), write()],
+    }
+}
+
+/// Has the primary answer its next statement with a fault every 16 ms.
+fn reject(fleet: &mut ProxyFleet, fault: endpoint_command::EndpointFault) {
+    if fleet.now / 1_000 % 16 == 0 {
+        let primary = fleet.primary_id();
+        let database = fleet.databases.get_mut(&primary).expect("a primary");
+        database.rejections.push_back(fault);
+    }
+}
+
+repetitions! {
+    signed_answer_is_not_taken_for_the_answer_to_the_next_read([Signed]):
+        |_| {}, |_| vec![read()];
+    signed_answer_is_not_taken_for_the_answer_to_the_next_write([Signed]):
+        |_| {}, |_| vec![write()];
+    signed_answer_is_not_taken_for_the_answer_to_a_session_command([Signed]):
+        |_| {}, settings;
+    signed_answer_is_not_taken_for_the_answer_to_a_prepared_statement([Signed]):
+        |_| {}, prepared;
+    signed_answer_is_not_taken_for_the_answer_to_commit_or_rollback([Signed]):
+        |_| {}, transactions;
+    plain_answer_does_not_let_statements_run_with_other_settings([Plain]):
+        |_| {}, settings;
+    plain_answer_is_not_taken_for_the_answer_to_a_prepared_statement([Plain]):
+        |_| {}, prepared;
+    plain_answer_does_not_let_statements_run_outside_their_transaction([Plain]):
+        |_| {}, transactions;
+    answer_to_start_up_is_not_taken_for_the_answer_to_the_first_command([StartUp]):
+        |_| {}, mixed;
+    busy_answer_is_not_a_promise_about_a_write_in_flight([Error]):
+        |fleet| reject(fleet, endpoint_command::EndpointFault::Busy), |_| vec![write()];
+    busy_answer_is_not_a_promise_about_a_transaction_in_flight([Error]):
+        |fleet| reject(fleet, endpoint_command::EndpointFault::Busy), transactions;
+    unknown_statement_answer_is_not_a_promise_about_a_write_in_flight([Error]):
+        |fleet| reject(fleet, endpoint_command::EndpointFault::UnknownStatement), prepared;
+    read_only_answer_is_not_a_promise_about_a_write_in_flight([Error]):
+        |fleet| {
+            if fleet.now / 1_000 % 160 == 0 {
+                reject(fleet, endpoint_command::EndpointFault::ReadOnly);
+            }
+        },
+        |_| vec![write()];
+    failure_is_not_passed_on_for_the_next_statement([Error]):
+        |fleet| {
+            let (code, text) = ("FAILED".to_owned(), String::new());
+            reject(fleet, endpoint_command::EndpointFault::Other { code, text });
+        },
+        mixed;
+    answers_of_all_kinds_are_told_apart(AnswerKind::ALL):
+        |fleet| reject(fleet, endpoint_command::EndpointFault::Busy), mixed;
+}
+
+/// Returns the opened connections, the requests that ran and the violations of a calm load.
+fn calm_load(hosts: usize) -> (usize, usize) {
+    let mut fleet = start_fleet(hosts);
+    let mut callers = open_callers(&mut fleet, hosts, mixed);
+    let ran = load(&mut fleet, &mut callers, 3_000, |_| {});
+    assert!(fleet.violations.is_empty(), "{:#?}", few(&fleet.violations));
+    (fleet.connections_opened.values().sum(), ran)
+}
+
+/// Returns the connections of host 0 to the primary that are for accounts, after a write there.
+fn write_once(fleet: &mut ProxyFleet) -> Vec<quetzaldeal::core::arena_keys::ConnectionKey> {
+    let caller = fleet.open(0, "large", "strict");
+    assert!(fleet.send_and_wait(0, caller, write()).expect("a response").ran());
+    fleet.account_connections(0, "db0")
+}
+
+cases! {
+    idle_connection_without_repeated_answers_stays_open: |fleet| {
+        let before = write_once(fleet);
+        fleet.run(millis(400));
+        assert_eq!((before.len(), fleet.account_connections(0, "db0")), (1, before));
+    };
+    answer_while_nothing_is_in_flight_ends_the_connection: |fleet| {
+        fleet.stutter_everywhere(&FakeStutter::always(&[Signed], 120));
+        let before = write_once(fleet);
+        assert_eq!(before.len(), 1);
+        fleet.run(millis(100));
+        assert_eq!(fleet.account_connections(0, "db0"), before);
+        fleet.run(millis(50));
+        assert!(!fleet.account_connections(0, "db0").contains(&before[0]));
+    };
+    start_up_answer_while_nothing_is_in_flight_ends_the_connection: |fleet| {
+        fleet.stutter_everywhere(&FakeStutter::always(&[StartUp], 120));
+        let before = write_once(fleet);
+        assert_eq!(before.len(), 1);
+        fleet.run(millis(150));
+        assert!(!fleet.account_connections(0, "db0").contains(&before[0]));
+    };
+    answer_while_a_transaction_is_idle_does_not_end_in_a_partial_commit: |fleet| {
+        fleet.stutter_everywhere(&FakeStutter::always(&[Signed], 60));
+        let caller = fleet.open(0, "large", "strict");
+        assert!(fleet.send_and_wait(0, caller, begin(false)).expect("a response").ran());
+        assert!(fleet.send_and_wait(0, caller, write()).expect("a response").ran());
+        fleet.run(millis(100));
+        fleet.send_and_wait(0, caller, write()).expect("a response");
+        let commit = fleet.send_and_wait(0, caller, SessionRequest::Commit).expect("a response");
+        let written: Vec<usize> =
+            fleet.databases["db0"].log.iter().map(|entry| entry.requests.len()).collect();
+        assert_eq!(written, if commit.ran() { vec![2] } else { vec![] });
+    };
+}
+
+/// Runs a write on every host each 4 ms, for `duration_ms`.
+fn write_on_all(fleet: &mut ProxyFleet, duration_ms: u64) {
+    let mut callers: Vec<ScriptCaller> =
+        (0..HOSTS).map(|host| ScriptCaller::open(fleet, (host, "strict"), vec![write()])).collect();
+    load(fleet, &mut callers, duration_ms, |_| {});
+}
+
+/// Repeats status answers after each delay of up to 110 ms, which covers the interval of the
+/// requests, while a failover replaces the primary of a group with one synchronous replica.
+fn check_failover(kinds: &[AnswerKind], fail: fn(&mut ProxyFleet)) {
+    for delay_ms in 0..=110 {
+        let mut fleet = start_fleet(HOSTS);
+        fleet.replicate_synchronously(1);
+        fleet.run(millis(500));
+        fleet.stutter_everywhere(&FakeStutter::always(kinds, delay_ms));
+        // The replica that a stale status makes look best lags behind the other one.
+        if let Some(database) = fleet.databases.get_mut("db1") {
+            database.replication_lag_us = 60_000;
+        }
+        write_on_all(&mut fleet, 200);
+        fail(&mut fleet);
+        write_on_all(&mut fleet, 6_000);
+        let repeated: usize = kinds.iter().filter_map(|kind| fleet.repeated.get(kind)).sum();
+        assert!(repeated > 0, "no answer of {kinds:?} was repeated");
+        assert_ne!(fleet.primary_id(), "db0", "after {delay_ms} ms");
+        let violations = &fleet.violations;
+        assert!(violations.is_empty(), "after {delay_ms} ms: {:#?}", few(violations));
+    }
+}
+
+#[test]
+fn repeated_status_of_a_draining_primary_promotes_no_replica_without_its_last_commits() {
+    check_failover(&[Status], |fleet| fleet.register("db0", true));
+}
+
+#[test]
+fn repeated_status_after_a_crash_promotes_no_replica_without_acknowledged_commits() {
+    check_failover(&[Status], |fleet| fleet.crash("db0", false));
+}
+
+#[test]
+fn repeated_answers_during_a_failover_promote_no_replica_without_acknowledged_commits() {
+    check_failover(&[Status, Plain, Signed], |fleet| fleet.evacuate("centre0", true));
+}
+
+/// Lets a host read with an age bound while its idle connection to the primary is probed, and others
+/// write. Repetitions may be held up by the network, so that they meet the next probe.
+#[test]
+fn repeated_answer_to_a_probe_is_no_newer_position_of_the_primary() {
+    for delay_ms in (0..=300).step_by(10).chain(390..=410) {
+        let mut fleet = start_fleet(HOSTS);
+        fleet.stutter_everywhere(&FakeStutter::always(&[Plain, StartUp], delay_ms));
+        let mut callers = vec![
+            ScriptCaller::open(&mut fleet, (3, "strict"), vec![write()]),
+            ScriptCaller::open(&mut fleet, (0, "aged"), vec![read()]),
+        ];
+        load(&mut fleet, &mut callers, 2_000, ProxyFleet::check_samples);
+        let violations = &fleet.violations;
+        assert!(violations.is_empty(), "after {delay_ms} ms: {:#?}", few(violations));
+    }
+}
+
+/// Lets a host read on a slow primary, so that repeated answers meet reads in flight, while another
+/// host writes.
+#[test]
+fn repeated_answer_to_a_read_is_no_newer_position_of_the_primary() {
+    for delay_ms in (0..=300).step_by(20) {
+        let mut fleet = start_fleet(HOSTS);
+        fleet.stutter_everywhere(&FakeStutter::always(&[Signed], delay_ms));
+        if let Some(database) = fleet.databases.get_mut("db0") {
+            database.execution_us = 60_000;
+        }
+        let mut callers = vec![
+            ScriptCaller::open(&mut fleet, (3, "strict"), vec![write()]),
+            ScriptCaller::open(&mut fleet, (0, "strict"), vec![read()]),
+        ];
+        load(&mut fleet, &mut callers, 1_500, ProxyFleet::check_samples);
+        let stale = fleet.violations.iter().filter(|text| text.starts_with("STALE"));
+        let stale: Vec<String> = stale.cloned().collect();
+        assert!(stale.is_empty(), "after {delay_ms} ms: {:#?}", few(&stale));
+    }
+}
+
+/// Connections that a calm load opened before answers were matched by signature, by number of hosts.
+const CALM_CONNECTIONS: [(usize, usize); 2] = [(HOSTS, 38), (HOSTS_SERVED, 28)];
+
+#[test]
+fn calm_load_opens_no_more_connections() {
+    let most: BTreeMap<usize, usize> = CALM_CONNECTIONS.into();
+    for (hosts, most) in most {
+        let (opened, ran) = calm_load(hosts);
+        assert!(opened <= most, "{hosts} hosts opened {opened} connections for {ran} requests");
+    }
+}
