test(proxy): repeat answers at random, among random faults

Four properties: databases repeat answers of all kinds among the other faults, with and without synchronous replicas and through serving hosts, and serving hosts without repetition as a control. After each fault the position samples of all hosts are checked as well.

--- a/tests/proxy_properties.rs
+++ b/tests/proxy_properties.rs
@@ -9,8 +9,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use proxy_fakes::fake_store;
 use proxy_fakes::{PartitionSide, ProxyFleet, read, write};
+use proxy_fakes::{fake_store, fake_stutter};
 use quetzaldeal::proxy::proxy_tuning;
 use quetzaldeal::proxy::session_request;
 
@@ -51,6 +51,7 @@
     LeaveHost { host: usize },
     ReturnHosts,
     DeafenDatabase { database: usize, deaf: bool },
+    RepeatAnswers { database: usize, share: f64, delay_ms: u64 },
 }
 
 fn fault_step() -> impl Strategy<Value = FaultStep> {
@@ -124,6 +125,15 @@
     prop_oneof![3 => departure_step(), 1 => deafen]
 }
 
+/// Faults, of which every third has a database send a share of its answers twice.
+fn stutter_step() -> impl Strategy<Value = FaultStep> {
+    let share = prop_oneof![Just(0.02), Just(0.3), Just(1.0)];
+    let repeat = (0..3_usize, share, 0..=300_u64).prop_map(|(database, share, delay_ms)| {
+        FaultStep::RepeatAnswers { database, share, delay_ms }
+    });
+    prop_oneof![2 => replica_step(), 1 => repeat]
+}
+
 /// A fleet with callers that send requests throughout.
 #[derive(Debug)]
 struct LoadedFleet {
@@ -202,6 +212,7 @@
         self.fleet.heal_partitions();
         self.fleet.store.mode = fake_store::StoreMode::Up;
         self.fleet.response_loss = 0.0;
+        self.fleet.stutters.clear();
         for host in 0..HOSTS {
             self.fleet.deny_host(host, false);
             self.fleet.slow_host(host, Duration::ZERO);
@@ -327,6 +338,10 @@
                 self.fleet.kill_host(host);
             }
             FaultStep::ReturnHosts => self.return_hosts(),
+            FaultStep::RepeatAnswers { database, share, delay_ms } => {
+                let stutter = fake_stutter::FakeStutter::up_to(share, delay_ms);
+                self.fleet.stutters.insert(format!("db{database}"), stutter);
+            }
             FaultStep::DeafenDatabase { database, deaf } => {
                 self.fleet.set_deaf(&format!("db{database}"), deaf);
             }
@@ -344,6 +359,7 @@
     for step in steps {
         loaded.apply(step);
         loaded.run(300);
+        loaded.fleet.check_samples();
         prop_assert!(
             loaded.fleet.violations.is_empty(),
             "violations with seed {seed} after {step:?}: {:#?}",
@@ -389,11 +405,19 @@
     guarantees_hold_while_hosts_leave(departure_step(), 0): proxy_tuning::ProxyTuning::default();
     guarantees_hold_with_synchronous_replicas(replica_step(), 1):
         proxy_tuning::ProxyTuning::default();
+    guarantees_hold_while_answers_are_repeated(stutter_step(), 0):
+        proxy_tuning::ProxyTuning::default();
+    guarantees_hold_while_answers_are_repeated_with_synchronous_replicas(stutter_step(), 1):
+        proxy_tuning::ProxyTuning::default();
+    guarantees_hold_while_answers_are_repeated_to_serving_hosts(stutter_step(), 0):
+        proxy_tuning::ProxyTuning { serving_below: 100.0, ..few_witnesses() };
+    guarantees_hold_with_serving_hosts(replica_step(), 0):
+        proxy_tuning::ProxyTuning { serving_below: 100.0, ..few_witnesses() };
 }
 
-/// Checks the guarantees under random faults in random order: no stale read, no acknowledgement of
-/// a write that the primary lacks, no write reported as not run although it was committed, none
-/// committed twice, no statement with the settings of another session or on another account's
+/// Checks the guarantees under random faults in random order: no stale read, no answer of another
+/// request, no acknowledgement of a write that the primary lacks, no write reported as not run
+/// although it was committed, none committed twice, no statement with the settings of another session or on another account's
 /// connection, and no account over its rate. After the faults, every host serves writes again.
 fn check_guarantees(
     step: impl Strategy<Value = FaultStep>,
