fix(connection): match responses by signature and form, not by order alone

What callers saw: rows and signatures of other requests (MIXED); promises that nothing was kept for writes that were (REFUSED); statements outside their transaction (PINNED), where a database sends an answer twice. Cause: an answer carries no request id, and the next complete one was taken for the answer to the command in flight. One extra answer shifted all later ones of that connection. A STATUS or DISCARD answer that came twice fed failovers and position samples, which made reads too old (STALE). Change: statements and COMMIT succeed only with a signature that the connection has not carried. Answers without a signature are trusted where no earlier one of their form could be repeated; log positions, statuses and promises come from such answers only. A repeat is skipped, and the connection is closed once it is free; with anything else it is closed at once, and the request is retried or told that it may have run. The first error ends a connection, so that no repeated one can make a refusal untrue. Serving hosts do the same for pooled connections. Why it works: a new signature proves that the answers to all earlier commands have arrived, so what precedes it is in order as well.

--- a/src/proxy/connection_flow.rs
+++ b/src/proxy/connection_flow.rs
@@ -200,8 +200,12 @@
     }
     record_position(ctx, connection, &response);
     ctx.endpoints[endpoint].record_response(ctx.now);
-    ctx.connections[connection].cursor.fire("opened");
-    set_idle(ctx, connection);
+    let view = &mut ctx.connections[connection];
+    view.cursor.fire("opened");
+    match view.user {
+        Some(_) => send_next(ctx, connection),
+        None => set_idle(ctx, connection),
+    }
 }
 
 /// Handles the response to the command in flight on a connection.
@@ -210,14 +214,29 @@
     connection: arena_keys::ConnectionKey,
     response: endpoint_command::EndpointResponse,
 ) {
-    match_response(ctx, connection, &response);
-    let Some(view) = ctx.connections.get_mut(connection) else { return };
-    let Some(command) = view.in_flight.take() else { return };
+    if !ctx.connections.contains_key(connection) {
+        return;
+    }
+    let outcome = match_response(ctx, connection, &response);
+    let view = &mut ctx.connections[connection];
+    let in_use = view.in_flight.is_some() || view.user.is_some() || view.pinned.is_some();
+    match outcome {
+        response_match::ResponseMatch::Proven | response_match::ResponseMatch::Plausible => {}
+        // The response to the command in flight is yet to come, and can be told from this one.
+        response_match::ResponseMatch::Repeated if in_use => return,
+        response_match::ResponseMatch::Repeated | response_match::ResponseMatch::Unmatched => {
+            return on_order_lost(ctx, connection);
+        }
+    }
+    let Some(command) = view.in_flight.take() else { return on_order_lost(ctx, connection) };
     if view.pooled() {
         return pool_server::on_response(ctx, connection, &command, response);
     }
     let endpoint = view.endpoint;
-    record_position(ctx, connection, &response);
+    let proven = outcome == response_match::ResponseMatch::Proven;
+    if proven {
+        record_position(ctx, connection, &response);
+    }
     let (now, sent) = (ctx.now, ctx.connections[connection].sent);
     ctx.endpoints[endpoint].record_response(now);
     if let Some(report) = response.report {
@@ -229,6 +248,9 @@
     let Some(user) = ctx.connections[connection].user else { return set_idle(ctx, connection) };
     match user {
         connection_state::ConnectionUser::Request(request) => {
+            if matches!(command, endpoint_command::EndpointCommand::Begin { .. }) {
+                ctx.requests[request].begin_proven = proven;
+            }
             on_request_response(ctx, connection, request, command, response)
         }
         connection_state::ConnectionUser::Failover(group) => {
@@ -254,12 +276,10 @@
     response: &endpoint_command::EndpointResponse,
 ) -> response_match::ResponseMatch {
     let now = ctx.now;
-    let Some(view) = ctx.connections.get_mut(connection).filter(|view| !view.leased()) else {
-        return match response.outcome.is_err() || response.is_signed() {
-            true => response_match::ResponseMatch::Proven,
-            false => response_match::ResponseMatch::Plausible,
-        };
-    };
+    let view = &mut ctx.connections[connection];
+    if view.leased() {
+        return view.order.accept_matched(response);
+    }
     let outcome = view.order.check(view.in_flight.as_ref(), response);
     if matches!(
         outcome,
@@ -282,6 +302,22 @@
     outcome
 }
 
+/// Closes a connection on which it is in doubt which response belongs to which command. The endpoint
+/// did respond, so nothing is recorded against it.
+fn on_order_lost(ctx: &mut proxy_context::ProxyContext, connection: arena_keys::ConnectionKey) {
+    let view = &ctx.connections[connection];
+    if view.pooled() {
+        return pool_server::on_order_lost(ctx, connection);
+    }
+    let (user, pinned) = (view.user, view.pinned);
+    close(ctx, connection, "failed");
+    if let Some(connection_state::ConnectionUser::Request(request)) = user {
+        request_flow::on_order_lost(ctx, request);
+    } else if let Some(session) = pinned {
+        request_flow::fail_transaction(ctx, session, "response_order_lost");
+    }
+}
+
 /// Handles the end of a connection, or its failure to open. `refused` is set if the endpoint's
 /// address refused the connection.
 pub fn on_closed(
@@ -342,7 +378,7 @@
 pub fn roll_back(ctx: &mut proxy_context::ProxyContext, connection: arena_keys::ConnectionKey) {
     let Some(view) = ctx.connections.get_mut(connection) else { return };
     // The serving host rolls back when the lease is released.
-    if view.in_flight.is_some() || view.leased() {
+    if view.in_flight.is_some() || view.leased() || view.order.retired() {
         return close(ctx, connection, "discarded");
     }
     view.pinned = None;
@@ -381,9 +417,9 @@
     Some(view.endpoint)
 }
 
-/// Sends a command for a failover or a probe on an idle connection. Without one it opens a
-/// connection, and the caller sends the command again later. Does nothing while the same user's
-/// command is in flight or a connection of this host itself is being opened.
+/// Sends a command for a failover or a probe on an idle connection on which its response can be told
+/// from earlier ones, or on a new one. Does nothing while the same user's command is in flight or a
+/// connection of this host itself is being opened.
 pub fn send_command(
     ctx: &mut proxy_context::ProxyContext,
     endpoint: arena_keys::EndpointKey,
@@ -397,22 +433,26 @@
     if in_progress {
         return;
     }
-    let mut idle =
-        own_connections(ctx, endpoint).filter(|connection| ctx.connections[*connection].idle());
-    let first = idle.next();
-    drop(idle);
-    let Some(connection) = first else {
-        if ctx.endpoints[endpoint].circuit.may_probe(ctx.now) && !at_connection_limit(ctx, endpoint)
-        {
-            make_room(ctx, endpoint);
-            open(ctx, endpoint, None);
-        }
-        return;
-    };
-    let view = &mut ctx.connections[connection];
-    view.user = Some(user);
-    view.pending_commands = [command].into();
-    send_next(ctx, connection);
+    let mut suitable = own_connections(ctx, endpoint).filter(|connection| {
+        let view = &ctx.connections[*connection];
+        view.idle() && view.order.can_prove(&command)
+    });
+    let first = suitable.next();
+    drop(suitable);
+    if let Some(connection) = first {
+        let view = &mut ctx.connections[connection];
+        view.user = Some(user);
+        view.pending_commands = [command].into();
+        return send_next(ctx, connection);
+    }
+    if ctx.endpoints[endpoint].circuit.may_probe(ctx.now) && !at_connection_limit(ctx, endpoint) {
+        make_room(ctx, endpoint);
+        let connection = open(ctx, endpoint, None);
+        ctx.counts.connections_opened_for_commands += 1;
+        let view = &mut ctx.connections[connection];
+        view.user = Some(user);
+        view.pending_commands = [command].into();
+    }
 }
 
 /// Runs the periodic checks: marks endpoints that do not respond, and closes connections that do
@@ -594,8 +634,11 @@
     view.in_flight = None;
     view.idle_since = now;
     let (endpoint, account, leased) = (view.endpoint, view.account, view.leased());
+    let retired = view.order.retired();
     let group = ctx.endpoints[endpoint].group;
-    if !leased && own_connections(ctx, endpoint).count() > connection_limit(ctx, group) {
+    let above_limit =
+        !leased && own_connections(ctx, endpoint).count() > connection_limit(ctx, group);
+    if retired || above_limit {
         return close(ctx, connection, "discarded");
     }
     while let Some(request) = dequeue(ctx, endpoint, account) {
@@ -683,7 +726,7 @@
     ctx: &mut proxy_context::ProxyContext,
     endpoint: arena_keys::EndpointKey,
     account: Option<arena_keys::AccountKey>,
-) {
+) -> arena_keys::ConnectionKey {
     let cursor = chart_cursor::ChartCursor::new(ctx.connection_chart.clone());
     let view = connection_state::ConnectionState::new(endpoint, account, cursor, ctx.now);
     let connection = ctx.connections.insert(view);
@@ -700,6 +743,7 @@
         limit: ctx.tuning.connect_timeout,
     };
     ctx.actions.push(action);
+    connection
 }
 
 /// Returns the idle connection of the request's account that fits best: one with the session's
--- a/src/proxy/pool_server.rs
+++ b/src/proxy/pool_server.rs
@@ -145,7 +145,18 @@
         state.vacate(now);
     }
     let (link, channel) = (state.link, state.channel);
+    let failed = response.outcome.is_err();
     reply(ctx, link, pool_message::PoolReply::Response { channel, response });
+    if failed {
+        return end_lease(ctx, lease, "endpoint_fault");
+    }
+    schedule(ctx, endpoint);
+}
+
+/// Closes a pooled connection on which it is in doubt which response belongs to which command.
+pub fn on_order_lost(ctx: &mut proxy_context::ProxyContext, connection: arena_keys::ConnectionKey) {
+    let endpoint = ctx.connections[connection].endpoint;
+    drop_connection(ctx, connection, "response_order_lost");
     schedule(ctx, endpoint);
 }
 
@@ -409,9 +420,11 @@
     let endpoint = view.endpoint;
     let account = view.pool_account.clone().unwrap_or_default();
     let limit = connection_limit(ctx, ctx.endpoints[endpoint].group);
+    let retired = ctx.connections[connection].order.retired();
     let pool = &mut ctx.pool.endpoints[endpoint];
-    if pool.connections.len() > limit {
-        drop_connection(ctx, connection, "above_limit");
+    if retired || pool.connections.len() > limit {
+        let cause = if retired { "retired" } else { "above_limit" };
+        drop_connection(ctx, connection, cause);
         put_back_uncovered(ctx, endpoint);
         return schedule(ctx, endpoint);
     }
@@ -554,7 +567,7 @@
     let Some(state) = remove_lease(ctx, lease, cause) else { return };
     let Some(connection) = state.connection() else { return };
     let view = &ctx.connections[connection];
-    if view.in_flight.is_some() {
+    if view.in_flight.is_some() || view.order.retired() {
         drop_connection(ctx, connection, cause);
         return schedule(ctx, state.endpoint);
     }
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -106,6 +106,8 @@
     pub primary_reads: u64,
     /// Connections opened to endpoints.
     pub connections_opened: u64,
+    /// Those opened for probes and failovers, which found none that could prove the response.
+    pub connections_opened_for_commands: u64,
     /// Responses of endpoints that were not matched with the command in flight, by what they were.
     pub responses_out_of_order: BTreeMap<&'static str, u64>,
     /// Statements sent again after an attempt that is known not to have run them.
--- a/src/proxy/response_order.rs
+++ b/src/proxy/response_order.rs
@@ -94,6 +94,19 @@
         outcome
     }
 
+    /// Accepts a response that a serving host has matched. The host does not say whether one without
+    /// a signature is proven.
+    pub fn accept_matched(
+        &mut self,
+        response: &endpoint_command::EndpointResponse,
+    ) -> response_match::ResponseMatch {
+        self.fault_received |= response.outcome.is_err();
+        match response.outcome.is_err() || response.is_signed() {
+            true => response_match::ResponseMatch::Proven,
+            false => response_match::ResponseMatch::Plausible,
+        }
+    }
+
     fn check_signature(
         &mut self,
         command: Option<&endpoint_command::EndpointCommand>,
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -274,6 +274,8 @@
     pub(crate) pool_requests: usize,
     /// Databases that send answers twice, by endpoint id.
     pub(crate) stutters: BTreeMap<String, fake_stutter::FakeStutter>,
+    /// Error answers that were sent.
+    pub(crate) error_answers: usize,
     /// Answers that were sent twice, by kind.
     pub(crate) repeated: BTreeMap<fake_stutter::AnswerKind, usize>,
     ledger: answer_ledger::AnswerLedger,
@@ -354,6 +356,7 @@
             connections_most: BTreeMap::new(),
             pool_requests: 0,
             stutters: BTreeMap::new(),
+            error_answers: 0,
             repeated: BTreeMap::new(),
             ledger: answer_ledger::AnswerLedger::default(),
             next_signature: 1,
@@ -1386,6 +1389,7 @@
             return;
         }
         let delay_us = 1_000 * self.rng.random_range(stutter.delay_ms.clone());
+        *self.repeated.entry(kind).or_default() += 1;
         let step = ScheduledStep::RepeatAnswer { host, incarnation, connection, response };
         self.push(self.now + delay_us, step);
     }
@@ -1403,7 +1407,6 @@
         if !self.can_reach(&place, &PartitionSide::Host(host)) {
             return;
         }
-        *self.repeated.entry(fake_stutter::AnswerKind::of(&response)).or_default() += 1;
         let event = proxy_message::ProxyEvent::ResponseReceived { connection, response };
         self.push(
             self.now + HOST_LATENCY_US,
@@ -1535,6 +1538,7 @@
         let lost = self.rng.random::<f64>() < self.response_loss;
         let place = PartitionSide::Database(endpoint.clone());
         if !lost && self.can_reach(&place, &PartitionSide::Host(host)) {
+            self.error_answers += usize::from(response.outcome.is_err());
             let repeated = response.clone();
             let event = proxy_message::ProxyEvent::ResponseReceived { connection, response };
             self.push(
