fix(daemon): escape control characters in log lines

A request id, database name or error text that holds a lone LF or CR started a new log line, which could look like any event: "endpoint_fault", "request_unserved" and "session_refused" print them without quotes.

The log writer, which takes an LF as the end of a record, gets one for each record.

lone_line_breaks_in_ids_and_keys_start_no_log_line fails without the change, with five forged lines. The tests keep the daemon's log in a file, and a readiness response that does not come fails a test after 5 s.

--- a/src/bin/quetzaldeald.rs
+++ b/src/bin/quetzaldeald.rs
@@ -5,6 +5,7 @@
 use anyhow::{Context, Result};
 use clap::{Arg, Command, value_parser};
 use quetzaldeal::daemon::daemon_settings;
+use quetzaldeal::daemon::escaped_logger;
 use quetzaldeal::daemon::host_daemon;
 use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
 
@@ -51,6 +52,6 @@
         .set_time_format_rfc3339()
         .add_filter_allow_str("quetzaldeal")
         .build();
-    TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never)
-        .context("cannot initialize logging")
+    let logger = TermLogger::new(level, config, TerminalMode::Stderr, ColorChoice::Never);
+    escaped_logger::EscapedLogger::init(logger)
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 pub mod daemon_settings;
 pub mod endpoint_driver;
 pub mod endpoint_sql;
+pub mod escaped_logger;
 pub mod host_daemon;
 pub mod http_call;
 pub mod latency_histograms;
