fix(limit): count the tokens of a repeated reply once

Callers of an account ran beyond its quota: a reply to a request for tokens carried nothing that tells it from an earlier one, and a datagram may arrive twice, so each copy added its tokens to those that peers had spent.

Counting one reply for each peer asked was ruled out: a repeat would then be taken for the answer to the next request.

A request for tokens now has a number, the reply states it, and a reply counts only while its request is open, for at most half a second; no request waits longer for a token. A repeated request still spends tokens twice at the peer, of which the second are lost.

The three cases fail before and pass now. The form without a number, as earlier builds send it, is still read and still sent in reply to it; hosts of earlier builds do not read the one with a number, so during a rolling restart they give no tokens to restarted hosts.

--- a/src/proxy/heartbeat_flow.rs
+++ b/src/proxy/heartbeat_flow.rs
@@ -28,11 +28,11 @@
 pub fn on_datagram(ctx: &mut proxy_context::ProxyContext, message: peer_datagram::PeerDatagram) {
     match message {
         peer_datagram::PeerDatagram::Heartbeat(heartbeat) => on_heartbeat(ctx, heartbeat),
-        peer_datagram::PeerDatagram::TokenAsk { host, account, allocation, count } => {
-            rate_limiter::on_token_request(ctx, &host, account, allocation, count);
+        peer_datagram::PeerDatagram::TokenAsk { host, account, allocation, count, id } => {
+            rate_limiter::on_token_request(ctx, &host, account, allocation, count, id);
         }
-        peer_datagram::PeerDatagram::TokenGiven { host, account, count } => {
-            rate_limiter::on_token_reply(ctx, &host, &account, count);
+        peer_datagram::PeerDatagram::TokenGiven { host, account, count, id } => {
+            rate_limiter::on_token_reply(ctx, &host, &account, count, id);
         }
         peer_datagram::PeerDatagram::ChangesRequest(request) => {
             change_relay::on_request(ctx, request);
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -140,6 +140,15 @@
     pub config: config_patch::ConfigPatch,
 }
 
+/// Identifies one request for tokens among those of all processes of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenAskId {
+    /// Identifies the asking process; later processes have higher numbers.
+    pub incarnation: u64,
+    /// Number of the request in that process.
+    pub number: u64,
+}
+
 /// A datagram between hosts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerDatagram {
@@ -156,6 +165,9 @@
         allocation: u64,
         /// Number of tokens requested.
         count: u32,
+        /// Identifies the request; `None` from a host of an earlier build.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        id: Option<TokenAskId>,
     },
     /// Reply to `TokenAsk`.
     TokenGiven {
@@ -165,6 +177,9 @@
         account: String,
         /// Number of tokens spent on the receiver's requests.
         count: u32,
+        /// Identifies the request that this answers, as it stated it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        id: Option<TokenAskId>,
     },
     /// Asks for changes of the store.
     ChangesRequest(ChangesRequest),
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -172,6 +172,8 @@
     pub requested_at: clock_time::ClockTime,
     /// Peers that have not replied to the last token requests.
     pub pending_peers: Vec<String>,
+    /// Token requests without a reply, by number, and when they were sent.
+    pub open_asks: BTreeMap<u64, clock_time::ClockTime>,
     /// Index, among the reachable home hosts, of the one that gets the next token request.
     pub next_peer: usize,
     /// Consecutive replies without tokens.
--- a/src/proxy/rate_limiter.rs
+++ b/src/proxy/rate_limiter.rs
@@ -34,6 +34,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(12);
 /// How long no token requests are sent to an unresponsive peer.
 pub const SKIP_DURATION: Duration = Duration::from_millis(500);
+/// Time for which the reply to a token request counts; no request waits longer for a token.
+const REPLY_VALIDITY: Duration = Duration::from_millis(500);
 /// Pause after the first search in which no home host had a token; doubled with each further one.
 /// Hundreds of hosts would otherwise fill the links of the home hosts of an account over its rate.
 const FRUITLESS_SEARCH_PAUSE: Duration = Duration::from_millis(10);
@@ -234,6 +236,7 @@
     account: String,
     allocation: u64,
     count: u32,
+    id: Option<peer_datagram::TokenAskId>,
 ) {
     let Some(address) = ctx.members.get(host).map(|member| member.record.address.clone()) else {
         return;
@@ -243,18 +246,26 @@
     let view = view.filter(|view| view.allocation == allocation && view.waiting.is_empty());
     let count = view.map_or(0, |view| view.ledger.spend_for_peer(now, count));
     let host = ctx.identity.host.clone();
-    ctx.send_datagram(address, peer_datagram::PeerDatagram::TokenGiven { host, account, count });
+    let reply = peer_datagram::PeerDatagram::TokenGiven { host, account, count, id };
+    ctx.send_datagram(address, reply);
 }
 
-/// Handles a peer's reply to a request for tokens.
+/// Handles a peer's reply to a request for tokens. The tokens of a repeated reply count once.
 pub fn on_token_reply(
     ctx: &mut proxy_context::ProxyContext,
     host: &str,
     account: &str,
     count: u32,
+    id: Option<peer_datagram::TokenAskId>,
 ) {
     let Some(account) = ctx.account_names.get(account).copied() else { return };
     let now = ctx.now;
+    let own = id.filter(|id| id.incarnation == ctx.identity.incarnation);
+    let asks = &mut ctx.accounts[account].open_asks;
+    let asked_at = own.and_then(|id| asks.remove(&id.number));
+    if asked_at.is_none_or(|asked_at| now.since(asked_at) >= REPLY_VALIDITY) {
+        return;
+    }
     if let Some(member) = ctx.members.get_mut(host) {
         member.skipped_until = now;
     }
@@ -450,15 +461,21 @@
     let first = view.next_peer;
     view.next_peer = (first + count) % peers.len();
     let (name, allocation) = (view.name.clone(), view.allocation);
+    view.open_asks.retain(|_, sent_at| now.since(*sent_at) < REPLY_VALIDITY);
     let wanted = waiting.div_ceil(count) as u32;
     for step in 0..count {
         let (host, address) = peers[(first + step) % peers.len()].clone();
-        ctx.accounts[account].pending_peers.push(host);
+        let number = ctx.next_call_id();
+        let view = &mut ctx.accounts[account];
+        view.open_asks.insert(number, now);
+        view.pending_peers.push(host);
+        let incarnation = ctx.identity.incarnation;
         let message = peer_datagram::PeerDatagram::TokenAsk {
             host: ctx.identity.host.clone(),
             account: name.clone(),
             allocation,
             count: wanted,
+            id: Some(peer_datagram::TokenAskId { incarnation, number }),
         };
         ctx.send_datagram(address, message);
     }
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -551,6 +551,7 @@
                 waiting: Default::default(),
                 requested_at: now,
                 pending_peers: Vec::new(),
+                open_asks: Default::default(),
                 next_peer: 0,
                 empty_replies: 0,
                 fruitless_searches: 0,
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -244,6 +244,8 @@
     pub(crate) response_loss: f64,
     /// Fraction of the datagrams between hosts that is lost.
     pub(crate) datagram_loss: f64,
+    /// Time after which each datagram between hosts arrives a second time.
+    pub(crate) datagram_repeat: Option<Duration>,
     /// Bytes of the datagrams that each host has sent.
     pub(crate) datagram_bytes: BTreeMap<usize, usize>,
     /// Number of datagrams of usage reports between hosts.
@@ -321,6 +323,7 @@
             promotion_us: PROMOTION_US,
             response_loss: 0.0,
             datagram_loss: 0.0,
+            datagram_repeat: None,
             datagram_bytes: BTreeMap::new(),
             usage_datagrams: 0,
             hosts_without_relay: BTreeSet::new(),
@@ -1052,11 +1055,15 @@
                     || (self.datagram_loss > 0.0 && self.rng.random::<f64>() < self.datagram_loss);
                 if !lost && self.can_reach(&PartitionSide::Host(host), &PartitionSide::Host(peer)) {
                     let incarnation = self.hosts[peer].incarnation;
-                    let event = proxy_message::ProxyEvent::DatagramReceived { message };
-                    self.push(
-                        self.now + HOST_LATENCY_US,
-                        ScheduledStep::DeliverEvent { host: peer, incarnation, event },
-                    );
+                    let delays = [Some(Duration::ZERO), self.datagram_repeat];
+                    for delay in delays.into_iter().flatten() {
+                        let message = message.clone();
+                        let event = proxy_message::ProxyEvent::DatagramReceived { message };
+                        self.push(
+                            self.now + HOST_LATENCY_US + delay.as_micros() as u64,
+                            ScheduledStep::DeliverEvent { host: peer, incarnation, event },
+                        );
+                    }
                 }
             }
             proxy_message::ProxyAction::SendPoolRequest { address, request } => {
--- /dev/null
+++ b/tests/repeated_datagrams.rs
@@ -0,0 +1,64 @@
+//! Tests of a fleet in which every datagram between hosts arrives twice, in virtual time.
+
+#[allow(dead_code, reason = "no test program uses all of the fakes")]
+mod proxy_fakes;
+
+use std::time::Duration;
+
+use proxy_fakes::{ProxyFleet, millis, read};
+use quetzaldeal::proxy::proxy_tuning;
+
+/// Hosts of the fleet: twice the home hosts of an account.
+const HOSTS: usize = 24;
+/// Rate and burst of the account, in requests and requests per second.
+const RATE: f64 = 240.0;
+
+/// Declares a test for each name, which runs on a fleet that serves already and whose datagrams
+/// arrive again after the time given.
+macro_rules! cases {
+    ($($name:ident: $repeat:expr, $body:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let run: fn(&mut ProxyFleet) = $body;
+                let mut fleet = ProxyFleet::new(HOSTS, &[("medium", RATE, RATE)], 1);
+                fleet.run(millis(4_000));
+                fleet.datagram_repeat = Some($repeat);
+                run(&mut fleet);
+                assert!(fleet.violations.is_empty(), "{:#?}", fleet.violations);
+            }
+        )*
+    };
+}
+
+/// Sends reads at three times the account's rate to hosts that have to ask others for tokens, and
+/// checks that no more run than its quota allows.
+fn check_quota(fleet: &mut ProxyFleet) {
+    let tuning = proxy_tuning::ProxyTuning::default();
+    let context = fleet.core(0).context();
+    let homes = context.accounts[context.account_names["medium"]].homes.clone();
+    let is_home = |host: &usize| homes.contains(&fleet.core(*host).context().identity.host);
+    let others: Vec<usize> = (0..HOSTS).filter(|host| !is_home(host)).collect();
+    let callers: Vec<(usize, u64)> =
+        others.iter().map(|host| (*host, fleet.open(*host, "medium", "aged"))).collect();
+    let start = fleet.now;
+    let mut sent = 0;
+    while fleet.now < start + 2 * tuning.quota_window.as_micros() as u64 {
+        for _ in 0..RATE as usize * 3 / 100 {
+            let (host, caller) = callers[sent % callers.len()];
+            fleet.send(host, caller, read());
+            sent += 1;
+        }
+        fleet.run(millis(10));
+    }
+    let limit = RATE * tuning.quota_window.as_secs_f64() + RATE;
+    let limit = limit * (1.0 + tuning.quota_overshoot) + tuning.quota_slack;
+    let most = fleet.max_executions_within("medium", tuning.quota_window);
+    assert!(most as f64 <= limit, "{most} ran within {:?}, allowed {limit}", tuning.quota_window);
+}
+
+cases! {
+    tokens_of_a_reply_repeated_at_once_are_spent_once: Duration::ZERO, check_quota;
+    tokens_of_a_reply_repeated_during_the_next_search_are_spent_once: millis(3), check_quota;
+    tokens_of_a_reply_repeated_late_are_spent_once: millis(300), check_quota;
+}
--- a/tests/store_relay.rs
+++ b/tests/store_relay.rs
@@ -560,6 +560,7 @@
         host: "host1".to_owned(),
         account: "large".to_owned(),
         count: 3,
+        id: None,
     };
     let bytes = b"\x81\xaaTokenGiven\x93\xa5host1\xa5large\x03";
     assert_eq!(rmp_serde::to_vec(&message).unwrap(), bytes);
