fix(config): ignore a configuration offered to the process before

A host that restarts may take a configuration that was replaced long ago and serve callers by it until its turn to read the store. An offer did not state which request it answers, so one to the process before, late or repeated, was taken for the answer to the new process's request.

An offer that is older than what the new process has read stays acceptable if it answers its own request: its sender then knew the store a moment ago, and rejecting it would slow the start of a fleet.

The offer now states the incarnation of the process that asked, as relayed changes do.

--- a/src/proxy/config_offer.rs
+++ b/src/proxy/config_offer.rs
@@ -42,7 +42,8 @@
     let Some(config) = encoded.patch.clone() else { return };
     ctx.relay.offered_bytes += encoded.bytes;
     let host = ctx.identity.host.clone();
-    let offer = peer_datagram::ConfigOffer { host, revision, current_at, config };
+    let echo_incarnation = request.incarnation;
+    let offer = peer_datagram::ConfigOffer { host, revision, current_at, config, echo_incarnation };
     ctx.send_datagram(address, peer_datagram::PeerDatagram::ConfigOffer(Box::new(offer)));
 }
 
@@ -64,13 +65,15 @@
     }
 }
 
-/// Takes the configuration of an offer if this host has none.
+/// Takes the configuration of an offer if this host has none. An offer to the process before this one
+/// may have been under way since long before.
 ///
 /// If the sender knows less of the store than this host, a later configuration may be missing. This host
 /// then serves with the offered one and still reads the configuration in its turn.
 pub fn on_offer(ctx: &mut proxy_context::ProxyContext, offer: peer_datagram::ConfigOffer) {
     let known = ctx.store.revision.is_some() && ctx.members.contains_key(&offer.host);
-    if ctx.config.is_some() || !known {
+    let own = offer.echo_incarnation == ctx.identity.incarnation;
+    if ctx.config.is_some() || !known || !own {
         return;
     }
     let empty = proxy_config::ProxyConfig::default();
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -138,6 +138,9 @@
     pub current_at: store_revision::StoreRevision,
     /// The configuration, as the difference from an empty one.
     pub config: config_patch::ConfigPatch,
+    /// Incarnation of the receiver's process that asked for it; 0 from a host of an earlier build.
+    #[serde(default)]
+    pub echo_incarnation: u64,
 }
 
 /// Identifies one request for tokens among those of all processes of a host.
--- a/tests/repeated_datagrams.rs
+++ b/tests/repeated_datagrams.rs
@@ -6,7 +6,11 @@
 use std::time::Duration;
 
 use proxy_fakes::{ProxyFleet, millis, read};
+use quetzaldeal::proxy::config_patch;
+use quetzaldeal::proxy::peer_datagram;
+use quetzaldeal::proxy::proxy_config;
 use quetzaldeal::proxy::proxy_tuning;
+use quetzaldeal::proxy::store_message;
 
 /// Hosts of the fleet: twice the home hosts of an account.
 const HOSTS: usize = 24;
@@ -62,3 +66,31 @@
     tokens_of_a_reply_repeated_during_the_next_search_are_spent_once: millis(3), check_quota;
     tokens_of_a_reply_repeated_late_are_spent_once: millis(300), check_quota;
 }
+
+/// Guards against a process that takes over a configuration which a peer had offered to the process
+/// before it, after that configuration was replaced.
+#[test]
+fn configuration_offered_to_the_process_before_is_not_taken() {
+    let mut fleet = ProxyFleet::new(HOSTS, &[("medium", RATE, RATE)], 1);
+    fleet.run(millis(4_000));
+    let peer = fleet.core(0).context();
+    let empty = proxy_config::ProxyConfig::default();
+    let offer = peer_datagram::ConfigOffer {
+        host: peer.identity.host.clone(),
+        revision: peer.store.known[&store_message::ItemSubject::Config],
+        current_at: peer.store.revision.unwrap(),
+        config: config_patch::ConfigPatch::between(&empty, fleet.published()),
+        echo_incarnation: 1,
+    };
+    fleet.reconfigure(|config| config.accounts.clear());
+    fleet.run(millis(4_000));
+    fleet.kill_host(1);
+    fleet.start_host(1, Duration::ZERO);
+    while fleet.core(1).context().config.is_none() {
+        let offer = Box::new(offer.clone());
+        fleet.deliver_datagram(1, peer_datagram::PeerDatagram::ConfigOffer(offer));
+        fleet.run(Duration::from_micros(100));
+    }
+    let version = fleet.core(1).context().config.as_ref().map(|config| config.version);
+    assert_eq!(version, Some(fleet.published().version));
+}
--- a/tests/store_relay.rs
+++ b/tests/store_relay.rs
@@ -348,6 +348,7 @@
                 &proxy_config::ProxyConfig::default(),
                 &config_with(u64::MAX, &[]),
             ),
+            echo_incarnation: 1,
         }));
     request_of_an_unknown_host_is_ignored:
         peer_datagram::PeerDatagram::ChangesRequest(peer_datagram::ChangesRequest {
