fix(limit): spend tokens once for a repeated request

Callers within their account's rate were refused where datagrams arrive twice: a peer spent tokens for each copy of a request, and the asker counts one reply.

A host now keeps the numbers of the requests that each peer sent within the last half second and leaves out a repeat. Keeping the highest number alone was ruled out: it would refuse a request that another one has overtaken.

The new case fails before and passes now; the one with the copy at once passed before.

--- a/src/proxy/member_view.rs
+++ b/src/proxy/member_view.rs
@@ -31,6 +31,8 @@
     pub allocation_confirmed: bool,
     /// Until when it gets no token requests, because it did not reply to the last one.
     pub skipped_until: clock_time::ClockTime,
+    /// Its latest token requests, and when they arrived.
+    pub token_asks: BTreeMap<peer_datagram::TokenAskId, clock_time::ClockTime>,
     /// Hosts from which it reports no recent heartbeat.
     pub unreachable: BTreeSet<String>,
     /// Its observations of primaries, by group.
@@ -51,6 +53,7 @@
             allocation: 0,
             allocation_confirmed: false,
             skipped_until: clock_time::ClockTime::default(),
+            token_asks: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             observations: BTreeMap::new(),
         }
--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -144,7 +144,7 @@
 }
 
 /// Identifies one request for tokens among those of all processes of a host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TokenAskId {
     /// Identifies the asking process; later processes have higher numbers.
     pub incarnation: u64,
--- a/src/proxy/rate_limiter.rs
+++ b/src/proxy/rate_limiter.rs
@@ -229,7 +229,7 @@
     request_tokens(ctx, account);
 }
 
-/// Handles a peer's request for tokens.
+/// Handles a peer's request for tokens. A repeated request spends none.
 pub fn on_token_request(
     ctx: &mut proxy_context::ProxyContext,
     host: &str,
@@ -238,10 +238,13 @@
     count: u32,
     id: Option<peer_datagram::TokenAskId>,
 ) {
-    let Some(address) = ctx.members.get(host).map(|member| member.record.address.clone()) else {
-        return;
-    };
     let now = ctx.now;
+    let Some(member) = ctx.members.get_mut(host) else { return };
+    member.token_asks.retain(|_, arrived| now.since(*arrived) < REPLY_VALIDITY);
+    if id.is_some_and(|id| member.token_asks.insert(id, now).is_some()) {
+        return;
+    }
+    let address = member.record.address.clone();
     let view = ctx.account_names.get(&account).and_then(|key| ctx.accounts.get_mut(*key));
     let view = view.filter(|view| view.allocation == allocation && view.waiting.is_empty());
     let count = view.map_or(0, |view| view.ledger.spend_for_peer(now, count));
--- a/tests/repeated_datagrams.rs
+++ b/tests/repeated_datagrams.rs
@@ -61,10 +61,33 @@
     assert!(most as f64 <= limit, "{most} ran within {:?}, allowed {limit}", tuning.quota_window);
 }
 
+/// Sends reads at five sixths of the account's rate to all hosts, and checks that fewer than one in a
+/// thousand is refused.
+fn check_service(fleet: &mut ProxyFleet) {
+    let callers: Vec<u64> = (0..HOSTS).map(|host| fleet.open(host, "medium", "aged")).collect();
+    let (mut sent, mut refused) = (0, 0);
+    for _ in 0..10_000 / 20 {
+        for _ in 0..RATE as usize * 5 / 6 / 50 {
+            fleet.send(sent % HOSTS, callers[sent % HOSTS], read());
+            sent += 1;
+        }
+        fleet.run(millis(20));
+    }
+    fleet.run(millis(500));
+    for (host, caller) in callers.into_iter().enumerate() {
+        while let Some(received) = fleet.take_response(host, caller) {
+            refused += usize::from(!received.ran());
+        }
+    }
+    assert!(refused * 1_000 < sent, "{refused} of {sent} refused");
+}
+
 cases! {
     tokens_of_a_reply_repeated_at_once_are_spent_once: Duration::ZERO, check_quota;
     tokens_of_a_reply_repeated_during_the_next_search_are_spent_once: millis(3), check_quota;
     tokens_of_a_reply_repeated_late_are_spent_once: millis(300), check_quota;
+    request_for_tokens_repeated_at_once_spends_tokens_once: Duration::ZERO, check_service;
+    request_for_tokens_repeated_late_spends_tokens_once: millis(300), check_service;
 }
 
 /// Guards against a process that takes over a configuration which a peer had offered to the process
