--- a/src/proxy/peer_datagram.rs
+++ b/src/proxy/peer_datagram.rs
@@ -138,6 +138,18 @@
     pub current_at: store_revision::StoreRevision,
     /// The configuration, as the difference from an empty one.
     pub config: config_patch::ConfigPatch,
+    /// Incarnation of the receiver's process that asked for it; 0 from a host of an earlier build.
+    #[serde(default)]
+    pub echo_incarnation: u64,
+}
+
+/// Identifies one request for tokens among those of all processes of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TokenAskId {
+    /// Identifies the asking process; later processes have higher numbers.
+    pub incarnation: u64,
+    /// Number of the request in that process.
+    pub number: u64,
 }
 
 /// A datagram between hosts.
@@ -156,6 +168,9 @@
         allocation: u64,
         /// Number of tokens requested.
         count: u32,
+        /// Identifies the request; `None` from a host of an earlier build.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        id: Option<TokenAskId>,
     },
     /// Reply to `TokenAsk`.
     TokenGiven {
@@ -165,6 +180,9 @@
         account: String,
         /// Number of tokens spent on the receiver's requests.
         count: u32,
+        /// Identifies the request that this answers, as it stated it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        id: Option<TokenAskId>,
     },
     /// Asks for changes of the store.
     ChangesRequest(ChangesRequest),
