test(pool): repeat answers to a serving host

An endpoint's repeated answer reached the host that leased the connection next, as the answer to its own command. Signatures now name the request, the start-up is answered without one, and an answer may be sent again: on a free connection, on an unused lease, in an idle transaction, to the next lease, for a setting and during a rollback. Random histories repeat answers of the last 300 ms and check that each response belongs to the command of its channel.

--- a/tests/pool_server.rs
+++ b/tests/pool_server.rs
@@ -41,6 +41,14 @@
     };
 }
 
+/// An answer of an endpoint.
+#[derive(Debug, Clone)]
+struct GivenAnswer {
+    at: clock_time::ClockTime,
+    connection: arena_keys::ConnectionKey,
+    response: endpoint_command::EndpointResponse,
+}
+
 /// A core and what it asked for.
 #[derive(Debug)]
 struct ServingHost {
@@ -52,8 +60,15 @@
     opening: Vec<(arena_keys::ConnectionKey, String)>,
     /// Pooled connections that were opened, or are being opened.
     connections: BTreeSet<arena_keys::ConnectionKey>,
-    /// Commands that were sent and have no response yet.
+    /// Commands that were sent and have no response yet, one for each connection unless answers
+    /// were repeated.
     sent: Vec<(arena_keys::ConnectionKey, endpoint_command::EndpointCommand)>,
+    /// Answers on open connections, and when they arrived.
+    answered: Vec<GivenAnswer>,
+    /// Number of signed answers.
+    signed: usize,
+    /// Whether an answer was repeated.
+    repeated: bool,
     /// Most pooled connections at once.
     most_connections: usize,
     stopped: bool,
@@ -79,6 +94,9 @@
             opening: Vec::new(),
             connections: BTreeSet::new(),
             sent: Vec::new(),
+            answered: Vec::new(),
+            signed: 0,
+            repeated: false,
             most_connections: 0,
             stopped: false,
             revision: 1,
@@ -107,10 +125,12 @@
             proxy_message::ProxyAction::CloseConnection { connection } => {
                 self.opening.retain(|(other, _)| *other != connection);
                 self.sent.retain(|(other, _)| *other != connection);
+                self.answered.retain(|answer| answer.connection != connection);
                 self.connections.remove(&connection);
             }
             proxy_message::ProxyAction::SendCommand { connection, command } => {
-                assert!(self.sent.iter().all(|(other, _)| *other != connection));
+                let waiting = self.sent.iter().any(|(other, _)| *other == connection);
+                assert!(self.repeated || !waiting, "two commands at once");
                 self.sent.push((connection, command));
             }
             proxy_message::ProxyAction::SendPoolReply { link, reply } => {
@@ -178,7 +198,8 @@
     /// Has the endpoint accept the connection whose opening began first.
     fn accept(&mut self) -> arena_keys::ConnectionKey {
         let (connection, _) = self.opening.remove(0);
-        let response = response(Ok("-".to_owned()), endpoint_command::SessionPhase::Idle);
+        let response = response(Ok(String::new()), endpoint_command::SessionPhase::Idle);
+        self.answered.push(GivenAnswer { at: self.now, connection, response: response.clone() });
         self.handle(proxy_message::ProxyEvent::ConnectionOpened { connection, response });
         connection
     }
@@ -198,12 +219,63 @@
         &mut self,
         phase: endpoint_command::SessionPhase,
     ) -> endpoint_command::EndpointCommand {
-        let (connection, command) = self.sent.remove(0);
-        let response = response(Ok("signature".to_owned()), phase);
-        self.handle(proxy_message::ProxyEvent::ResponseReceived { connection, response });
+        let (connection, _) = self.sent[0];
+        self.respond_on(connection, phase)
+    }
+
+    /// Has the endpoint respond to the oldest command on a connection; returns the command. A
+    /// statement's signature names its request.
+    fn respond_on(
+        &mut self,
+        connection: arena_keys::ConnectionKey,
+        phase: endpoint_command::SessionPhase,
+    ) -> endpoint_command::EndpointCommand {
+        let oldest = self.sent.iter().position(|(other, _)| *other == connection);
+        let (_, command) = self.sent.remove(oldest.unwrap_or_else(|| panic!("no command")));
+        let signature = match &command {
+            endpoint_command::EndpointCommand::Run { id, .. }
+            | endpoint_command::EndpointCommand::Commit { id } => {
+                self.signed += 1;
+                format!("{id}.{}", self.signed)
+            }
+            _ => "-".to_owned(),
+        };
+        self.answer(connection, Ok(signature), phase);
         command
     }
 
+    fn answer(
+        &mut self,
+        connection: arena_keys::ConnectionKey,
+        outcome: Result<String, endpoint_command::EndpointFault>,
+        phase: endpoint_command::SessionPhase,
+    ) {
+        let response = response(outcome, phase);
+        self.answered.push(GivenAnswer { at: self.now, connection, response: response.clone() });
+        self.handle(proxy_message::ProxyEvent::ResponseReceived { connection, response });
+    }
+
+    /// Has the endpoint send its last answer for the second time.
+    fn repeat_last(&mut self) {
+        let answer = self.answered.last().cloned().unwrap_or_else(|| panic!("no answer"));
+        self.repeat(answer);
+    }
+
+    fn repeat(&mut self, answer: GivenAnswer) {
+        self.repeated = true;
+        let GivenAnswer { connection, response, .. } = answer;
+        self.handle(proxy_message::ProxyEvent::ResponseReceived { connection, response });
+    }
+
+    /// Takes the replies; returns the outcomes of the responses among them.
+    fn take_outcomes(&mut self) -> Vec<Result<String, endpoint_command::EndpointFault>> {
+        let outcome = |reply| match reply {
+            pool_message::PoolReply::Response { response, .. } => Some(response.outcome),
+            _ => None,
+        };
+        self.take_replies().into_iter().filter_map(|(_, reply)| outcome(reply)).collect()
+    }
+
     /// Leases a connection of the account that has to be opened first.
     fn lease_new(&mut self, link: u64, channel: u64, account: &str) -> arena_keys::ConnectionKey {
         self.lease(link, channel, account);
@@ -368,7 +440,7 @@
         host.command(1, 1, run("r1"));
         assert_eq!(host.sent, [(connection, run("r1"))]);
         host.respond(IDLE);
-        let expected = response(Ok("signature".to_owned()), IDLE);
+        let expected = response(Ok("r1.1".to_owned()), IDLE);
         let reply = pool_message::PoolReply::Response { channel: 1, response: expected };
         assert_eq!(host.take_replies(), [(1, reply)]);
         host.release(1, 1);
@@ -639,6 +711,114 @@
         let refused = refusals(&host.take_replies());
         assert!(matches!(refused[..], [(5, pool_message::LeaseRefusal::Busy, 1..)]), "{refused:?}");
     };
+    answer_on_a_free_connection_ends_it: |host| {
+        let connection = host.lease_new(1, 1, "a");
+        host.command(1, 1, run("r1"));
+        host.respond(IDLE);
+        host.release(1, 1);
+        assert!(host.connections.contains(&connection));
+        host.repeat_last();
+        assert!(!host.connections.contains(&connection));
+        host.lease_new(1, 2, "a");
+    };
+    answer_on_an_unused_lease_is_not_passed_on: |host| {
+        let connection = host.lease_new(1, 1, "a");
+        host.command(1, 1, run("r1"));
+        host.respond(IDLE);
+        host.take_replies();
+        host.repeat_last();
+        assert!(host.take_outcomes().is_empty());
+        host.release(1, 1);
+        assert!(!host.connections.contains(&connection));
+    };
+    answer_in_an_idle_transaction_is_not_passed_on: |host| {
+        let connection = host.lease_new(1, 1, "a");
+        host.begin(1, 1);
+        host.command(1, 1, run("r1"));
+        host.respond(OPEN);
+        host.take_replies();
+        host.repeat_last();
+        assert!(host.take_outcomes().is_empty());
+        host.release(1, 1);
+        while !host.sent.is_empty() {
+            host.respond(IDLE);
+        }
+        assert!(!host.connections.contains(&connection));
+    };
+    signed_answer_is_not_passed_to_the_next_lease: |host| {
+        let connection = host.lease_new(1, 1, "a");
+        host.command(1, 1, run("r1"));
+        host.respond(IDLE);
+        host.release(1, 1);
+        host.take_replies();
+        let answer = host.answered[host.answered.len() - 1].clone();
+        host.lease(2, 1, "a");
+        host.command(2, 1, run("r2"));
+        host.repeat(answer);
+        assert!(host.take_outcomes().is_empty());
+        if host.connections.contains(&connection) {
+            host.respond(IDLE);
+            assert_eq!(host.take_outcomes(), [Ok("r2.2".to_owned())]);
+            host.release(2, 1);
+        }
+        assert!(!host.connections.contains(&connection));
+    };
+    start_up_answer_is_not_passed_to_the_first_command: |host| {
+        host.lease_new(1, 1, "a");
+        host.command(1, 1, run("r1"));
+        host.repeat_last();
+        assert!(host.take_outcomes().is_empty());
+    };
+    start_up_answer_does_not_confirm_a_setting: |host| {
+        let connection = host.lease_new(1, 1, "a");
+        host.command(1, 1, set("x"));
+        host.repeat_last();
+        assert!(host.take_outcomes().is_empty());
+        let settings = host.core.context().connections.get(connection).map(|view| view.values.len());
+        assert!(settings.is_none_or(|settings| settings == 0));
+    };
+    signed_answer_does_not_confirm_a_setting: |host| {
+        let connection = host.lease_new(1, 1, "a");
+        host.command(1, 1, run("r1"));
+        host.respond(IDLE);
+        let answer = host.answered[host.answered.len() - 1].clone();
+        host.take_replies();
+        host.command(1, 1, set("x"));
+        host.repeat(answer);
+        assert!(host.take_outcomes().is_empty());
+        let settings = host.core.context().connections.get(connection).map(|view| view.values.len());
+        assert!(settings.is_none_or(|settings| settings == 0));
+    };
+    busy_answer_is_no_promise_about_the_next_lease: |host| {
+        let connection = host.lease_new(1, 1, "a");
+        host.command(1, 1, run("r1"));
+        host.sent.clear();
+        host.answer(connection, Err(endpoint_command::EndpointFault::Busy), IDLE);
+        host.release(1, 1);
+        host.take_replies();
+        let Some(answer) = host.answered.last().cloned() else { return };
+        host.lease(2, 1, "a");
+        host.command(2, 1, run("r2"));
+        host.repeat(answer);
+        assert!(host.take_outcomes().is_empty());
+    };
+    signed_answer_does_not_free_a_connection_that_rolls_back: |host| {
+        let connection = host.lease_new(1, 1, "a");
+        host.begin(1, 1);
+        host.command(1, 1, run("r1"));
+        host.respond(OPEN);
+        host.command(1, 1, endpoint_command::EndpointCommand::Commit { id: "r2".to_owned() });
+        host.respond(IDLE);
+        let answer = host.answered[host.answered.len() - 1].clone();
+        host.take_replies();
+        host.begin(1, 1);
+        host.release(1, 1);
+        assert_eq!(host.sent, [(connection, endpoint_command::EndpointCommand::Rollback)]);
+        host.take_replies();
+        host.lease(2, 1, "a");
+        host.repeat(answer);
+        assert!(!host.take_replies().contains(&(2, leased(1))));
+    };
     pool_does_not_count_as_this_hosts_connections: |host| {
         let connection = host.lease_new(1, 1, "a");
         host.command(1, 1, run("r1"));
@@ -664,6 +844,7 @@
     CloseConnection { connection: usize },
     Restart { endpoint: usize },
     Advance { ms: u64 },
+    Repeat { answer: usize },
 }
 
 fn history_step() -> impl Strategy<Value = HistoryStep> {
@@ -686,6 +867,12 @@
     ]
 }
 
+/// Steps, of which some repeat an answer of the last 300 ms.
+fn repeating_step() -> impl Strategy<Value = HistoryStep> {
+    let repeat = (0_usize..16).prop_map(|answer| HistoryStep::Repeat { answer });
+    prop_oneof![12 => history_step(), 1 => repeat]
+}
+
 /// What a leasing host knows of a channel.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ChannelState {
@@ -702,7 +889,10 @@
     channels: BTreeMap<(u64, u64), ChannelState>,
     /// Connections with an open transaction at the endpoint.
     in_transaction: BTreeSet<arena_keys::ConnectionKey>,
+    /// Requests that were sent last, by channel.
+    requests: BTreeMap<(u64, u64), String>,
     next_channel: u64,
+    next_request: u64,
     born: u64,
 }
 
@@ -712,7 +902,9 @@
             host: ServingHost::start(),
             channels: BTreeMap::new(),
             in_transaction: BTreeSet::new(),
+            requests: BTreeMap::new(),
             next_channel: 1,
+            next_request: 1,
             born: 2,
         }
     }
@@ -741,7 +933,10 @@
                     .collect();
                 if let Some((link, channel)) = ready.get(lease % ready.len().max(1)).copied() {
                     self.channels.insert((link, channel), ChannelState::CommandSent);
-                    host.command(link, channel, run("r"));
+                    let request = format!("r{}", self.next_request);
+                    self.next_request += 1;
+                    host.command(link, channel, run(&request));
+                    self.requests.insert((link, channel), request);
                 }
             }
             HistoryStep::Release { lease } => {
@@ -767,16 +962,32 @@
                 }
             }
             HistoryStep::Respond { command, open } if !host.sent.is_empty() => {
-                let position = command % host.sent.len();
-                host.sent.swap(0, position);
-                let (connection, command) = host.sent[0].clone();
+                let (connection, _) = host.sent[command % host.sent.len()];
+                let mut sent = host.sent.iter().filter(|(other, _)| *other == connection);
+                let Some((_, command)) = sent.next().cloned() else { return };
                 let rollback = command == endpoint_command::EndpointCommand::Rollback;
                 let open = *open && !rollback;
                 match open {
                     true => self.in_transaction.insert(connection),
                     false => self.in_transaction.remove(&connection),
                 };
-                host.respond(if open { OPEN } else { IDLE });
+                host.respond_on(connection, if open { OPEN } else { IDLE });
+            }
+            HistoryStep::Repeat { answer } => {
+                let since = host.now.before(Duration::from_millis(300));
+                let recent: Vec<GivenAnswer> =
+                    host.answered.iter().filter(|answer| answer.at >= since).cloned().collect();
+                if let Some(answer) = recent.get(answer % recent.len().max(1)).cloned() {
+                    let connection = answer.connection;
+                    host.repeat(answer);
+                    // The endpoint runs what follows a rollback after it, answered or not.
+                    let mut sent = host.sent.iter().filter(|(other, _)| *other == connection);
+                    if sent.next().is_some_and(|(_, command)| {
+                        *command == endpoint_command::EndpointCommand::Rollback
+                    }) {
+                        self.in_transaction.remove(&connection);
+                    }
+                }
             }
             HistoryStep::CloseConnection { connection } => {
                 let open: Vec<_> = host.connections.iter().copied().collect();
@@ -817,6 +1028,13 @@
                 state.is_some_and(|state| allowed.contains(&state)),
                 "{reply:?} on link {link} in {state:?}"
             );
+            if let pool_message::PoolReply::Response { response, .. } = &reply {
+                let request = self.requests.get(&(link, channel)).cloned().unwrap_or_default();
+                let own = response.outcome.as_ref().is_ok_and(|signature| {
+                    signature.split_once('.').is_some_and(|(signed, _)| signed == request)
+                });
+                prop_assert!(own, "{reply:?} to {request}");
+            }
             self.channels.insert((link, channel), next);
         }
         Ok(())
@@ -857,6 +1075,15 @@
 
 #[test]
 fn random_histories_keep_cap_leases_and_channels_apart() {
+    check_histories(history_step());
+}
+
+#[test]
+fn random_histories_with_repeated_answers_keep_answers_apart() {
+    check_histories(repeating_step());
+}
+
+fn check_histories(step: impl Strategy<Value = HistoryStep>) {
     let variable =
         |name: &str| std::env::var(name).ok().and_then(|value| value.parse::<u64>().ok());
     let mut seed = [0; 32];
@@ -865,7 +1092,7 @@
     let config = Config { cases, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let history = prop::collection::vec(history_step(), 1..300);
+    let history = prop::collection::vec(step, 1..300);
     let outcome = runner.run(&history, |steps| {
         let mut bench = HistoryBench::new();
         for step in &steps {
