test(failover): check that no status is taken for newer than it is

A repeated STATUS answer is taken for that of the request in flight, so the coordinator ranks replicas by what they held before. The tests repeated status answers without meeting a request: the databases were 1 ms away. They are 20 ms away now, replicas lag until the failover waits for one, and every status that a host knows has to be one that the database reported at or after its request. The same is checked after each fault of the properties.

Ruled out: a loss that shows in the simulation.

--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -35,7 +35,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-/// One-way latency between a host and a database or a peer, in microseconds.
+/// One-way latency between a host and a peer, and by default a database, in microseconds.
 const HOST_LATENCY_US: u64 = 1_000;
 /// Timeout for opening a link to a serving host, in microseconds.
 const LINK_TIMEOUT_US: u64 = 400_000;
@@ -255,6 +255,10 @@
     pub(crate) executions: BTreeMap<String, Vec<u64>>,
     /// Time from the acceptance of a promotion until the endpoint is the primary, in microseconds.
     pub(crate) promotion_us: u64,
+    /// One-way latency between hosts and databases, in microseconds.
+    pub(crate) database_latency_us: u64,
+    /// Acknowledged writes that promoted databases lacked.
+    pub(crate) lost_writes: usize,
     /// Fraction of the databases' responses that is lost.
     pub(crate) response_loss: f64,
     /// Fraction of the datagrams between hosts that is lost.
@@ -277,6 +281,8 @@
     /// Answers that were sent twice, by kind.
     pub(crate) repeated: BTreeMap<fake_stutter::AnswerKind, usize>,
     ledger: answer_ledger::AnswerLedger,
+    /// Statuses by endpoint id, with the time at which the database reported them, oldest first.
+    statuses: BTreeMap<String, Vec<(u64, endpoint_command::EndpointStatus)>>,
     next_signature: u64,
     links: BTreeMap<pool_message::LinkId, fake_link::FakeLink>,
     next_link: pool_message::LinkId,
@@ -345,6 +351,8 @@
             violations: Vec::new(),
             executions: BTreeMap::new(),
             promotion_us: PROMOTION_US,
+            database_latency_us: HOST_LATENCY_US,
+            lost_writes: 0,
             response_loss: 0.0,
             datagram_loss: 0.0,
             datagram_bytes: BTreeMap::new(),
@@ -356,6 +364,7 @@
             stutters: BTreeMap::new(),
             repeated: BTreeMap::new(),
             ledger: answer_ledger::AnswerLedger::default(),
+            statuses: BTreeMap::new(),
             next_signature: 1,
             links: BTreeMap::new(),
             next_link: 1,
@@ -866,6 +875,28 @@
         self.stutters = self.databases.keys().map(|id| (id.clone(), stutter.clone())).collect();
     }
 
+    /// Checks that the statuses that running hosts know are not too new: a database reported each of
+    /// them at or after the time when the host requested it.
+    pub(crate) fn check_reports(&mut self) {
+        let mut broken = Vec::new();
+        for (number, host) in self.hosts.iter().enumerate().filter(|(_, host)| host.alive) {
+            for view in host.core.context().endpoints.values() {
+                let Some((requested_at, report)) = view.report else { continue };
+                let requested_at = requested_at.as_micros() + host.clock_lag_us;
+                let reported = self.statuses.get(&view.entry.id).map_or(&[][..], Vec::as_slice);
+                let mut since = reported.iter().rev().take_while(|(at, _)| *at >= requested_at);
+                if !since.any(|(_, status)| *status == report) {
+                    broken.push(format!(
+                        "STATUS: host {number} takes {report:?} of {} for one of {requested_at} us",
+                        view.entry.id
+                    ));
+                }
+            }
+        }
+        broken.retain(|text| !self.violations.contains(text));
+        self.violations.append(&mut broken);
+    }
+
     /// Checks that the position samples of all running hosts are not too new: the position for a
     /// read that may lack nothing older than a write has to contain that write.
     pub(crate) fn check_samples(&mut self) {
@@ -1099,13 +1130,13 @@
                 let fake = FakeConnection { endpoint: endpoint.clone(), account, session };
                 self.connections.insert((host, incarnation, connection), fake);
                 self.push(
-                    self.now + 2 * HOST_LATENCY_US,
+                    self.now + 2 * self.database_latency_us,
                     ScheduledStep::OpenConnection { host, incarnation, connection, endpoint },
                 );
             }
             proxy_message::ProxyAction::SendCommand { connection, command } => {
                 self.push(
-                    self.now + HOST_LATENCY_US,
+                    self.now + self.database_latency_us,
                     ScheduledStep::ReceiveCommand { host, incarnation, connection, command },
                 );
             }
@@ -1363,7 +1394,7 @@
             proxy_message::ProxyEvent::ConnectionClosed { connection, refused: true }
         };
         self.push(
-            self.now + HOST_LATENCY_US,
+            self.now + self.database_latency_us,
             ScheduledStep::DeliverEvent { host, incarnation, event },
         );
         if let Some(response) = repeated {
@@ -1406,7 +1437,7 @@
         *self.repeated.entry(fake_stutter::AnswerKind::of(&response)).or_default() += 1;
         let event = proxy_message::ProxyEvent::ResponseReceived { connection, response };
         self.push(
-            self.now + HOST_LATENCY_US,
+            self.now + self.database_latency_us,
             ScheduledStep::DeliverEvent { host, incarnation, event },
         );
     }
@@ -1470,6 +1501,9 @@
         let settings = fake.session.settings().clone();
         let transaction = fake.session.transaction_requests().map(<[String]>::to_vec);
         let (response, effect) = database.run(&mut fake.session, command, &signature);
+        if let Some(status) = response.report {
+            self.statuses.entry(endpoint.clone()).or_default().push((self.now, status));
+        }
         if let Some(request) = &request {
             self.ledger.record(request, &response);
             if response.outcome.is_ok() {
@@ -1538,7 +1572,7 @@
             let repeated = response.clone();
             let event = proxy_message::ProxyEvent::ResponseReceived { connection, response };
             self.push(
-                self.now + HOST_LATENCY_US,
+                self.now + self.database_latency_us,
                 ScheduledStep::DeliverEvent { host, incarnation, event },
             );
             self.stutter(host, incarnation, connection, &endpoint, repeated);
@@ -1611,6 +1645,7 @@
             .into_iter()
             .partition(|write| write.group != group || kept.contains(&write.request));
         self.acknowledged = kept;
+        self.lost_writes += lost.len();
         if !lost.is_empty() && self.sync_replicas(endpoint) > 0 {
             let count = lost.len();
             let text = format!("{endpoint} was promoted without {count} acknowledged writes");
--- a/tests/proxy_properties.rs
+++ b/tests/proxy_properties.rs
@@ -360,6 +360,7 @@
         loaded.apply(step);
         loaded.run(300);
         loaded.fleet.check_samples();
+        loaded.fleet.check_reports();
         prop_assert!(
             loaded.fleet.violations.is_empty(),
             "violations with seed {seed} after {step:?}: {:#?}",
--- a/tests/repeated_answers.rs
+++ b/tests/repeated_answers.rs
@@ -386,36 +386,57 @@
     };
 }
 
-/// Runs a write on every host each 4 ms, for `duration_ms`.
+/// Lets every host write for `duration_ms`; no host takes a status for newer than it is.
 fn write_on_all(fleet: &mut ProxyFleet, duration_ms: u64) {
     let mut callers: Vec<ScriptCaller> =
         (0..HOSTS).map(|host| ScriptCaller::open(fleet, (host, "strict"), vec![write()])).collect();
-    load(fleet, &mut callers, duration_ms, |_| {});
+    load(fleet, &mut callers, duration_ms, ProxyFleet::check_reports);
 }
 
-/// Repeats status answers after each delay of up to 110 ms, which covers the interval of the
-/// requests, while a failover replaces the primary of a group with one synchronous replica.
+/// Repeats answers while a failover replaces the primary of a group with one synchronous replica,
+/// whose replicas lag so that the failover waits for one of them. The databases are far away, so
+/// that a repetition often meets the next command.
 fn check_failover(kinds: &[AnswerKind], fail: fn(&mut ProxyFleet)) {
-    for delay_ms in 0..=110 {
+    let delays_ms: Vec<u64> = match kinds {
+        [] => vec![0],
+        _ => (0..=300).step_by(10).collect(),
+    };
+    for delay_ms in delays_ms {
         let mut fleet = start_fleet(HOSTS);
+        fleet.database_latency_us = 20_000;
         fleet.replicate_synchronously(1);
         fleet.run(millis(500));
         fleet.stutter_everywhere(&FakeStutter::always(kinds, delay_ms));
-        // The replica that a stale status makes look best lags behind the other one.
-        if let Some(database) = fleet.databases.get_mut("db1") {
-            database.replication_lag_us = 60_000;
-        }
-        write_on_all(&mut fleet, 200);
+        set_lag(&mut fleet, 1_050);
+        write_on_all(&mut fleet, 1_200);
         fail(&mut fleet);
-        write_on_all(&mut fleet, 6_000);
+        write_on_all(&mut fleet, 300);
+        set_lag(&mut fleet, 20);
+        write_on_all(&mut fleet, 5_000);
         let repeated: usize = kinds.iter().filter_map(|kind| fleet.repeated.get(kind)).sum();
-        assert!(repeated > 0, "no answer of {kinds:?} was repeated");
+        assert!(repeated > 0 || kinds.is_empty(), "no answer of {kinds:?} was repeated");
         assert_ne!(fleet.primary_id(), "db0", "after {delay_ms} ms");
+        assert_eq!(fleet.lost_writes, 0, "after {delay_ms} ms");
         let violations = &fleet.violations;
         assert!(violations.is_empty(), "after {delay_ms} ms: {:#?}", few(violations));
     }
 }
 
+fn set_lag(fleet: &mut ProxyFleet, lag_ms: u64) {
+    for id in ["db1", "db2"] {
+        if let Some(database) = fleet.databases.get_mut(id) {
+            database.replication_lag_us = lag_ms * 1_000;
+        }
+    }
+}
+
+#[test]
+fn failovers_without_repeated_answers_lose_nothing() {
+    check_failover(&[], |fleet| fleet.register("db0", true));
+    check_failover(&[], |fleet| fleet.crash("db0", false));
+    check_failover(&[], |fleet| fleet.evacuate("centre0", true));
+}
+
 #[test]
 fn repeated_status_of_a_draining_primary_promotes_no_replica_without_its_last_commits() {
     check_failover(&[Status], |fleet| fleet.register("db0", true));
