test(proxy): refuse BEGIN, SET and PARSE while plain answers are repeated

A repeated "-" may stand in for the answer to a command that was refused: the statement behind it then runs outside its transaction or with other settings. Three more cases let the databases refuse such commands every 16 ms.

--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -402,6 +402,7 @@
                 execution_us: 5_000,
                 slots: Vec::new(),
                 rejections: VecDeque::new(),
+                setup_rejections: VecDeque::new(),
                 replication_lag_us: 20_000,
                 draining: false,
                 deaf: false,
@@ -611,6 +612,7 @@
             deaf: false,
             slots: Vec::new(),
             rejections: VecDeque::new(),
+            setup_rejections: VecDeque::new(),
         };
         self.databases.insert(id.to_owned(), database);
         self.register(id, false);
@@ -1458,9 +1460,16 @@
             return;
         }
         let Some(database) = self.databases.get_mut(&endpoint) else { return };
-        let fault = match command.is_from_caller() {
-            true => database.rejections.pop_front(),
-            false => None,
+        let sets_up = matches!(
+            command,
+            endpoint_command::EndpointCommand::Set { .. }
+                | endpoint_command::EndpointCommand::Prepare { .. }
+                | endpoint_command::EndpointCommand::Begin { .. }
+        );
+        let fault = match (command.is_from_caller(), sets_up) {
+            (true, _) => database.rejections.pop_front(),
+            (_, true) => database.setup_rejections.pop_front(),
+            _ => None,
         };
         let done = match command.is_from_caller() {
             true => database.occupy_for_command(self.now),
--- a/tests/repeated_answers.rs
+++ b/tests/repeated_answers.rs
@@ -292,6 +292,15 @@
     }
 }
 
+/// Has every database answer its next SET, PARSE or BEGIN with a fault every 16 ms.
+fn reject_setup(fleet: &mut ProxyFleet, fault: endpoint_command::EndpointFault) {
+    if (fleet.now / 1_000).is_multiple_of(16) {
+        for database in fleet.databases.values_mut() {
+            database.setup_rejections = [fault.clone()].into();
+        }
+    }
+}
+
 repetitions! {
     signed_answer_is_not_taken_for_the_answer_to_the_next_read([Signed]):
         |_| {}, |_| vec![read()];
@@ -324,6 +333,12 @@
             }
         },
         |_| vec![write()];
+    plain_answer_does_not_hide_that_begin_was_refused([Plain]):
+        |fleet| reject_setup(fleet, endpoint_command::EndpointFault::Lagging), transactions;
+    plain_answer_does_not_hide_that_a_setting_was_refused([Plain]):
+        |fleet| reject_setup(fleet, endpoint_command::EndpointFault::Busy), settings;
+    plain_answer_does_not_hide_that_a_statement_was_not_prepared([Plain]):
+        |fleet| reject_setup(fleet, endpoint_command::EndpointFault::Busy), prepared;
     failure_is_not_passed_on_for_the_next_statement([Error]):
         |fleet| {
             let (code, text) = ("FAILED".to_owned(), String::new());
