--- a/tests/repeated_answers.rs
+++ b/tests/repeated_answers.rs
@@ -194,7 +194,7 @@
 }
 
 /// Sends the scripts while answers of some kinds are repeated after each of the delays. All
-/// guarantees hold meanwhile, and afterwards every caller is served.
+/// guarantees hold meanwhile, and every caller is served, then and afterwards.
 fn check_repetitions(
     hosts: usize,
     kinds: &[AnswerKind],
@@ -216,6 +216,9 @@
         assert!(repeated > 0 || kinds.is_empty(), "no answer of {kinds:?} was repeated");
         let violations = &fleet.violations;
         assert!(violations.is_empty(), "after {delay_ms} ms: {:#?}", few(violations));
+        for caller in &callers {
+            assert!(caller.ran > 0, "after {delay_ms} ms: {caller:?} was never served");
+        }
         fleet.stutters.clear();
         load(&mut fleet, &mut callers, 400, |_| {});
         let before: Vec<usize> = callers.iter().map(|caller| caller.ran).collect();
