--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -278,7 +278,7 @@
     pub(crate) pool_requests: usize,
     /// Databases that send answers twice, by endpoint id.
     pub(crate) stutters: BTreeMap<String, fake_stutter::FakeStutter>,
-    /// Answers that were sent twice, by kind.
+    /// Answers that databases send twice if the connection stays open, by kind.
     pub(crate) repeated: BTreeMap<fake_stutter::AnswerKind, usize>,
     ledger: answer_ledger::AnswerLedger,
     /// Statuses by endpoint id, with the time at which the database reported them, oldest first.
@@ -1419,6 +1419,7 @@
             return;
         }
         let delay_us = 1_000 * self.rng.random_range(stutter.delay_ms.clone());
+        *self.repeated.entry(kind).or_default() += 1;
         let step = ScheduledStep::RepeatAnswer { host, incarnation, connection, response };
         self.push(self.now + delay_us, step);
     }
@@ -1436,7 +1437,6 @@
         if !self.can_reach(&place, &PartitionSide::Host(host)) {
             return;
         }
-        *self.repeated.entry(fake_stutter::AnswerKind::of(&response)).or_default() += 1;
         let event = proxy_message::ProxyEvent::ResponseReceived { connection, response };
         self.push(
             self.now + self.database_latency_us,
