fix(transaction): reject statements of a failed transaction at the host

Callers saw a statement of a failed transaction wait for the database, which fails it without a look at it (25P02). The host knows that the transaction failed, and docs/PROTOCOL.md already promises 40000 "not run" for it. It is now rejected at once; COMMIT and ROLLBACK still end the transaction as before.

--- a/src/core/statement_admission.rs
+++ b/src/core/statement_admission.rs
@@ -168,6 +168,16 @@
     caller_flow::check_authorization(ctx, caller).inspect_err(|_| {
         abort_transaction(ctx, caller, transaction);
     })?;
+    let ends = matches!(
+        class,
+        statement_text::StatementClass::Commit | statement_text::StatementClass::Rollback
+    );
+    if transaction.failed && !ends {
+        return Err(request_verdict::RequestVerdict::not_run(
+            request_verdict::VerdictCause::TransactionLost,
+            None,
+        ));
+    }
     // The database would complete a COMMIT of a failed transaction with the command tag ROLLBACK,
     // which drivers ignore. The proxy sends a rollback and returns an error.
     let commit_refused = class == statement_text::StatementClass::Commit && transaction.failed;
