fix(endpoint): accept only answers that carry the mark of their batch

What callers saw: on a connection whose endpoint repeats an answer, the rows or the error of an earlier statement answered the next one, also that of another caller: pooled connections are shared. A write that ran was refused as "not run". A fence was answered with the status of before, a repeated row or result inside an answer was returned, and rows of a caller that look like a status were taken for the endpoint's.

Cause: PostgreSQL's protocol matches answers to queries by order alone, and the driver checked nothing else.

Ruled out: an answer to no request already ended its connection, and a repeated first answer of the pipelined pair happened to be noticed, as rows seldom decode as a status; a repeated error or a pair of answers was not.

Change: each batch selects a random text, first, or last where a transaction ends, as a failed transaction executes nothing before. Results are accepted with this text, one for each statement, with as many rows as they state, and nothing behind an error. An error without it (a text that cannot be parsed, a commit that fails) is accepted if the status behind it carries its own, or inside a transaction if it is the connection's first error; its connection is then closed. Everything else is Unmatched: reads are sent again, writes and commits "may have run", the connection is closed. Neither this nor an answer to no request counts as a failure of the endpoint; the latter made a primary count as refusing connections. A duplicate request_id whose status is lost is no longer refused as "not run". Statements inside a transaction need no status any more.

The stand-in database now returns the results ahead of an error, as PostgreSQL does.

--- a/src/core/connection_flow.rs
+++ b/src/core/connection_flow.rs
@@ -70,9 +70,24 @@
     call
 }
 
-/// Returns a connection to the pool after a statement, or closes it if the pool is above its limit.
+/// Records whether a connection may carry another request after the call in progress.
+pub fn set_reusable(
+    ctx: &mut core_context::CoreContext,
+    connection: arena_keys::ConnectionKey,
+    reusable: bool,
+) {
+    if let Some(state) = ctx.connections.get_mut(connection) {
+        state.reusable = reusable;
+    }
+}
+
+/// Returns a connection to the pool after a statement, or closes it if it may not be reused or the
+/// pool is above its limit.
 pub fn release(ctx: &mut core_context::CoreContext, connection: arena_keys::ConnectionKey) {
     let Some(state) = ctx.connections.get_mut(connection) else { return };
+    if !state.reusable {
+        return discard(ctx, connection, "discarded");
+    }
     state.cursor.fire("response_received");
     state.call = None;
     state.pinned = None;
@@ -87,16 +102,20 @@
     serve_queue(ctx, endpoint);
 }
 
-/// Reserves a connection for the caller's transaction.
+/// Reserves a connection for the caller's transaction, which is lost if the connection may not be
+/// reused.
 pub fn pin(
     ctx: &mut core_context::CoreContext,
     connection: arena_keys::ConnectionKey,
     caller: arena_keys::CallerKey,
 ) {
     let Some(state) = ctx.connections.get_mut(connection) else { return };
+    state.pinned = Some(caller);
+    if !state.reusable {
+        return abort_pinned(ctx, connection);
+    }
     state.cursor.fire("transaction_begun");
     state.call = None;
-    state.pinned = Some(caller);
     state.since = ctx.now;
     set_idle_timer(
         ctx,
@@ -174,8 +193,13 @@
     }
 }
 
-/// Handles a connection that was closed from outside the core.
-pub fn on_closed(ctx: &mut core_context::CoreContext, connection: arena_keys::ConnectionKey) {
+/// Handles a connection that was closed from outside the core. An endpoint that sent an `unmatched`
+/// answer is up, so this is not counted as its failure.
+pub fn on_closed(
+    ctx: &mut core_context::CoreContext,
+    connection: arena_keys::ConnectionKey,
+    unmatched: bool,
+) {
     let Some(state) = ctx.connections.get(connection) else { return };
     let (endpoint, role) = (state.endpoint, state.role);
     let purpose = state.call.and_then(|call| ctx.calls.remove(&call));
@@ -187,7 +211,7 @@
         );
     }
     abort_pinned(ctx, connection);
-    if role == connection_state::ConnectionRole::Control {
+    if role == connection_state::ConnectionRole::Control && !unmatched {
         let now = ctx.now;
         ctx.endpoints[endpoint].refusing_since.get_or_insert(now);
         record_failure(ctx, endpoint);
@@ -252,9 +276,15 @@
     sent: clock_time::ClockTime,
     outcome: endpoint_message::EndpointOutcome,
 ) {
-    let endpoint_message::EndpointOutcome::Status(status) = outcome else {
-        discard(ctx, connection, "failed");
-        return record_failure(ctx, endpoint);
+    let status = match outcome {
+        endpoint_message::EndpointOutcome::Status(status) => status,
+        endpoint_message::EndpointOutcome::Unmatched => {
+            return discard(ctx, connection, "discarded");
+        }
+        _ => {
+            discard(ctx, connection, "failed");
+            return record_failure(ctx, endpoint);
+        }
     };
     let now = ctx.now;
     if let Some(state) = ctx.connections.get_mut(connection) {
@@ -365,6 +395,7 @@
         role,
         cursor: chart_cursor::ChartCursor::new(ctx.charts.connection.clone()),
         call: None,
+        reusable: true,
         pinned: None,
         since: ctx.now,
         idle_timer_set: false,
--- a/src/core/connection_state.rs
+++ b/src/core/connection_state.rs
@@ -26,6 +26,8 @@
     pub cursor: chart_cursor::ChartCursor,
     /// Call in progress.
     pub call: Option<core_message::CallId>,
+    /// Whether it may carry another request.
+    pub reusable: bool,
     /// Caller whose transaction holds the connection.
     pub pinned: Option<arena_keys::CallerKey>,
     /// When the connection last changed state.
--- a/src/core/core_message.rs
+++ b/src/core/core_message.rs
@@ -53,6 +53,8 @@
     ConnectionClosed {
         /// Key of the connection.
         connection: arena_keys::ConnectionKey,
+        /// Whether it was closed because the endpoint sent an answer to no request.
+        unmatched: bool,
     },
     /// A call to an endpoint has ended.
     EndpointResponded {
@@ -60,6 +62,8 @@
         call: CallId,
         /// Outcome of the call.
         outcome: endpoint_message::EndpointOutcome,
+        /// Whether the connection may carry another request.
+        reusable: bool,
     },
     /// A peer has sent a request.
     PeerRequestReceived {
--- a/src/core/decision_core.rs
+++ b/src/core/decision_core.rs
@@ -95,11 +95,11 @@
             core_message::CoreEvent::ConnectionOpened { connection, opened } => {
                 connection_flow::on_opened(ctx, connection, opened);
             }
-            core_message::CoreEvent::ConnectionClosed { connection } => {
-                connection_flow::on_closed(ctx, connection);
+            core_message::CoreEvent::ConnectionClosed { connection, unmatched } => {
+                connection_flow::on_closed(ctx, connection, unmatched);
             }
-            core_message::CoreEvent::EndpointResponded { call, outcome } => {
-                Self::on_endpoint_response(ctx, call, outcome)
+            core_message::CoreEvent::EndpointResponded { call, outcome, reusable } => {
+                Self::on_endpoint_response(ctx, call, outcome, reusable)
             }
             core_message::CoreEvent::PeerRequestReceived { request_id, request } => {
                 peer_flow::on_request(ctx, request_id, request)
@@ -123,9 +123,11 @@
         ctx: &mut core_context::CoreContext,
         call: core_message::CallId,
         outcome: endpoint_message::EndpointOutcome,
+        reusable: bool,
     ) {
         match ctx.calls.remove(&call) {
-            Some(call_purpose::CallPurpose::Statement { statement, .. }) => {
+            Some(call_purpose::CallPurpose::Statement { statement, connection }) => {
+                connection_flow::set_reusable(ctx, connection, reusable);
                 statement_flow::on_outcome(ctx, statement, outcome);
             }
             Some(call_purpose::CallPurpose::IdleTest { connection }) => {
--- a/src/core/endpoint_message.rs
+++ b/src/core/endpoint_message.rs
@@ -138,8 +138,9 @@
     Ran {
         /// Result of the statement.
         body: ResponseBody,
-        /// Status that the endpoint reported after the statement.
-        status: EndpointStatus,
+        /// Status that the endpoint reported after the statement; it may be missing inside a
+        /// transaction.
+        status: Option<EndpointStatus>,
     },
     /// The endpoint's log has not reached the read point; the statement was not executed.
     Lagging,
@@ -162,6 +163,8 @@
     Status(EndpointStatus),
     /// The connection was lost after the request was sent, so it may have been executed.
     ConnectionLost,
+    /// The answer cannot be shown to belong to the request, which may have been executed.
+    Unmatched,
     /// The request was never sent: no byte of it left this host.
     NotSent,
 }
--- a/src/core/statement_flow.rs
+++ b/src/core/statement_flow.rs
@@ -70,7 +70,7 @@
                 statement,
                 connection,
                 endpoint_message::ResponseBody::default(),
-                status,
+                Some(status),
                 verdict,
             );
         }
@@ -96,9 +96,17 @@
             }
             retry(ctx, statement, request_verdict::VerdictCause::ConnectionLost);
         }
+        endpoint_message::EndpointOutcome::Unmatched => {
+            connection_flow::discard(ctx, connection, "discarded");
+            finish_unanswered(ctx, statement);
+        }
         endpoint_message::EndpointOutcome::ConnectionLost
         | endpoint_message::EndpointOutcome::Status(_) => {
-            on_connection_lost(ctx, statement, connection)
+            connection_flow::discard(ctx, connection, "failed");
+            if let Some(endpoint) = endpoint {
+                connection_flow::record_failure(ctx, endpoint);
+            }
+            finish_unanswered(ctx, statement);
         }
     }
 }
@@ -278,13 +286,15 @@
     statement: arena_keys::StatementKey,
     connection: arena_keys::ConnectionKey,
     body: endpoint_message::ResponseBody,
-    status: endpoint_message::EndpointStatus,
+    status: Option<endpoint_message::EndpointStatus>,
     verdict: request_verdict::RequestVerdict,
 ) {
     let endpoint = ctx.connections[connection].endpoint;
     let requested_at = ctx.connections[connection].since;
     release_connection(ctx, statement, connection, true);
-    record_status(ctx, endpoint, requested_at, &status);
+    if let Some(status) = &status {
+        record_status(ctx, endpoint, requested_at, status);
+    }
     let Some(state) = ctx.statements.get(statement) else { return };
     let group = state.group;
     if state.commit_refused {
@@ -309,6 +319,7 @@
     if state.read {
         count_read(ctx, statement, endpoint);
     }
+    let Some(status) = status else { return finish_unconfirmed(ctx, statement) };
     let point = status.log_point();
     let expected = ctx.groups[group].term();
     if !status.primary || status.adopted_term != status.log_term || point.term != expected {
@@ -367,16 +378,9 @@
     );
 }
 
-fn on_connection_lost(
-    ctx: &mut core_context::CoreContext,
-    statement: arena_keys::StatementKey,
-    connection: arena_keys::ConnectionKey,
-) {
-    let endpoint = ctx.connections.get(connection).map(|state| state.endpoint);
-    connection_flow::discard(ctx, connection, "failed");
-    if let Some(endpoint) = endpoint {
-        connection_flow::record_failure(ctx, endpoint);
-    }
+/// Retries a read that was sent and not answered, or finishes the statement with what is known of
+/// it.
+fn finish_unanswered(ctx: &mut core_context::CoreContext, statement: arena_keys::StatementKey) {
     let state = &ctx.statements[statement];
     if state.read && state.request.step == endpoint_message::TransactionStep::Single {
         return retry(ctx, statement, request_verdict::VerdictCause::ConnectionLost);
--- a/src/daemon/core_driver.rs
+++ b/src/daemon/core_driver.rs
@@ -126,9 +126,11 @@
             }
             core_message::CoreAction::CallEndpoint { call, .. } => {
                 if self.senders.endpoints.try_send(action).is_err() {
-                    let outcome = endpoint_message::EndpointOutcome::NotSent;
-                    self.local_events
-                        .push_back(core_message::CoreEvent::EndpointResponded { call, outcome });
+                    self.local_events.push_back(core_message::CoreEvent::EndpointResponded {
+                        call,
+                        outcome: endpoint_message::EndpointOutcome::NotSent,
+                        reusable: false,
+                    });
                 }
             }
             core_message::CoreAction::CallPeer { call, .. } => {
--- a/src/daemon/endpoint_sql.rs
+++ b/src/daemon/endpoint_sql.rs
@@ -19,6 +19,8 @@
 pub const STATE_WRONG_TERM: &str = "QD002";
 /// SQLSTATE of a violated unique key.
 pub const STATE_DUPLICATE: &str = "23505";
+/// Start of the query that calls one of the endpoint's functions.
+pub const FUNCTION_QUERY: &str = "SELECT * FROM quetzaldeal.";
 /// Table of request identifiers, as named in the database's error messages.
 pub const REQUESTS_TABLE: &str = "quetzaldeal.requests";
 
@@ -42,37 +44,39 @@
     pub message: String,
 }
 
-/// Returns the batch of statements for a request; the endpoint runs it as one implicit transaction.
-pub fn batch(request: &endpoint_message::EndpointRequest) -> String {
-    match request {
-        endpoint_message::EndpointRequest::Run(statement) => run_batch(statement),
-        endpoint_message::EndpointRequest::Status => status_batch(),
+/// Returns the statements of a request; the endpoint runs them as one implicit transaction.
+pub fn statements(request: &endpoint_message::EndpointRequest) -> Vec<String> {
+    let call = match request {
+        endpoint_message::EndpointRequest::Run(statement) => return run_statements(statement),
+        endpoint_message::EndpointRequest::Status => "status()".to_owned(),
         endpoint_message::EndpointRequest::AwaitPoint { point, wait_ms } => {
-            function_query(&format!("await({}, {}, {wait_ms})", point.term, point.position))
-        }
-        endpoint_message::EndpointRequest::Fence { term } => {
-            function_query(&format!("fence({term})"))
+            format!("await({}, {}, {wait_ms})", point.term, point.position)
         }
+        endpoint_message::EndpointRequest::Fence { term } => format!("fence({term})"),
         endpoint_message::EndpointRequest::Promote { term, min_point } => {
-            function_query(&format!("promote({term}, {}, {})", min_point.term, min_point.position))
+            format!("promote({term}, {}, {})", min_point.term, min_point.position)
         }
         endpoint_message::EndpointRequest::Follow { term, address } => {
-            function_query(&format!("follow({term}, {})", quote(address)))
+            format!("follow({term}, {})", quote(address))
         }
-    }
+    };
+    vec![format!("{FUNCTION_QUERY}{call}")]
 }
 
-/// Returns the batch that requests the endpoint's status.
-pub fn status_batch() -> String {
-    function_query("status()")
+/// Joins statements to a batch. A statement may end in a comment, so each separator starts a line.
+pub fn join(statements: &[String]) -> String {
+    statements.join("\n;\n")
 }
 
-/// Returns whether the status batch must follow the batch of a request.
-pub fn needs_status_batch(request: &endpoint_message::EndpointRequest) -> bool {
-    matches!(request, endpoint_message::EndpointRequest::Run(_))
+/// Returns whether the endpoint's status must be read after a request. Inside a transaction it is
+/// not needed, and a failed transaction would not return it.
+pub fn needs_status(request: &endpoint_message::EndpointRequest) -> bool {
+    let endpoint_message::EndpointRequest::Run(statement) = request else { return false };
+    statement.step != endpoint_message::TransactionStep::InTransaction
 }
 
-/// Returns the outcome of a request, given the results of its batch and the status read after it.
+/// Returns the outcome of a request, given the results of its statements and the status read after
+/// it.
 pub fn outcome(
     request: &endpoint_message::EndpointRequest,
     results: Result<Vec<SqlResult>, SqlError>,
@@ -87,11 +91,11 @@
         );
     };
     match (results, status) {
-        (Ok(mut results), Some(status)) => {
+        (Ok(_), None) if needs_status(request) => endpoint_message::EndpointOutcome::ConnectionLost,
+        (Ok(mut results), status) => {
             let body = response_body(&statement.text, results.pop().unwrap_or_default());
             endpoint_message::EndpointOutcome::Ran { body, status }
         }
-        (Ok(_), None) => endpoint_message::EndpointOutcome::ConnectionLost,
         (Err(error), status) => error_outcome(statement, error, status),
     }
 }
@@ -139,11 +143,7 @@
     }
 }
 
-fn function_query(call: &str) -> String {
-    format!("SELECT * FROM quetzaldeal.{call}")
-}
-
-fn run_batch(statement: &endpoint_message::EndpointStatement) -> String {
+fn run_statements(statement: &endpoint_message::EndpointStatement) -> Vec<String> {
     let mut parts = Vec::new();
     if let Some(term) = statement.write_term {
         parts.push(format!("SELECT quetzaldeal.write_guard({term})"));
@@ -159,7 +159,7 @@
         parts.push(format!("INSERT INTO {REQUESTS_TABLE} (account, id) VALUES ({account}, {id})"));
     }
     parts.push(statement.text.trim_end_matches([';', ' ', '\n', '\t', '\r']).to_owned());
-    parts.join(";\n")
+    parts
 }
 
 /// Builds the response to a statement; its tag is the first word of the text, in upper case.
@@ -190,6 +190,10 @@
         (_, Some(status)) if key_recorded && outside_transaction => {
             endpoint_message::EndpointOutcome::Duplicate { status }
         }
+        // The write ran earlier, but nothing shows up to which point of the log.
+        (_, None) if key_recorded && outside_transaction => {
+            endpoint_message::EndpointOutcome::ConnectionLost
+        }
         _ => endpoint_message::EndpointOutcome::Refused {
             sqlstate: error.code,
             message: error.message,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! The I/O of `quetzaldeald`: threads, sockets and timers that drive the decision core.
 
+pub mod batch_answer;
 pub mod caller_listener;
 pub mod caller_registry;
 pub mod core_driver;
@@ -10,6 +11,7 @@
 pub mod http_call;
 pub mod latency_histograms;
 pub mod log_writer;
+pub mod marked_batch;
 pub mod metrics_driver;
 pub mod peer_driver;
 pub mod platform_driver;
--- a/stand-ins/src/core_bench.rs
+++ b/stand-ins/src/core_bench.rs
@@ -188,7 +188,7 @@
                 let primary = primary.and_then(|name| context.endpoint_names.get(&name));
                 let address = primary.map(|key| context.endpoints[*key].address.clone());
                 let outcome = outcome(&request, name.ends_with("-0"), address);
-                core_message::CoreEvent::EndpointResponded { call, outcome }
+                core_message::CoreEvent::EndpointResponded { call, outcome, reusable: true }
             }
             core_message::CoreAction::CallPeer { call, .. } => {
                 core_message::CoreEvent::PeerReplied { call, reply: None }
@@ -327,7 +327,7 @@
     match request {
         endpoint_message::EndpointRequest::Run(_) => endpoint_message::EndpointOutcome::Ran {
             body: endpoint_message::ResponseBody::default(),
-            status,
+            status: Some(status),
         },
         _ => endpoint_message::EndpointOutcome::Status(status),
     }
--- a/stand-ins/src/database_model.rs
+++ b/stand-ins/src/database_model.rs
@@ -100,16 +100,14 @@
         &self.tables
     }
 
-    /// Runs a batch of statements in the open transaction, or else in an implicit one.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the first statement that fails; an implicit transaction is rolled back.
+    /// Runs a batch of statements in the open transaction, or else in an implicit one. Returns the
+    /// results of the statements before the first that fails, and its error; an implicit
+    /// transaction is then rolled back.
     pub fn execute(
         &mut self,
         connection: ConnectionId,
         batch: &str,
-    ) -> Result<Vec<endpoint_sql::SqlResult>, endpoint_sql::SqlError> {
+    ) -> (Vec<endpoint_sql::SqlResult>, Option<endpoint_sql::SqlError>) {
         sql_engine::execute(self, connection, batch)
     }
 
--- a/stand-ins/src/endpoint_program.rs
+++ b/stand-ins/src/endpoint_program.rs
@@ -25,10 +25,8 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio_postgres::{NoTls, SimpleQueryMessage};
 
-use crate::database_model::{ConnectionId, DatabaseModel, LogBatch, error};
+use crate::database_model::{ConnectionId, DatabaseModel, LogBatch};
 
-/// Prefix of the proxy's own calls, which need no slot and take no statement time.
-const PROXY_CALL_PREFIX: &str = "SELECT * FROM quetzaldeal.";
 /// Timeout of a replica's call to its primary; afterwards it reads again which primary to follow.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
 const CHANGES_PREFIX: &str = "SELECT * FROM quetzaldeal.changes(";
@@ -158,18 +156,22 @@
         if let Some(arguments) = batch.strip_prefix(CHANGES_PREFIX) {
             return self.changes(arguments);
         }
-        if let Some(arguments) = batch.strip_prefix(AWAIT_PREFIX) {
+        let last_statement = batch.rsplit(";\n").next().unwrap_or_default();
+        if let Some(arguments) = last_statement.strip_prefix(AWAIT_PREFIX) {
             self.wait_for_log_point(arguments).await;
         }
-        let proxy_call = batch.starts_with(PROXY_CALL_PREFIX);
+        // The proxy's own calls need no slot and take no statement time.
+        let proxy_call = last_statement.starts_with(endpoint_sql::FUNCTION_QUERY);
         let _slot = if proxy_call { None } else { self.slots.acquire().await.ok() };
         if !proxy_call && !self.options.statement_time.is_zero() {
             tokio::time::sleep(self.options.statement_time).await;
         }
-        let results = self.model().execute(id, batch);
-        let results = results.map_err(|problem| sql_error(&problem.code, &problem.message))?;
+        let (results, problem) = self.model().execute(id, batch);
         let texts = batch.split(";\n");
-        Ok(results.iter().zip(texts).map(|(result, text)| to_response(result, text)).collect())
+        let results = results.iter().zip(texts).map(|(result, text)| to_response(result, text));
+        let problem = problem
+            .map(|problem| Response::Error(Box::new(error_info(&problem.code, &problem.message))));
+        Ok(results.chain(problem).collect())
     }
 
     async fn wait_for_log_point(&self, arguments: &str) {
@@ -275,12 +277,11 @@
 }
 
 fn sql_error(code: &str, message: &str) -> PgWireError {
-    let problem = error(code, message);
-    PgWireError::UserError(Box::new(ErrorInfo::new(
-        "ERROR".to_owned(),
-        problem.code,
-        problem.message,
-    )))
+    PgWireError::UserError(Box::new(error_info(code, message)))
+}
+
+fn error_info(code: &str, message: &str) -> ErrorInfo {
+    ErrorInfo::new("ERROR".to_owned(), code.to_owned(), message.to_owned())
 }
 
 fn to_hex(bytes: &[u8]) -> String {
--- a/stand-ins/src/sql_engine.rs
+++ b/stand-ins/src/sql_engine.rs
@@ -13,18 +13,20 @@
 const STATE_READ_ONLY: &str = "25006";
 const STATE_FAILED_TRANSACTION: &str = "25P02";
 
-/// Runs a batch of statements in the open transaction, or else in an implicit one.
-///
-/// # Errors
-///
-/// Returns the error of the first statement that fails; an implicit transaction is rolled back.
+/// Runs a batch of statements in the open transaction, or else in an implicit one. Returns the
+/// results of the statements before the first that fails, and its error; an implicit transaction is
+/// then rolled back.
 pub fn execute(
     database: &mut DatabaseModel,
     connection: ConnectionId,
     batch: &str,
-) -> Result<Vec<endpoint_sql::SqlResult>, endpoint_sql::SqlError> {
-    let statements = Parser::parse_sql(&PostgreSqlDialect {}, batch)
-        .map_err(|problem| error(STATE_SYNTAX, &problem.to_string()))?;
+) -> (Vec<endpoint_sql::SqlResult>, Option<endpoint_sql::SqlError>) {
+    let statements = match Parser::parse_sql(&PostgreSqlDialect {}, batch) {
+        Ok(statements) => statements,
+        Err(problem) => {
+            return (Vec::new(), Some(error(STATE_SYNTAX, &problem.to_string())));
+        }
+    };
     let in_explicit_transaction = database.transaction(connection).is_some();
     if !in_explicit_transaction {
         database.begin(connection);
@@ -36,12 +38,16 @@
             Ok(result) => results.push(result),
             Err(problem) => {
                 run.abort();
-                return Err(problem);
+                return (results, Some(problem));
             }
         }
     }
-    run.finish()?;
-    Ok(results)
+    let committed = run.finish();
+    if committed.is_err() {
+        // The last statement of a batch is complete once it is committed.
+        results.pop();
+    }
+    (results, committed.err())
 }
 
 struct BatchRun<'a> {
--- a/tests/endpoint_answers.rs
+++ b/tests/endpoint_answers.rs
@@ -42,6 +42,15 @@
     repeated_rows_are_not_taken_for_the_status with LinkFault::RepeatAtOnce(1);
     row_repeated_inside_an_answer_is_not_returned with LinkFault::RepeatMessage(3, b'D');
     result_repeated_inside_an_answer_is_not_returned with LinkFault::RepeatMessage(3, b'C');
+    late_error_message_does_not_refuse_a_write_that_ran
+        with LinkFault::RepeatMessageLate { answer: 3, kinds: b"E", calls_later: 1 };
+    late_error_and_ready_message_do_not_refuse_a_write_that_ran
+        with LinkFault::RepeatMessageLate { answer: 3, kinds: b"EZ", calls_later: 1 };
+    late_error_is_not_returned_inside_a_transaction
+        with LinkFault::RepeatMessageLate { answer: 3, kinds: b"EZ", calls_later: 2 };
+    answer_to_no_request_closes_the_connection with LinkFault::RepeatAtOnce(2);
+    error_without_a_mark_ends_its_connection with LinkFault::None;
+    fatal_error_does_not_refuse_a_write_that_ran with LinkFault::Fatal(1);
     steady_link_serves_statements_and_transactions with LinkFault::None;
 }
 
@@ -83,6 +92,39 @@
         assert!(!matches!(outcome, EndpointOutcome::Refused { .. }), "{outcome:?}");
     }
 
+    pub(crate) async fn late_error_message_does_not_refuse_a_write_that_ran(door: EndpointDoor) {
+        late_error_of_another_statement_does_not_refuse_a_write_that_ran(door).await;
+    }
+
+    pub(crate) async fn late_error_and_ready_message_do_not_refuse_a_write_that_ran(
+        door: EndpointDoor,
+    ) {
+        late_error_of_another_statement_does_not_refuse_a_write_that_ran(door).await;
+    }
+
+    pub(crate) async fn late_error_is_not_returned_inside_a_transaction(mut door: EndpointDoor) {
+        door.call(single(&insert("a"))).await;
+        let outcome = door.call(single(&insert("a"))).await;
+        assert!(matches!(outcome, EndpointOutcome::Refused { .. }), "{outcome:?}");
+        let outcome = door.call(statement(TransactionStep::Begin, "BEGIN")).await;
+        assert!(matches!(outcome, EndpointOutcome::Ran { .. }), "{outcome:?}");
+        let outcome = door.call(statement(TransactionStep::InTransaction, &insert("b"))).await;
+        assert!(!matches!(outcome, EndpointOutcome::Refused { .. }), "{outcome:?}");
+    }
+
+    pub(crate) async fn answer_to_no_request_closes_the_connection(mut door: EndpointDoor) {
+        let outcome = door.call(single("SELECT 'first'")).await;
+        assert_eq!(first_value(&outcome), Some("first"));
+        assert!(door.closed_by_unmatched_answer().await);
+    }
+
+    pub(crate) async fn error_without_a_mark_ends_its_connection(mut door: EndpointDoor) {
+        let outcome = door.call(single("SELEC 1")).await;
+        let EndpointOutcome::Refused { sqlstate, .. } = outcome else { panic!("{outcome:?}") };
+        assert_eq!(sqlstate, "42601");
+        assert!(!door.reusable());
+    }
+
     pub(crate) async fn late_rows_of_another_statement_are_not_returned(mut door: EndpointDoor) {
         let outcome = door.call(single("SELECT 'first'")).await;
         assert_eq!(first_value(&outcome), Some("first"));
@@ -113,6 +155,11 @@
         assert!(!matches!(outcome, EndpointOutcome::Ran { .. }), "{outcome:?}");
     }
 
+    pub(crate) async fn fatal_error_does_not_refuse_a_write_that_ran(mut door: EndpointDoor) {
+        let outcome = door.call(single(&insert("a"))).await;
+        assert_eq!(outcome, EndpointOutcome::ConnectionLost);
+    }
+
     pub(crate) async fn steady_link_serves_statements_and_transactions(mut door: EndpointDoor) {
         door.call(single(&insert("a"))).await;
         let steps = [
@@ -132,5 +179,6 @@
         assert!(matches!(outcome, EndpointOutcome::Ran { .. }), "{outcome:?}");
         let outcome = door.call(single("SELECT count(*) FROM orders")).await;
         assert_eq!(first_value(&outcome), Some("2"));
+        assert!(door.reusable());
     }
 }
--- a/tests/fleet_fakes/mod.rs
+++ b/tests/fleet_fakes/mod.rs
@@ -64,6 +64,8 @@
     connections: HashMap<ProcessConnection, u64>,
     /// Connections that never respond again.
     hung_connections: BTreeSet<u64>,
+    /// Number of next calls whose answer cannot be matched.
+    pub(crate) unmatched_answers: u32,
     next_connection: u64,
 }
 
@@ -321,7 +323,7 @@
                 .map(|(process_connection, _)| process_connection)
                 .collect();
             for process_connection in process_connections {
-                self.end_connection(name, process_connection);
+                self.end_connection(name, process_connection, false);
             }
         }
     }
@@ -367,6 +369,17 @@
         database.hung_connections = database.connections.values().copied().collect();
     }
 
+    /// Sends an answer to no request on all connections to a database, so that the hosts close
+    /// them.
+    pub(crate) fn send_unmatched_answers(&mut self, database: &str) {
+        let state = self.databases.get_mut(database).unwrap();
+        let connections = std::mem::take(&mut state.connections);
+        connections.values().for_each(|id| state.model.disconnect(*id));
+        for process_connection in connections.into_keys() {
+            self.end_connection(database, process_connection, true);
+        }
+    }
+
     /// Opens a caller's connection; `FakeCaller::admission` is set once the host responds.
     pub(crate) fn open(
         &mut self,
@@ -466,6 +479,7 @@
             rebuild_count: 0,
             connections: HashMap::new(),
             hung_connections: BTreeSet::new(),
+            unmatched_answers: 0,
             next_connection: 1,
         };
         self.databases.insert(name.to_owned(), database);
@@ -689,15 +703,22 @@
         self.push_after(delay, Delivery::Host { host: host.to_owned(), process, event });
     }
 
-    fn end_connection(&mut self, database: &str, process_connection: ProcessConnection) {
+    fn end_connection(
+        &mut self,
+        database: &str,
+        process_connection: ProcessConnection,
+        unmatched: bool,
+    ) {
         let host =
             self.hosts.iter().find(|(_, host)| host.incarnation == process_connection.process);
         let Some(host) = host.map(|(name, _)| name.clone()) else { return };
         if !self.can_communicate(&host, database) {
             return;
         }
-        let event =
-            core_message::CoreEvent::ConnectionClosed { connection: process_connection.connection };
+        let event = core_message::CoreEvent::ConnectionClosed {
+            connection: process_connection.connection,
+            unmatched,
+        };
         self.push_after(
             ONE_WAY_DELAY_US,
             Delivery::Host { host, process: process_connection.process, event },
@@ -722,12 +743,18 @@
         if !state.alive || state.hung_connections.contains(&id) {
             return;
         }
-        let results = state.model.execute(id, &endpoint_sql::batch(request));
+        let batch = endpoint_sql::join(&endpoint_sql::statements(request));
+        let (results, problem) = state.model.execute(id, &batch);
+        let results = problem.map_or(Ok(results), Err);
         let status = Some(state.model.status());
         let is_statement = matches!(request, endpoint_message::EndpointRequest::Run(_));
         let delay = ONE_WAY_DELAY_US + if is_statement { state.statement_ms * 1_000 } else { 0 };
-        let outcome = endpoint_sql::outcome(request, results, status);
-        let event = core_message::CoreEvent::EndpointResponded { call, outcome };
+        let mut outcome = endpoint_sql::outcome(request, results, status);
+        if state.unmatched_answers > 0 {
+            state.unmatched_answers -= 1;
+            outcome = endpoint_message::EndpointOutcome::Unmatched;
+        }
+        let event = core_message::CoreEvent::EndpointResponded { call, outcome, reusable: true };
         self.push_after(delay, Delivery::Host { host: host.to_owned(), process, event });
     }
 
--- a/tests/link_fakes/mod.rs
+++ b/tests/link_fakes/mod.rs
@@ -19,6 +19,7 @@
 
 const RING_CAPACITY: usize = 64;
 const READY_FOR_QUERY: u8 = b'Z';
+const FATAL_ERROR: &[u8] = b"E\0\0\0\x23SFATAL\0VFATAL\0C57P02\0Mcrashed\0\0";
 
 /// What a link does to the endpoint's answers, which are counted from 0 after the login.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,10 +28,29 @@
     None,
     /// Repeats an answer directly behind it.
     RepeatAtOnce(usize),
-    /// Repeats answers ahead of the answer to the next message of the host.
+    /// Repeats answers ahead of the answer to the next call.
     RepeatLate(Range<usize>),
+    /// Sends a fatal error in place of an answer and closes the connection.
+    Fatal(usize),
     /// Repeats the last message of a kind inside an answer.
     RepeatMessage(usize, u8),
+    /// Repeats the messages of some kinds of an answer ahead of the answer to a later call.
+    RepeatMessageLate { answer: usize, kinds: &'static [u8], calls_later: usize },
+}
+
+/// Bytes that reach the host ahead of the answer to a later call.
+#[derive(Default)]
+struct LateAnswer {
+    calls_later: usize,
+    bytes: Vec<u8>,
+}
+
+impl LateAnswer {
+    /// Counts a call and returns the bytes that are due with it.
+    fn take_due(&mut self) -> Vec<u8> {
+        self.calls_later = self.calls_later.saturating_sub(1);
+        if self.calls_later == 0 { std::mem::take(&mut self.bytes) } else { Vec::new() }
+    }
 }
 
 /// The driver of one connection.
@@ -38,6 +58,7 @@
     actions: RingSender<CoreAction>,
     events: TaskReceiver<CoreEvent>,
     next_call: u64,
+    reusable: bool,
 }
 
 impl EndpointDoor {
@@ -56,7 +77,7 @@
         };
         let drive = endpoint_driver::drive(login, sender, receiver, CancellationToken::new());
         tokio::task::spawn_local(drive);
-        let mut door = Self { actions, events, next_call: 0 };
+        let mut door = Self { actions, events, next_call: 0, reusable: true };
         let connection = ConnectionKey::default();
         door.actions.send(CoreAction::OpenConnection { connection, address }).await;
         let event = door.events.receive().await.unwrap();
@@ -71,8 +92,9 @@
         self.actions.send(CoreAction::CallEndpoint { call, connection, request }).await;
         loop {
             match self.events.receive().await.unwrap() {
-                CoreEvent::EndpointResponded { call: responded, outcome, .. } => {
+                CoreEvent::EndpointResponded { call: responded, outcome, reusable } => {
                     assert_eq!(responded, call);
+                    self.reusable = reusable;
                     return outcome;
                 }
                 CoreEvent::ConnectionClosed { .. } => {}
@@ -80,6 +102,19 @@
             }
         }
     }
+
+    /// Whether the connection may carry another request after the last call.
+    pub(crate) fn reusable(&self) -> bool {
+        self.reusable
+    }
+
+    /// Waits until the connection is closed and returns whether an unmatched answer was the reason.
+    pub(crate) async fn closed_by_unmatched_answer(&mut self) -> bool {
+        match self.events.receive().await.unwrap() {
+            CoreEvent::ConnectionClosed { unmatched, .. } => unmatched,
+            event => panic!("{event:?}"),
+        }
+    }
 }
 
 async fn start_endpoint() -> SocketAddr {
@@ -106,13 +141,8 @@
     let (host_reader, host_writer) = host.into_split();
     let (endpoint_reader, endpoint_writer) = endpoint.into_split();
     let host_writer = Arc::new(tokio::sync::Mutex::new(host_writer));
-    let late = Arc::new(Mutex::new(Vec::new()));
-    tokio::spawn(forward_requests(
-        host_reader,
-        endpoint_writer,
-        host_writer.clone(),
-        late.clone(),
-    ));
+    let late = Arc::new(Mutex::new(LateAnswer::default()));
+    tokio::spawn(forward_requests(host_reader, endpoint_writer, host_writer.clone(), late.clone()));
     forward_answers(endpoint_reader, host_writer, late, fault).await;
 }
 
@@ -121,11 +151,11 @@
     mut host: OwnedReadHalf,
     mut endpoint: OwnedWriteHalf,
     host_writer: Arc<tokio::sync::Mutex<OwnedWriteHalf>>,
-    late: Arc<Mutex<Vec<u8>>>,
+    late: Arc<Mutex<LateAnswer>>,
 ) {
     let mut bytes = vec![0; 65_536];
     while let Ok(count @ 1..) = host.read(&mut bytes).await {
-        let late = std::mem::take(&mut *late.lock().unwrap());
+        let late = late.lock().unwrap().take_due();
         if !late.is_empty() && host_writer.lock().await.write_all(&late).await.is_err() {
             return;
         }
@@ -139,7 +169,7 @@
 async fn forward_answers(
     mut endpoint: OwnedReadHalf,
     host: Arc<tokio::sync::Mutex<OwnedWriteHalf>>,
-    late: Arc<Mutex<Vec<u8>>>,
+    late: Arc<Mutex<LateAnswer>>,
     fault: LinkFault,
 ) {
     read_answer(&mut endpoint, &host, true).await;
@@ -149,6 +179,13 @@
         let mut answer = messages.concat();
         match &fault {
             LinkFault::None => {}
+            LinkFault::Fatal(replaced) => {
+                if *replaced == index {
+                    drop(host.lock().await.write_all(FATAL_ERROR).await);
+                    drop(host.lock().await.shutdown().await);
+                    return;
+                }
+            }
             LinkFault::RepeatAtOnce(repeated) => {
                 if *repeated == index {
                     answer.extend_from_within(..);
@@ -159,7 +196,15 @@
                     held.extend_from_slice(&answer);
                 }
                 if range.end == index + 1 {
-                    late.lock().unwrap().extend_from_slice(&held);
+                    let bytes = std::mem::take(&mut held);
+                    *late.lock().unwrap() = LateAnswer { calls_later: 1, bytes };
+                }
+            }
+            LinkFault::RepeatMessageLate { answer, kinds, calls_later } => {
+                if *answer == index {
+                    let repeated = messages.iter().filter(|message| kinds.contains(&message[0]));
+                    let bytes = repeated.flatten().copied().collect();
+                    *late.lock().unwrap() = LateAnswer { calls_later: *calls_later, bytes };
                 }
             }
             LinkFault::RepeatMessage(repeated, kind) => {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -53,6 +53,7 @@
     starting_with_nothing,
     stated_age,
     transactions,
+    unmatched_answers,
 }
 
 fn run_file(path: &str) {
@@ -96,6 +97,11 @@
             "cut" => fleet.cut(&case.text("from"), &case.text("to")),
             "heal" if case.args.is_empty() => fleet.heal_all(),
             "heal" => fleet.heal(&case.text("from"), &case.text("to")),
+            "unmatched_answers" => {
+                fleet.databases.get_mut(&case.text("name")).unwrap().unmatched_answers =
+                    case.number("count", 1) as u32
+            }
+            "unmatched_closes" => fleet.send_unmatched_answers(&case.text("name")),
             "hang_connections" => fleet.hang_connections(&case.text("name")),
             "lag" => {
                 fleet.databases.get_mut(&case.text("name")).unwrap().replication_lag_ms =
@@ -120,6 +126,7 @@
             "primary" => return primary(fleet, &case.text("group")),
             "versions" => return versions(fleet),
             "fresh" => return fresh(fleet),
+            "refusing" => return refusing(fleet),
             "quotas" => return quotas(fleet),
             "platform_calls" => return platform_calls(fleet, case),
             "settled" => {
@@ -426,6 +433,19 @@
 }
 
 /// Counts the hosts that can confirm their configuration and those that run the newest version.
+/// Names the endpoints that hosts count as refusing connections.
+fn refusing(fleet: &FakeFleet) -> String {
+    let mut lines = String::new();
+    for (host, state) in &fleet.hosts {
+        let Some(core) = &state.core else { continue };
+        let endpoints = core.context().endpoints.values();
+        for endpoint in endpoints.filter(|endpoint| endpoint.refusing_since.is_some()) {
+            lines += &format!("{host}: {}\n", endpoint.name);
+        }
+    }
+    if lines.is_empty() { "none\n".to_owned() } else { lines }
+}
+
 fn fresh(fleet: &FakeFleet) -> String {
     let cores = fleet.hosts.values().filter_map(|host| host.core.as_ref());
     let fresh = cores.clone().filter(|core| core.context().config_fresh(0)).count();
