fix(caller): end each message where its length says

What callers saw: a statement behind a zero byte inside a message ran as a statement of its own, a message without a final zero byte was read on into the next one, and bytes that are not UTF-8 reached the database as U+FFFD.

Cause: the decoder of pgwire takes strings up to the next zero byte, wherever the message ends, leaves what is behind it in the buffer as further messages, and decodes lossily. It is the class of fault of a line that ends at a lone line feed: the end of a message is not where the protocol puts it.

Ruled out: lone carriage returns and line feeds, semicolons and comments inside a statement: the text is parsed as PostgreSQL splits it, also where a carriage return ends a comment, and more than one statement is refused.

Change: the daemon cuts the stream by the messages' lengths and decodes each message alone.

--- a/src/daemon/caller_listener.rs
+++ b/src/daemon/caller_listener.rs
@@ -22,12 +22,12 @@
 use pgwire::messages::extendedquery::Parse;
 use pgwire::messages::startup::Authentication;
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
-use pgwire::tokio::process_socket;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use crate::core::core_message;
 use crate::core::request_verdict;
+use crate::daemon::caller_connection;
 use crate::daemon::caller_registry;
 use crate::daemon::statement_service;
 
@@ -102,7 +102,7 @@
         tokio::time::sleep(FLUSH_DELAY).await;
     };
     tokio::select! {
-        ended = process_socket(socket, None, CallerHandlers { handler }) => {
+        ended = caller_connection::serve(socket, CallerHandlers { handler }) => {
             if let Err(error) = ended {
                 log::debug!("connection of caller {caller} failed: {error}");
             }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The I/O of `quetzaldeald`: threads, sockets and timers that drive the decision core.
 
 pub mod batch_answer;
+pub mod caller_connection;
 pub mod caller_listener;
 pub mod caller_registry;
 pub mod core_driver;
