--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -183,6 +183,8 @@
     Outage { on: bool },
     LoseReply,
     HangConnections { database: usize },
+    UnmatchedAnswers { database: usize, count: u32 },
+    UnmatchedCloses { database: usize },
     Lag { database: usize, millis: u64 },
     Drain { centre: usize },
 }
@@ -203,6 +205,9 @@
         1 => any::<bool>().prop_map(|on| FleetStep::Outage { on }),
         1 => Just(FleetStep::LoseReply),
         1 => (0..3_usize).prop_map(|database| FleetStep::HangConnections { database }),
+        1 => (0..3_usize, 1..6_u32)
+            .prop_map(|(database, count)| FleetStep::UnmatchedAnswers { database, count }),
+        1 => (0..3_usize).prop_map(|database| FleetStep::UnmatchedCloses { database }),
         1 => (0..3_usize, 1..2_000_u64)
             .prop_map(|(database, millis)| FleetStep::Lag { database, millis }),
         1 => (0..3_usize).prop_map(|centre| FleetStep::Drain { centre }),
@@ -316,6 +321,13 @@
             FleetStep::HangConnections { database } => {
                 self.fleet.hang_connections(databases[*database])
             }
+            FleetStep::UnmatchedAnswers { database, count } => {
+                let database = self.fleet.databases.get_mut(databases[*database]).unwrap();
+                database.unmatched_answers = *count;
+            }
+            FleetStep::UnmatchedCloses { database } => {
+                self.fleet.send_unmatched_answers(databases[*database]);
+            }
             FleetStep::Lag { database, millis } => {
                 self.fleet.databases.get_mut(databases[*database]).unwrap().replication_lag_ms =
                     *millis;
