test(proxy): refuse BEGIN and SET of databases that are far away

Between a command and its refusal the repeated "-" of an earlier one fits: the statement behind it then runs outside its transaction, or with other settings. At 1 ms the repetitions hardly met that time; at 15 ms they do. Refused BEGIN and SET are also repeated themselves, and the random test loses 2 % of the answers in half of its cases.

--- a/tests/pool_server.rs
+++ b/tests/pool_server.rs
@@ -716,6 +716,7 @@
         host.command(1, 1, run("r1"));
         host.respond(IDLE);
         host.release(1, 1);
+        host.take_replies();
         assert!(host.connections.contains(&connection));
         host.repeat_last();
         assert!(!host.connections.contains(&connection));
--- a/tests/repeated_answers.rs
+++ b/tests/repeated_answers.rs
@@ -336,10 +336,26 @@
         |_| vec![write()];
     plain_answer_does_not_hide_that_begin_was_refused([Plain]):
         |fleet| reject_setup(fleet, endpoint_command::EndpointFault::Lagging), transactions;
+    plain_answer_does_not_hide_that_begin_was_refused_far_away([Plain]):
+        |fleet| {
+            fleet.database_latency_us = 15_000;
+            reject_setup(fleet, endpoint_command::EndpointFault::ReadOnly);
+        },
+        transactions;
+    plain_answer_does_not_hide_that_a_setting_was_refused_far_away([Plain]):
+        |fleet| {
+            fleet.database_latency_us = 15_000;
+            reject_setup(fleet, endpoint_command::EndpointFault::Busy);
+        },
+        settings;
     plain_answer_does_not_hide_that_a_setting_was_refused([Plain]):
         |fleet| reject_setup(fleet, endpoint_command::EndpointFault::Busy), settings;
     plain_answer_does_not_hide_that_a_statement_was_not_prepared([Plain]):
         |fleet| reject_setup(fleet, endpoint_command::EndpointFault::Busy), prepared;
+    answer_to_a_refused_begin_is_not_a_promise_about_a_write_in_flight([Error]):
+        |fleet| reject_setup(fleet, endpoint_command::EndpointFault::Lagging), transactions;
+    answer_to_a_refused_setting_is_not_a_promise_about_a_write_in_flight([Error, Plain]):
+        |fleet| reject_setup(fleet, endpoint_command::EndpointFault::Busy), settings;
     failure_is_not_passed_on_for_the_next_statement([Error]):
         |fleet| {
             let (code, text) = ("FAILED".to_owned(), String::new());
@@ -525,6 +541,7 @@
             fleet.databases.get_mut(&id).expect("a database").execution_us =
                 rng.random_range(1_000..40_000);
         }
+        fleet.response_loss = [0.0, 0.02][rng.random_range(0..2)];
         let mut callers = open_callers(&mut fleet, hosts, mixed);
         load(&mut fleet, &mut callers, 1_200, |fleet| {
             let fault = match fleet.now / 1_000 % 3 {
@@ -535,7 +552,10 @@
                     endpoint_command::EndpointFault::Other { code, text }
                 }
             };
-            reject(fleet, fault);
+            match fleet.now / 1_000_000 % 2 {
+                0 => reject(fleet, fault),
+                _ => reject_setup(fleet, fault),
+            }
             if (fleet.now / 1_000).is_multiple_of(25) {
                 fleet.check_samples();
             }
