test(proxy): repeat the answer to a BEGIN while the next one is refused

The statement behind the refused BEGIN reaches the database and runs outside its transaction (PINNED), as the repeated answer to the first BEGIN is plausible for the second one. The test fails.

--- a/tests/proxy_fakes/fake_database.rs
+++ b/tests/proxy_fakes/fake_database.rs
@@ -80,6 +80,8 @@
     pub(crate) slots: Vec<u64>,
     /// Faults of the next commands of callers, which it does not run.
     pub(crate) rejections: VecDeque<endpoint_command::EndpointFault>,
+    /// Faults of the next BEGIN commands.
+    pub(crate) begin_rejections: VecDeque<endpoint_command::EndpointFault>,
 }
 
 /// Time for which a new connection occupies a slot, in microseconds.
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -396,6 +396,7 @@
                 execution_us: 5_000,
                 slots: Vec::new(),
                 rejections: VecDeque::new(),
+                begin_rejections: VecDeque::new(),
                 replication_lag_us: 20_000,
                 draining: false,
                 deaf: false,
@@ -605,6 +606,7 @@
             deaf: false,
             slots: Vec::new(),
             rejections: VecDeque::new(),
+            begin_rejections: VecDeque::new(),
         };
         self.databases.insert(id.to_owned(), database);
         self.register(id, false);
@@ -1432,6 +1434,9 @@
         let Some(database) = self.databases.get_mut(&endpoint) else { return };
         let fault = match command.is_from_caller() {
             true => database.rejections.pop_front(),
+            false if matches!(command, endpoint_command::EndpointCommand::Begin { .. }) => {
+                database.begin_rejections.pop_front()
+            }
             false => None,
         };
         let done = match command.is_from_caller() {
--- a/tests/repeated_answers.rs
+++ b/tests/repeated_answers.rs
@@ -6,6 +6,8 @@
 #[allow(dead_code, reason = "no test program uses all of the fakes")]
 mod proxy_fakes;
 
+use std::time::Duration;
+
 use std::collections::BTreeMap;
 
 use proxy_fakes::fake_stutter::AnswerKind::{Error, Plain, Signed, StartUp, Status};
@@ -390,6 +392,33 @@
     };
 }
 
+/// Refuses the second BEGIN of a connection while the answer to the first one is repeated.
+#[test]
+fn repeated_begin_answer_lets_no_statement_run_after_a_refused_begin() {
+    let mut reused = 0;
+    for pause_us in (0..30_000).step_by(100) {
+        let mut fleet = start_fleet(HOSTS);
+        fleet.run(millis(300));
+        fleet.stutter_everywhere(&FakeStutter::always(&[Plain], 25));
+        let caller = fleet.open(0, "large", "strict");
+        for request in [begin(false), write(), SessionRequest::Commit] {
+            assert!(fleet.send_and_wait(0, caller, request).expect("a response").ran());
+        }
+        let before = fleet.account_connections(0, "db0");
+        fleet.run(Duration::from_micros(pause_us));
+        let database = fleet.databases.get_mut("db0").expect("a primary");
+        database.execution_us = 100;
+        database.begin_rejections = [endpoint_command::EndpointFault::Busy].into();
+        assert!(fleet.send_and_wait(0, caller, begin(false)).expect("a response").ran());
+        reused += usize::from(!before.is_empty());
+        fleet.send_and_wait(0, caller, write()).expect("a response");
+        fleet.run(millis(100));
+        let violations = &fleet.violations;
+        assert!(violations.is_empty(), "after a pause of {pause_us} us: {:#?}", few(violations));
+    }
+    assert!(reused > 0);
+}
+
 /// Runs a write on every host each 4 ms, for `duration_ms`.
 fn write_on_all(fleet: &mut ProxyFleet, duration_ms: u64) {
     let mut callers: Vec<ScriptCaller> =
