test(proxy): fail statements behind plausible answers, and repeat signatures with other rows

Both fail: clients of serving hosts record a failure against an endpoint that responds, and rows that a repeated response took along are missing from the statement's own response.

--- a/tests/repeated_answers.rs
+++ b/tests/repeated_answers.rs
@@ -419,6 +419,42 @@
     assert!(reused > 0);
 }
 
+/// A database that only fails some statements, or repeats answers, is not recorded as unresponsive.
+fn check_endpoints_responsive(hosts: usize, kinds: &[AnswerKind]) {
+    let mut fleet = start_fleet(hosts);
+    fleet.run(millis(300));
+    fleet.stutter_everywhere(&FakeStutter::always(kinds, 0));
+    let mut callers = open_callers(&mut fleet, hosts, settings);
+    let mut unresponsive = BTreeMap::new();
+    load(&mut fleet, &mut callers, 700, |fleet| {
+        let (code, text) = ("FAILED".to_owned(), String::new());
+        reject(fleet, endpoint_command::EndpointFault::Other { code, text });
+        for host in 0..hosts {
+            for view in fleet.core(host).context().endpoints.values() {
+                if view.unresponsive_since.is_some() {
+                    *unresponsive.entry((host, view.entry.id.clone())).or_insert(0) += 1;
+                }
+            }
+        }
+    });
+    assert!(unresponsive.is_empty(), "milliseconds, by host and endpoint: {unresponsive:?}");
+}
+
+#[test]
+fn failed_statements_are_no_sign_of_an_unresponsive_endpoint() {
+    check_endpoints_responsive(HOSTS, &[]);
+}
+
+#[test]
+fn failed_statements_through_a_serving_host_are_no_sign_of_an_unresponsive_endpoint() {
+    check_endpoints_responsive(HOSTS_SERVED, &[]);
+}
+
+#[test]
+fn repeated_errors_through_a_serving_host_are_no_sign_of_an_unresponsive_endpoint() {
+    check_endpoints_responsive(HOSTS_SERVED, &[Error, Plain]);
+}
+
 /// Runs a write on every host each 4 ms, for `duration_ms`.
 fn write_on_all(fleet: &mut ProxyFleet, duration_ms: u64) {
     let mut callers: Vec<ScriptCaller> =
--- a/tests/response_order.rs
+++ b/tests/response_order.rs
@@ -40,6 +40,11 @@
     response(Ok(signature), phase)
 }
 
+fn with_row(mut response: EndpointResponse, row: &str) -> EndpointResponse {
+    response.rows.push(row.to_owned());
+    response
+}
+
 fn completed(phase: SessionPhase) -> EndpointResponse {
     response(Ok(endpoint_command::UNSIGNED), phase)
 }
@@ -151,6 +156,10 @@
         (Some(EndpointCommand::Status), completed(Idle), Repeated),
         (Some(EndpointCommand::Status), status(), Proven),
     ];
+    repeated_signature_with_other_rows_does_not_leave_the_rest_to_the_statement: [
+        (run(), with_row(signed("s1", Idle), "a"), Proven),
+        (run(), with_row(with_row(signed("s1", Idle), "b"), "a"), Unmatched),
+    ];
     response_without_a_command_belongs_to_none: [
         (run(), signed("s1", Idle), Proven),
         (None, signed("s1", Idle), Repeated),
