--- a/tests/repeated_answers.rs
+++ b/tests/repeated_answers.rs
@@ -592,3 +592,16 @@
         assert!(opened <= most, "{hosts} hosts opened {opened} connections for {ran} requests");
     }
 }
+
+/// Probes prove nothing on a connection that has carried one.
+#[test]
+fn probes_of_an_idle_primary_reuse_their_connection() {
+    let mut fleet = start_fleet(HOSTS);
+    fleet.run(millis(2_000));
+    let before: usize = fleet.connections_opened.values().sum();
+    fleet.run(millis(10_000));
+    let opened = fleet.connections_opened.values().sum::<usize>() - before;
+    let held: Vec<usize> =
+        (0..HOSTS).map(|host| fleet.core(host).context().connections.len()).collect();
+    assert!(opened <= 2 * HOSTS, "{opened} connections in 10 s; open at the hosts: {held:?}");
+}
