--- a/tests/repeated_answers.rs
+++ b/tests/repeated_answers.rs
@@ -6,6 +6,9 @@
 #[allow(dead_code, reason = "no test program uses all of the fakes")]
 mod proxy_fakes;
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use proxy_fakes::fake_stutter::AnswerKind::{Error, Plain, Signed, StartUp, Status};
 use proxy_fakes::fake_stutter::{AnswerKind, FakeStutter};
 use proxy_fakes::{ProxyFleet, millis, read, write};
@@ -421,6 +424,69 @@
     };
 }
 
+/// Refuses the second BEGIN of a connection while the answer to the first one is repeated.
+#[test]
+fn repeated_begin_answer_lets_no_statement_run_after_a_refused_begin() {
+    let mut reused = 0;
+    for pause_us in (0..30_000).step_by(100) {
+        let mut fleet = start_fleet(HOSTS);
+        fleet.run(millis(300));
+        fleet.stutter_everywhere(&FakeStutter::always(&[Plain], 25));
+        let caller = fleet.open(0, "large", "strict");
+        for request in [begin(false), write(), SessionRequest::Commit] {
+            assert!(fleet.send_and_wait(0, caller, request).expect("a response").ran());
+        }
+        let before = fleet.account_connections(0, "db0");
+        fleet.run(Duration::from_micros(pause_us));
+        let database = fleet.databases.get_mut("db0").expect("a primary");
+        database.execution_us = 100;
+        database.setup_rejections = [endpoint_command::EndpointFault::Busy].into();
+        assert!(fleet.send_and_wait(0, caller, begin(false)).expect("a response").ran());
+        reused += usize::from(!before.is_empty());
+        fleet.send_and_wait(0, caller, write()).expect("a response");
+        fleet.run(millis(100));
+        let violations = &fleet.violations;
+        assert!(violations.is_empty(), "after a pause of {pause_us} us: {:#?}", few(violations));
+    }
+    assert!(reused > 0);
+}
+
+/// A database that only fails some statements, or repeats answers, is not recorded as unresponsive.
+fn check_endpoints_responsive(hosts: usize, kinds: &[AnswerKind]) {
+    let mut fleet = start_fleet(hosts);
+    fleet.run(millis(300));
+    fleet.stutter_everywhere(&FakeStutter::always(kinds, 0));
+    let mut callers = open_callers(&mut fleet, hosts, settings);
+    let mut unresponsive = BTreeMap::new();
+    load(&mut fleet, &mut callers, 700, |fleet| {
+        let (code, text) = ("FAILED".to_owned(), String::new());
+        reject(fleet, endpoint_command::EndpointFault::Other { code, text });
+        for host in 0..hosts {
+            for view in fleet.core(host).context().endpoints.values() {
+                if view.unresponsive_since.is_some() {
+                    *unresponsive.entry((host, view.entry.id.clone())).or_insert(0) += 1;
+                }
+            }
+        }
+    });
+    assert!(unresponsive.is_empty(), "milliseconds, by host and endpoint: {unresponsive:?}");
+}
+
+#[test]
+fn failed_statements_are_no_sign_of_an_unresponsive_endpoint() {
+    check_endpoints_responsive(HOSTS, &[]);
+}
+
+#[test]
+fn failed_statements_through_a_serving_host_are_no_sign_of_an_unresponsive_endpoint() {
+    check_endpoints_responsive(HOSTS_SERVED, &[]);
+}
+
+#[test]
+fn repeated_errors_through_a_serving_host_are_no_sign_of_an_unresponsive_endpoint() {
+    check_endpoints_responsive(HOSTS_SERVED, &[Error, Plain]);
+}
+
 /// Lets every host write for `duration_ms`; no host takes a status for newer than it is.
 fn write_on_all(fleet: &mut ProxyFleet, duration_ms: u64) {
     let mut callers: Vec<ScriptCaller> =
@@ -601,3 +667,16 @@
     calm_transactions_open_no_more_connections(32, 28): transactions;
     calm_load_opens_no_more_connections(38, 28): mixed;
 }
+
+/// Hosts share what a probe on a new connection shows, so that they open few.
+#[test]
+fn probes_of_an_idle_primary_reuse_their_connection() {
+    let mut fleet = start_fleet(HOSTS);
+    fleet.run(millis(2_000));
+    let before: usize = fleet.connections_opened.values().sum();
+    fleet.run(millis(10_000));
+    let opened = fleet.connections_opened.values().sum::<usize>() - before;
+    let held: Vec<usize> =
+        (0..HOSTS).map(|host| fleet.core(host).context().connections.len()).collect();
+    assert!(opened <= 20, "{opened} connections in 10 s; open at the hosts: {held:?}");
+}
