fix(failover): take no store revision from a peer's record of before a restore

Cause: after a restore that had lost a group's record, a peer's heartbeat with the old record raised the revision that the next write names. The store had none, so that each write conflicted, and the group kept no record. Whether the heartbeat or the write came first depended on how fast the endpoints' statuses arrived. Ruled out: a write by another coordinator (only one runs in the test), and the statuses, which arrive complete. Change: only revisions of the store's present era count. Result: all_records_of_the_fleet_are_written_again failed since statuses are matched (3 of 3 runs) and passes; it passed before, as the write came first.

--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -82,10 +82,14 @@
 ) {
     let now = ctx.now;
     let own = record.proposer == proposer(ctx);
+    // A peer's record may be of before a restore that has lost it.
+    let held = revision.era() >= ctx.store.era();
     let view = &mut ctx.groups[group];
-    let later_revision = revision > view.revision;
+    let later_revision = held && revision > view.revision;
     // The next write has to name what the store holds, also where this host knows better.
-    view.revision = view.revision.max(revision);
+    if later_revision {
+        view.revision = revision;
+    }
     let known = view.record.as_ref().map(store_record::GroupRecord::progress);
     let progress = Some(record.progress());
     if progress < known || (progress == known && !later_revision) {
