fix(connection): send nothing behind a BEGIN that cannot be shown to have begun

Healthy databases were marked as unresponsive through serving hosts; probes opened a connection each (100 in 10 s for 4 idle hosts); a rejection of a start-up that came twice counted as a lost connection; rows of an answer in whose middle a repeat came were dropped. Cause: the form of an answer without a signature was its phase alone, so that a second BEGIN of a connection could never be proven; and the end of a lease did not say why. Change: the log position belongs to the form. A connection is used to begin a transaction only where the log has grown since its last BEGIN, and a BEGIN that is answered in a form of before ends the connection before anything is sent. LAGGING, which only reads get, no longer ends a connection unless it comes at a position of before. A signature stands for its rows. Serving hosts report a lost order apart from a closed connection. A probe needs a new connection only once the group's newest sample is 0.7 s old, and the first witness gives it. Ruled out: an answer's position that changes between the copies; a database sends the same answer twice.

--- a/src/proxy/connection_flow.rs
+++ b/src/proxy/connection_flow.rs
@@ -50,6 +50,12 @@
 /// Time without a reply of a serving host after which commands without a response on its
 /// connections say nothing about the endpoint. Pings are sent more often.
 const SERVING_HOST_HEARD: Duration = Duration::from_millis(400);
+/// Age of the group's newest position sample from which a probe must give a new one.
+const SAMPLE_AGE_MAX: Duration = Duration::from_millis(700);
+/// Time by which it may be older for each witness ahead of this host, in which a sample reaches it.
+const SAMPLE_AGE_STEP: Duration = Duration::from_millis(300);
+/// Most such steps.
+const SAMPLE_AGE_STEPS_MAX: u32 = 2;
 /// Weight of a new measurement in the moving average of an endpoint's latency.
 const LATENCY_WEIGHT: f64 = 0.1;
 
@@ -233,8 +239,7 @@
         return pool_server::on_response(ctx, connection, &command, response);
     }
     let endpoint = view.endpoint;
-    let proven = outcome == response_match::ResponseMatch::Proven;
-    if proven {
+    if outcome == response_match::ResponseMatch::Proven {
         record_position(ctx, connection, &response);
     }
     let (now, sent) = (ctx.now, ctx.connections[connection].sent);
@@ -248,9 +253,6 @@
     let Some(user) = ctx.connections[connection].user else { return set_idle(ctx, connection) };
     match user {
         connection_state::ConnectionUser::Request(request) => {
-            if matches!(command, endpoint_command::EndpointCommand::Begin { .. }) {
-                ctx.requests[request].begin_proven = proven;
-            }
             on_request_response(ctx, connection, request, command, response)
         }
         connection_state::ConnectionUser::Failover(group) => {
@@ -304,7 +306,7 @@
 
 /// Closes a connection on which it is in doubt which response belongs to which command. The endpoint
 /// did respond, so nothing is recorded against it.
-fn on_order_lost(ctx: &mut proxy_context::ProxyContext, connection: arena_keys::ConnectionKey) {
+pub fn on_order_lost(ctx: &mut proxy_context::ProxyContext, connection: arena_keys::ConnectionKey) {
     let view = &ctx.connections[connection];
     if view.pooled() {
         return pool_server::on_order_lost(ctx, connection);
@@ -417,14 +419,16 @@
     Some(view.endpoint)
 }
 
-/// Sends a command for a failover or a probe on an idle connection on which its response can be told
-/// from earlier ones, or on a new one. Does nothing while the same user's command is in flight or a
-/// connection of this host itself is being opened.
+/// Sends a command for a failover or a probe on an idle connection, or on a new one. Prefers one on
+/// which the response can be told from earlier ones, and uses no other if `proof` is set. Does
+/// nothing while the same user's command is in flight or a connection of this host itself is being
+/// opened.
 pub fn send_command(
     ctx: &mut proxy_context::ProxyContext,
     endpoint: arena_keys::EndpointKey,
     user: connection_state::ConnectionUser,
     command: endpoint_command::EndpointCommand,
+    proof: bool,
 ) {
     let in_progress = own_connections(ctx, endpoint).any(|connection| {
         let view = &ctx.connections[connection];
@@ -433,12 +437,14 @@
     if in_progress {
         return;
     }
-    let mut suitable = own_connections(ctx, endpoint).filter(|connection| {
-        let view = &ctx.connections[*connection];
-        view.idle() && view.order.can_prove(&command)
-    });
-    let first = suitable.next();
-    drop(suitable);
+    let idle: Vec<arena_keys::ConnectionKey> = own_connections(ctx, endpoint)
+        .filter(|connection| ctx.connections[*connection].idle())
+        .collect();
+    let proving = |connection: &arena_keys::ConnectionKey| {
+        ctx.connections[*connection].order.can_prove(&command)
+    };
+    let first = idle.iter().copied().find(proving);
+    let first = first.or_else(|| idle.first().copied().filter(|_| !proof));
     if let Some(connection) = first {
         let view = &mut ctx.connections[connection];
         view.user = Some(user);
@@ -446,7 +452,11 @@
         return send_next(ctx, connection);
     }
     if ctx.endpoints[endpoint].circuit.may_probe(ctx.now) && !at_connection_limit(ctx, endpoint) {
-        make_room(ctx, endpoint);
+        let used = idle.into_iter().find(|other| ctx.connections[*other].account.is_none());
+        match used {
+            Some(used) => drop(remove(ctx, used, "discarded")),
+            None => drop(make_room(ctx, endpoint)),
+        }
         let connection = open(ctx, endpoint, None);
         ctx.counts.connections_opened_for_commands += 1;
         let view = &mut ctx.connections[connection];
@@ -517,8 +527,14 @@
         if ctx.now.since(ctx.endpoints[endpoint].last_response_at) < ctx.tuning.probe_after {
             continue;
         }
+        // The first witness gives the new sample, and the others while it does not.
+        let rank = ctx.witnesses.hosts.iter().position(|host| *host == ctx.identity.host);
+        let rank = u32::try_from(rank.unwrap_or_default()).unwrap_or(u32::MAX);
+        let age_max = SAMPLE_AGE_MAX + SAMPLE_AGE_STEP * rank.min(SAMPLE_AGE_STEPS_MAX);
+        let sample = ctx.groups[group].samples.last();
+        let proof = sample.is_none_or(|last| ctx.now.since(last.requested_at) >= age_max);
         let probe = endpoint_command::EndpointCommand::Discard;
-        send_command(ctx, endpoint, connection_state::ConnectionUser::Probe, probe);
+        send_command(ctx, endpoint, connection_state::ConnectionUser::Probe, probe, proof);
     }
 }
 
@@ -641,7 +657,7 @@
     if retired || above_limit {
         return close(ctx, connection, "discarded");
     }
-    while let Some(request) = dequeue(ctx, endpoint, account) {
+    while let Some(request) = dequeue(ctx, connection, endpoint, account) {
         if dispatch(ctx, connection, request) || !ctx.connections.contains_key(connection) {
             return;
         }
@@ -652,15 +668,32 @@
     open_for_queue(ctx, endpoint);
 }
 
-/// Removes the most urgent request of the account from the endpoint's queue and returns it.
+/// Whether the connection can serve the request: if it begins a transaction, the response to BEGIN
+/// must be told from earlier ones. Serving hosts see to that on their own connections.
+fn can_serve(
+    ctx: &proxy_context::ProxyContext,
+    connection: arena_keys::ConnectionKey,
+    request: arena_keys::StatementKey,
+) -> bool {
+    let view = &ctx.connections[connection];
+    let begins = ctx.sessions[ctx.requests[request].session]
+        .open_transaction()
+        .is_some_and(|transaction| transaction.connection.is_none());
+    !begins || view.leased() || view.order.can_begin(ctx.endpoints[view.endpoint].position)
+}
+
+/// Removes the most urgent request of the account that the connection can serve from the endpoint's
+/// queue and returns it.
 fn dequeue(
     ctx: &mut proxy_context::ProxyContext,
+    connection: arena_keys::ConnectionKey,
     endpoint: arena_keys::EndpointKey,
     account: Option<arena_keys::AccountKey>,
 ) -> Option<arena_keys::StatementKey> {
     let queue = &ctx.endpoints[endpoint].queue;
     let matching = (0..queue.len())
         .filter(|position| ctx.requests[queue[*position]].account == account)
+        .filter(|position| can_serve(ctx, connection, queue[*position]))
         .min_by_key(|position| (ctx.requests[queue[*position]].route.priority, *position))?;
     Some(ctx.endpoints[endpoint].queue.remove(matching))
 }
@@ -758,7 +791,7 @@
     let connections = ctx.endpoints[endpoint].connections.iter().copied();
     let matching = connections.filter(|connection| {
         let view = &ctx.connections[*connection];
-        view.idle() && view.account == state.account
+        view.idle() && view.account == state.account && can_serve(ctx, *connection, request)
     });
     matching.min_by_key(|connection| {
         let view = &ctx.connections[*connection];
--- a/src/proxy/endpoint_command.rs
+++ b/src/proxy/endpoint_command.rs
@@ -118,10 +118,13 @@
                 self,
                 Self::Run { after: Some(_), .. } | Self::Begin { after: Some(_), .. }
             ),
-            EndpointFault::ReadOnly => matches!(
-                self,
-                Self::Run { .. } | Self::Commit { .. } | Self::Begin { read_only: false, .. }
-            ),
+            EndpointFault::ReadOnly => match self {
+                Self::Run { .. } | Self::Commit { .. } => true,
+                Self::Begin { read_only, .. } => !read_only,
+                // A transaction fails with any statement once the endpoint is no primary.
+                Self::Set { .. } | Self::Prepare { .. } => phase == SessionPhase::Failed,
+                _ => false,
+            },
             EndpointFault::WrongEndpoint
             | EndpointFault::TooManyConnections
             | EndpointFault::Other { .. } => true,
@@ -154,6 +157,12 @@
 }
 
 impl EndpointFault {
+    /// Whether a connection ends with the fault, as a repetition of it could pass for the response to
+    /// a later command. Only reads require a log point, and do no harm when they are run again.
+    pub fn ends_connection(&self) -> bool {
+        *self != Self::Lagging
+    }
+
     /// Returns whether the endpoint did not begin to run the command.
     pub fn is_not_run(&self) -> bool {
         !matches!(self, Self::Other { .. })
--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -651,7 +651,7 @@
     for endpoint in old {
         let user = connection_state::ConnectionUser::Failover(group);
         let command = endpoint_command::EndpointCommand::StepDown { term };
-        connection_flow::send_command(ctx, endpoint, user, command);
+        connection_flow::send_command(ctx, endpoint, user, command, true);
     }
 }
 
@@ -664,7 +664,7 @@
     for endpoint in ctx.groups[group].endpoints.clone() {
         let user = connection_state::ConnectionUser::Failover(group);
         let command = endpoint_command::EndpointCommand::Status;
-        connection_flow::send_command(ctx, endpoint, user, command);
+        connection_flow::send_command(ctx, endpoint, user, command, true);
     }
     ctx.timers.push(ctx.now.after(STATUS_INTERVAL), proxy_context::ProxyTimer::Failover(group));
 }
--- a/src/proxy/pending_request.rs
+++ b/src/proxy/pending_request.rs
@@ -108,8 +108,6 @@
     pub lease: Option<arena_keys::ConnectionKey>,
     /// Epoch of the group when it was sent to the primary; `None` if it was sent to a replica.
     pub primary_epoch: Option<u64>,
-    /// Whether the response to the BEGIN sent ahead of it was certainly the endpoint's own.
-    pub begin_proven: bool,
     /// Its progress.
     pub phase: RequestPhase,
 }
--- a/src/proxy/pool_client.rs
+++ b/src/proxy/pool_client.rs
@@ -106,6 +106,11 @@
             mark_ended(ctx, connection);
             connection_flow::on_closed(ctx, connection, false);
         }
+        pool_message::PoolReply::OrderLost { channel } => {
+            let Some(connection) = find(ctx, key, channel) else { return };
+            mark_ended(ctx, connection);
+            connection_flow::on_order_lost(ctx, connection);
+        }
         pool_message::PoolReply::Pong => {}
     }
 }
--- a/src/proxy/pool_message.rs
+++ b/src/proxy/pool_message.rs
@@ -104,4 +104,10 @@
     },
     /// Reply to a ping.
     Pong,
+    /// The connection was closed, and the lease ended, because it was in doubt which response belongs
+    /// to which command. A command in flight may have run; the endpoint is well.
+    OrderLost {
+        /// Channel of the lease.
+        channel: ChannelId,
+    },
 }
--- a/src/proxy/pool_server.rs
+++ b/src/proxy/pool_server.rs
@@ -145,7 +145,8 @@
         state.vacate(now);
     }
     let (link, channel) = (state.link, state.channel);
-    let failed = response.outcome.is_err();
+    let fault = response.outcome.as_ref().err();
+    let failed = fault.is_some_and(endpoint_command::EndpointFault::ends_connection);
     reply(ctx, link, pool_message::PoolReply::Response { channel, response });
     if failed {
         return end_lease(ctx, lease, "endpoint_fault");
@@ -155,8 +156,15 @@
 
 /// Closes a pooled connection on which it is in doubt which response belongs to which command.
 pub fn on_order_lost(ctx: &mut proxy_context::ProxyContext, connection: arena_keys::ConnectionKey) {
-    let endpoint = ctx.connections[connection].endpoint;
+    let view = &mut ctx.connections[connection];
+    let (endpoint, user) = (view.endpoint, view.user.take());
     drop_connection(ctx, connection, "response_order_lost");
+    if let Some(connection_state::ConnectionUser::Lease(lease)) = user
+        && let Some(state) = remove_lease(ctx, lease, "response_order_lost")
+    {
+        let (link, channel) = (state.link, state.channel);
+        reply(ctx, link, pool_message::PoolReply::OrderLost { channel });
+    }
     schedule(ctx, endpoint);
 }
 
@@ -544,6 +552,11 @@
         end_lease(ctx, lease, "command_unexpected");
         return reply(ctx, link, pool_message::PoolReply::Ended { channel });
     };
+    let view = &ctx.connections[connection];
+    let begins = matches!(command, endpoint_command::EndpointCommand::Begin { .. });
+    if begins && !view.order.can_begin(ctx.endpoints[view.endpoint].position) {
+        return on_order_lost(ctx, connection);
+    }
     ctx.pool.leases[lease].occupy(now);
     send(ctx, connection, command);
 }
--- a/src/proxy/request_flow.rs
+++ b/src/proxy/request_flow.rs
@@ -73,7 +73,6 @@
         avoided: Vec::new(),
         lease: None,
         primary_epoch: None,
-        begin_proven: false,
         phase: pending_request::RequestPhase::AwaitingShare { until: ctx.now },
     });
     ctx.sessions[session].request = Some(request);
@@ -176,14 +175,9 @@
             finish(ctx, request, Vec::new(), None, verdict);
         }
         Some(transaction) if transaction.connection.is_some() || sent => {
-            let session = state.session;
-            let may_persist = may_persist(ctx, request, &transaction);
-            ctx.sessions[session].transaction = session_state::TransactionState::Failed;
-            let verdict = if may_persist {
-                request_verdict::RequestVerdict::may_have_run(cause)
-            } else {
-                not_run_verdict(ctx, Some(request), request_verdict::VerdictCause::TransactionLost)
-            };
+            ctx.sessions[state.session].transaction = session_state::TransactionState::Failed;
+            let verdict =
+                not_run_verdict(ctx, Some(request), request_verdict::VerdictCause::TransactionLost);
             finish(ctx, request, Vec::new(), None, verdict);
         }
         _ if sent && !state.reads() => {
@@ -194,17 +188,6 @@
     }
 }
 
-/// Whether a statement of an open transaction may take effect by itself: it was sent after a BEGIN
-/// that may have failed, as the response to it could be a repeated one.
-fn may_persist(
-    ctx: &proxy_context::ProxyContext,
-    request: arena_keys::StatementKey,
-    transaction: &session_state::OpenTransaction,
-) -> bool {
-    let state = &ctx.requests[request];
-    state.sent() && !state.reads() && transaction.connection.is_none() && !state.begin_proven
-}
-
 /// Moves a request that certainly did not run, or only reads, to another endpoint, or refuses it
 /// with `cause`.
 pub fn retry_elsewhere(
@@ -345,12 +328,9 @@
     let Some(state) = ctx.requests.get(request) else { return };
     let pending_request::RequestPhase::Running { connection, sent } = state.phase else { return };
     let commit = state.kind == pending_request::RequestKind::Commit;
+    let in_transaction = ctx.sessions[state.session].open_transaction().is_some();
+    let may_persist = sent && (commit || !in_transaction) && !state.reads();
     let session = state.session;
-    let in_transaction = ctx.sessions[session].open_transaction().is_some();
-    let may_persist = match ctx.sessions[session].open_transaction() {
-        Some(transaction) if !commit => may_persist(ctx, request, transaction),
-        _ => sent && !state.reads(),
-    };
     if in_transaction {
         ctx.sessions[session].transaction = state_after_failure(ctx, request);
     }
--- a/src/proxy/response_order.rs
+++ b/src/proxy/response_order.rs
@@ -2,9 +2,10 @@
 //!
 //! Responses carry no identifier of their command, and an endpoint may repeat one at any time. A
 //! signature is unique, so a new one proves whose response it is, and that the responses to all
-//! earlier commands have arrived. Responses without a signature are told apart by their form: the
-//! first of a form on a connection cannot be a repeated one.
+//! earlier commands have arrived. Responses without a signature are told apart by their form, which
+//! includes the log position: the first of a form on a connection cannot be a repeated one.
 
+use crate::core::endpoint_message;
 use crate::proxy::endpoint_command;
 use crate::proxy::response_match;
 
@@ -12,19 +13,29 @@
 const SIGNATURES_MAX: usize = 4_096;
 /// Commands in succession without a proven response, after which the connection is not used either.
 const UNPROVEN_MAX: usize = 64;
+/// Forms remembered of responses without a signature, after which the connection is not used either.
+const FORMS_MAX: usize = 1_024;
+
+type ResponseForm = (endpoint_command::SessionPhase, Option<endpoint_message::LogPoint>);
 
 /// Responses that a connection has carried, as far as a later one may be mistaken for one of them.
 #[derive(Debug)]
 pub struct ResponseOrder {
-    /// Hashes of the signatures received.
-    signatures: Vec<u64>,
-    /// Phases that completions without a signature and without a status have carried.
-    completed_phases: Vec<endpoint_command::SessionPhase>,
-    status_received: bool,
+    /// Hashes of the signatures received, and of the rows with them.
+    signatures: Vec<(u64, u64)>,
+    /// Forms of completions without a signature and without a status.
+    completions: Vec<ResponseForm>,
+    /// Hashes of the rows that held a status.
+    statuses: Vec<u64>,
+    /// Log positions of responses that the log lacked the required point.
+    lagging_positions: Vec<Option<endpoint_message::LogPoint>>,
+    /// Whether an error was received with which the connection ends.
     fault_received: bool,
     /// Commands since the last proven response whose responses are only plausible.
     unproven: Vec<endpoint_command::EndpointCommand>,
     phase: endpoint_command::SessionPhase,
+    /// Highest log position of the proven responses.
+    position: Option<endpoint_message::LogPoint>,
     retired: bool,
 }
 
@@ -32,11 +43,13 @@
     fn default() -> Self {
         Self {
             signatures: Vec::new(),
-            completed_phases: Vec::new(),
-            status_received: false,
+            completions: Vec::new(),
+            statuses: Vec::new(),
+            lagging_positions: Vec::new(),
             fault_received: false,
             unproven: Vec::new(),
             phase: endpoint_command::SessionPhase::Idle,
+            position: None,
             retired: false,
         }
     }
@@ -50,14 +63,28 @@
             || self.fault_received
             || self.signatures.len() >= SIGNATURES_MAX
             || self.unproven.len() >= UNPROVEN_MAX
+            || self.completions.len() + self.statuses.len() + self.lagging_positions.len()
+                >= FORMS_MAX
+    }
+
+    /// Whether the response to a BEGIN could be proven to be its own if the endpoint's log has
+    /// reached `known`.
+    pub fn can_begin(&self, known: endpoint_message::LogPoint) -> bool {
+        let known = self.position.max(Some(known));
+        let mut begun = self
+            .completions
+            .iter()
+            .filter(|(phase, _)| *phase == endpoint_command::SessionPhase::Open);
+        begun.all(|(_, position)| *position < known)
     }
 
-    /// Whether the response to the command could be proven to be its own.
+    /// Whether the response to a command outside a transaction, other than a statement, could be
+    /// proven to be its own if the endpoint's log has not grown.
     pub fn can_prove(&self, command: &endpoint_command::EndpointCommand) -> bool {
-        match command {
-            endpoint_command::EndpointCommand::Status
-            | endpoint_command::EndpointCommand::StepDown { .. } => !self.status_received,
-            _ => !self.completed_phases.contains(&self.expected_phase(command)),
+        let idle = endpoint_command::SessionPhase::Idle;
+        match command.requests_status() {
+            true => self.statuses.is_empty(),
+            false => self.completions.iter().all(|(phase, _)| *phase != idle),
         }
     }
 
@@ -68,20 +95,21 @@
         response: &endpoint_command::EndpointResponse,
     ) -> response_match::ResponseMatch {
         let outcome = match &response.outcome {
+            Err(endpoint_command::EndpointFault::Lagging) => self.check_lagging(command, response),
             Err(fault) => self.check_fault(command, fault, response.phase),
             Ok(_) if response.is_greeting() => response_match::ResponseMatch::Repeated,
-            Ok(_) if response.report.is_some() => self.check_status(command),
+            Ok(_) if response.report.is_some() => self.check_status(command, response),
             Ok(signature) if response.is_signed() => {
-                self.check_signature(command, signature, response.phase)
+                self.check_signature(command, signature, response)
             }
-            Ok(_) => self.check_completion(command, response.phase),
+            Ok(_) => self.check_completion(command, (response.phase, response.position)),
         };
         match outcome {
             response_match::ResponseMatch::Proven => {
                 self.unproven.clear();
                 self.phase = response.phase;
-                // A repeated error could make a later refusal untrue.
-                self.fault_received |= response.outcome.is_err();
+                self.position = self.position.max(response.position);
+                self.record_fault(response);
             }
             response_match::ResponseMatch::Plausible => {
                 self.unproven.extend(command.cloned());
@@ -100,39 +128,55 @@
         &mut self,
         response: &endpoint_command::EndpointResponse,
     ) -> response_match::ResponseMatch {
-        self.fault_received |= response.outcome.is_err();
+        self.record_fault(response);
         match response.outcome.is_err() || response.is_signed() {
             true => response_match::ResponseMatch::Proven,
             false => response_match::ResponseMatch::Plausible,
         }
     }
 
+    fn record_fault(&mut self, response: &endpoint_command::EndpointResponse) {
+        let fault = response.outcome.as_ref().err();
+        self.fault_received |= fault.is_some_and(endpoint_command::EndpointFault::ends_connection);
+    }
+
     fn check_signature(
         &mut self,
         command: Option<&endpoint_command::EndpointCommand>,
         signature: &str,
-        phase: endpoint_command::SessionPhase,
+        response: &endpoint_command::EndpointResponse,
     ) -> response_match::ResponseMatch {
         let hash = xxhash_rust::xxh3::xxh3_64(signature.as_bytes());
-        if self.signatures.contains(&hash) {
-            return response_match::ResponseMatch::Repeated;
+        let rows = hash_rows(&response.rows);
+        if let Some((_, known)) = self.signatures.iter().find(|(other, _)| *other == hash) {
+            // Other rows may be those of the response in whose middle the repeated one came.
+            return match *known == rows {
+                true => response_match::ResponseMatch::Repeated,
+                false => response_match::ResponseMatch::Unmatched,
+            };
         }
         let expected = command
             .filter(|command| command.is_from_caller())
             .map(|command| self.expected_phase(command));
-        if expected != Some(phase) {
+        if expected != Some(response.phase) {
             return response_match::ResponseMatch::Unmatched;
         }
-        self.signatures.push(hash);
+        self.signatures.push((hash, rows));
         response_match::ResponseMatch::Proven
     }
 
     fn check_status(
         &mut self,
         command: Option<&endpoint_command::EndpointCommand>,
+        response: &endpoint_command::EndpointResponse,
     ) -> response_match::ResponseMatch {
         let requested = command.is_some_and(endpoint_command::EndpointCommand::requests_status);
-        match (requested, std::mem::replace(&mut self.status_received, true)) {
+        let hash = hash_rows(&response.rows);
+        let known = self.statuses.contains(&hash);
+        if !known {
+            self.statuses.push(hash);
+        }
+        match (requested, known) {
             (true, false) => response_match::ResponseMatch::Proven,
             (false, true) => response_match::ResponseMatch::Repeated,
             _ => response_match::ResponseMatch::Unmatched,
@@ -142,20 +186,43 @@
     fn check_completion(
         &mut self,
         command: Option<&endpoint_command::EndpointCommand>,
-        phase: endpoint_command::SessionPhase,
+        form: ResponseForm,
     ) -> response_match::ResponseMatch {
-        let known = self.completed_phases.contains(&phase);
+        let known = self.completions.contains(&form);
         let expected = command
             .filter(|command| !command.is_from_caller() && !command.requests_status())
-            .is_some_and(|command| self.expected_phase(command) == phase);
+            .filter(|command| self.expected_phase(command) == form.0);
         match (expected, known) {
-            (true, true) => response_match::ResponseMatch::Plausible,
-            (true, false) => {
-                self.completed_phases.push(phase);
+            // A statement behind a BEGIN that failed would run by itself.
+            (Some(endpoint_command::EndpointCommand::Begin { .. }), true) => {
+                response_match::ResponseMatch::Unmatched
+            }
+            (Some(_), true) => response_match::ResponseMatch::Plausible,
+            (Some(_), false) => {
+                self.completions.push(form);
                 response_match::ResponseMatch::Proven
             }
+            (None, true) => response_match::ResponseMatch::Repeated,
+            (None, false) => response_match::ResponseMatch::Unmatched,
+        }
+    }
+
+    /// Only reads require a point of the log, so it does no harm to run one again.
+    fn check_lagging(
+        &mut self,
+        command: Option<&endpoint_command::EndpointCommand>,
+        response: &endpoint_command::EndpointResponse,
+    ) -> response_match::ResponseMatch {
+        let fault = endpoint_command::EndpointFault::Lagging;
+        let known = self.lagging_positions.contains(&response.position);
+        let possible = command.is_some_and(|command| command.may_fail_with(&fault, response.phase));
+        match (possible, known) {
+            (true, false) => {
+                self.lagging_positions.push(response.position);
+                self.check_fault(command, &fault, response.phase)
+            }
             (false, true) => response_match::ResponseMatch::Repeated,
-            (false, false) => response_match::ResponseMatch::Unmatched,
+            _ => response_match::ResponseMatch::Unmatched,
         }
     }
 
@@ -188,3 +255,12 @@
         }
     }
 }
+
+fn hash_rows(rows: &[String]) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for row in rows {
+        hasher.update(&row.len().to_le_bytes());
+        hasher.update(row.as_bytes());
+    }
+    hasher.digest()
+}
