fix(connection): keep a connection on which an endpoint was busy

Cause: a connection ended with its first error. Under load that is BUSY; its successor occupies a slot for its handshake, which makes more of them. Ruled out: the connections for transactions and probes, and those to the store, which are unchanged here. Change: BUSY, like LAGGING, belongs if no earlier one of the connection had the same session state and log position. Otherwise it could be a repeated one: the connection is closed, and a write that was sent may have run. Other errors end the connection as before.

--- a/src/proxy/endpoint_command.rs
+++ b/src/proxy/endpoint_command.rs
@@ -158,9 +158,10 @@
 
 impl EndpointFault {
     /// Whether a connection ends with the fault, as a repetition of it could pass for the response to
-    /// a later command. Only reads require a log point, and do no harm when they are run again.
+    /// a later command. The faults of a loaded or lagging endpoint are frequent, and come at other
+    /// positions of its log.
     pub fn ends_connection(&self) -> bool {
-        *self != Self::Lagging
+        !matches!(self, Self::Busy | Self::Lagging)
     }
 
     /// Returns whether the endpoint did not begin to run the command.
--- a/src/proxy/response_order.rs
+++ b/src/proxy/response_order.rs
@@ -27,8 +27,8 @@
     completions: Vec<ResponseForm>,
     /// Hashes of the rows that held a status.
     statuses: Vec<u64>,
-    /// Log positions of responses that the log lacked the required point.
-    lagging_positions: Vec<Option<endpoint_message::LogPoint>>,
+    /// Forms of faults with which the connection does not end.
+    refusals: Vec<(endpoint_command::EndpointFault, ResponseForm)>,
     /// Whether an error was received with which the connection ends.
     fault_received: bool,
     /// Commands since the last proven response whose responses are only plausible.
@@ -45,7 +45,7 @@
             signatures: Vec::new(),
             completions: Vec::new(),
             statuses: Vec::new(),
-            lagging_positions: Vec::new(),
+            refusals: Vec::new(),
             fault_received: false,
             unproven: Vec::new(),
             phase: endpoint_command::SessionPhase::Idle,
@@ -63,8 +63,7 @@
             || self.fault_received
             || self.signatures.len() >= SIGNATURES_MAX
             || self.unproven.len() >= UNPROVEN_MAX
-            || self.completions.len() + self.statuses.len() + self.lagging_positions.len()
-                >= FORMS_MAX
+            || self.completions.len() + self.statuses.len() + self.refusals.len() >= FORMS_MAX
     }
 
     /// Whether the response to a BEGIN could be proven to be its own if the endpoint's log has
@@ -95,8 +94,10 @@
         response: &endpoint_command::EndpointResponse,
     ) -> response_match::ResponseMatch {
         let outcome = match &response.outcome {
-            Err(endpoint_command::EndpointFault::Lagging) => self.check_lagging(command, response),
-            Err(fault) => self.check_fault(command, fault, response.phase),
+            Err(fault) if fault.ends_connection() => {
+                self.check_fault(command, fault, response.phase)
+            }
+            Err(fault) => self.check_refusal(command, fault, (response.phase, response.position)),
             Ok(_) if response.is_greeting() => response_match::ResponseMatch::Repeated,
             Ok(_) if response.report.is_some() => self.check_status(command, response),
             Ok(signature) if response.is_signed() => {
@@ -207,19 +208,20 @@
         }
     }
 
-    /// Only reads require a point of the log, so it does no harm to run one again.
-    fn check_lagging(
+    /// Does the same for a fault that does not end the connection: the first of a form cannot be a
+    /// repeated one.
+    fn check_refusal(
         &mut self,
         command: Option<&endpoint_command::EndpointCommand>,
-        response: &endpoint_command::EndpointResponse,
+        fault: &endpoint_command::EndpointFault,
+        form: ResponseForm,
     ) -> response_match::ResponseMatch {
-        let fault = endpoint_command::EndpointFault::Lagging;
-        let known = self.lagging_positions.contains(&response.position);
-        let possible = command.is_some_and(|command| command.may_fail_with(&fault, response.phase));
+        let known = self.refusals.iter().any(|(other, at)| other == fault && *at == form);
+        let possible = command.is_some_and(|command| command.may_fail_with(fault, form.0));
         match (possible, known) {
             (true, false) => {
-                self.lagging_positions.push(response.position);
-                self.check_fault(command, &fault, response.phase)
+                self.refusals.push((fault.clone(), form));
+                self.check_fault(command, fault, form.0)
             }
             (false, true) => response_match::ResponseMatch::Repeated,
             _ => response_match::ResponseMatch::Unmatched,
--- a/tests/response_order.rs
+++ b/tests/response_order.rs
@@ -157,7 +157,13 @@
         (read_after(), failed(EndpointFault::Lagging, Idle), Unmatched),
     ];
     second_error_of_a_connection_may_be_a_repeated_one: [
+        (run(), failed(EndpointFault::ReadOnly, Idle), Proven),
+        (run(), later(failed(EndpointFault::ReadOnly, Idle)), Unmatched),
+    ];
+    busy_at_a_position_of_before_may_be_a_repeated_one: [
         (run(), failed(EndpointFault::Busy, Idle), Proven),
+        (set(), failed(EndpointFault::Busy, Idle), Repeated),
+        (run(), later(failed(EndpointFault::Busy, Idle)), Proven),
         (run(), failed(EndpointFault::Busy, Idle), Unmatched),
     ];
     second_status_of_a_connection_may_be_a_repeated_one: [
