test(review): reads miss their session's commit after a route led elsewhere (case 7)

Cause: a session keeps the log point of its last commit for one group only; a commit on another service replaces it.

--- a/review/standins-2/database.rs
+++ b/review/standins-2/database.rs
@@ -69,6 +69,10 @@
     acknowledged: Vec<(String, Instant)>,
     /// Highest fencing token seen, and its holder.
     token: (u64, String),
+    /// Commits that the log must hold when a read runs, by the read's request.
+    expected: BTreeMap<String, Vec<String>>,
+    /// Names of the accounts for which requests ran, by request.
+    accounts: BTreeMap<String, String>,
 }
 
 /// The databases of one service.
@@ -127,6 +131,8 @@
             runs: 0,
             acknowledged: Vec::new(),
             token: (0, String::new()),
+            expected: BTreeMap::new(),
+            accounts: BTreeMap::new(),
         };
         let group = Arc::new(Self {
             name: name.to_owned(),
@@ -206,6 +212,16 @@
         self.lock().acknowledged.push((request.to_owned(), Instant::now()));
     }
 
+    /// Records which commits the log must hold when a read runs.
+    pub fn expect(&self, read: &str, commits: &[String]) {
+        self.lock().expected.insert(read.to_owned(), commits.to_vec());
+    }
+
+    /// Returns the account for which a request ran; `None` if it did not run.
+    pub fn account_of(&self, request: &str) -> Option<String> {
+        self.lock().accounts.get(request).cloned()
+    }
+
     /// Handles `POST /promotion` and returns the status.
     pub fn promote(self: &Arc<Self>, id: &str, holder: &str, token: u64) -> u16 {
         let mut state = self.lock();
@@ -453,6 +469,8 @@
     stream: TcpStream,
     buffer: Vec<u8>,
     started: bool,
+    /// Account named in the STARTUP message.
+    account: String,
     prepared: BTreeMap<String, String>,
     transaction: Option<Transaction>,
 }
@@ -465,6 +483,7 @@
             stream,
             buffer: Vec::new(),
             started: false,
+            account: String::new(),
             prepared: BTreeMap::new(),
             transaction: None,
         }
@@ -528,13 +547,14 @@
         let body = match word {
             "STARTUP" if !self.started => {
                 let mut words = rest.split(' ');
-                let (service, _, id) = (words.next(), words.next(), words.next());
+                let (service, account, id) = (words.next(), words.next(), words.next());
                 let own = self.group.lock().databases[self.index].id.clone();
                 if service != Some(&self.group.name) || id.is_some_and(|id| id != own) {
                     drop(self.stream.write_all(format!("ERROR WRONGNODE {own}\r\n").as_bytes()));
                     return None;
                 }
                 self.started = true;
+                self.account = account.unwrap_or_default().to_owned();
                 String::new()
             }
             "QUERY" if self.started => {
@@ -704,7 +724,17 @@
         let number = state.runs;
         state.runs += 1;
         let id = state.databases[self.index].id.clone();
-        self.group.record.note(&format!("{id} ran {request}"));
+        let account = self.account.clone();
+        self.group.record.note(&format!("{id} ran {request} for {account}"));
+        state.accounts.insert(request.to_owned(), account);
+        for commit in state.expected.get(request).into_iter().flatten() {
+            let log = &state.databases[self.index].log;
+            if !log.iter().any(|known| known.request == *commit) {
+                self.group.record.broken(&format!(
+                    "STALE: read {request} ran on {id}, whose log lacks {commit} of its session"
+                ));
+            }
+        }
         let word = text.split(' ').next().unwrap_or_default();
         let rows = if word == "READ" { format!("DATAROW row{number}\r\n") } else { String::new() };
         Some(Ok(format!("{rows}COMPLETE 7.{number:x}.{request}\r\n")))
