test(review): end the daemons of a script also after its time limit

Cause: a scenario that timeout ends leaves its daemons running.

Change: the daemons' ids are kept in the temporary folder, and a common script ends those that are left.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,8 +1,4 @@
 #!/usr/bin/env bash
-# Exits with 1 if an acknowledged commit is not in the log of the promoted database, 0 if all are, and
-# 2 if the case could not run. TROUBLE=0 runs it without the disruptions.
-set -uo pipefail
-folder=$(cd "$(dirname "$0")" && pwd)
-cd "$folder/../.." || exit 2
-[ -x target/review-2/scenarios ] && [ -x target/release/quetzaldeal-platformd ] || exit 2
-exec timeout 110 target/review-2/scenarios lost_commits "$folder/record.txt"
+# Exits with 1 if an acknowledged commit is not in the log of the promoted database, 0 if
+# none, and 2 if the case could not run. TROUBLE=0 runs it without the disruption. Writes record.txt.
+exec "$(dirname "$0")/../standins-2/run_case.sh" lost_commits "$(dirname "$0")"
--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -69,6 +69,9 @@
         let address = |port: u16| format!("{ip}:{port}").parse().expect("an address");
         let (callers, readiness) = (address(base), address(base + 1));
         let child = spawn(&settings, &log);
+        let mut pids =
+            File::options().create(true).append(true).open(folder.join("pids")).expect("a file");
+        writeln!(pids, "{}", child.id()).expect("a line in the temporary folder");
         Self { name, callers, readiness, child }
     }
 
