fix(holder): forget a silent log only when no acknowledgement rests on it

The primary went on counting its receipts, the other replica received nothing, the primary crashed, and the other replica was promoted.

Cause: no answer of a database says which replica received a commit, so a log that the primary may count cannot be told from one that is lost by silence.

Ruled out: commit_bound, which is right for a set outside which no receipt counts; a longer wait, which is wrong after it; never forgetting, with which a lost replica stops the group; a refused connection as evidence, as the database may start again with its log while it is cut off.

Change: the group's record names the log as uncounted in a new epoch, under the same primary. Hosts that know it hold acknowledgements back until enough other replicas report the commit. Once the fence of a failover shows that all hosts know the epoch, and others have all that the primary has, the log is forgotten. It counts again when its database registers, after the record of the holders was written anew.

Cost, only while a replica is away: one status of another replica for each write.

--- a/src/proxy/epoch_fence.rs
+++ b/src/proxy/epoch_fence.rs
@@ -38,6 +38,36 @@
     since.is_some_and(|since| ctx.now.since(since) >= lease_duration(ctx))
 }
 
+/// Returns whether no host uses the primary without knowing the record's epoch. A host without a member
+/// record that does not know it must be unable to hold or obtain a quorum lease for an older epoch.
+pub fn adopted_by_all_hosts(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+) -> bool {
+    let fenced = older_epochs_fenced(ctx, group);
+    let isolated_fenced = isolated_hosts_fenced(ctx, group);
+    ctx.roster.keys().all(|host| {
+        let removed = ctx.members.get(host).is_some_and(|member| member.removed_at.is_some());
+        let cannot_use_primary = || cannot_use_older(ctx, group, host, fenced, isolated_fenced);
+        knows_epoch(ctx, group, host) || (removed && cannot_use_primary())
+    })
+}
+
+/// Returns whether a host without a member record can use no primary of an older epoch, given whether
+/// [`older_epochs_fenced`] and [`isolated_hosts_fenced`].
+pub fn cannot_use_older(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    host: &String,
+    fenced: bool,
+    isolated_fenced: bool,
+) -> bool {
+    fenced
+        || has_departed(ctx, host)
+        || is_unreachable_from_majority(ctx, group, host)
+        || (isolated_fenced && is_isolated(ctx, host))
+}
+
 /// Returns since when a condition holds, if it does at `now`.
 fn extend(
     since: Option<clock_time::ClockTime>,
--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -8,7 +8,7 @@
 //! lease expires; the store removes its member record after that. Hosts that have departed as planned
 //! are not awaited, nor are those that have been isolated from the store for long.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::core::arena_keys;
@@ -26,6 +26,7 @@
 use crate::proxy::primary_release;
 use crate::proxy::primary_wait;
 use crate::proxy::proxy_context;
+use crate::proxy::receipt_flow;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
 use crate::proxy::store_revision;
@@ -70,6 +71,7 @@
 
 /// Advances the group's failover after an endpoint's status has been recorded.
 pub fn on_status(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
+    receipt_flow::settle(ctx, group);
     advance(ctx, group);
 }
 
@@ -113,13 +115,24 @@
         record.candidate,
         record.proposer
     );
+    if record.epoch != view.epoch() {
+        view.failover.epoch_known_since = None;
+        view.failover.epoch_seen_since = None;
+    }
+    let recounts = view.record.as_ref().is_some_and(|last| record.recounts(last));
     if let Some(last) = &view.record {
         let since = view.record_received_at;
         ctx.failover_durations.record(now, last.phase, since, record.phase);
     }
-    view.record_received_at = now;
-    view.leadership_lost = false;
     let serving = record.phase == store_record::GroupPhase::Serving;
+    // To the primary's users nothing has changed.
+    if !recounts {
+        view.record_received_at = now;
+        view.leadership_lost = false;
+        if serving || record.epoch > view.epoch() + 1 {
+            view.serving_since_epoch = record.epoch;
+        }
+    }
     view.record = Some(record);
     let state = view.failover.cursor.state().to_owned();
     if !own && state != "watching" {
@@ -128,6 +141,7 @@
         fire(ctx, group, "record_written");
     }
     primary_release::release_when_drained(ctx, group);
+    receipt_flow::settle(ctx, group);
     advance(ctx, group);
     primary_wait::place_waiting(ctx);
 }
@@ -242,6 +256,26 @@
     write_record(ctx, group, record);
 }
 
+/// Records which logs do not count any more, while the primary goes on serving. Failovers count no
+/// other logs before all hosts know of it.
+pub fn recount(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    uncounted: BTreeSet<String>,
+) {
+    let Some(mut record) = ctx.groups[group].serving().cloned() else { return };
+    record.epoch = store_record::next_epoch(record.epoch, ctx.store.era());
+    record.uncounted = uncounted;
+    let addresses: Vec<&str> = record.uncounted.iter().map(String::as_str).collect();
+    log::info!(
+        "event=logs_uncounted group={} epoch={} addresses={}",
+        ctx.groups[group].name,
+        record.epoch,
+        addresses.join(",")
+    );
+    write_record(ctx, group, record);
+}
+
 /// Returns why the group needs a failover, if it does.
 fn find_reason(
     ctx: &proxy_context::ProxyContext,
@@ -325,12 +359,8 @@
             .observations
             .get(name)
             .is_some_and(|observation| observation.released_epoch >= epoch);
-        let cannot_use_primary = || {
-            fenced
-                || epoch_fence::has_departed(ctx, host)
-                || epoch_fence::is_unreachable_from_majority(ctx, group, host)
-                || (isolated_fenced && epoch_fence::is_isolated(ctx, host))
-        };
+        let cannot_use_primary =
+            || epoch_fence::cannot_use_older(ctx, group, host, fenced, isolated_fenced);
         released || host == own || (member.removed_at.is_some() && cannot_use_primary())
     };
     let mut awaited = ctx.roster.keys().filter(|host| !has_released(host)).cloned().peekable();
@@ -617,6 +647,7 @@
         term,
         candidate: None,
         proposer: proposer(ctx),
+        uncounted: ctx.groups[group].uncounted().clone(),
     };
     let duration = ctx.now.since(ctx.groups[group].failover.started_at).as_millis();
     log::info!(
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -1,5 +1,7 @@
 //! One group of endpoints as this host sees it.
 
+use std::collections::BTreeSet;
+
 use crate::core::arena_keys;
 use crate::core::chart_cursor;
 use crate::core::clock_time;
@@ -75,6 +77,13 @@
     pub peer_epoch: u64,
     /// Whether an endpoint has reported that the recorded primary is not the primary.
     pub leadership_lost: bool,
+    /// The epoch in which the recorded primary began to serve; records that only change which logs
+    /// count do not end that.
+    pub serving_since_epoch: u64,
+    /// Requests whose commits wait for receipts of replicas.
+    pub receipts_awaited: Vec<arena_keys::StatementKey>,
+    /// When the replicas' receipts may be requested again.
+    pub next_receipts: clock_time::ClockTime,
     /// Samples of the primary's log position, against which the age of reads is checked.
     pub samples: position_history::PositionHistory,
     /// Logs that may hold acknowledged commits, if the group has synchronous replicas.
@@ -99,6 +108,17 @@
         self.record.is_some() && self.serving().is_none()
     }
 
+    /// Returns the addresses of the logs that do not count.
+    pub fn uncounted(&self) -> &BTreeSet<String> {
+        static NONE: BTreeSet<String> = BTreeSet::new();
+        self.record.as_ref().map_or(&NONE, |record| &record.uncounted)
+    }
+
+    /// Returns whether the coordinator waits until all hosts know that a log does not count any more.
+    pub fn recount_in_progress(&self) -> bool {
+        self.uncounted().iter().any(|address| self.holders.known.holders.contains_key(address))
+    }
+
     /// Returns the epoch of the record; 0 when there is none.
     pub fn epoch(&self) -> u64 {
         self.record.as_ref().map_or(0, |record| record.epoch)
--- a/src/proxy/heartbeat_flow.rs
+++ b/src/proxy/heartbeat_flow.rs
@@ -81,7 +81,7 @@
 /// Sends a heartbeat to the coordinator during a failover, unless it is among `recipients`
 /// anyway. Sent with every round, because the coordinator may be new and a datagram may be lost.
 fn notify_coordinator(ctx: &mut proxy_context::ProxyContext, recipients: &[String]) {
-    if !ctx.groups.values().any(|group| group.failover_in_progress()) {
+    if !ctx.groups.values().any(is_awaited) {
         return;
     }
     let coordinator = ctx.coordinator.record.as_ref().map(|(record, _)| record.host.clone());
@@ -90,6 +90,11 @@
     }
 }
 
+/// Returns whether the coordinator waits until every host knows the group's epoch.
+fn is_awaited(group: &group_view::GroupView) -> bool {
+    group.failover_in_progress() || group.recount_in_progress()
+}
+
 /// Sends heartbeats to the witnesses and, during a failover, to the coordinator at once.
 pub fn broadcast_heartbeat(ctx: &mut proxy_context::ProxyContext) {
     ctx.heartbeat_sent_at = ctx.now;
@@ -212,7 +217,7 @@
     // Outside a failover, observations count only if they come from a witness.
     let is_witness = ctx.is_witness();
     let era = ctx.store.era();
-    let relevant = |group: &&group_view::GroupView| is_witness || group.failover_in_progress();
+    let relevant = |group: &&group_view::GroupView| is_witness || is_awaited(group);
     let groups = ctx.groups.values().filter(|group| group.record.is_some()).filter(relevant);
     let observations = groups.map(|group| {
         let sample = group
--- a/src/proxy/holder_flow.rs
+++ b/src/proxy/holder_flow.rs
@@ -1,17 +1,33 @@
 //! Keeps the record of the logs that may hold acknowledged commits, for groups with synchronous
 //! replicas. Runs on the coordinator.
 //!
-//! A log is added once an endpoint registers at its address. It is forgotten once no endpoint is
-//! registered there or answers, and enough others have received everything that was acknowledged
-//! before. A failover counts all logs of the record, also those whose endpoints are not registered.
+//! A log is added once an endpoint registers at its address. A failover counts all logs of the record,
+//! also those whose endpoints are not registered.
+//!
+//! Silence does not tell a log that is lost from one that only the hosts cannot reach, and whose
+//! receipts the primary counts. A log is therefore forgotten in steps, while no endpoint is registered
+//! at its address or answers there:
+//!
+//! 1. Enough other replicas have received all that the primary has. The group's record then names the
+//!    log as uncounted, in a new epoch. Hosts that know that epoch pass a commit's acknowledgement on
+//!    only if enough replicas that count hold the commit (`receipt_flow`).
+//! 2. All hosts know the epoch, or cannot use the primary.
+//! 3. Enough other replicas have received all that the primary had then. The record of the holders
+//!    drops the log, which stays uncounted.
+//!
+//! An uncounted log counts again once an endpoint is registered at its address. It is dropped when an
+//! endpoint of another group has the address, or after [`ProxyTuning::lost_log_retention`].
+//!
+//! [`ProxyTuning::lost_log_retention`]: crate::proxy::proxy_tuning::ProxyTuning::lost_log_retention
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::core::arena_keys;
 use crate::core::clock_time;
 use crate::proxy::endpoint_command;
 use crate::proxy::endpoint_view;
+use crate::proxy::epoch_fence;
 use crate::proxy::failover_flow;
 use crate::proxy::holder_record;
 use crate::proxy::log_holders;
@@ -61,10 +77,13 @@
     record: holder_record::HolderRecord,
     reply: &store_message::StoreReply,
 ) {
-    ctx.groups[group].holders.call_pending = false;
-    if let store_message::StoreReply::Written { revision } = reply
-        && *revision > ctx.groups[group].holders.revision
-    {
+    let token = ctx.fencing_token();
+    let holders = &mut ctx.groups[group].holders;
+    holders.call_pending = false;
+    let store_message::StoreReply::Written { revision } = reply else { return };
+    holders.written_under = token;
+    holders.next_check = clock_time::ClockTime::default();
+    if *revision > holders.revision {
         on_read(ctx, group, Some(record), *revision);
     }
 }
@@ -92,10 +111,11 @@
     ctx.groups[group].holders.next_check = clock_time::ClockTime::default();
 }
 
-/// Writes the record if it is outdated, while the group has a primary.
+/// Writes the records that are outdated, while the group has a primary.
 pub fn maintain(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
-    let state = &ctx.groups[group].holders;
-    if state.call_pending || ctx.now < state.next_check {
+    let view = &ctx.groups[group];
+    let pending = view.holders.call_pending || view.failover.call_pending;
+    if pending || ctx.now < view.holders.next_check {
         return;
     }
     let Some(sync_replicas) = failover_flow::sync_replicas(ctx, group) else { return };
@@ -103,17 +123,38 @@
         return;
     }
     let mut holders = current(ctx, group);
-    for address in find_unneeded(ctx, group, &holders, sync_replicas) {
-        holders.remove(&address);
+    let uncounted = ctx.groups[group].uncounted().clone();
+    let unneeded = find_unneeded(ctx, group, &holders, sync_replicas);
+    let fenced = ctx.groups[group].holders.check.is_some_and(|check| check.fenced);
+    let mut next_uncounted = still_uncounted(ctx, group);
+    for address in unneeded {
+        if fenced && uncounted.contains(&address) {
+            holders.remove(&address);
+        }
+        next_uncounted.insert(address);
     }
     let checking = ctx.groups[group].holders.check.is_some();
     let interval = if checking { CHECK_INTERVAL } else { COMPARE_INTERVAL };
     ctx.groups[group].holders.next_check = ctx.now.after(interval);
     let record = holder_record::HolderRecord { holders };
+    // A pending write of an earlier coordinator could still forget a log that has come back. Any
+    // later write keeps it from taking effect.
+    let returned = uncounted.iter().any(|address| is_registered(ctx, group, address));
     let view = &ctx.groups[group];
-    if view.holders.stored.as_ref() == Some(&record) {
-        return;
+    let rewrite = returned && view.holders.written_under != ctx.fencing_token();
+    if view.holders.stored.as_ref() != Some(&record) || rewrite {
+        write_record(ctx, group, record);
+    } else if next_uncounted != uncounted {
+        failover_flow::recount(ctx, group, next_uncounted);
     }
+}
+
+fn write_record(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    record: holder_record::HolderRecord,
+) {
+    let view = &mut ctx.groups[group];
     let Ok(value) = rmp_serde::to_vec(&record) else { return };
     let described: Vec<String> =
         record.holders.iter().map(|(address, id)| format!("{id}@{address}")).collect();
@@ -124,11 +165,61 @@
         lease: 0,
         expect: Some(view.holders.revision),
     };
-    ctx.groups[group].holders.call_pending = true;
+    view.holders.call_pending = true;
+    view.holders.written_under = None;
     ctx.call_store(store_session::StorePurpose::HolderRecord { group, record }, request);
 }
 
-/// Returns the addresses of logs that are not needed any more: their endpoints have left, and
+/// Returns the uncounted logs that do not count yet.
+fn still_uncounted(
+    ctx: &mut proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+) -> BTreeSet<String> {
+    let mut uncounted = ctx.groups[group].uncounted().clone();
+    let now = ctx.now;
+    let since = &mut ctx.groups[group].holders.uncounted_since;
+    since.retain(|address, _| uncounted.contains(address));
+    for address in &uncounted {
+        since.entry(address.clone()).or_insert(now);
+    }
+    let written = ctx.groups[group].holders.written_under.is_some()
+        && ctx.groups[group].holders.written_under == ctx.fencing_token();
+    uncounted.retain(|address| {
+        let state = &ctx.groups[group].holders;
+        let counted =
+            state.stored.as_ref().is_some_and(|record| record.holders.contains_key(address));
+        if is_registered(ctx, group, address) {
+            return !(counted && written);
+        }
+        let absent = state.uncounted_since.get(address).map(|since| ctx.now.since(*since));
+        let lost = absent.is_some_and(|absent| absent >= ctx.tuning.lost_log_retention);
+        counted || !(lost || is_reused(ctx, group, address))
+    });
+    uncounted
+}
+
+/// Returns whether an endpoint of the group is registered at an address.
+fn is_registered(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    address: &str,
+) -> bool {
+    endpoints_at(ctx, group, address).any(|other| other.deregistered_since.is_none())
+}
+
+/// Returns whether an endpoint of another group is registered at an address. The log that was there is
+/// gone then.
+fn is_reused(
+    ctx: &proxy_context::ProxyContext,
+    group: arena_keys::GroupKey,
+    address: &str,
+) -> bool {
+    ctx.endpoints.values().any(|other| {
+        other.group != group && other.entry.address == address && other.deregistered_since.is_none()
+    })
+}
+
+/// Returns the addresses of logs that are not needed any more: their endpoints are absent, and
 /// `sync_replicas` other replicas have all that the primary had when the check began.
 fn find_unneeded(
     ctx: &mut proxy_context::ProxyContext,
@@ -143,9 +234,14 @@
         return Vec::new();
     }
     let now = ctx.now;
+    let awaited = ctx.groups[group].recount_in_progress();
+    let fenced = awaited && epoch_fence::adopted_by_all_hosts(ctx, group);
     let view = &ctx.groups[group];
-    let begun = view.holders.check.filter(|check| check.since >= view.record_received_at);
-    let new_check = log_holders::HolderCheck { since: now, primary_position: None };
+    let epoch = view.epoch();
+    let begun = view.holders.check.filter(|check| {
+        check.since >= view.record_received_at && check.epoch == epoch && check.fenced == fenced
+    });
+    let new_check = log_holders::HolderCheck { since: now, epoch, fenced, primary_position: None };
     let mut check = begun.unwrap_or(new_check);
     failover_flow::request_statuses(ctx, group);
     let term = ctx.groups[group].term();
@@ -154,8 +250,12 @@
     check.primary_position = check.primary_position.or(primary.map(|report| report.position));
     ctx.groups[group].holders.check = Some(check);
     let Some(position) = check.primary_position else { return Vec::new() };
+    let uncounted = ctx.groups[group].uncounted();
     let replicas = reports.iter().filter(|(address, report)| {
-        !report.primary && report.position >= position && !absent.contains(*address)
+        !report.primary
+            && report.position >= position
+            && !absent.contains(*address)
+            && !uncounted.contains(*address)
     });
     if replicas.count() < sync_replicas {
         return Vec::new();
--- a/src/proxy/log_holders.rs
+++ b/src/proxy/log_holders.rs
@@ -1,5 +1,7 @@
 //! What this host knows of the logs that may hold acknowledged commits of a group.
 
+use std::collections::BTreeMap;
+
 use crate::core::clock_time;
 use crate::core::endpoint_message;
 use crate::proxy::holder_record;
@@ -10,6 +12,10 @@
 pub struct HolderCheck {
     /// When it began. Only reports that were requested later count.
     pub since: clock_time::ClockTime,
+    /// The group's epoch.
+    pub epoch: u64,
+    /// Whether all hosts knew that epoch when it began, or could not use the primary any more.
+    pub fenced: bool,
     /// End of the primary's log, which includes every commit acknowledged before the check.
     pub primary_position: Option<endpoint_message::LogPoint>,
 }
@@ -29,4 +35,9 @@
     pub next_check: clock_time::ClockTime,
     /// The check in progress.
     pub check: Option<HolderCheck>,
+    /// Fencing token of this host under which the store has confirmed its last write of the record. No
+    /// earlier write can take effect any more.
+    pub written_under: Option<u64>,
+    /// Since when this host knows that a log does not count, by address.
+    pub uncounted_since: BTreeMap<String, clock_time::ClockTime>,
 }
--- a/src/proxy/pending_request.rs
+++ b/src/proxy/pending_request.rs
@@ -3,6 +3,7 @@
 use crate::core::arena_keys;
 use crate::core::clock_time;
 use crate::proxy::endpoint_command;
+use crate::proxy::held_acknowledgement;
 use crate::proxy::proxy_config;
 use crate::proxy::session_request;
 
@@ -59,6 +60,8 @@
         /// When it stops waiting.
         until: clock_time::ClockTime,
     },
+    /// Its commit is done at the primary, and waits until replicas that count are known to hold it.
+    AwaitingReceipts,
     /// It has a connection. Commands sent ahead of its statement may still be in progress.
     Running {
         /// Connection that it runs on.
@@ -75,6 +78,7 @@
             Self::AwaitingShare { .. } => "waiting",
             Self::AwaitingPrimary { .. } => "awaiting_primary",
             Self::Queued { .. } => "queued",
+            Self::AwaitingReceipts => "awaiting_receipts",
             Self::Running { sent: false, .. } => "preparing",
             Self::Running { sent: true, .. } => "sent",
         }
@@ -108,6 +112,8 @@
     pub lease: Option<arena_keys::ConnectionKey>,
     /// Epoch of the group when it was sent to the primary; `None` if it was sent to a replica.
     pub primary_epoch: Option<u64>,
+    /// The endpoint's acknowledgement of its commit, while it waits for receipts.
+    pub acknowledgement: Option<held_acknowledgement::HeldAcknowledgement>,
     /// Its progress.
     pub phase: RequestPhase,
 }
--- a/src/proxy/primary_release.rs
+++ b/src/proxy/primary_release.rs
@@ -55,7 +55,11 @@
     primary: Option<arena_keys::EndpointKey>,
 ) -> (Vec<arena_keys::StatementKey>, Vec<arena_keys::ConnectionKey>) {
     let requests = ctx.requests.iter().filter(|(_, request)| {
-        let running = matches!(request.phase, pending_request::RequestPhase::Running { .. });
+        let running = matches!(
+            request.phase,
+            pending_request::RequestPhase::Running { .. }
+                | pending_request::RequestPhase::AwaitingReceipts
+        );
         let within = ctx.sessions[request.session]
             .open_transaction()
             .is_some_and(|transaction| !transaction.read_only);
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -87,6 +87,8 @@
     Pool(arena_keys::EndpointKey),
     /// Advances a group's failover.
     Failover(arena_keys::GroupKey),
+    /// Requests the receipts that commits of a group wait for.
+    Receipts(arena_keys::GroupKey),
     /// Runs the periodic work.
     Tick,
 }
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -19,6 +19,7 @@
 use crate::proxy::proxy_message;
 use crate::proxy::proxy_tuning;
 use crate::proxy::rate_limiter;
+use crate::proxy::receipt_flow;
 use crate::proxy::request_flow;
 use crate::proxy::session_flow;
 use crate::proxy::shutdown_flow;
@@ -151,6 +152,7 @@
                     pool_server::on_timer(ctx, endpoint);
                 }
                 proxy_context::ProxyTimer::Failover(_) => failover_flow::advance_all(ctx),
+                proxy_context::ProxyTimer::Receipts(group) => receipt_flow::on_timer(ctx, group),
                 proxy_context::ProxyTimer::Tick => Self::tick(ctx),
             }
         }
--- a/src/proxy/proxy_tuning.rs
+++ b/src/proxy/proxy_tuning.rs
@@ -87,6 +87,9 @@
     pub serving_below: f64,
     /// Time within which two holders of a duty may not take turns at it.
     pub duty_turn: Duration,
+    /// Time after which a log whose endpoint has not been registered is assumed to be lost for good;
+    /// longer than any expected partition.
+    pub lost_log_retention: Duration,
     /// Settings of the usage reports; `None` if the host does not have this duty.
     pub usage: Option<usage_tuning::UsageTuning>,
 }
@@ -129,6 +132,7 @@
             witnesses: 5,
             serving_below: 0.0,
             duty_turn: Duration::from_millis(3_000),
+            lost_log_retention: Duration::from_secs(2 * 3_600),
             usage: None,
         }
     }
--- a/src/proxy/request_flow.rs
+++ b/src/proxy/request_flow.rs
@@ -73,6 +73,7 @@
         avoided: Vec::new(),
         lease: None,
         primary_epoch: None,
+        acknowledgement: None,
         phase: pending_request::RequestPhase::AwaitingShare { until: ctx.now },
     });
     ctx.sessions[session].request = Some(request);
@@ -230,6 +231,11 @@
         pending_request::RequestPhase::Running { connection, sent } if now >= state.deadline => {
             time_out(ctx, request, connection, sent);
         }
+        pending_request::RequestPhase::AwaitingReceipts if now >= state.deadline => {
+            let cause = request_verdict::VerdictCause::DeadlinePassed;
+            let verdict = request_verdict::RequestVerdict::may_have_run(cause);
+            finish(ctx, request, Vec::new(), None, verdict);
+        }
         _ => {}
     }
 }
@@ -326,6 +332,11 @@
 /// request did not take effect.
 pub fn abort(ctx: &mut proxy_context::ProxyContext, request: arena_keys::StatementKey) {
     let Some(state) = ctx.requests.get(request) else { return };
+    if state.phase == pending_request::RequestPhase::AwaitingReceipts {
+        let cause = request_verdict::VerdictCause::PrimaryReplaced;
+        let verdict = request_verdict::RequestVerdict::may_have_run(cause);
+        return finish(ctx, request, Vec::new(), None, verdict);
+    }
     let pending_request::RequestPhase::Running { connection, sent } = state.phase else { return };
     let commit = state.kind == pending_request::RequestKind::Commit;
     let in_transaction = ctx.sessions[state.session].open_transaction().is_some();
@@ -513,6 +524,9 @@
         pending_request::RequestPhase::Queued { endpoint, .. } => {
             ctx.endpoints[endpoint].queue.retain(|waiting| *waiting != request);
         }
+        pending_request::RequestPhase::AwaitingReceipts => {
+            ctx.groups[state.group].receipts_awaited.retain(|waiting| *waiting != request);
+        }
         pending_request::RequestPhase::Running { .. } => {}
     }
     pool_client::withdraw(ctx, request);
--- a/src/proxy/response_flow.rs
+++ b/src/proxy/response_flow.rs
@@ -8,6 +8,7 @@
 use crate::proxy::endpoint_command;
 use crate::proxy::pending_request;
 use crate::proxy::proxy_context;
+use crate::proxy::receipt_flow;
 use crate::proxy::request_flow;
 use crate::proxy::session_state;
 
@@ -61,12 +62,20 @@
             request_flow::finish(ctx, request, Vec::new(), None, verdict);
         }
         Ok(signature) => {
-            if reads {
-                ctx.endpoints[endpoint].lag_count = 0;
-                count_read(ctx, request);
-            } else {
+            if !reads {
                 record_commit(ctx, request, response.position);
+                let rows = response.rows;
+                return receipt_flow::acknowledge(
+                    ctx,
+                    request,
+                    endpoint,
+                    response.position,
+                    rows,
+                    signature,
+                );
             }
+            ctx.endpoints[endpoint].lag_count = 0;
+            count_read(ctx, request);
             let verdict = request_verdict::RequestVerdict::ran();
             request_flow::finish(ctx, request, response.rows, Some(signature), verdict);
         }
@@ -156,6 +165,15 @@
         Ok(signature) => {
             if has_writes {
                 record_commit(ctx, request, response.position);
+                let rows = response.rows;
+                return receipt_flow::acknowledge(
+                    ctx,
+                    request,
+                    endpoint,
+                    response.position,
+                    rows,
+                    signature,
+                );
             }
             let verdict = request_verdict::RequestVerdict::ran();
             return request_flow::finish(ctx, request, response.rows, Some(signature), verdict);
@@ -177,9 +195,9 @@
     request_flow::place(ctx, request);
 }
 
-/// Whether the endpoint is still the recorded primary of the epoch in which the request was sent
+/// Whether the endpoint has been the recorded primary since the epoch in which the request was sent
 /// and this host may use it. Otherwise a failover may discard what the endpoint confirmed.
-fn primary_unchanged(
+pub fn primary_unchanged(
     ctx: &proxy_context::ProxyContext,
     request: arena_keys::StatementKey,
     endpoint: arena_keys::EndpointKey,
@@ -194,8 +212,8 @@
         None => None,
     };
     let recorded = view.record.as_ref().map(|record| record.primary.as_str());
-    state.primary_epoch.is_some()
-        && state.primary_epoch == epoch
+    let serves = |sent: u64| epoch.is_some_and(|epoch| sent <= epoch);
+    state.primary_epoch.is_some_and(|sent| sent >= view.serving_since_epoch && serves(sent))
         && recorded == Some(ctx.endpoints[endpoint].entry.id.as_str())
         && ctx.may_use_primary(state.group)
 }
--- a/src/proxy/store_record.rs
+++ b/src/proxy/store_record.rs
@@ -1,5 +1,7 @@
 //! Records that the proxy keeps in the store, and their keys.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::proxy::store_revision;
@@ -32,6 +34,10 @@
     pub candidate: Option<String>,
     /// Host and incarnation that wrote the record, as `host#incarnation`.
     pub proposer: String,
+    /// Addresses of logs that a failover may do without, although the primary may count their receipts
+    /// of commits. Hosts pass no acknowledgement on that rests on these.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub uncounted: BTreeSet<String>,
 }
 
 impl GroupRecord {
@@ -46,6 +52,18 @@
         (self.epoch, step)
     }
 
+    /// Returns whether the record only changes which logs count, under the primary of `last`, which
+    /// serves without a pause.
+    pub fn recounts(&self, last: &Self) -> bool {
+        let serving = |record: &Self| record.phase == GroupPhase::Serving;
+        serving(self)
+            && serving(last)
+            && self.epoch == last.epoch + 1
+            && self.primary == last.primary
+            && self.term == last.term
+            && self.uncounted != last.uncounted
+    }
+
     /// Returns the era of the store in which the record was written.
     pub fn era(&self) -> u64 {
         store_revision::StoreRevision::from_u64(self.epoch).era()
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -583,6 +583,9 @@
         released_epoch: 0,
         peer_epoch: 0,
         leadership_lost: false,
+        serving_since_epoch: 0,
+        receipts_awaited: Vec::new(),
+        next_receipts: Default::default(),
         samples: Default::default(),
         holders: Default::default(),
         failover: group_view::FailoverState {
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -457,6 +457,26 @@
         self.partitions.insert((other, one));
     }
 
+    /// Cuts a database off from all hosts and the store, which removes its registration, but not from
+    /// the other databases.
+    pub(crate) fn cut_off(&mut self, id: &str) {
+        let place = PartitionSide::Database(id.to_owned());
+        for host in 0..self.hosts.len() {
+            self.partition(PartitionSide::Host(host), place.clone());
+        }
+        self.partition(PartitionSide::Store, place);
+        self.unregister(id);
+    }
+
+    /// Ends the partitions of a database, which registers again if it runs.
+    pub(crate) fn bring_back(&mut self, id: &str) {
+        let place = PartitionSide::Database(id.to_owned());
+        self.partitions.retain(|(one, other)| *one != place && *other != place);
+        if self.databases.get(id).is_some_and(|database| database.up) {
+            self.register_again(id);
+        }
+    }
+
     /// Ends all partitions. Links on which messages were lost are reset.
     pub(crate) fn heal_partitions(&mut self) {
         self.partitions.clear();
@@ -660,10 +680,15 @@
         self.deliver_replies(replies);
     }
 
-    /// Writes a database's registration to the store.
+    /// Writes a database's registration to the store, if it reaches it.
     pub(crate) fn register(&mut self, id: &str, draining: bool) {
+        let reaches_store =
+            self.can_reach(&PartitionSide::Database(id.to_owned()), &PartitionSide::Store);
         let Some(database) = self.databases.get_mut(id) else { return };
         database.draining = draining;
+        if !reaches_store {
+            return;
+        }
         let entry = store_message::EndpointRegistration {
             id: id.to_owned(),
             group: database.group.clone(),
--- a/tests/proxy_properties.rs
+++ b/tests/proxy_properties.rs
@@ -51,6 +51,8 @@
     LeaveHost { host: usize },
     ReturnHosts,
     DeafenDatabase { database: usize, deaf: bool },
+    CutOffDatabase { database: usize, millis: u64 },
+    BringBackDatabase { database: usize },
     RepeatAnswers { database: usize, share: f64, delay_ms: u64 },
 }
 
@@ -125,6 +127,15 @@
     prop_oneof![3 => departure_step(), 1 => deafen]
 }
 
+/// Faults, of which every fourth cuts a database off from the hosts and the store, but not from the other
+/// databases, or ends that.
+fn cut_step() -> impl Strategy<Value = FaultStep> {
+    let cut_off = (0..3_usize, 0..12_000_u64)
+        .prop_map(|(database, millis)| FaultStep::CutOffDatabase { database, millis });
+    let bring_back = (0..3_usize).prop_map(|database| FaultStep::BringBackDatabase { database });
+    prop_oneof![6 => replica_step(), 1 => cut_off, 1 => bring_back]
+}
+
 /// Faults, of which every third has a database send a share of its answers twice.
 fn stutter_step() -> impl Strategy<Value = FaultStep> {
     let share = prop_oneof![Just(0.02), Just(0.3), Just(1.0)];
@@ -342,6 +353,13 @@
                 let stutter = fake_stutter::FakeStutter::up_to(share, delay_ms);
                 self.fleet.stutters.insert(format!("db{database}"), stutter);
             }
+            FaultStep::CutOffDatabase { database, millis } => {
+                self.fleet.cut_off(&format!("db{database}"));
+                self.run(millis);
+            }
+            FaultStep::BringBackDatabase { database } => {
+                self.fleet.bring_back(&format!("db{database}"));
+            }
             FaultStep::DeafenDatabase { database, deaf } => {
                 self.fleet.set_deaf(&format!("db{database}"), deaf);
             }
@@ -406,6 +424,9 @@
     guarantees_hold_while_hosts_leave(departure_step(), 0): proxy_tuning::ProxyTuning::default();
     guarantees_hold_with_synchronous_replicas(replica_step(), 1):
         proxy_tuning::ProxyTuning::default();
+    guarantees_hold_while_replicas_are_cut_off(cut_step(), 1):
+        proxy_tuning::ProxyTuning::default();
+    guarantees_hold_while_replicas_are_cut_off_with_few_witnesses(cut_step(), 1): few_witnesses();
     guarantees_hold_while_answers_are_repeated(stutter_step(), 0):
         proxy_tuning::ProxyTuning::default();
     guarantees_hold_while_answers_are_repeated_with_synchronous_replicas(stutter_step(), 1):
--- a/tests/synchronous_groups.rs
+++ b/tests/synchronous_groups.rs
@@ -4,9 +4,12 @@
 #[allow(dead_code, reason = "no test program uses all of the fakes")]
 mod proxy_fakes;
 
-use proxy_fakes::{ProxyFleet, millis, write};
+use std::time::Duration;
+
+use proxy_fakes::{PartitionSide, ProxyFleet, millis, write};
 use quetzaldeal::core::endpoint_message;
 use quetzaldeal::proxy::commit_bound;
+use quetzaldeal::proxy::proxy_tuning;
 
 /// Number of hosts of each fleet.
 const HOSTS: usize = 4;
@@ -78,6 +81,21 @@
     write_for(fleet, 4_000);
 }
 
+/// Lets the replica `deaf` miss the last commits, crashes the primary while `cut` holds them, and
+/// brings all three back one after the other.
+fn crash_primary_beside_deaf_replica(fleet: &mut ProxyFleet, cut: &str, deaf: &str) {
+    let primary = fleet.primary_id();
+    fleet.set_deaf(deaf, true);
+    write_for(fleet, 700);
+    fleet.crash(&primary, false);
+    write_for(fleet, 1_500);
+    fleet.bring_back(cut);
+    write_for(fleet, 4_000);
+    fleet.set_deaf(deaf, false);
+    fleet.restart(&primary);
+    assert!(write_for(fleet, 4_000) > 0);
+}
+
 cases! {
     // Guards against lost writes when the only replica that received them is draining: its answer
     // let the coordinator promote the other replica, which lacked them.
@@ -136,6 +154,173 @@
     };
 }
 
+cases! {
+    // Guards against lost writes when the primary counts a replica that only the hosts and the store do
+    // not reach: it was forgotten, and the other replica promoted without what only that one had received.
+    replica_cut_off_from_the_hosts_alone_is_still_counted: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.cut_off("db1");
+        assert!(write_for(fleet, 10_000) > 0);
+        crash_primary_beside_deaf_replica(fleet, "db1", "db2");
+    };
+    // The same where the replica has announced that it leaves, and has not left.
+    draining_replica_cut_off_is_still_counted: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.register("db1", true);
+        assert!(write_for(fleet, 1_000) > 0);
+        fleet.cut_off("db1");
+        assert!(write_for(fleet, 3_000) > 0);
+        crash_primary_beside_deaf_replica(fleet, "db1", "db2");
+    };
+    // The same where the replica has ended as planned, and starts again while it is cut off.
+    replica_that_starts_again_while_cut_off_is_still_counted: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.register("db1", true);
+        assert!(write_for(fleet, 1_000) > 0);
+        fleet.crash("db1", true);
+        assert!(write_for(fleet, 3_000) > 0);
+        fleet.cut_off("db1");
+        fleet.restart("db1");
+        assert!(write_for(fleet, 3_000) > 0);
+        crash_primary_beside_deaf_replica(fleet, "db1", "db2");
+    };
+    // The same for longer than hosts keep the registrations that were removed.
+    replica_cut_off_for_minutes_is_still_counted: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.cut_off("db1");
+        fleet.run(millis(150_000));
+        assert!(write_for(fleet, 1_000) > 0);
+        crash_primary_beside_deaf_replica(fleet, "db1", "db2");
+    };
+    // The same across restarts of all hosts: before the replica is forgotten, and after.
+    replica_cut_off_across_restarts_is_still_counted: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.cut_off("db1");
+        for wait_ms in [4_000, 1_500, 2_500, 9_000] {
+            write_for(fleet, wait_ms);
+            restart_hosts(fleet);
+            fleet.run(millis(1_000));
+        }
+        assert!(write_for(fleet, 3_000) > 0);
+        crash_primary_beside_deaf_replica(fleet, "db1", "db2");
+    };
+    // The same where each coordinator is replaced before or shortly after it has forgotten the replica.
+    replica_cut_off_beside_failing_coordinators_is_still_counted: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.cut_off("db1");
+        write_for(fleet, 4_500);
+        for round in 0..8 {
+            let coordinator = (0..HOSTS)
+                .find(|host| fleet.core(*host).context().fencing_token().is_some());
+            let host = coordinator.unwrap_or_default();
+            fleet.kill_host(host);
+            write_for(fleet, 2_000 + 137 * round);
+            fleet.start_host(host, millis(0));
+            write_for(fleet, 600 + 91 * round);
+        }
+        assert!(write_for(fleet, 3_000) > 0);
+        crash_primary_beside_deaf_replica(fleet, "db1", "db2");
+    };
+    // The same after a failover: the new primary counts the replica too.
+    replica_cut_off_across_a_failover_is_still_counted: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.cut_off("db1");
+        assert!(write_for(fleet, 10_000) > 0);
+        fleet.crash("db0", false);
+        write_for(fleet, 3_000);
+        fleet.restart("db0");
+        assert!(write_for(fleet, 3_000) > 0);
+        assert_eq!(fleet.primary_id(), "db2");
+        crash_primary_beside_deaf_replica(fleet, "db1", "db0");
+    };
+    // The same for the second replica, once the first is back but lags behind.
+    second_replica_cut_off_after_the_first_is_back_is_still_counted: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.cut_off("db1");
+        assert!(write_for(fleet, 10_000) > 0);
+        fleet.bring_back("db1");
+        write_for(fleet, 300);
+        fleet.cut_off("db2");
+        assert!(write_for(fleet, 3_000) > 0);
+        crash_primary_beside_deaf_replica(fleet, "db2", "db1");
+    };
+    // The same once the second one was forgotten, too, and the first is cut off again.
+    replicas_cut_off_by_turns_are_still_counted: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        for round in 0..3 {
+            for cut in ["db1", "db2"] {
+                fleet.cut_off(cut);
+                assert!(write_for(fleet, 8_000) > 0, "{cut} in round {round}");
+                fleet.bring_back(cut);
+                write_for(fleet, 400 * round);
+            }
+        }
+        fleet.cut_off("db1");
+        assert!(write_for(fleet, 8_000) > 0);
+        crash_primary_beside_deaf_replica(fleet, "db1", "db2");
+    };
+    // Guards against a host that has not heard that a replica no longer counts: cut off from the store
+    // and the coordinator, it goes on with the acknowledgement of the other hosts.
+    host_cut_off_from_the_store_does_not_count_the_replica_either: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        let coordinator = (0..HOSTS)
+            .find(|host| fleet.core(*host).context().fencing_token().is_some());
+        let cut_host = (coordinator.unwrap_or_default() + 1) % HOSTS;
+        fleet.partition(PartitionSide::Host(cut_host), PartitionSide::Store);
+        if let Some(coordinator) = coordinator {
+            fleet.partition(PartitionSide::Host(cut_host), PartitionSide::Host(coordinator));
+        }
+        fleet.cut_off("db1");
+        assert!(write_for(fleet, 10_000) > 0);
+        crash_primary_beside_deaf_replica(fleet, "db1", "db2");
+    };
+    // Guards against a pause in service while a replica is away: writes run within the route's target
+    // latency, which is 250 ms, before and after its absence is noticed and when it is back.
+    writes_run_in_time_while_a_replica_is_away: |fleet| {
+        let caller = fleet.open(0, "large", "strict");
+        for step in 0..400 {
+            match step {
+                50 => fleet.cut_off("db1"),
+                300 => fleet.bring_back("db1"),
+                _ => {}
+            }
+            let sent_at = fleet.now;
+            let received = fleet.send_and_wait(0, caller, write()).expect("an answer");
+            assert!(received.ran(), "write {step}: {:?}", received.response.verdict);
+            assert!(received.at - sent_at < 250_000, "write {step}");
+            fleet.run(millis(50));
+        }
+    };
+}
+
+/// Guards against records that grow with each database that has left, and writes that wait for good.
+#[test]
+fn databases_that_left_are_dropped_from_the_records() {
+    let tuning = proxy_tuning::ProxyTuning {
+        lost_log_retention: Duration::from_secs(30),
+        ..proxy_tuning::ProxyTuning::default()
+    };
+    let mut fleet = ProxyFleet::with_tuning(HOSTS, &[("large", 1_000.0, 1_000.0)], 1, tuning);
+    fleet.replicate_synchronously(1);
+    fleet.run(millis(2_000));
+    for number in 3..13 {
+        let (old, new) = (format!("db{}", number - 2), format!("db{number}"));
+        fleet.add_replica(&new, "centre0");
+        fleet.register(&old, true);
+        assert!(write_for(&mut fleet, 500) > 0, "{old}");
+        fleet.crash(&old, true);
+        assert!(write_for(&mut fleet, 1_500) > 0, "{old}");
+    }
+    fleet.run(millis(60_000));
+    assert!(write_for(&mut fleet, 500) > 0);
+    let groups = &fleet.core(0).context().groups;
+    let view = groups.values().find(|view| view.name == "orders").expect("the group");
+    let stored = view.holders.stored.as_ref().expect("the record");
+    assert_eq!(stored.holders.len(), 3, "{stored:?}");
+    assert!(view.uncounted().is_empty(), "{:?}", view.uncounted());
+    assert!(fleet.violations.is_empty(), "{:#?}", fleet.violations);
+}
+
 /// Declares a test for each name: the known positions, the number of logs that may hold acknowledged
 /// commits, the number of synchronous replicas and the position that is required.
 macro_rules! bounds {
