fix(session): keep the log point of the last commit for each group

Cause: a session kept the log point of its last commit for one group. The commit in the other group took its place, and reads of the first group asked only for the bound of their age.

Ruled out: reads placed before the hosts know that the route is back; they ran on the first service.

Reads go to the primary where a point was dropped or not given, and where the log of the group may be that of another one in which the session has committed: its databases moved, or the other group is not configured any more.

The fakes of the proxy core have several groups; check_samples compares a group's samples with the writes of that group.

--- a/src/proxy/endpoint_flow.rs
+++ b/src/proxy/endpoint_flow.rs
@@ -87,6 +87,9 @@
     if moved {
         ctx.groups[old_group].endpoints.retain(|member| *member != endpoint);
         ctx.groups[group].endpoints.push(endpoint);
+        let mut predecessors = ctx.groups[old_group].predecessors.clone();
+        predecessors.insert(old_group);
+        ctx.groups[group].predecessors.append(&mut predecessors);
     }
     if restarted || moved || returned {
         holder_flow::on_registration_changed(ctx, group);
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -61,6 +61,8 @@
     pub name: String,
     /// Endpoints of the group.
     pub endpoints: Vec<arena_keys::EndpointKey>,
+    /// Groups whose endpoints have moved to this one, with their logs.
+    pub predecessors: BTreeSet<arena_keys::GroupKey>,
     /// Requests that wait for a primary.
     pub primary_waiting: Vec<arena_keys::StatementKey>,
     /// Slots given to callers that were refused at this group.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 pub mod change_history;
 pub mod change_relay;
 pub mod commit_bound;
+pub mod commit_points;
 pub mod config_offer;
 pub mod config_patch;
 pub mod config_read;
--- a/src/proxy/placement_policy.rs
+++ b/src/proxy/placement_policy.rs
@@ -12,6 +12,7 @@
 use crate::core::arena_keys;
 use crate::core::endpoint_message;
 use crate::core::request_verdict;
+use crate::proxy::commit_points;
 use crate::proxy::connection_flow;
 use crate::proxy::pending_request;
 use crate::proxy::proxy_context;
@@ -50,7 +51,31 @@
     let state = &ctx.requests[request];
     let transaction = ctx.sessions[state.session].open_transaction();
     let reads = transaction.map_or(state.reads(), |transaction| transaction.read_only);
-    !reads || state.route.kind.max_age().is_none()
+    !reads
+        || state.route.kind.max_age().is_none()
+        || own_commits(ctx, request) == commit_points::OwnCommits::Unknown
+}
+
+/// Returns what the request must see of the commits of its own session.
+///
+/// A group has the log of another one if endpoints moved between them, or if the other one is no longer
+/// configured, as after a service was renamed.
+fn own_commits(
+    ctx: &proxy_context::ProxyContext,
+    request: arena_keys::StatementKey,
+) -> commit_points::OwnCommits {
+    let state = &ctx.requests[request];
+    let commits = &ctx.sessions[state.session].commits;
+    let configured =
+        |name: &String| ctx.config.as_ref().is_some_and(|config| config.groups.contains_key(name));
+    let moved = commits.groups().any(|other| {
+        let same_log = ctx.groups[state.group].predecessors.contains(&other);
+        other != state.group && (same_log || !configured(&ctx.groups[other].name))
+    });
+    match moved {
+        true => commit_points::OwnCommits::Unknown,
+        false => commits.in_group(state.group),
+    }
 }
 
 /// Returns the log point that a replica must hold to serve the request's read; `None` if the route
@@ -64,12 +89,11 @@
     let age = state.route.kind.max_age()?;
     let since = ctx.now.before(age.saturating_sub(Duration::from_millis(AGE_MARGIN_MS)));
     let point = group.samples.required(since)?;
-    let session = &ctx.sessions[state.session];
-    let last_commit = session
-        .last_commit
-        .filter(|(commit_group, _)| *commit_group == state.group)
-        .map(|(_, last_commit)| last_commit);
-    let point = last_commit.map_or(point, |last_commit| last_commit.max(point));
+    let point = match own_commits(ctx, request) {
+        commit_points::OwnCommits::None => point,
+        commit_points::OwnCommits::Until(own) => own.max(point),
+        commit_points::OwnCommits::Unknown => return None,
+    };
     if point.term < group.term() {
         // A failover may have discarded the end of the older term's log. The new primary's log
         // contains what is left of it.
--- a/src/proxy/response_flow.rs
+++ b/src/proxy/response_flow.rs
@@ -230,9 +230,9 @@
 ) {
     let state = &ctx.requests[request];
     let (session, group) = (state.session, state.group);
-    if let Some(point) = position {
-        ctx.sessions[session].last_commit = Some((group, point));
-        ctx.sessions[session].position = Some(point);
+    ctx.sessions[session].commits.record(group, position);
+    if position.is_some() {
+        ctx.sessions[session].position = position;
     }
 }
 
--- a/src/proxy/session_flow.rs
+++ b/src/proxy/session_flow.rs
@@ -45,7 +45,7 @@
             digest,
             values: Default::default(),
             prepared: Default::default(),
-            last_commit: None,
+            commits: Default::default(),
             position: None,
             transaction: session_state::TransactionState::Idle,
             request: None,
--- a/src/proxy/session_state.rs
+++ b/src/proxy/session_state.rs
@@ -6,6 +6,7 @@
 use crate::core::clock_time;
 use crate::core::core_message;
 use crate::core::endpoint_message;
+use crate::proxy::commit_points;
 use crate::proxy::endpoint_command;
 use crate::proxy::proxy_config;
 use crate::proxy::session_request;
@@ -60,8 +61,8 @@
     pub values: BTreeMap<String, String>,
     /// Prepared statements by the caller's names.
     pub prepared: BTreeMap<String, PreparedStatement>,
-    /// Group and log point of the session's last committed write.
-    pub last_commit: Option<(arena_keys::GroupKey, endpoint_message::LogPoint)>,
+    /// Log points of the session's commits, in all groups that its route has led to.
+    pub commits: commit_points::CommitPoints,
     /// Last log point reported to the caller.
     pub position: Option<endpoint_message::LogPoint>,
     /// State of the transaction.
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -575,6 +575,7 @@
     let group = ctx.groups.insert(group_view::GroupView {
         name: name.to_owned(),
         endpoints: Vec::new(),
+        predecessors: Default::default(),
         primary_waiting: Vec::new(),
         returns: Default::default(),
         record: None,
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -608,7 +608,7 @@
 
     /// Restarts a crashed database with its log. It remains the primary if there is no newer term.
     pub(crate) fn restart(&mut self, id: &str) {
-        let term = self.databases.values().map(|database| database.term).max().unwrap_or(1);
+        let term = self.newest_term(&self.group_of(id));
         if let Some(database) = self.databases.get_mut(id) {
             database.up = true;
             database.primary &= database.term == term;
@@ -658,7 +658,7 @@
         if let Some(database) = self.databases.get_mut(id) {
             database.deaf = deaf;
         }
-        let primary = self.primary_id();
+        let primary = self.primary_of(&self.group_of(id));
         if !deaf && !primary.is_empty() {
             self.replicate_to_others(&primary);
         }
@@ -730,13 +730,96 @@
         }
     }
 
-    /// Returns the id of the primary with the newest term, or an empty text if there is none.
+    /// Returns the id of the primary with the newest term in the first group, or an empty text if there
+    /// is none.
     pub(crate) fn primary_id(&self) -> String {
-        let primaries = self.databases.iter().filter(|(_, database)| database.primary);
+        self.primary_of("orders")
+    }
+
+    /// Does the same for a group.
+    pub(crate) fn primary_of(&self, group: &str) -> String {
+        let primaries = self.databases_of(group).filter(|(_, database)| database.primary);
         let newest = primaries.max_by_key(|(_, database)| database.term);
         newest.map(|(id, _)| id.clone()).unwrap_or_default()
     }
 
+    /// Returns the databases of a group.
+    fn databases_of<'a>(
+        &'a self,
+        group: &'a str,
+    ) -> impl Iterator<Item = (&'a String, &'a fake_database::FakeDatabase)> {
+        self.databases.iter().filter(move |(_, database)| database.group == group)
+    }
+
+    /// Returns the newest term in a group.
+    fn newest_term(&self, group: &str) -> u64 {
+        self.databases_of(group).map(|(_, database)| database.term).max().unwrap_or(1)
+    }
+
+    /// Returns the group of a database; the first group if there is no such database.
+    fn group_of(&self, id: &str) -> String {
+        self.databases.get(id).map_or("orders".to_owned(), |database| database.group.clone())
+    }
+
+    /// Returns the group whose databases hold a write; the first group if none does.
+    fn group_of_write(&self, request: &String) -> String {
+        let holds = |database: &fake_database::FakeDatabase| {
+            database.log.iter().any(|entry| entry.requests.contains(request))
+        };
+        let held = self.databases.values().find(|database| holds(database));
+        held.map_or("orders".to_owned(), |database| database.group.clone())
+    }
+
+    /// Adds a group of three databases, numbered from `first`, of which the first is the primary.
+    pub(crate) fn add_group(&mut self, name: &str, first: usize) {
+        for number in 0..3 {
+            let id = format!("db{}", first + number);
+            self.add_replica(&id, &format!("centre{number}"));
+            if let Some(database) = self.databases.get_mut(&id) {
+                database.group = name.to_owned();
+                database.primary = number == 0;
+            }
+            self.register(&id, false);
+        }
+        self.reconfigure(|config| {
+            let first = config.groups["orders"].clone();
+            let group = proxy_config::GroupObject { name: name.to_owned(), ..first };
+            config.groups.insert(group.name.clone(), group);
+        });
+    }
+
+    /// Renames a group: its databases keep their ids, addresses and logs.
+    pub(crate) fn rename_group(&mut self, name: &str, new_name: &str) {
+        let ids: Vec<String> = self.databases_of(name).map(|(id, _)| id.clone()).collect();
+        self.reconfigure(|config| {
+            if let Some(group) = config.groups.remove(name) {
+                let group = proxy_config::GroupObject { name: new_name.to_owned(), ..group };
+                config.groups.insert(group.name.clone(), group);
+            }
+            for route in config.routes.values_mut().filter(|route| route.group == name) {
+                route.group = new_name.to_owned();
+            }
+        });
+        for write in self.acknowledged.iter_mut().filter(|write| write.group == name) {
+            write.group = new_name.to_owned();
+        }
+        for id in ids {
+            if let Some(database) = self.databases.get_mut(&id) {
+                database.group = new_name.to_owned();
+            }
+            self.register_again(&id);
+        }
+    }
+
+    /// Has a route lead to a group.
+    pub(crate) fn lead_route(&mut self, database: &str, group: &str) {
+        self.reconfigure(|config| {
+            if let Some(route) = config.routes.get_mut(database) {
+                route.group = group.to_owned();
+            }
+        });
+    }
+
     /// Returns the proxy core of a host.
     pub(crate) fn core(&self, host: usize) -> &proxy_core::ProxyCore {
         &self.hosts[host].core
@@ -939,9 +1022,9 @@
             if !host.alive {
                 continue;
             }
-            let groups = host.core.context().groups.values();
-            for group in groups.filter(|group| group.name == "orders") {
-                let too_new = self.acknowledged.iter().rev().take(64).find_map(|write| {
+            for group in host.core.context().groups.values() {
+                let own = self.acknowledged.iter().filter(|write| write.group == group.name);
+                let too_new = own.rev().take(64).find_map(|write| {
                     let at = write.at + 1;
                     let at = at.checked_sub(host.clock_lag_us)?;
                     let at = clock_time::ClockTime::from_micros(at);
@@ -1564,7 +1647,7 @@
                 self.check_read(&endpoint, request);
             }
             (fake_database::StatementEffect::Committed, _) => {
-                if endpoint == self.primary_id() {
+                if endpoint == self.primary_of(&self.group_of(&endpoint)) {
                     let broken = self.ledger.check_commit(&self.databases[&endpoint].log);
                     self.violations.extend(broken);
                 }
@@ -1592,7 +1675,7 @@
         if !primary.up || !primary.primary {
             return;
         }
-        let others = self.databases.iter().filter(|(id, _)| **id != commit.endpoint);
+        let others = self.databases_of(&primary.group).filter(|(id, _)| **id != commit.endpoint);
         let received = others.filter(|(_, other)| other.log.contains(&commit.entry)).count();
         if received < self.sync_replicas(&commit.endpoint) {
             let step = ScheduledStep::AcknowledgeCommit(commit);
@@ -1631,7 +1714,9 @@
         let replicas: Vec<(String, u64)> = self
             .databases
             .iter()
-            .filter(|(id, _)| id.as_str() != from)
+            .filter(|(id, database)| {
+                id.as_str() != from && database.group == self.databases[from].group
+            })
             .map(|(id, database)| (id.clone(), database.replication_lag_us))
             .collect();
         for (to, replication_lag_us) in replicas {
@@ -1668,14 +1753,17 @@
     /// Makes an endpoint the primary of a new term. Acknowledged writes that it lacks are lost with
     /// the old primary, which violates a guarantee if the group has synchronous replicas.
     fn complete_promotion(&mut self, group: &str, endpoint: &str) {
-        let newest = self.databases.values().map(|database| database.term).max().unwrap_or(1);
+        let newest = self.newest_term(group);
         let already = self.databases[endpoint].primary && self.databases[endpoint].term == newest;
         if already || !self.databases[endpoint].up {
             return;
         }
         let term = newest + 1;
-        let others: Vec<String> =
-            self.databases.keys().filter(|id| id.as_str() != endpoint).cloned().collect();
+        let others: Vec<String> = self
+            .databases_of(group)
+            .map(|(id, _)| id.clone())
+            .filter(|id| id != endpoint)
+            .collect();
         if let Some(database) = self.databases.get_mut(endpoint) {
             database.primary = true;
             database.term = term;
@@ -1709,7 +1797,7 @@
     /// Makes a replaced primary a replica, or tries again later while it does not reach the new one.
     fn demote_primary(&mut self, endpoint: String, term: u64) {
         let place = PartitionSide::Database(endpoint.clone());
-        let reaches_new = self.databases.iter().any(|(id, database)| {
+        let reaches_new = self.databases_of(&self.group_of(&endpoint)).any(|(id, database)| {
             let other = PartitionSide::Database(id.clone());
             database.term >= term && database.primary && self.can_reach(&place, &other)
         });
@@ -1789,7 +1877,9 @@
             let due = write.at + age < sent_request.at;
             let session =
                 own && write.session == sent_request.session && write.at < sent_request.at;
-            write.group == route.group && (due || session) && !held.contains(&write.request)
+            write.group == self.databases[endpoint].group
+                && (due || session)
+                && !held.contains(&write.request)
         });
         if let Some(write) = missing {
             self.violations.push(format!(
@@ -1827,7 +1917,8 @@
         }
         let pending = self.uncommitted_writes.remove(&session).unwrap_or_default();
         for request in pending {
-            let primary_id = self.primary_id();
+            let group = self.group_of_write(&request);
+            let primary_id = self.primary_of(&group);
             let held = |id: &String| {
                 self.databases[id].log.iter().any(|entry| entry.requests.contains(&request))
             };
@@ -1860,13 +1951,7 @@
                     let entry = log.iter().find(|entry| entry.requests.contains(&request));
                     let before_all = endpoint_message::LogPoint { term: 0, position: 0 };
                     let point = entry.map_or(before_all, |entry| entry.point);
-                    let write = AcknowledgedWrite {
-                        at: self.now,
-                        group: "orders".to_owned(),
-                        request,
-                        session,
-                        point,
-                    };
+                    let write = AcknowledgedWrite { at: self.now, group, request, session, point };
                     self.acknowledged.push(write);
                 }
                 request_verdict::RequestFate::NotRun => {
--- a/tests/proxy_properties.rs
+++ b/tests/proxy_properties.rs
@@ -53,6 +53,7 @@
     DeafenDatabase { database: usize, deaf: bool },
     CutOffDatabase { database: usize, millis: u64 },
     BringBackDatabase { database: usize },
+    LeadRoute { elsewhere: bool },
     RepeatAnswers { database: usize, share: f64, delay_ms: u64 },
 }
 
@@ -136,6 +137,12 @@
     prop_oneof![6 => replica_step(), 1 => cut_off, 1 => bring_back]
 }
 
+/// Faults, of which every fourth has the route that reads its own writes lead to another group, or back.
+fn route_step() -> impl Strategy<Value = FaultStep> {
+    let lead = any::<bool>().prop_map(|elsewhere| FaultStep::LeadRoute { elsewhere });
+    prop_oneof![3 => replica_step(), 1 => lead]
+}
+
 /// Faults, of which every third has a database send a share of its answers twice.
 fn stutter_step() -> impl Strategy<Value = FaultStep> {
     let share = prop_oneof![Just(0.02), Just(0.3), Just(1.0)];
@@ -357,6 +364,12 @@
                 self.fleet.cut_off(&format!("db{database}"));
                 self.run(millis);
             }
+            FaultStep::LeadRoute { elsewhere } => {
+                if !self.fleet.databases.contains_key("db10") {
+                    self.fleet.add_group("archive", 10);
+                }
+                self.fleet.lead_route("own", if elsewhere { "archive" } else { "orders" });
+            }
             FaultStep::BringBackDatabase { database } => {
                 self.fleet.bring_back(&format!("db{database}"));
             }
@@ -427,6 +440,7 @@
     guarantees_hold_while_replicas_are_cut_off(cut_step(), 1):
         proxy_tuning::ProxyTuning::default();
     guarantees_hold_while_replicas_are_cut_off_with_few_witnesses(cut_step(), 1): few_witnesses();
+    guarantees_hold_while_routes_change(route_step(), 0): proxy_tuning::ProxyTuning::default();
     guarantees_hold_while_answers_are_repeated(stutter_step(), 0):
         proxy_tuning::ProxyTuning::default();
     guarantees_hold_while_answers_are_repeated_with_synchronous_replicas(stutter_step(), 1):
