fix(receipt): refuse writes that no replica can confirm

While a log is uncounted, a write whose confirming replicas are known not to respond was sent all the same and ended as TIMEOUT, of which a caller knows nothing. It is refused at once now, before it is sent, and replicas that do not respond are asked again with each tick.

The case write_that_no_replica_can_confirm_is_refused_at_once shows it: it needs the refusal within 1 ms and a write that runs 1 s after the replica is back. The latter failed while only refused writes asked again. Not covered: a replica that responds and lags; its writes end as TIMEOUT.

--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -256,8 +256,7 @@
     write_record(ctx, group, record);
 }
 
-/// Records which logs do not count any more, while the primary goes on serving. Failovers count no
-/// other logs before all hosts know of it.
+/// Records which logs do not count, in a new epoch in which the primary goes on serving.
 pub fn recount(
     ctx: &mut proxy_context::ProxyContext,
     group: arena_keys::GroupKey,
--- a/src/proxy/proxy_core.rs
+++ b/src/proxy/proxy_core.rs
@@ -173,6 +173,7 @@
         rate_limiter::confirm_allocation(ctx);
         coordinator_election::on_tick(ctx);
         failover_flow::advance_all(ctx);
+        receipt_flow::on_tick(ctx);
         usage_flow::on_tick(ctx);
         witness_selection::expire_past_sets(ctx);
         if ctx.store_or_quorum_reachable(ctx.host_renewal() * REACHABLE_RENEWALS) {
--- a/src/proxy/receipt_flow.rs
+++ b/src/proxy/receipt_flow.rs
@@ -51,11 +51,26 @@
     state.phase = pending_request::RequestPhase::AwaitingReceipts;
     ctx.groups[group].receipts_awaited.push(request);
     settle(ctx, group);
-    if ctx.now >= ctx.groups[group].next_receipts {
+    if !ctx.groups[group].receipts_awaited.is_empty() {
         request_receipts(ctx, group);
     }
 }
 
+/// Returns whether too few replicas that count respond to confirm a commit.
+pub fn lacks_replicas(ctx: &proxy_context::ProxyContext, group: arena_keys::GroupKey) -> bool {
+    if ctx.groups[group].uncounted().is_empty() {
+        return false;
+    }
+    let members = ctx.groups[group].endpoints.iter().map(|endpoint| &ctx.endpoints[*endpoint]);
+    let responsive = members.filter(|other| {
+        other.deregistered_since.is_none()
+            && other.unresponsive_since.is_none()
+            && counts(ctx, group, other)
+    });
+    let addresses: BTreeSet<&String> = responsive.map(|other| &other.entry.address).collect();
+    addresses.len() < receipts_needed(ctx, group)
+}
+
 /// Passes on the group's held acknowledgements that need not wait any longer, and ends requests whose
 /// primary may have been replaced.
 pub fn settle(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
@@ -72,17 +87,26 @@
     }
 }
 
+/// Finds out whether replicas respond again where too few of them do.
+pub fn on_tick(ctx: &mut proxy_context::ProxyContext) {
+    let groups: Vec<arena_keys::GroupKey> = ctx.groups.keys().collect();
+    for group in groups {
+        if lacks_replicas(ctx, group) {
+            request_receipts(ctx, group);
+        }
+    }
+}
+
 /// Requests the receipts that commits of the group still wait for.
 pub fn on_timer(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
-    if !ctx.groups[group].receipts_awaited.is_empty() && ctx.now >= ctx.groups[group].next_receipts
-    {
+    if !ctx.groups[group].receipts_awaited.is_empty() {
         request_receipts(ctx, group);
     }
 }
 
-/// Requests the positions of the replicas that count.
+/// Requests the positions of the replicas that count, unless that was done just before.
 fn request_receipts(ctx: &mut proxy_context::ProxyContext, group: arena_keys::GroupKey) {
-    if ctx.groups[group].receipts_awaited.is_empty() {
+    if ctx.now < ctx.groups[group].next_receipts {
         return;
     }
     let next = ctx.now.after(RECEIPT_INTERVAL);
--- a/src/proxy/request_flow.rs
+++ b/src/proxy/request_flow.rs
@@ -13,6 +13,7 @@
 use crate::proxy::primary_wait;
 use crate::proxy::proxy_context;
 use crate::proxy::rate_limiter;
+use crate::proxy::receipt_flow;
 use crate::proxy::return_schedule;
 use crate::proxy::session_flow;
 use crate::proxy::session_state;
@@ -420,6 +421,10 @@
         }
         return refuse(ctx, request, request_verdict::VerdictCause::TransactionLost);
     }
+    let group = ctx.requests[request].group;
+    if !ctx.requests[request].reads() && receipt_flow::lacks_replicas(ctx, group) {
+        return refuse(ctx, request, request_verdict::VerdictCause::NoEndpoint);
+    }
     let placed = placement_policy::choose_endpoint(ctx, request)
         .and_then(|endpoint| connection_flow::acquire(ctx, endpoint, request));
     match placed {
--- a/tests/synchronous_groups.rs
+++ b/tests/synchronous_groups.rs
@@ -6,8 +6,9 @@
 
 use std::time::Duration;
 
-use proxy_fakes::{PartitionSide, ProxyFleet, millis, write};
+use proxy_fakes::{PartitionSide, ProxyFleet, millis, read, write};
 use quetzaldeal::core::endpoint_message;
+use quetzaldeal::core::request_verdict;
 use quetzaldeal::proxy::commit_bound;
 use quetzaldeal::proxy::proxy_tuning;
 
@@ -274,6 +275,26 @@
         assert!(write_for(fleet, 10_000) > 0);
         crash_primary_beside_deaf_replica(fleet, "db1", "db2");
     };
+    // Guards against writes that run although no replica can confirm them, and end as timeouts.
+    write_that_no_replica_can_confirm_is_refused_at_once: |fleet| {
+        assert!(write_for(fleet, 500) > 0);
+        fleet.cut_off("db1");
+        assert!(write_for(fleet, 10_000) > 0);
+        fleet.crash("db2", false);
+        write_for(fleet, 2_000);
+        let caller = fleet.open(0, "large", "strict");
+        for _ in 0..10 {
+            let sent_at = fleet.now;
+            let received = fleet.send_and_wait(0, caller, write()).expect("an answer");
+            assert_eq!(received.response.verdict.fate, request_verdict::RequestFate::NotRun);
+            assert!(received.at - sent_at < 1_000, "refused after {} us", received.at - sent_at);
+            assert!(fleet.send_and_wait(0, caller, read()).expect("an answer").ran());
+            fleet.run(millis(50));
+        }
+        fleet.restart("db2");
+        fleet.run(millis(1_000));
+        assert!(fleet.send_and_wait(0, caller, write()).expect("an answer").ran());
+    };
     // Guards against a pause in service while a replica is away: writes run within the route's target
     // latency, which is 250 ms, before and after its absence is noticed and when it is back.
     writes_run_in_time_while_a_replica_is_away: |fleet| {
