fix(session): keep the account for which a transaction began

Cause: BEGIN is answered by the host, and the account of each later request was looked up by the newest route. For a removed route it was taken from the connection of the transaction, which there is only after the first statement; for a route made public meanwhile there was none, and for one made private it was that of the key. Ruled out: a connection opened without the account of its request; the request has none already. Change: an open transaction keeps its account beside its route and group.

--- a/src/proxy/request_flow.rs
+++ b/src/proxy/request_flow.rs
@@ -34,22 +34,15 @@
     kind: pending_request::RequestKind,
 ) {
     let state = &ctx.sessions[session];
-    let in_transaction =
-        state.open_transaction().map(|transaction| (transaction.route.clone(), transaction.group));
+    let in_transaction = state
+        .open_transaction()
+        .map(|transaction| (transaction.route.clone(), transaction.group, transaction.account));
     let access = session_flow::check_access(ctx, &state.database, &state.digest);
     let (route, group, account) = match (in_transaction, access) {
         (_, Err(cause)) if !keeps_transaction(&cause, state) => {
             return refuse_unadmitted(ctx, session, cause);
         }
-        (Some((route, group)), Ok((_, account))) => (route, group, account),
-        (Some((route, group)), Err(_)) => {
-            let connection =
-                state.open_transaction().and_then(|transaction| transaction.connection);
-            let account = connection
-                .and_then(|connection| ctx.connections.get(connection))
-                .and_then(|connection| connection.account);
-            (route, group, account)
-        }
+        (Some(transaction), _) => transaction,
         (None, Ok((route, account))) => {
             let Some(group) = ctx.group_names.get(&route.group).copied() else {
                 let cause = request_verdict::VerdictCause::NoEndpoint;
@@ -95,6 +88,7 @@
             read_only,
             route: state.route.clone(),
             group: state.group,
+            account: state.account,
             connection: None,
             has_writes: false,
         };
--- a/src/proxy/session_state.rs
+++ b/src/proxy/session_state.rs
@@ -31,6 +31,8 @@
     pub route: proxy_config::RouteObject,
     /// Group that the route leads to.
     pub group: arena_keys::GroupKey,
+    /// Account that it runs for; `None` if the route was public when it began.
+    pub account: Option<arena_keys::AccountKey>,
     /// Connection that it runs on; `None` until its first statement has completed.
     pub connection: Option<arena_keys::ConnectionKey>,
     /// Whether a write completed in it.
--- /dev/null
+++ b/tests/access_changes.rs
@@ -0,0 +1,329 @@
+//! For which account statements run, and by which route, when a configuration changes routes, keys or
+//! accounts meanwhile. Each case of `docs/design/access-changes.md` is played at several times. Run in
+//! virtual time; the fakes report a statement that ran for another account as a violation.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a panic fails the test")]
+
+#[allow(dead_code, reason = "no test program uses all of the fakes")]
+mod proxy_fakes;
+
+use proxy_fakes::{ProxyFleet, ReceivedResponse, millis, read, write};
+use quetzaldeal::core::core_message;
+use quetzaldeal::proxy::endpoint_command;
+use quetzaldeal::proxy::proxy_config;
+use quetzaldeal::proxy::session_request;
+
+/// Host that the session is open on.
+const HOST: usize = 1;
+/// Replica in the data centre of the host, which serves its reads.
+const NEAR_REPLICA: &str = "db1";
+/// Route of the session.
+const ROUTE: &str = "own";
+/// Group that the route leads to at first, and another one.
+const GROUP: &str = "orders";
+const OTHER_GROUP: &str = "archive";
+/// Accounts; the key of each is its name at first.
+const ACCOUNT: &str = "large";
+const OTHER_ACCOUNT: &str = "other";
+/// Account of statements on a public route, and a key that no account holds.
+const NOBODY: &str = "";
+
+/// What the statements of a session meet.
+#[derive(Debug, Clone, Copy)]
+enum ExpectedAccess {
+    /// They run for the account in the group.
+    Runs { account: &'static str, group: &'static str },
+    /// They are refused with the cause of this name.
+    Refused(&'static str),
+}
+
+/// A change of the configuration, and what it means for a session.
+#[derive(Debug, Clone, Copy)]
+struct AccessChange {
+    /// Key of the session.
+    key: &'static str,
+    /// Whether the route is public at first.
+    public: bool,
+    change: fn(&mut proxy_config::ProxyConfig),
+    /// What a transaction that began before the change meets.
+    open: ExpectedAccess,
+    /// What the next transaction meets.
+    next: ExpectedAccess,
+}
+
+/// When the change comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChangeTime {
+    BeforeBegin,
+    AfterBegin,
+    AfterFirstStatement,
+    /// While settings and a prepared statement are restored on a connection.
+    InRestore,
+    /// While the first statement waits for a connection.
+    InQueue,
+    /// Before an endpoint says that it is busy, so that the first statement is placed again.
+    InRetry,
+}
+
+/// Plays each change in transactions that may write and read-only ones.
+macro_rules! transaction_cases {
+    ($($name:ident: $change:expr;)*) => {
+        $(mod $name {
+            use super::*;
+            fn play(time: ChangeTime, read_only: bool) {
+                play_transaction(&$change, time, read_only);
+            }
+            #[test]
+            fn before_begin() { play(ChangeTime::BeforeBegin, false); }
+            #[test]
+            fn before_begin_read() { play(ChangeTime::BeforeBegin, true); }
+            #[test]
+            fn after_begin() { play(ChangeTime::AfterBegin, false); }
+            #[test]
+            fn after_begin_read() { play(ChangeTime::AfterBegin, true); }
+            #[test]
+            fn after_first_write() { play(ChangeTime::AfterFirstStatement, false); }
+            #[test]
+            fn after_first_read() { play(ChangeTime::AfterFirstStatement, true); }
+            #[test]
+            fn in_restore() { play(ChangeTime::InRestore, false); }
+            #[test]
+            fn in_restore_for_read() { play(ChangeTime::InRestore, true); }
+            #[test]
+            fn in_queue() { play(ChangeTime::InQueue, false); }
+            #[test]
+            fn in_retry_of_read() { play(ChangeTime::InRetry, true); }
+        })*
+    };
+}
+
+transaction_cases! {
+    // Guards against statements that run for nobody once the route of their transaction is gone.
+    route_removed: AccessChange {
+        key: ACCOUNT,
+        public: false,
+        change: remove_route,
+        open: RUNS,
+        next: ExpectedAccess::Refused("RuleDenied"),
+    };
+    // Guards against statements that run in the group of a route that came after their transaction.
+    route_replaced: AccessChange {
+        key: ACCOUNT,
+        public: false,
+        change: |config| route(config).group = OTHER_GROUP.to_owned(),
+        open: RUNS,
+        next: ExpectedAccess::Runs { account: ACCOUNT, group: OTHER_GROUP },
+    };
+    // Guards against statements that run for nobody as the route became public after their BEGIN.
+    route_made_public: AccessChange {
+        key: ACCOUNT,
+        public: false,
+        change: |config| route(config).public = true,
+        open: RUNS,
+        next: RUNS_FOR_NOBODY,
+    };
+    // Guards against statements of a public route's transaction that run for the account of the key.
+    route_made_private: AccessChange {
+        key: ACCOUNT,
+        public: true,
+        change: |config| route(config).public = false,
+        open: RUNS_FOR_NOBODY,
+        next: RUNS,
+    };
+}
+
+const RUNS: ExpectedAccess = ExpectedAccess::Runs { account: ACCOUNT, group: GROUP };
+const RUNS_FOR_NOBODY: ExpectedAccess = ExpectedAccess::Runs { account: NOBODY, group: GROUP };
+
+fn route(config: &mut proxy_config::ProxyConfig) -> &mut proxy_config::RouteObject {
+    config.routes.get_mut(ROUTE).expect("the route")
+}
+
+fn remove_route(config: &mut proxy_config::ProxyConfig) {
+    config.routes.remove(ROUTE);
+}
+
+/// A session that the change concerns.
+struct ChangedSession {
+    fleet: ProxyFleet,
+    caller: core_message::CallerId,
+    change: AccessChange,
+}
+
+impl ChangedSession {
+    fn open(change: &AccessChange) -> Self {
+        let accounts = [(ACCOUNT, 1_000.0, 1_000.0), (OTHER_ACCOUNT, 1_000.0, 1_000.0)];
+        let mut fleet = ProxyFleet::new(4, &accounts, 1);
+        fleet.add_group(OTHER_GROUP, 10);
+        fleet.reconfigure(|config| route(config).public = change.public);
+        // A host may hold one connection only until endpoints have dropped those of its last process.
+        fleet.run(millis(4_000));
+        let caller = fleet.open(HOST, change.key, ROUTE);
+        let mut session = Self { fleet, caller, change: *change };
+        let before = if change.public { RUNS_FOR_NOBODY } else { RUNS };
+        // A connection for later statements is open then.
+        session.check(write(), before);
+        session
+    }
+
+    fn expect(&mut self, access: ExpectedAccess) {
+        if let ExpectedAccess::Runs { account, .. } = access {
+            self.fleet.expect_account(HOST, self.caller, account);
+        }
+    }
+
+    /// Publishes the change and waits until the host knows it.
+    fn apply(&mut self) {
+        self.fleet.reconfigure(self.change.change);
+        let version = self.fleet.published().version;
+        for _ in 0..150 {
+            let config = &self.fleet.core(HOST).context().config;
+            if config.as_ref().is_some_and(|config| config.version == version) {
+                return;
+            }
+            self.fleet.run(millis(1));
+        }
+        panic!("the host does not know version {version}");
+    }
+
+    /// Sends a request and checks that it meets this access.
+    fn check(&mut self, request: session_request::SessionRequest, access: ExpectedAccess) {
+        self.expect(access);
+        let id = self.fleet.send(HOST, self.caller, request);
+        self.check_response(&id, access);
+    }
+
+    /// Waits for the response to a request and checks that it met this access.
+    fn check_response(&mut self, id: &str, access: ExpectedAccess) {
+        let received = self.wait();
+        let verdict = &received.response.verdict;
+        match access {
+            ExpectedAccess::Runs { group, .. } => {
+                assert!(received.ran(), "{verdict:?}");
+                if let Some(signature) = &received.response.signature {
+                    let endpoint = signature.split('.').next().unwrap_or_default();
+                    assert_eq!(self.fleet.databases[endpoint].group, group);
+                }
+            }
+            ExpectedAccess::Refused(cause) => {
+                assert!(format!("{:?}", verdict.cause).starts_with(cause), "{verdict:?}");
+                assert!(!self.fleet.executed(id), "{id} ran");
+            }
+        }
+    }
+
+    fn wait(&mut self) -> ReceivedResponse {
+        for _ in 0..3_000 {
+            if let Some(received) = self.fleet.take_response(HOST, self.caller) {
+                return received;
+            }
+            self.fleet.run(millis(1));
+        }
+        panic!("no answer within 3 s");
+    }
+
+    /// Sends a request that a host answers by itself.
+    fn run(&mut self, request: session_request::SessionRequest) {
+        self.fleet.send(HOST, self.caller, request);
+        let received = self.wait();
+        assert!(received.ran(), "{:?}", received.response.verdict);
+    }
+
+    /// Sends a statement, has the change come before it can run, and checks what it meets.
+    fn change_before_run(&mut self, request: session_request::SessionRequest, time: ChangeTime) {
+        let delayed = time != ChangeTime::InQueue;
+        if delayed {
+            // Each command takes 80 ms, and the change arrives within the first one.
+            self.fleet.database_latency_us = 40_000;
+        }
+        if time == ChangeTime::InRetry {
+            let replica = self.fleet.databases.get_mut(NEAR_REPLICA).expect("the replica");
+            replica.setup_rejections.push_back(endpoint_command::EndpointFault::Busy);
+        }
+        let users = if delayed { Vec::new() } else { self.use_up_connections() };
+        let id = self.fleet.send(HOST, self.caller, request);
+        self.apply();
+        assert!(!self.fleet.executed(&id), "{id} ran before the change");
+        for user in users {
+            self.fleet.close(HOST, user);
+        }
+        self.check_response(&id, self.change.open);
+    }
+
+    /// Has other sessions use the two connections that the host may hold to the primary.
+    fn use_up_connections(&mut self) -> Vec<core_message::CallerId> {
+        self.fleet.reconfigure(|config| {
+            config.groups.get_mut(GROUP).expect("the group").max_connections = 12;
+        });
+        self.fleet.run(millis(150));
+        (0..2)
+            .map(|_| {
+                let user = self.fleet.open(HOST, OTHER_ACCOUNT, "strict");
+                for request in [begin(false), write()] {
+                    let received = self.fleet.send_and_wait(HOST, user, request);
+                    let received = received.expect("an answer");
+                    assert!(received.ran(), "{:?}", received.response.verdict);
+                }
+                user
+            })
+            .collect()
+    }
+}
+
+fn begin(read_only: bool) -> session_request::SessionRequest {
+    session_request::SessionRequest::Begin { read_only }
+}
+
+fn play_transaction(change: &AccessChange, time: ChangeTime, read_only: bool) {
+    let mut session = ChangedSession::open(change);
+    let statement = || if read_only { read() } else { write() };
+    if time == ChangeTime::BeforeBegin {
+        session.apply();
+    }
+    let met = if time == ChangeTime::BeforeBegin { change.next } else { change.open };
+    match time {
+        ChangeTime::BeforeBegin => session.check(begin(read_only), met),
+        ChangeTime::AfterBegin => {
+            session.run(begin(read_only));
+            session.apply();
+        }
+        ChangeTime::AfterFirstStatement => {
+            session.run(begin(read_only));
+            session.run(statement());
+            session.apply();
+        }
+        ChangeTime::InRestore => {
+            let kind = match read_only {
+                true => session_request::StatementKind::Read,
+                false => session_request::StatementKind::Write,
+            };
+            let (name, shape) = ("s1".to_owned(), "shape".to_owned());
+            session.run(session_request::SessionRequest::Prepare { name, kind, shape });
+            let (name, value) = ("tone".to_owned(), "dark".to_owned());
+            session.run(session_request::SessionRequest::Set { name, value });
+            session.run(begin(read_only));
+            let (name, arguments) = ("s1".to_owned(), "a b".to_owned());
+            let execute = session_request::SessionRequest::Execute { name, arguments };
+            session.change_before_run(execute, time);
+        }
+        ChangeTime::InQueue | ChangeTime::InRetry => {
+            session.run(begin(read_only));
+            session.change_before_run(statement(), time);
+        }
+    }
+    match met {
+        ExpectedAccess::Runs { .. } => {
+            session.check(statement(), met);
+            session.check(session_request::SessionRequest::Commit, met);
+        }
+        ExpectedAccess::Refused(_) if time == ChangeTime::BeforeBegin => {}
+        ExpectedAccess::Refused(_) => {
+            if matches!(time, ChangeTime::AfterBegin | ChangeTime::AfterFirstStatement) {
+                session.check(statement(), met);
+            }
+            session.run(session_request::SessionRequest::Rollback);
+        }
+    }
+    session.check(statement(), change.next);
+    assert!(session.fleet.violations.is_empty(), "{:#?}", session.fleet.violations);
+}
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -878,6 +878,24 @@
         caller
     }
 
+    /// Has later requests of a session be expected to run for this account instead of the one that it
+    /// was opened for; an empty name stands for none, as on public routes.
+    pub(crate) fn expect_account(
+        &mut self,
+        host: usize,
+        caller: core_message::CallerId,
+        account: &str,
+    ) {
+        if let Some((expected, _)) = self.sessions.get_mut(&(host, caller)) {
+            *expected = account.to_owned();
+        }
+    }
+
+    /// Returns whether a database ran a statement.
+    pub(crate) fn executed(&self, id: &str) -> bool {
+        self.executed.contains(id)
+    }
+
     /// Returns why a session was refused, or nothing if it was accepted.
     pub(crate) fn refusal(
         &self,
