fix(session): check a transaction's key by its own route

Callers saw statements of an open transaction run and commit with a withdrawn key if the same version removed the route of the transaction or made it public, and a transaction without a key refused once its public route became private. Cause: the key was checked by the newest route, and not at all if that was gone. Ruled out: a host that has not read the version; without the change of the route the same host refuses the statements. Change: an open transaction is checked by the route that it began with. The access of a request is found in one function, find_access, which replaces the exception for removed routes.

--- a/src/proxy/request_flow.rs
+++ b/src/proxy/request_flow.rs
@@ -11,6 +11,7 @@
 use crate::proxy::placement_policy;
 use crate::proxy::pool_client;
 use crate::proxy::primary_wait;
+use crate::proxy::proxy_config;
 use crate::proxy::proxy_context;
 use crate::proxy::rate_limiter;
 use crate::proxy::receipt_flow;
@@ -33,24 +34,9 @@
     id: String,
     kind: pending_request::RequestKind,
 ) {
-    let state = &ctx.sessions[session];
-    let in_transaction = state
-        .open_transaction()
-        .map(|transaction| (transaction.route.clone(), transaction.group, transaction.account));
-    let access = session_flow::check_access(ctx, &state.database, &state.digest);
-    let (route, group, account) = match (in_transaction, access) {
-        (_, Err(cause)) if !keeps_transaction(&cause, state) => {
-            return refuse_unadmitted(ctx, session, cause);
-        }
-        (Some(transaction), _) => transaction,
-        (None, Ok((route, account))) => {
-            let Some(group) = ctx.group_names.get(&route.group).copied() else {
-                let cause = request_verdict::VerdictCause::NoEndpoint;
-                return refuse_unadmitted(ctx, session, cause);
-            };
-            (route, group, account)
-        }
-        (None, Err(cause)) => return refuse_unadmitted(ctx, session, cause),
+    let (route, group, account) = match find_access(ctx, &ctx.sessions[session]) {
+        Ok(access) => access,
+        Err(cause) => return refuse_unadmitted(ctx, session, cause),
     };
     let charged = ctx.sessions[session].open_transaction().is_none();
     let deadline = ctx.now.after(route.timeout);
@@ -79,6 +65,25 @@
     }
 }
 
+/// Returns the route, the group and the account of the session's next request. An open transaction
+/// keeps those that it began with.
+fn find_access(
+    ctx: &proxy_context::ProxyContext,
+    state: &session_state::SessionState,
+) -> Result<
+    (proxy_config::RouteObject, arena_keys::GroupKey, Option<arena_keys::AccountKey>),
+    request_verdict::VerdictCause,
+> {
+    if let Some(transaction) = state.open_transaction() {
+        session_flow::check_transaction(ctx, transaction, &state.digest)?;
+        return Ok((transaction.route.clone(), transaction.group, transaction.account));
+    }
+    let (route, account) = session_flow::check_access(ctx, &state.database, &state.digest)?;
+    let group = ctx.group_names.get(&route.group).copied();
+    let group = group.ok_or(request_verdict::VerdictCause::NoEndpoint)?;
+    Ok((route, group, account))
+}
+
 /// Continues a request that the account's share covers: completes a BEGIN at once and places any
 /// other request on an endpoint.
 pub fn on_admitted(ctx: &mut proxy_context::ProxyContext, request: arena_keys::StatementKey) {
@@ -376,16 +381,6 @@
     request_verdict::RequestVerdict::not_run(cause, wait)
 }
 
-/// Whether an open transaction may continue although a new one would be refused: a changed route
-/// takes effect with the next transaction, a revoked key at once.
-fn keeps_transaction(
-    cause: &request_verdict::VerdictCause,
-    state: &session_state::SessionState,
-) -> bool {
-    let route_removed = matches!(cause, request_verdict::VerdictCause::RuleDenied { .. });
-    route_removed && state.open_transaction().is_some()
-}
-
 /// Refuses a request that has not been admitted.
 fn refuse_unadmitted(
     ctx: &mut proxy_context::ProxyContext,
--- a/src/proxy/session_flow.rs
+++ b/src/proxy/session_flow.rs
@@ -129,17 +129,50 @@
     (proxy_config::RouteObject, Option<arena_keys::AccountKey>),
     request_verdict::VerdictCause,
 > {
-    let config = ctx.config.as_ref().filter(|_| !config_read::is_overdue(ctx));
-    let config = config.ok_or(request_verdict::VerdictCause::ConfigMissing)?;
+    let config = current_config(ctx)?;
     let Some(route) = config.routes.get(database) else {
         let detail = format!("no route names database {database:?}");
         return Err(request_verdict::VerdictCause::RuleDenied { detail });
     };
-    let account = config.keys.get(digest).and_then(|name| ctx.account_names.get(name));
-    if account.is_none() && !route.public {
-        return Err(request_verdict::VerdictCause::KeyRejected);
+    let account = identify_account(ctx, config, route, digest)?;
+    Ok((route.clone(), account))
+}
+
+/// Checks that an open transaction may continue: a changed or removed route takes effect with the next
+/// transaction, a withdrawn key at once.
+///
+/// # Errors
+///
+/// `ConfigMissing` or `KeyRejected`, if it may not.
+pub fn check_transaction(
+    ctx: &proxy_context::ProxyContext,
+    transaction: &session_state::OpenTransaction,
+    digest: &proxy_config::KeyDigest,
+) -> Result<(), request_verdict::VerdictCause> {
+    let config = current_config(ctx)?;
+    identify_account(ctx, config, &transaction.route, digest).map(drop)
+}
+
+/// Returns the active configuration unless this host knows of a newer one that it should have by now.
+fn current_config(
+    ctx: &proxy_context::ProxyContext,
+) -> Result<&proxy_config::ProxyConfig, request_verdict::VerdictCause> {
+    let config = ctx.config.as_deref().filter(|_| !config_read::is_overdue(ctx));
+    config.ok_or(request_verdict::VerdictCause::ConfigMissing)
+}
+
+/// Returns the account that the key identifies on the route; `None` on public routes.
+fn identify_account(
+    ctx: &proxy_context::ProxyContext,
+    config: &proxy_config::ProxyConfig,
+    route: &proxy_config::RouteObject,
+    digest: &proxy_config::KeyDigest,
+) -> Result<Option<arena_keys::AccountKey>, request_verdict::VerdictCause> {
+    if route.public {
+        return Ok(None);
     }
-    Ok((route.clone(), account.copied().filter(|_| !route.public)))
+    let account = config.keys.get(digest).and_then(|name| ctx.account_names.get(name));
+    account.copied().map(Some).ok_or(request_verdict::VerdictCause::KeyRejected)
 }
 
 fn process(
--- a/tests/access_changes.rs
+++ b/tests/access_changes.rs
@@ -65,8 +65,110 @@
     InRetry,
 }
 
-/// Plays each change in transactions that may write and read-only ones.
-macro_rules! transaction_cases {
+const RUNS: ExpectedAccess = ExpectedAccess::Runs { account: ACCOUNT, group: GROUP };
+const RUNS_FOR_NOBODY: ExpectedAccess = ExpectedAccess::Runs { account: NOBODY, group: GROUP };
+const NO_ROUTE: ExpectedAccess = ExpectedAccess::Refused("RuleDenied");
+const KEY_REJECTED: ExpectedAccess = ExpectedAccess::Refused("KeyRejected");
+
+/// Guards against statements that run for nobody once the route of their transaction is gone.
+const ROUTE_REMOVED: AccessChange =
+    AccessChange { key: ACCOUNT, public: false, change: remove_route, open: RUNS, next: NO_ROUTE };
+/// Guards against statements that run in the group of a route that came after their transaction.
+const ROUTE_REPLACED: AccessChange = AccessChange {
+    key: ACCOUNT,
+    public: false,
+    change: replace_route,
+    open: RUNS,
+    next: ExpectedAccess::Runs { account: ACCOUNT, group: OTHER_GROUP },
+};
+/// Guards against statements that run for nobody as the route became public after their BEGIN.
+const ROUTE_MADE_PUBLIC: AccessChange = AccessChange {
+    key: ACCOUNT,
+    public: false,
+    change: |config| route(config).public = true,
+    open: RUNS,
+    next: RUNS_FOR_NOBODY,
+};
+/// Guards against statements of a public route's transaction that run for the account of the key.
+const ROUTE_MADE_PRIVATE: AccessChange = AccessChange {
+    key: ACCOUNT,
+    public: true,
+    change: |config| route(config).public = false,
+    open: RUNS_FOR_NOBODY,
+    next: RUNS,
+};
+/// Guards against a public route's transaction that is refused as its key is not known.
+const ROUTE_MADE_PRIVATE_FOR_UNKNOWN_KEY: AccessChange =
+    AccessChange { key: "unknown", next: KEY_REJECTED, ..ROUTE_MADE_PRIVATE };
+/// The same where the key is withdrawn in the same version.
+const ROUTE_MADE_PRIVATE_AND_KEY_WITHDRAWN: AccessChange = AccessChange {
+    change: |config| {
+        route(config).public = false;
+        withdraw_key(config);
+    },
+    next: KEY_REJECTED,
+    ..ROUTE_MADE_PRIVATE
+};
+/// Guards against a public route's transaction that ends with the route.
+const PUBLIC_ROUTE_REMOVED_AND_KEY_WITHDRAWN: AccessChange = AccessChange {
+    change: |config| {
+        remove_route(config);
+        withdraw_key(config);
+    },
+    next: NO_ROUTE,
+    ..ROUTE_MADE_PRIVATE
+};
+/// Guards against a public route that needs a key.
+const KEY_WITHDRAWN_ON_PUBLIC_ROUTE: AccessChange =
+    AccessChange { change: withdraw_key, next: RUNS_FOR_NOBODY, ..ROUTE_MADE_PRIVATE };
+/// Guards against statements that run with a withdrawn key.
+const KEY_WITHDRAWN: AccessChange = AccessChange {
+    key: ACCOUNT,
+    public: false,
+    change: withdraw_key,
+    open: KEY_REJECTED,
+    next: KEY_REJECTED,
+};
+/// The same where the whole account is gone.
+const ACCOUNT_REMOVED: AccessChange = AccessChange { change: remove_account, ..KEY_WITHDRAWN };
+/// Guards against a withdrawn key that goes unnoticed as the route of the transaction is gone, too.
+const ROUTE_REMOVED_AND_KEY_WITHDRAWN: AccessChange = AccessChange {
+    change: |config| {
+        remove_route(config);
+        withdraw_key(config);
+    },
+    next: NO_ROUTE,
+    ..KEY_WITHDRAWN
+};
+/// The same where the whole account is gone.
+const ROUTE_AND_ACCOUNT_REMOVED: AccessChange = AccessChange {
+    change: |config| {
+        remove_route(config);
+        remove_account(config);
+    },
+    ..ROUTE_REMOVED_AND_KEY_WITHDRAWN
+};
+/// The same where the route leads to another group.
+const ROUTE_REPLACED_AND_KEY_WITHDRAWN: AccessChange = AccessChange {
+    change: |config| {
+        replace_route(config);
+        withdraw_key(config);
+    },
+    ..KEY_WITHDRAWN
+};
+/// The same where the route needs no key any more.
+const ROUTE_MADE_PUBLIC_AND_KEY_WITHDRAWN: AccessChange = AccessChange {
+    change: |config| {
+        route(config).public = true;
+        withdraw_key(config);
+    },
+    next: RUNS_FOR_NOBODY,
+    ..KEY_WITHDRAWN
+};
+
+/// Plays changes that come before a statement is sent, in transactions that may write and read-only
+/// ones.
+macro_rules! admission_cases {
     ($($name:ident: $change:expr;)*) => {
         $(mod $name {
             use super::*;
@@ -85,6 +187,18 @@
             fn after_first_write() { play(ChangeTime::AfterFirstStatement, false); }
             #[test]
             fn after_first_read() { play(ChangeTime::AfterFirstStatement, true); }
+        })*
+    };
+}
+
+/// Plays changes that come before a statement that was sent can run.
+macro_rules! waiting_cases {
+    ($($name:ident: $change:expr;)*) => {
+        $(mod $name {
+            use super::*;
+            fn play(time: ChangeTime, read_only: bool) {
+                play_transaction(&$change, time, read_only);
+            }
             #[test]
             fn in_restore() { play(ChangeTime::InRestore, false); }
             #[test]
@@ -97,43 +211,33 @@
     };
 }
 
-transaction_cases! {
-    // Guards against statements that run for nobody once the route of their transaction is gone.
-    route_removed: AccessChange {
-        key: ACCOUNT,
-        public: false,
-        change: remove_route,
-        open: RUNS,
-        next: ExpectedAccess::Refused("RuleDenied"),
-    };
-    // Guards against statements that run in the group of a route that came after their transaction.
-    route_replaced: AccessChange {
-        key: ACCOUNT,
-        public: false,
-        change: |config| route(config).group = OTHER_GROUP.to_owned(),
-        open: RUNS,
-        next: ExpectedAccess::Runs { account: ACCOUNT, group: OTHER_GROUP },
-    };
-    // Guards against statements that run for nobody as the route became public after their BEGIN.
-    route_made_public: AccessChange {
-        key: ACCOUNT,
-        public: false,
-        change: |config| route(config).public = true,
-        open: RUNS,
-        next: RUNS_FOR_NOBODY,
-    };
-    // Guards against statements of a public route's transaction that run for the account of the key.
-    route_made_private: AccessChange {
-        key: ACCOUNT,
-        public: true,
-        change: |config| route(config).public = false,
-        open: RUNS_FOR_NOBODY,
-        next: RUNS,
-    };
+admission_cases! {
+    route_removed: ROUTE_REMOVED;
+    route_replaced: ROUTE_REPLACED;
+    route_made_public: ROUTE_MADE_PUBLIC;
+    route_made_private: ROUTE_MADE_PRIVATE;
+    route_made_private_for_unknown_key: ROUTE_MADE_PRIVATE_FOR_UNKNOWN_KEY;
+    route_made_private_and_key_withdrawn: ROUTE_MADE_PRIVATE_AND_KEY_WITHDRAWN;
+    public_route_removed_and_key_withdrawn: PUBLIC_ROUTE_REMOVED_AND_KEY_WITHDRAWN;
+    key_withdrawn_on_public_route: KEY_WITHDRAWN_ON_PUBLIC_ROUTE;
+    key_withdrawn: KEY_WITHDRAWN;
+    account_removed: ACCOUNT_REMOVED;
+    route_removed_and_key_withdrawn: ROUTE_REMOVED_AND_KEY_WITHDRAWN;
+    route_and_account_removed: ROUTE_AND_ACCOUNT_REMOVED;
+    route_replaced_and_key_withdrawn: ROUTE_REPLACED_AND_KEY_WITHDRAWN;
+    route_made_public_and_key_withdrawn: ROUTE_MADE_PUBLIC_AND_KEY_WITHDRAWN;
 }
 
-const RUNS: ExpectedAccess = ExpectedAccess::Runs { account: ACCOUNT, group: GROUP };
-const RUNS_FOR_NOBODY: ExpectedAccess = ExpectedAccess::Runs { account: NOBODY, group: GROUP };
+waiting_cases! {
+    route_removed_meanwhile: ROUTE_REMOVED;
+    route_replaced_meanwhile: ROUTE_REPLACED;
+    route_made_public_meanwhile: ROUTE_MADE_PUBLIC;
+    route_made_private_meanwhile: ROUTE_MADE_PRIVATE;
+    route_made_private_for_unknown_key_meanwhile: ROUTE_MADE_PRIVATE_FOR_UNKNOWN_KEY;
+    route_made_private_and_key_withdrawn_meanwhile: ROUTE_MADE_PRIVATE_AND_KEY_WITHDRAWN;
+    public_route_removed_and_key_withdrawn_meanwhile: PUBLIC_ROUTE_REMOVED_AND_KEY_WITHDRAWN;
+    key_withdrawn_on_public_route_meanwhile: KEY_WITHDRAWN_ON_PUBLIC_ROUTE;
+}
 
 fn route(config: &mut proxy_config::ProxyConfig) -> &mut proxy_config::RouteObject {
     config.routes.get_mut(ROUTE).expect("the route")
@@ -143,6 +247,19 @@
     config.routes.remove(ROUTE);
 }
 
+fn replace_route(config: &mut proxy_config::ProxyConfig) {
+    route(config).group = OTHER_GROUP.to_owned();
+}
+
+fn withdraw_key(config: &mut proxy_config::ProxyConfig) {
+    config.keys.remove(&proxy_config::digest_key(ACCOUNT));
+}
+
+fn remove_account(config: &mut proxy_config::ProxyConfig) {
+    withdraw_key(config);
+    config.accounts.remove(ACCOUNT);
+}
+
 /// A session that the change concerns.
 struct ChangedSession {
     fleet: ProxyFleet,
