fix(session): end a transaction whose key moved to another account

Cause: the account of the key is found for each request, but a transaction runs on the connection of its first statement; the two were not compared. Ruled out: a host that has not read the version; a withdrawn key is refused by the same host at the same time. Change: an open transaction is refused and rolled back if its key identifies another account now (AccountChanged, "not run", to be repeated at once). A COMMIT that is refused at admission ends the transaction for the client, too.

--- a/src/core/request_verdict.rs
+++ b/src/core/request_verdict.rs
@@ -23,6 +23,8 @@
     CompletedEarlier,
     /// The account or key is unknown, or the key has been revoked.
     KeyRejected,
+    /// The key of the transaction was given to another account, and the transaction rolled back.
+    AccountChanged,
     /// No access rule allows the account to use the service in this way.
     RuleDenied {
         /// The access that the rules do not grant.
@@ -114,7 +116,7 @@
             (VerdictCause::Draining | VerdictCause::CallerEnded, _) => "57P01",
             (VerdictCause::DeadlinePassed, _) => "57014",
             (VerdictCause::ConnectionLost | VerdictCause::PrimaryReplaced, _) => "08006",
-            (VerdictCause::TransactionLost, _) => "40000",
+            (VerdictCause::TransactionLost | VerdictCause::AccountChanged, _) => "40000",
             (VerdictCause::TokenInvalid, _) => "22023",
             (VerdictCause::StatementInvalid { .. }, _) => "0A000",
         }
@@ -128,6 +130,9 @@
                 "a request with this identifier completed earlier and was not run again".to_owned()
             }
             VerdictCause::KeyRejected => "unknown account or key".to_owned(),
+            VerdictCause::AccountChanged => {
+                "the key belongs to another account now; begin again".to_owned()
+            }
             VerdictCause::RuleDenied { detail } => format!("no rule allows this: {detail}"),
             VerdictCause::OverRate => "the account is over its rate".to_owned(),
             VerdictCause::ShareClosed => {
--- a/src/proxy/request_flow.rs
+++ b/src/proxy/request_flow.rs
@@ -36,7 +36,7 @@
 ) {
     let (route, group, account) = match find_access(ctx, &ctx.sessions[session]) {
         Ok(access) => access,
-        Err(cause) => return refuse_unadmitted(ctx, session, cause),
+        Err(cause) => return refuse_unadmitted(ctx, session, &kind, cause),
     };
     let charged = ctx.sessions[session].open_transaction().is_none();
     let deadline = ctx.now.after(route.timeout);
@@ -283,11 +283,8 @@
 
 /// Returns the transaction state after the request failed. A failed COMMIT ends the transaction for
 /// the caller as well; after any other request the caller still has to end it.
-fn state_after_failure(
-    ctx: &proxy_context::ProxyContext,
-    request: arena_keys::StatementKey,
-) -> session_state::TransactionState {
-    match ctx.requests[request].kind {
+fn state_after_failure(kind: &pending_request::RequestKind) -> session_state::TransactionState {
+    match kind {
         pending_request::RequestKind::Commit => session_state::TransactionState::Idle,
         _ => session_state::TransactionState::Failed,
     }
@@ -322,7 +319,7 @@
 ) {
     let session = ctx.requests[request].session;
     if ctx.sessions[session].open_transaction().is_some() {
-        let state = state_after_failure(ctx, request);
+        let state = state_after_failure(&ctx.requests[request].kind);
         end_transaction(ctx, session, state);
     }
     finish(ctx, request, Vec::new(), None, verdict);
@@ -343,7 +340,7 @@
     let may_persist = sent && (commit || !in_transaction) && !state.reads();
     let session = state.session;
     if in_transaction {
-        ctx.sessions[session].transaction = state_after_failure(ctx, request);
+        ctx.sessions[session].transaction = state_after_failure(&ctx.requests[request].kind);
     }
     connection_flow::close(ctx, connection, "discarded");
     let verdict = if may_persist {
@@ -385,10 +382,11 @@
 fn refuse_unadmitted(
     ctx: &mut proxy_context::ProxyContext,
     session: arena_keys::CallerKey,
+    kind: &pending_request::RequestKind,
     cause: request_verdict::VerdictCause,
 ) {
     if ctx.sessions[session].open_transaction().is_some() {
-        end_transaction(ctx, session, session_state::TransactionState::Failed);
+        end_transaction(ctx, session, state_after_failure(kind));
     }
     let verdict = not_run_verdict(ctx, None, cause);
     let caller = ctx.sessions[session].caller;
@@ -470,7 +468,7 @@
 ) {
     let session = ctx.requests[request].session;
     if ctx.sessions[session].open_transaction().is_some() {
-        ctx.sessions[session].transaction = state_after_failure(ctx, request);
+        ctx.sessions[session].transaction = state_after_failure(&ctx.requests[request].kind);
     }
     connection_flow::close(ctx, connection, "timed_out");
     let cause = request_verdict::VerdictCause::DeadlinePassed;
--- a/src/proxy/return_schedule.rs
+++ b/src/proxy/return_schedule.rs
@@ -118,6 +118,7 @@
         | request_verdict::VerdictCause::ConnectionLost => {
             Some(group.map_or(NO_ENDPOINT_RETRY, |group| endpoint_return(ctx, group)))
         }
+        request_verdict::VerdictCause::AccountChanged => Some(Duration::ZERO),
         request_verdict::VerdictCause::Draining | request_verdict::VerdictCause::ConfigMissing => {
             Some(ctx.with_jitter(OTHER_HOST_RETRY))
         }
--- a/src/proxy/session_flow.rs
+++ b/src/proxy/session_flow.rs
@@ -139,18 +139,22 @@
 }
 
 /// Checks that an open transaction may continue: a changed or removed route takes effect with the next
-/// transaction, a withdrawn key at once.
+/// transaction, a key that was withdrawn or given to another account at once.
 ///
 /// # Errors
 ///
-/// `ConfigMissing` or `KeyRejected`, if it may not.
+/// `ConfigMissing`, `KeyRejected` or `AccountChanged`, if it may not.
 pub fn check_transaction(
     ctx: &proxy_context::ProxyContext,
     transaction: &session_state::OpenTransaction,
     digest: &proxy_config::KeyDigest,
 ) -> Result<(), request_verdict::VerdictCause> {
     let config = current_config(ctx)?;
-    identify_account(ctx, config, &transaction.route, digest).map(drop)
+    let account = identify_account(ctx, config, &transaction.route, digest)?;
+    match account == transaction.account {
+        true => Ok(()),
+        false => Err(request_verdict::VerdictCause::AccountChanged),
+    }
 }
 
 /// Returns the active configuration unless this host knows of a newer one that it should have by now.
--- a/tests/access_changes.rs
+++ b/tests/access_changes.rs
@@ -69,6 +69,7 @@
 const RUNS_FOR_NOBODY: ExpectedAccess = ExpectedAccess::Runs { account: NOBODY, group: GROUP };
 const NO_ROUTE: ExpectedAccess = ExpectedAccess::Refused("RuleDenied");
 const KEY_REJECTED: ExpectedAccess = ExpectedAccess::Refused("KeyRejected");
+const ACCOUNT_CHANGED: ExpectedAccess = ExpectedAccess::Refused("AccountChanged");
 
 /// Guards against statements that run for nobody once the route of their transaction is gone.
 const ROUTE_REMOVED: AccessChange =
@@ -165,6 +166,58 @@
     next: RUNS_FOR_NOBODY,
     ..KEY_WITHDRAWN
 };
+/// Guards against a transaction that goes on for the account that held its key before.
+const KEY_MOVED: AccessChange = AccessChange {
+    key: ACCOUNT,
+    public: false,
+    change: move_key,
+    open: ACCOUNT_CHANGED,
+    next: ExpectedAccess::Runs { account: OTHER_ACCOUNT, group: GROUP },
+};
+/// The same where the former account is gone.
+const ACCOUNT_REMOVED_AND_KEY_MOVED: AccessChange = AccessChange {
+    change: |config| {
+        remove_account(config);
+        move_key(config);
+    },
+    ..KEY_MOVED
+};
+/// The same where the route of the transaction is gone, too.
+const ROUTE_REMOVED_AND_KEY_MOVED: AccessChange = AccessChange {
+    change: |config| {
+        remove_route(config);
+        move_key(config);
+    },
+    next: NO_ROUTE,
+    ..KEY_MOVED
+};
+/// The same where the route leads to another group.
+const ROUTE_REPLACED_AND_KEY_MOVED: AccessChange = AccessChange {
+    change: |config| {
+        replace_route(config);
+        move_key(config);
+    },
+    next: ExpectedAccess::Runs { account: OTHER_ACCOUNT, group: OTHER_GROUP },
+    ..KEY_MOVED
+};
+/// The same where the route needs no key any more.
+const ROUTE_MADE_PUBLIC_AND_KEY_MOVED: AccessChange = AccessChange {
+    change: |config| {
+        route(config).public = true;
+        move_key(config);
+    },
+    next: RUNS_FOR_NOBODY,
+    ..KEY_MOVED
+};
+/// Guards against a public route's transaction that ends with a change of the key.
+const ROUTE_MADE_PRIVATE_AND_KEY_MOVED: AccessChange = AccessChange {
+    change: |config| {
+        route(config).public = false;
+        move_key(config);
+    },
+    next: KEY_MOVED.next,
+    ..ROUTE_MADE_PRIVATE
+};
 
 /// Plays changes that come before a statement is sent, in transactions that may write and read-only
 /// ones.
@@ -226,6 +279,12 @@
     route_and_account_removed: ROUTE_AND_ACCOUNT_REMOVED;
     route_replaced_and_key_withdrawn: ROUTE_REPLACED_AND_KEY_WITHDRAWN;
     route_made_public_and_key_withdrawn: ROUTE_MADE_PUBLIC_AND_KEY_WITHDRAWN;
+    key_moved: KEY_MOVED;
+    account_removed_and_key_moved: ACCOUNT_REMOVED_AND_KEY_MOVED;
+    route_removed_and_key_moved: ROUTE_REMOVED_AND_KEY_MOVED;
+    route_replaced_and_key_moved: ROUTE_REPLACED_AND_KEY_MOVED;
+    route_made_public_and_key_moved: ROUTE_MADE_PUBLIC_AND_KEY_MOVED;
+    route_made_private_and_key_moved: ROUTE_MADE_PRIVATE_AND_KEY_MOVED;
 }
 
 waiting_cases! {
@@ -237,6 +296,7 @@
     route_made_private_and_key_withdrawn_meanwhile: ROUTE_MADE_PRIVATE_AND_KEY_WITHDRAWN;
     public_route_removed_and_key_withdrawn_meanwhile: PUBLIC_ROUTE_REMOVED_AND_KEY_WITHDRAWN;
     key_withdrawn_on_public_route_meanwhile: KEY_WITHDRAWN_ON_PUBLIC_ROUTE;
+    route_made_private_and_key_moved_meanwhile: ROUTE_MADE_PRIVATE_AND_KEY_MOVED;
 }
 
 fn route(config: &mut proxy_config::ProxyConfig) -> &mut proxy_config::RouteObject {
@@ -255,6 +315,10 @@
     config.keys.remove(&proxy_config::digest_key(ACCOUNT));
 }
 
+fn move_key(config: &mut proxy_config::ProxyConfig) {
+    config.keys.insert(proxy_config::digest_key(ACCOUNT), OTHER_ACCOUNT.to_owned());
+}
+
 fn remove_account(config: &mut proxy_config::ProxyConfig) {
     withdraw_key(config);
     config.accounts.remove(ACCOUNT);
@@ -444,3 +508,17 @@
     session.check(statement(), change.next);
     assert!(session.fleet.violations.is_empty(), "{:#?}", session.fleet.violations);
 }
+
+/// Guards against a COMMIT that is refused and leaves its session in the transaction.
+#[test]
+fn refused_commit_ends_the_transaction() {
+    for change in [KEY_WITHDRAWN, KEY_MOVED] {
+        let mut session = ChangedSession::open(&change);
+        session.run(begin(false));
+        session.run(write());
+        session.apply();
+        session.check(session_request::SessionRequest::Commit, change.open);
+        session.check(write(), change.next);
+        assert!(session.fleet.violations.is_empty(), "{:#?}", session.fleet.violations);
+    }
+}
