fix(request): refuse what waits with a withdrawn or moved key

Callers saw a request succeed for the account that had held its key when it was admitted, although the host had learned meanwhile that the key was withdrawn or belongs to another account: while the request waited for a connection, while its settings and prepared statement were restored, or between two attempts. Cause: the account of a request was found at its admission only. Ruled out: the route; a request outside of a transaction keeps the one that it began with, as the protocol says. Change: a new version refuses the requests that were not sent and whose key no longer identifies their account, and a request is checked before it is placed again. A statement that was sent is not cut.

--- a/src/proxy/request_flow.rs
+++ b/src/proxy/request_flow.rs
@@ -300,6 +300,27 @@
     refuse_with(ctx, request, verdict);
 }
 
+/// Refuses the requests that have not been sent and whose key has been withdrawn or given to another
+/// account.
+pub fn refuse_revoked(ctx: &mut proxy_context::ProxyContext) {
+    let revoked: Vec<_> = ctx
+        .requests
+        .iter()
+        .filter(|(_, request)| !request.sent())
+        .filter(|(_, request)| request.phase != pending_request::RequestPhase::AwaitingReceipts)
+        .filter_map(|(key, request)| {
+            session_flow::check_request(ctx, request).err().map(|cause| (key, cause))
+        })
+        .collect();
+    for (request, cause) in revoked {
+        let Some(state) = ctx.requests.get(request) else { continue };
+        if let pending_request::RequestPhase::Running { connection, .. } = state.phase {
+            connection_flow::close(ctx, connection, "discarded");
+        }
+        refuse(ctx, request, cause);
+    }
+}
+
 /// Does the same as [`refuse`] with a known time after which the caller may retry.
 pub fn refuse_until(
     ctx: &mut proxy_context::ProxyContext,
@@ -436,6 +457,10 @@
     if state.attempts >= ctx.tuning.attempts_max || ctx.now >= state.deadline {
         return refuse(ctx, request, cause);
     }
+    // The configuration may have changed while the request was at an endpoint.
+    if let Err(cause) = session_flow::check_request(ctx, &ctx.requests[request]) {
+        return refuse(ctx, request, cause);
+    }
     let needs_primary = placement_policy::needs_primary(ctx, request);
     if needs_primary && !endpoint_usable {
         // Only a primary can run it. One that has just refused it is not tried again.
--- a/src/proxy/response_flow.rs
+++ b/src/proxy/response_flow.rs
@@ -10,6 +10,7 @@
 use crate::proxy::proxy_context;
 use crate::proxy::receipt_flow;
 use crate::proxy::request_flow;
+use crate::proxy::session_flow;
 use crate::proxy::session_state;
 
 /// Handles the endpoint's response to the request's own statement or COMMIT.
@@ -192,6 +193,9 @@
     if ctx.requests[request].attempts >= ctx.tuning.attempts_max {
         return request_flow::refuse(ctx, request, request_verdict::VerdictCause::NoEndpoint);
     }
+    if let Err(cause) = session_flow::check_request(ctx, &ctx.requests[request]) {
+        return request_flow::refuse(ctx, request, cause);
+    }
     request_flow::place(ctx, request);
 }
 
--- a/src/proxy/session_flow.rs
+++ b/src/proxy/session_flow.rs
@@ -150,8 +150,32 @@
     digest: &proxy_config::KeyDigest,
 ) -> Result<(), request_verdict::VerdictCause> {
     let config = current_config(ctx)?;
-    let account = identify_account(ctx, config, &transaction.route, digest)?;
-    match account == transaction.account {
+    check_holder(ctx, config, &transaction.route, digest, transaction.account)
+}
+
+/// Checks that a request that was admitted may still run for its account.
+///
+/// # Errors
+///
+/// `KeyRejected` or `AccountChanged`, if its key was withdrawn or given to another account meanwhile.
+pub fn check_request(
+    ctx: &proxy_context::ProxyContext,
+    request: &pending_request::PendingRequest,
+) -> Result<(), request_verdict::VerdictCause> {
+    let config = ctx.config.as_deref().ok_or(request_verdict::VerdictCause::ConfigMissing)?;
+    let digest = &ctx.sessions[request.session].digest;
+    check_holder(ctx, config, &request.route, digest, request.account)
+}
+
+/// Checks that the key still identifies this account on the route.
+fn check_holder(
+    ctx: &proxy_context::ProxyContext,
+    config: &proxy_config::ProxyConfig,
+    route: &proxy_config::RouteObject,
+    digest: &proxy_config::KeyDigest,
+    account: Option<arena_keys::AccountKey>,
+) -> Result<(), request_verdict::VerdictCause> {
+    match identify_account(ctx, config, route, digest)? == account {
         true => Ok(()),
         false => Err(request_verdict::VerdictCause::AccountChanged),
     }
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -25,6 +25,7 @@
 use crate::proxy::proxy_config;
 use crate::proxy::proxy_context;
 use crate::proxy::rate_limiter;
+use crate::proxy::request_flow;
 use crate::proxy::store_message;
 use crate::proxy::store_record;
 use crate::proxy::store_restore;
@@ -565,6 +566,7 @@
     }
     ctx.history.add_config(config.clone());
     ctx.config = Some(config);
+    request_flow::refuse_revoked(ctx);
 }
 
 /// Returns the key of the group with this name; adds the group if it is unknown.
--- a/tests/access_changes.rs
+++ b/tests/access_changes.rs
@@ -63,6 +63,10 @@
     InQueue,
     /// Before an endpoint says that it is busy, so that the first statement is placed again.
     InRetry,
+    /// While a statement is at an endpoint that is busy.
+    InRejection,
+    /// While a statement is at an endpoint that no longer knows what it prepared.
+    InLostPreparation,
 }
 
 const RUNS: ExpectedAccess = ExpectedAccess::Runs { account: ACCOUNT, group: GROUP };
@@ -264,6 +268,28 @@
     };
 }
 
+/// Plays changes that come while a single statement waits or is tried again.
+macro_rules! single_cases {
+    ($($name:ident: $change:expr;)*) => {
+        $(mod $name {
+            use super::*;
+            fn play(time: ChangeTime, read_only: bool) {
+                play_single(&$change, time, read_only);
+            }
+            #[test]
+            fn in_restore() { play(ChangeTime::InRestore, false); }
+            #[test]
+            fn in_restore_for_read() { play(ChangeTime::InRestore, true); }
+            #[test]
+            fn in_queue() { play(ChangeTime::InQueue, false); }
+            #[test]
+            fn in_rejection_of_read() { play(ChangeTime::InRejection, true); }
+            #[test]
+            fn in_lost_preparation_of_read() { play(ChangeTime::InLostPreparation, true); }
+        })*
+    };
+}
+
 admission_cases! {
     route_removed: ROUTE_REMOVED;
     route_replaced: ROUTE_REPLACED;
@@ -297,6 +323,33 @@
     public_route_removed_and_key_withdrawn_meanwhile: PUBLIC_ROUTE_REMOVED_AND_KEY_WITHDRAWN;
     key_withdrawn_on_public_route_meanwhile: KEY_WITHDRAWN_ON_PUBLIC_ROUTE;
     route_made_private_and_key_moved_meanwhile: ROUTE_MADE_PRIVATE_AND_KEY_MOVED;
+    key_withdrawn_meanwhile: KEY_WITHDRAWN;
+    account_removed_meanwhile: ACCOUNT_REMOVED;
+    route_removed_and_key_withdrawn_meanwhile: ROUTE_REMOVED_AND_KEY_WITHDRAWN;
+    route_and_account_removed_meanwhile: ROUTE_AND_ACCOUNT_REMOVED;
+    route_replaced_and_key_withdrawn_meanwhile: ROUTE_REPLACED_AND_KEY_WITHDRAWN;
+    route_made_public_and_key_withdrawn_meanwhile: ROUTE_MADE_PUBLIC_AND_KEY_WITHDRAWN;
+    key_moved_meanwhile: KEY_MOVED;
+    account_removed_and_key_moved_meanwhile: ACCOUNT_REMOVED_AND_KEY_MOVED;
+    route_removed_and_key_moved_meanwhile: ROUTE_REMOVED_AND_KEY_MOVED;
+    route_replaced_and_key_moved_meanwhile: ROUTE_REPLACED_AND_KEY_MOVED;
+    route_made_public_and_key_moved_meanwhile: ROUTE_MADE_PUBLIC_AND_KEY_MOVED;
+}
+
+single_cases! {
+    single_route_removed: ROUTE_REMOVED;
+    single_route_replaced: ROUTE_REPLACED;
+    single_route_made_public: ROUTE_MADE_PUBLIC;
+    single_route_made_private: ROUTE_MADE_PRIVATE;
+    single_route_made_private_and_key_withdrawn: ROUTE_MADE_PRIVATE_AND_KEY_WITHDRAWN;
+    single_key_withdrawn_on_public_route: KEY_WITHDRAWN_ON_PUBLIC_ROUTE;
+    single_key_withdrawn: KEY_WITHDRAWN;
+    single_account_removed: ACCOUNT_REMOVED;
+    single_route_removed_and_key_withdrawn: ROUTE_REMOVED_AND_KEY_WITHDRAWN;
+    single_route_made_public_and_key_withdrawn: ROUTE_MADE_PUBLIC_AND_KEY_WITHDRAWN;
+    single_key_moved: KEY_MOVED;
+    single_route_removed_and_key_moved: ROUTE_REMOVED_AND_KEY_MOVED;
+    single_route_made_public_and_key_moved: ROUTE_MADE_PUBLIC_AND_KEY_MOVED;
 }
 
 fn route(config: &mut proxy_config::ProxyConfig) -> &mut proxy_config::RouteObject {
@@ -342,8 +395,10 @@
         let caller = fleet.open(HOST, change.key, ROUTE);
         let mut session = Self { fleet, caller, change: *change };
         let before = if change.public { RUNS_FOR_NOBODY } else { RUNS };
-        // A connection for later statements is open then.
+        // Connections for later statements are open then.
         session.check(write(), before);
+        session.fleet.run(millis(200));
+        session.check(read(), before);
         session
     }
 
@@ -410,6 +465,20 @@
         assert!(received.ran(), "{:?}", received.response.verdict);
     }
 
+    /// Has the session set a value and prepare a statement, and returns the request that runs it.
+    fn prepare(&mut self, read_only: bool) -> session_request::SessionRequest {
+        let kind = match read_only {
+            true => session_request::StatementKind::Read,
+            false => session_request::StatementKind::Write,
+        };
+        let (name, shape) = ("s1".to_owned(), "shape".to_owned());
+        self.run(session_request::SessionRequest::Prepare { name, kind, shape });
+        let (name, value) = ("tone".to_owned(), "dark".to_owned());
+        self.run(session_request::SessionRequest::Set { name, value });
+        let (name, arguments) = ("s1".to_owned(), "a b".to_owned());
+        session_request::SessionRequest::Execute { name, arguments }
+    }
+
     /// Sends a statement, has the change come before it can run, and checks what it meets.
     fn change_before_run(&mut self, request: session_request::SessionRequest, time: ChangeTime) {
         let delayed = time != ChangeTime::InQueue;
@@ -417,9 +486,15 @@
             // Each command takes 80 ms, and the change arrives within the first one.
             self.fleet.database_latency_us = 40_000;
         }
-        if time == ChangeTime::InRetry {
-            let replica = self.fleet.databases.get_mut(NEAR_REPLICA).expect("the replica");
-            replica.setup_rejections.push_back(endpoint_command::EndpointFault::Busy);
+        let replica = self.fleet.databases.get_mut(NEAR_REPLICA).expect("the replica");
+        let busy = endpoint_command::EndpointFault::Busy;
+        match time {
+            ChangeTime::InRetry => replica.setup_rejections.push_back(busy),
+            ChangeTime::InRejection => replica.rejections.push_back(busy),
+            ChangeTime::InLostPreparation => {
+                replica.rejections.push_back(endpoint_command::EndpointFault::UnknownStatement);
+            }
+            _ => {}
         }
         let users = if delayed { Vec::new() } else { self.use_up_connections() };
         let id = self.fleet.send(HOST, self.caller, request);
@@ -429,6 +504,12 @@
             self.fleet.close(HOST, user);
         }
         self.check_response(&id, self.change.open);
+        // A request that is refused at once does not reach the busy endpoint.
+        let refused_earlier =
+            matches!(self.change.open, ExpectedAccess::Refused(_)) && time == ChangeTime::InRetry;
+        let replica = &self.fleet.databases[NEAR_REPLICA];
+        assert!(replica.rejections.is_empty());
+        assert!(replica.setup_rejections.is_empty() || refused_earlier);
     }
 
     /// Has other sessions use the two connections that the host may hold to the primary.
@@ -455,6 +536,24 @@
     session_request::SessionRequest::Begin { read_only }
 }
 
+/// Plays a change while a single statement waits or is tried again.
+fn play_single(change: &AccessChange, time: ChangeTime, read_only: bool) {
+    let mut session = ChangedSession::open(change);
+    let statement = match time {
+        ChangeTime::InRestore => session.prepare(read_only),
+        ChangeTime::InLostPreparation => {
+            let execute = session.prepare(read_only);
+            session.run(execute.clone());
+            execute
+        }
+        _ if read_only => read(),
+        _ => write(),
+    };
+    session.change_before_run(statement, time);
+    session.check(if read_only { read() } else { write() }, change.next);
+    assert!(session.fleet.violations.is_empty(), "{:#?}", session.fleet.violations);
+}
+
 fn play_transaction(change: &AccessChange, time: ChangeTime, read_only: bool) {
     let mut session = ChangedSession::open(change);
     let statement = || if read_only { read() } else { write() };
@@ -474,20 +573,11 @@
             session.apply();
         }
         ChangeTime::InRestore => {
-            let kind = match read_only {
-                true => session_request::StatementKind::Read,
-                false => session_request::StatementKind::Write,
-            };
-            let (name, shape) = ("s1".to_owned(), "shape".to_owned());
-            session.run(session_request::SessionRequest::Prepare { name, kind, shape });
-            let (name, value) = ("tone".to_owned(), "dark".to_owned());
-            session.run(session_request::SessionRequest::Set { name, value });
+            let execute = session.prepare(read_only);
             session.run(begin(read_only));
-            let (name, arguments) = ("s1".to_owned(), "a b".to_owned());
-            let execute = session_request::SessionRequest::Execute { name, arguments };
             session.change_before_run(execute, time);
         }
-        ChangeTime::InQueue | ChangeTime::InRetry => {
+        _ => {
             session.run(begin(read_only));
             session.change_before_run(statement(), time);
         }
