test(scenario): change rules and keys under open transactions

Cause: the platform's door lost the account of a transaction and went on with withdrawn and moved keys; nothing played the same changes at our own door. Change: a scenario drops an account from its rule, gives a key to another account, and does both in one version, each inside an open transaction. New lines for the directive publish: move and allow.

--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -32,6 +32,7 @@
 }
 
 scenarios! {
+    access_changes,
     at_most_once,
     configuration,
     cut_off_centre,
@@ -205,6 +206,13 @@
         let words: Vec<&str> = line.split_whitespace().collect();
         match words.as_slice() {
             ["withdraw", key] => drop(config.keys.remove(*key)),
+            ["move", key, account] => {
+                config.keys.get_mut(*key).unwrap().account = (*account).to_owned()
+            }
+            ["allow", rule, accounts @ ..] => {
+                config.rules.get_mut(*rule).unwrap().accounts =
+                    accounts.iter().map(|account| (*account).to_owned()).collect();
+            }
             ["drain", "centre", name] => config.centres.get_mut(*name).unwrap().in_service = false,
             ["restore", "centre", name] => config.centres.get_mut(*name).unwrap().in_service = true,
             ["drain", "endpoint", name] => {
