fix(duty): give a promotion up before the coordinator lease ends

Cause: the call was given up after 2.5 s, while the lease under which it was sent is certain for 1.35 s at most. Ruled out: a clock that runs behind; the call was sent in time and held up on its way. A call that ends with the lease as it was at the start was weighed: a platform that takes over a second to answer would never be heard. Change: the deadline of a call follows the lease: each renewal puts it off, a lost lease ends the call at once.

--- a/src/proxy/coordinator_election.rs
+++ b/src/proxy/coordinator_election.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::core::rendezvous_rank;
+use crate::proxy::duty_flow;
 use crate::proxy::epoch_fence;
 use crate::proxy::proxy_context;
 use crate::proxy::store_message;
@@ -153,6 +154,7 @@
             prune_roster(ctx);
             let until = call.lease_end(*ttl, ctx.tuning.lease_margin);
             ctx.coordinator.until = ctx.coordinator.until.max(until);
+            duty_flow::on_lease_renewed(ctx);
         }
         store_message::StoreReply::LeaseExpired => {
             log::warn!("event=coordinator_lease_lost cause=lease_ended");
@@ -167,6 +169,7 @@
 pub fn give_up_lease(ctx: &mut proxy_context::ProxyContext) {
     ctx.coordinator.until = Default::default();
     ctx.coordinator.lease = None;
+    duty_flow::on_lease_lost(ctx);
 }
 
 /// Applies the coordinator record as read from the store, or its removal.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -43,6 +43,7 @@
 pub mod member_view;
 pub mod membership_flow;
 pub mod peer_datagram;
+pub mod pending_duty;
 pub mod pending_request;
 pub mod placement_policy;
 pub mod pool_client;
--- a/src/proxy/proxy_context.rs
+++ b/src/proxy/proxy_context.rs
@@ -18,7 +18,6 @@
 use crate::daemon::latency_histograms;
 use crate::proxy::change_history;
 use crate::proxy::connection_state;
-use crate::proxy::duty_call;
 use crate::proxy::duty_fence;
 use crate::proxy::endpoint_view;
 use crate::proxy::group_view;
@@ -26,6 +25,7 @@
 use crate::proxy::log_limiter;
 use crate::proxy::member_view;
 use crate::proxy::peer_datagram;
+use crate::proxy::pending_duty;
 use crate::proxy::pending_request;
 use crate::proxy::pool_state;
 use crate::proxy::primary_wait;
@@ -283,7 +283,7 @@
     /// Pending store requests.
     pub store_calls: HashMap<core_message::CallId, store_session::StoreCall>,
     /// Pending calls of duties.
-    pub duty_calls: HashMap<core_message::CallId, duty_call::DutySubject>,
+    pub duty_calls: HashMap<core_message::CallId, pending_duty::PendingDuty>,
     /// This host's last calls of duties.
     pub duty_fence: duty_fence::DutyFence,
     /// Usage reports.
--- a/src/proxy/proxy_message.rs
+++ b/src/proxy/proxy_message.rs
@@ -203,7 +203,14 @@
         /// Fencing token, which grows with each holder of the lease.
         token: u64,
         /// Time on this host's clock from which the call must not be sent any more, and at which a
-        /// call without a reply is given up.
+        /// call without a reply is given up, so that nothing of it arrives later.
+        deadline: clock_time::ClockTime,
+    },
+    /// Changes the deadline of a pending call of a duty.
+    SetDutyDeadline {
+        /// Identifier of the call.
+        call: core_message::CallId,
+        /// The new deadline.
         deadline: clock_time::ClockTime,
     },
     /// Sends a datagram to a peer.
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod fake_platform;
 pub(crate) mod fake_store;
 pub(crate) mod fake_stutter;
+pub(crate) mod held_duties;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -142,6 +143,12 @@
         request: store_message::StoreRequest,
     },
     ExpireLeases,
+    /// Gives up a call of a duty that is held up on its way, if its deadline has passed.
+    GiveUpDuty {
+        host: usize,
+        incarnation: u64,
+        call: core_message::CallId,
+    },
     /// Takes the oldest request on a link to the serving host.
     ReceivePoolRequest {
         link: pool_message::LinkId,
@@ -245,6 +252,7 @@
     pub(crate) store: fake_store::FakeStore,
     /// The fake platform that takes the calls of duties.
     pub(crate) platform: fake_platform::FakePlatform,
+    held_duties: held_duties::HeldDuties,
     /// How far the times of day of hosts are ahead of true time, in microseconds.
     pub(crate) wall_clock_skews: BTreeMap<usize, i64>,
     /// Fake databases by endpoint id.
@@ -349,6 +357,7 @@
         let mut fleet = Self {
             now: 10_000_000,
             store: fake_store::FakeStore::default(),
+            held_duties: Default::default(),
             platform: fake_platform::FakePlatform::default(),
             wall_clock_skews: BTreeMap::new(),
             databases: BTreeMap::new(),
@@ -1235,6 +1244,9 @@
                 let event = proxy_message::ProxyEvent::PoolLinkClosed { link };
                 self.deliver_now(server, event);
             }
+            ScheduledStep::GiveUpDuty { host, incarnation, call } => {
+                self.give_up_duty(host, incarnation, call);
+            }
             ScheduledStep::ExpireLeases => {
                 let replies = self.store.expire(self.now);
                 self.deliver_replies(replies);
@@ -1296,6 +1308,16 @@
                 };
                 self.push(timeout_at, ScheduledStep::DeliverEvent { host, incarnation, event });
             }
+            proxy_message::ProxyAction::CallDuty { call, duty, token, deadline, .. }
+                if self.held_duties.host == Some(host) =>
+            {
+                let held = held_duties::HeldDuty { incarnation, call, duty, token };
+                self.held_duties.calls.push(held);
+                self.limit_duty(host, incarnation, call, deadline);
+            }
+            proxy_message::ProxyAction::SetDutyDeadline { call, deadline } => {
+                self.limit_duty(host, incarnation, call, deadline);
+            }
             proxy_message::ProxyAction::CallDuty { call, duty, token, .. } => {
                 let reply = self.take_duty_call(host, duty, token);
                 let event = proxy_message::ProxyEvent::DutyReplied { call, reply };
@@ -1464,6 +1486,57 @@
 
     /// Opens a connection, or refuses it if the database is not running.
     /// Has the platform take the call of a duty.
+    /// Sets when a held call of a duty is given up.
+    fn limit_duty(
+        &mut self,
+        host: usize,
+        incarnation: u64,
+        call: core_message::CallId,
+        deadline: clock_time::ClockTime,
+    ) {
+        let at = deadline.as_micros() + self.hosts[host].clock_lag_us;
+        self.held_duties.deadlines.insert((incarnation, call), at);
+        self.push(at.max(self.now), ScheduledStep::GiveUpDuty { host, incarnation, call });
+    }
+
+    /// Drops a held call of a duty whose deadline has passed.
+    fn give_up_duty(&mut self, host: usize, incarnation: u64, call: core_message::CallId) {
+        let key = (incarnation, call);
+        if self.held_duties.deadlines.get(&key).is_none_or(|at| *at > self.now) {
+            return;
+        }
+        let Some(_) = self.held_duties.take(key) else { return };
+        let reply = duty_call::DutyReply::NoReply;
+        let event = proxy_message::ProxyEvent::DutyReplied { call, reply };
+        self.push(self.now, ScheduledStep::DeliverEvent { host, incarnation, event });
+    }
+
+    /// Has the calls of a host's duties be held up on their way from now on.
+    pub(crate) fn hold_duties(&mut self, host: usize) {
+        self.held_duties.host = Some(host);
+    }
+
+    /// Returns the number of calls of duties that are held up.
+    pub(crate) fn held_duties(&self) -> usize {
+        self.held_duties.calls.len()
+    }
+
+    /// Returns the number of calls of duties that have been held up since the start.
+    pub(crate) fn duties_ever_held(&self) -> usize {
+        self.held_duties.deadlines.len()
+    }
+
+    /// Has the calls of duties that were held up and not given up arrive.
+    pub(crate) fn release_duties(&mut self) {
+        let Some(host) = self.held_duties.host.take() else { return };
+        for held in std::mem::take(&mut self.held_duties.calls) {
+            let (incarnation, call) = (held.incarnation, held.call);
+            let reply = self.take_duty_call(host, held.duty, held.token);
+            let event = proxy_message::ProxyEvent::DutyReplied { call, reply };
+            self.push(self.now, ScheduledStep::DeliverEvent { host, incarnation, event });
+        }
+    }
+
     fn take_duty_call(
         &mut self,
         host: usize,
