test(proxy): refuse requests with a withdrawn key in each phase of their wait

Cause: requests that wait for tokens or for a primary were refused by the same function as others, but no case played them; nor did one run a prepared statement on the connection of the account that the key moved to. Change: a case for both phases, and the prepared statement after the change.

--- a/tests/access_changes.rs
+++ b/tests/access_changes.rs
@@ -465,6 +465,19 @@
         assert!(received.ran(), "{:?}", received.response.verdict);
     }
 
+    /// Sends writes until one waits in a phase of this name.
+    fn send_until(&mut self, phase: &str) -> String {
+        for _ in 0..200 {
+            let id = self.fleet.send(HOST, self.caller, write());
+            let mut requests = self.fleet.core(HOST).context().requests.values();
+            if requests.any(|request| request.id == id && request.phase.name() == phase) {
+                return id;
+            }
+            self.wait();
+        }
+        panic!("no request waits in the phase {phase}");
+    }
+
     /// Has the session set a value and prepare a statement, and returns the request that runs it.
     fn prepare(&mut self, read_only: bool) -> session_request::SessionRequest {
         let kind = match read_only {
@@ -475,8 +488,7 @@
         self.run(session_request::SessionRequest::Prepare { name, kind, shape });
         let (name, value) = ("tone".to_owned(), "dark".to_owned());
         self.run(session_request::SessionRequest::Set { name, value });
-        let (name, arguments) = ("s1".to_owned(), "a b".to_owned());
-        session_request::SessionRequest::Execute { name, arguments }
+        execute()
     }
 
     /// Sends a statement, has the change come before it can run, and checks what it meets.
@@ -532,6 +544,12 @@
     }
 }
 
+/// Runs what [`ChangedSession::prepare`] prepared.
+fn execute() -> session_request::SessionRequest {
+    let (name, arguments) = ("s1".to_owned(), "a b".to_owned());
+    session_request::SessionRequest::Execute { name, arguments }
+}
+
 fn begin(read_only: bool) -> session_request::SessionRequest {
     session_request::SessionRequest::Begin { read_only }
 }
@@ -596,6 +614,9 @@
         }
     }
     session.check(statement(), change.next);
+    if time == ChangeTime::InRestore {
+        session.check(execute(), change.next);
+    }
     assert!(session.fleet.violations.is_empty(), "{:#?}", session.fleet.violations);
 }
 
@@ -612,3 +633,47 @@
         assert!(session.fleet.violations.is_empty(), "{:#?}", session.fleet.violations);
     }
 }
+
+/// Has a statement wait in a phase of this name, applies the change, and checks that it is refused at once.
+fn refuse_in_phase(change: &AccessChange, phase: &str, prepare: fn(&mut ChangedSession)) {
+    let mut session = ChangedSession::open(change);
+    prepare(&mut session);
+    let id = session.send_until(phase);
+    session.apply();
+    let applied = session.fleet.now;
+    session.check_response(&id, change.open);
+    assert!(session.fleet.now - applied <= 1_000, "refused only after a wait");
+    assert!(session.fleet.violations.is_empty(), "{:#?}", session.fleet.violations);
+}
+
+/// Leaves the account without tokens.
+fn spend_tokens(session: &mut ChangedSession) {
+    session.fleet.reconfigure(|config| {
+        let account = config.accounts.get_mut(ACCOUNT).expect("the account");
+        (account.rate, account.burst) = (8.0, 1.0);
+    });
+    session.fleet.run(millis(8_000));
+}
+
+/// Leaves the group without a primary shortly before the next one.
+fn replace_primary(session: &mut ChangedSession) {
+    session.fleet.crash("db0", false);
+    let promoting = |session: &ChangedSession| {
+        let context = session.fleet.core(HOST).context();
+        let record = context.groups[context.group_names[GROUP]].record.as_ref();
+        record.is_some_and(|record| record.candidate.is_some())
+    };
+    while !promoting(session) {
+        session.fleet.run(millis(10));
+    }
+    session.fleet.run(millis(800));
+}
+
+/// Guards against requests that wait for tokens or a primary with a withdrawn or moved key.
+#[test]
+fn waiting_requests_are_refused_in_each_phase() {
+    for change in [KEY_WITHDRAWN, KEY_MOVED] {
+        refuse_in_phase(&change, "waiting", spend_tokens);
+        refuse_in_phase(&change, "awaiting_primary", replace_primary);
+    }
+}
