refactor(test): declare the times of a change in one macro

Cause: three macros declared the same module around their lists of times. Change: each macro names its play and its times only.

--- a/tests/access_changes.rs
+++ b/tests/access_changes.rs
@@ -25,7 +25,7 @@
 /// Accounts; the key of each is its name at first.
 const ACCOUNT: &str = "large";
 const OTHER_ACCOUNT: &str = "other";
-/// Account of statements on a public route, and a key that no account holds.
+/// Account of statements on a public route.
 const NOBODY: &str = "";
 
 /// What the statements of a session meet.
@@ -223,27 +223,33 @@
     ..ROUTE_MADE_PRIVATE
 };
 
+/// Declares a module of a change with a test for each time at which it comes.
+macro_rules! change_cases {
+    ($play:ident, $name:ident, $change:expr, $($test:ident($time:ident, $read_only:expr);)*) => {
+        mod $name {
+            use super::*;
+            $(
+                #[test]
+                fn $test() {
+                    $play(&$change, ChangeTime::$time, $read_only);
+                }
+            )*
+        }
+    };
+}
+
 /// Plays changes that come before a statement is sent, in transactions that may write and read-only
 /// ones.
 macro_rules! admission_cases {
     ($($name:ident: $change:expr;)*) => {
-        $(mod $name {
-            use super::*;
-            fn play(time: ChangeTime, read_only: bool) {
-                play_transaction(&$change, time, read_only);
-            }
-            #[test]
-            fn before_begin() { play(ChangeTime::BeforeBegin, false); }
-            #[test]
-            fn before_begin_read() { play(ChangeTime::BeforeBegin, true); }
-            #[test]
-            fn after_begin() { play(ChangeTime::AfterBegin, false); }
-            #[test]
-            fn after_begin_read() { play(ChangeTime::AfterBegin, true); }
-            #[test]
-            fn after_first_write() { play(ChangeTime::AfterFirstStatement, false); }
-            #[test]
-            fn after_first_read() { play(ChangeTime::AfterFirstStatement, true); }
+        $(change_cases! {
+            play_transaction, $name, $change,
+            before_begin(BeforeBegin, false);
+            before_begin_read(BeforeBegin, true);
+            after_begin(AfterBegin, false);
+            after_begin_read(AfterBegin, true);
+            after_first_write(AfterFirstStatement, false);
+            after_first_read(AfterFirstStatement, true);
         })*
     };
 }
@@ -251,19 +257,12 @@
 /// Plays changes that come before a statement that was sent can run.
 macro_rules! waiting_cases {
     ($($name:ident: $change:expr;)*) => {
-        $(mod $name {
-            use super::*;
-            fn play(time: ChangeTime, read_only: bool) {
-                play_transaction(&$change, time, read_only);
-            }
-            #[test]
-            fn in_restore() { play(ChangeTime::InRestore, false); }
-            #[test]
-            fn in_restore_for_read() { play(ChangeTime::InRestore, true); }
-            #[test]
-            fn in_queue() { play(ChangeTime::InQueue, false); }
-            #[test]
-            fn in_retry_of_read() { play(ChangeTime::InRetry, true); }
+        $(change_cases! {
+            play_transaction, $name, $change,
+            in_restore(InRestore, false);
+            in_restore_for_read(InRestore, true);
+            in_queue(InQueue, false);
+            in_retry_of_read(InRetry, true);
         })*
     };
 }
@@ -271,21 +270,13 @@
 /// Plays changes that come while a single statement waits or is tried again.
 macro_rules! single_cases {
     ($($name:ident: $change:expr;)*) => {
-        $(mod $name {
-            use super::*;
-            fn play(time: ChangeTime, read_only: bool) {
-                play_single(&$change, time, read_only);
-            }
-            #[test]
-            fn in_restore() { play(ChangeTime::InRestore, false); }
-            #[test]
-            fn in_restore_for_read() { play(ChangeTime::InRestore, true); }
-            #[test]
-            fn in_queue() { play(ChangeTime::InQueue, false); }
-            #[test]
-            fn in_rejection_of_read() { play(ChangeTime::InRejection, true); }
-            #[test]
-            fn in_lost_preparation_of_read() { play(ChangeTime::InLostPreparation, true); }
+        $(change_cases! {
+            play_single, $name, $change,
+            in_restore(InRestore, false);
+            in_restore_for_read(InRestore, true);
+            in_queue(InQueue, false);
+            in_rejection_of_read(InRejection, true);
+            in_lost_preparation_of_read(InLostPreparation, true);
         })*
     };
 }
