fix(failover): supersede a promotion that may hold only by a further one

Cause: a candidate without a sign of life for 4 s was taken for lost, and the old primary, which still led its term, was recorded again, although the platform had accepted the promotion. Ruled out: a late or repeated call; the platform had replied to the only one. Change: while a promotion may have taken effect, an endpoint is recorded only in a newer term, and the old primary may be promoted itself after 4 s. If it stays in its term for 4 s more, it had been the primary all along.

--- a/src/proxy/failover_flow.rs
+++ b/src/proxy/failover_flow.rs
@@ -53,6 +53,8 @@
 const PROMOTION_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// How long a promoted endpoint may take to report that it is the primary.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// Greatest age of the status of a promoted endpoint that shows that it stays in its term.
+const STAYING_REPORT_AGE_MAX: Duration = Duration::from_millis(500);
 /// Least time between a change of a group's record and a failover because the primary is
 /// unresponsive, so that primaries which respond slowly do not replace one another in quick
 /// succession. Other reasons for a failover do not wait.
@@ -185,6 +187,7 @@
     if view.failover.cursor.state() != "promoting" {
         return;
     }
+    view.failover.promotion_uncertain |= reply != duty_call::DutyReply::Rejected;
     match reply {
         duty_call::DutyReply::Accepted => fire(ctx, group, "promotion_accepted"),
         duty_call::DutyReply::Rejected => {
@@ -229,6 +232,9 @@
     let view = &mut ctx.groups[group];
     view.failover.started_at = now;
     view.failover.rejected_candidates.clear();
+    // An earlier coordinator, or this host before it lost the role, may have had it promoted.
+    view.failover.promotion_uncertain =
+        view.record.as_ref().is_some_and(|record| record.candidate.is_some());
     log::info!(
         "event=change_begins group={} reason={reason:?} epoch={} primary={:?}",
         view.name,
@@ -430,6 +436,7 @@
     let view = &ctx.groups[group];
     let term = view.term();
     let waited = ctx.now.since(view.failover.since);
+    let uncertain = view.failover.promotion_uncertain;
     // A pending candidate that has been unresponsive for the whole confirmation timeout is given
     // up.
     if let Some(candidate) = pending_candidate(ctx, group)
@@ -445,7 +452,8 @@
         let other = &ctx.endpoints[endpoint];
         let new = other.entry.id != recorded;
         // Another endpoint is the primary already, or the old primary responds again and may stay.
-        if (new && report.term >= term) || (!new && other.eligible()) {
+        let may_stay = if new { report.term >= term } else { other.eligible() };
+        if report.term > term || (may_stay && !uncertain) {
             return record_primary(ctx, group, endpoint, report.term);
         }
     }
@@ -457,8 +465,13 @@
         });
     };
     let rejected_candidates = &ctx.groups[group].failover.rejected_candidates;
+    // Once an uncertain promotion has had the time to take effect, a promotion of the old primary tells
+    // whether it has: an endpoint that is the primary still stays in its term.
+    let primary_suitable = uncertain && waited >= CONFIRMATION_TIMEOUT;
     let suitable = reports.iter().filter(|(endpoint, report)| {
-        !report.primary && report.position >= required && !rejected_candidates.contains(endpoint)
+        (!report.primary || primary_suitable)
+            && report.position >= required
+            && !rejected_candidates.contains(endpoint)
     });
     let eligible = suitable.clone().filter(|(endpoint, _)| ctx.endpoints[*endpoint].eligible());
     let mut candidate = eligible.max_by_key(|(_, report)| report.position);
@@ -625,8 +638,19 @@
     if let (Some((_, report)), Some(endpoint)) = (is_primary, candidate) {
         return record_primary(ctx, group, endpoint, report.term);
     }
-    if ctx.now.since(view.failover.since) >= CONFIRMATION_TIMEOUT {
-        fire(ctx, group, "timed_out");
+    if ctx.now.since(view.failover.since) < CONFIRMATION_TIMEOUT {
+        return;
+    }
+    // The platform has accepted the promotion of an endpoint that stays in its term: it had been the
+    // primary all along.
+    let stays = report.filter(|(requested_at, report)| {
+        ctx.now.since(*requested_at) < STAYING_REPORT_AGE_MAX
+            && report.primary
+            && report.term == record.term
+    });
+    match (stays, candidate) {
+        (Some((_, report)), Some(endpoint)) => record_primary(ctx, group, endpoint, report.term),
+        _ => fire(ctx, group, "timed_out"),
     }
 }
 
--- a/src/proxy/group_view.rs
+++ b/src/proxy/group_view.rs
@@ -44,6 +44,9 @@
     pub rejected_candidates: Vec<arena_keys::EndpointKey>,
     /// Whether a write of the record or a promotion is pending.
     pub call_pending: bool,
+    /// Whether a promotion of this failover may have taken effect although its endpoint was not seen to
+    /// be the primary. Only a further promotion supersedes it.
+    pub promotion_uncertain: bool,
     /// Since when a majority of the witnesses has reported the record's epoch. A quorum lease
     /// later, no host can hold a lease for an older epoch.
     pub epoch_known_since: Option<clock_time::ClockTime>,
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -598,6 +598,7 @@
             last_attempt_at: Default::default(),
             rejected_candidates: Vec::new(),
             call_pending: false,
+            promotion_uncertain: false,
             epoch_known_since: None,
             epoch_seen_since: None,
             wait_logged_at: Default::default(),
