refactor(test): find the coordinator and await responses in the fakes

Cause: the new tests wrote again how to find the coordinator, of which four places had a copy already, and how send_and_wait waits for a response. Change: ProxyFleet::coordinator and ProxyFleet::wait_for_response, which these tests and the earlier copies over all hosts call. Result: the same cases with the same assertions pass.

--- a/tests/access_changes.rs
+++ b/tests/access_changes.rs
@@ -440,13 +440,7 @@
     }
 
     fn wait(&mut self) -> ReceivedResponse {
-        for _ in 0..3_000 {
-            if let Some(received) = self.fleet.take_response(HOST, self.caller) {
-                return received;
-            }
-            self.fleet.run(millis(1));
-        }
-        panic!("no answer within 3 s");
+        self.fleet.wait_for_response(HOST, self.caller).expect("an answer within 3 s")
     }
 
     /// Sends a request that a host answers by itself.
--- a/tests/held_duties.rs
+++ b/tests/held_duties.rs
@@ -15,7 +15,7 @@
                 let run: fn(&mut ProxyFleet, usize) = $body;
                 let mut fleet = ProxyFleet::new(5, &[("large", 1_000.0, 1_000.0)], 1);
                 fleet.run(millis(2_500));
-                let coordinator = coordinator(&fleet);
+                let coordinator = fleet.coordinator().unwrap_or_else(|| panic!("no coordinator"));
                 fleet.hold_duties(coordinator);
                 fleet.crash("db0", false);
                 wait_until(&mut fleet, |fleet| fleet.held_duties() == 1);
@@ -26,11 +26,6 @@
     };
 }
 
-fn coordinator(fleet: &ProxyFleet) -> usize {
-    let holds = |host: &usize| fleet.core(*host).context().fencing_token().is_some();
-    (0..5).find(holds).unwrap_or_else(|| panic!("no host is the coordinator"))
-}
-
 fn wait_until(fleet: &mut ProxyFleet, condition: impl Fn(&ProxyFleet) -> bool) {
     for _ in 0..6_000 {
         if condition(fleet) {
@@ -60,7 +55,7 @@
     // the call goes on.
     slow_promotion_goes_on_while_the_lease_is_renewed: |fleet, coordinator| {
         fleet.run(millis(2_300));
-        assert_eq!(self::coordinator(fleet), coordinator);
+        assert_eq!(fleet.coordinator(), Some(coordinator));
         assert_eq!((fleet.held_duties(), fleet.duties_ever_held()), (1, 1));
         fleet.release_duties();
         wait_until(fleet, |fleet| fleet.primary_id() != "db0");
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -184,9 +184,7 @@
     // Guards against a failover that stops with its coordinator: the coordinator dies together with
     // the primary, and another host has to take over the role.
     failover_survives_death_of_the_coordinator: |fleet| {
-        let coordinator = (0..4)
-            .find(|host| fleet.core(*host).context().fencing_token().is_some())
-            .expect("a coordinator");
+        let coordinator = fleet.coordinator().expect("a coordinator");
         let host = (coordinator + 1) % 4;
         let caller = fleet.open(host, "large", "strict");
         fleet.kill_host(coordinator);
--- a/tests/proxy_fakes/mod.rs
+++ b/tests/proxy_fakes/mod.rs
@@ -834,6 +834,11 @@
         &self.hosts[host].core
     }
 
+    /// Returns the number of the host that is certain to be the coordinator.
+    pub(crate) fn coordinator(&self) -> Option<usize> {
+        self.hosts.iter().position(|host| host.core.context().fencing_token().is_some())
+    }
+
     /// Returns a host's clock at a virtual time in microseconds.
     pub(crate) fn host_clock(&self, host: usize, at: u64) -> clock_time::ClockTime {
         clock_time::ClockTime::from_micros(at.saturating_sub(self.hosts[host].clock_lag_us))
@@ -980,6 +985,15 @@
     ) -> Option<ReceivedResponse> {
         self.responses.entry((host, caller)).or_default().clear();
         self.send(host, caller, request);
+        self.wait_for_response(host, caller)
+    }
+
+    /// Waits up to 3 s of virtual time for a session's oldest response that has not been taken.
+    pub(crate) fn wait_for_response(
+        &mut self,
+        host: usize,
+        caller: core_message::CallerId,
+    ) -> Option<ReceivedResponse> {
         for _ in 0..3_000 {
             if let Some(received) = self.take_response(host, caller) {
                 return Some(received);
--- a/tests/synchronous_groups.rs
+++ b/tests/synchronous_groups.rs
@@ -211,9 +211,7 @@
         fleet.cut_off("db1");
         write_for(fleet, 4_500);
         for round in 0..8 {
-            let coordinator = (0..HOSTS)
-                .find(|host| fleet.core(*host).context().fencing_token().is_some());
-            let host = coordinator.unwrap_or_default();
+            let host = fleet.coordinator().unwrap_or_default();
             fleet.kill_host(host);
             write_for(fleet, 2_000 + 137 * round);
             fleet.start_host(host, millis(0));
@@ -264,8 +262,7 @@
     // and the coordinator, it goes on with the acknowledgement of the other hosts.
     host_cut_off_from_the_store_does_not_count_the_replica_either: |fleet| {
         assert!(write_for(fleet, 500) > 0);
-        let coordinator = (0..HOSTS)
-            .find(|host| fleet.core(*host).context().fencing_token().is_some());
+        let coordinator = fleet.coordinator();
         let cut_host = (coordinator.unwrap_or_default() + 1) % HOSTS;
         fleet.partition(PartitionSide::Host(cut_host), PartitionSide::Store);
         if let Some(coordinator) = coordinator {
--- a/tests/uncertain_promotions.rs
+++ b/tests/uncertain_promotions.rs
@@ -16,7 +16,7 @@
                 let run: fn(&mut ProxyFleet, usize, &str) = $body;
                 let mut fleet = ProxyFleet::new(HOSTS, &[("large", 1_000.0, 1_000.0)], 1);
                 fleet.run(millis(2_500));
-                let coordinator = coordinator(&fleet);
+                let coordinator = fleet.coordinator().unwrap_or_else(|| panic!("no coordinator"));
                 for host in 0..HOSTS {
                     let database = PartitionSide::Database("db0".to_owned());
                     fleet.partition(PartitionSide::Host(host), database);
@@ -34,11 +34,6 @@
     };
 }
 
-fn coordinator(fleet: &ProxyFleet) -> usize {
-    let holds = |host: &usize| fleet.core(*host).context().fencing_token().is_some();
-    (0..HOSTS).find(holds).unwrap_or_else(|| panic!("no host is the coordinator"))
-}
-
 fn candidate_of(fleet: &ProxyFleet, host: usize) -> Option<String> {
     let context = fleet.core(host).context();
     context.groups[context.group_names["orders"]].record.as_ref()?.candidate.clone()
--- a/tests/usage_reports.rs
+++ b/tests/usage_reports.rs
@@ -419,9 +419,7 @@
         for _ in 0..14 {
             let host = match rng.random_range(0..3) {
                 0 => rng.random_range(0..HOSTS),
-                _ => (0..HOSTS)
-                    .find(|host| fleet.core(*host).context().fencing_token().is_some())
-                    .unwrap_or(0),
+                _ => fleet.coordinator().unwrap_or(0),
             };
             fail_at_random(&mut fleet, &mut rng, host);
             let pause = rng.random_range(100..3_500);
